--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the service emulator and the load tool."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,47 @@
+"""Run one measurement: ``python -m bench NAME [--seed N]``."""
+
+import importlib
+import sys
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import cyclopts
+
+from bench._figures import Figure, format_figure
+
+NAMES: Final = (
+    "latency",
+    "overload",
+    "decide",
+    "control",
+    "quota",
+    "restart",
+    "capacity",
+)
+
+app = cyclopts.App(help="Run a measurement and print its figures.")
+
+
+@app.default
+def measure(name: str, *, seed: int = 1) -> None:
+    """Run the measurement and print a JSON line for each figure.
+
+    Parameters
+    ----------
+    name
+        One of latency, overload, decide, control, quota, restart and
+        capacity.
+    seed
+        Seed of every random source.
+    """
+    if name not in NAMES:
+        print(f"unknown measurement {name!r}", file=sys.stderr)
+        sys.exit(2)
+    module = importlib.import_module(f"bench.{name}")
+    run: Callable[[int], Iterable[Figure]] = module.run
+    for figure in run(seed):
+        print(format_figure(figure), flush=True)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/src/sequoiaseam/_clock.py
@@ -0,0 +1,48 @@
+"""Clocks: the interface, the process clock and one set by hand."""
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Final, Protocol
+
+EPOCH: Final = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class Clock(Protocol):
+    """Tell the time in UTC; never goes back."""
+
+    def now(self) -> datetime:
+        """Return the current time."""
+        ...
+
+
+class ProcessClock:
+    """Wall-clock time at start, advanced by the monotonic clock.
+
+    Steps of the wall clock after the start have no effect, so leases
+    and timeouts measure elapsed time only.
+    """
+
+    def __init__(self) -> None:
+        self._start = datetime.now(tz=UTC)
+        self._origin_ns = time.monotonic_ns()
+
+    def now(self) -> datetime:
+        """Return the current time."""
+        elapsed_ns = time.monotonic_ns() - self._origin_ns
+        return self._start + timedelta(microseconds=elapsed_ns // 1000)
+
+
+class ManualClock:
+    """A clock that moves only when told; for tests and emulation."""
+
+    def __init__(self, start: datetime = EPOCH) -> None:
+        self._now = start
+
+    def now(self) -> datetime:
+        """Return the current time."""
+        return self._now
+
+    def advance(self, step: timedelta) -> datetime:
+        """Move forward by ``step`` and return the new time."""
+        self._now += step
+        return self._now
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sequoiaseam."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,71 @@
+"""Builders of test data."""
+
+from datetime import timedelta
+
+from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._tables import Importance, Pool, Route, Tables, Workspace
+
+
+def build_route(
+    name: str = "quotes",
+    path: str = "/quotes",
+    pool: str = "history",
+    *,
+    methods: tuple[str, ...] = ("GET",),
+    importance: Importance = Importance.NORMAL,
+    open_to_all: bool = False,
+    idempotent: bool = True,
+    timeout: timedelta = timedelta(seconds=2),
+    retries: int = 2,
+) -> Route:
+    """Return a sound route."""
+    return Route(
+        name=name,
+        path=path,
+        pool=pool,
+        methods=methods,
+        importance=importance,
+        open=open_to_all,
+        idempotent=idempotent,
+        timeout=timeout,
+        retries=retries,
+    )
+
+
+def build_tables(
+    *routes: Route,
+    workspaces: tuple[Workspace, ...] = (
+        Workspace(name="coop", rate=100.0, burst=200),
+    ),
+) -> Tables:
+    """Return sound tables with a pool for each route."""
+    chosen = routes or (build_route(),)
+    return Tables(
+        routes={route.name: route for route in chosen},
+        pools={route.pool: Pool(name=route.pool) for route in chosen},
+        workspaces={row.name: row for row in workspaces},
+    )
+
+
+def build_member(
+    name: str = "node-1",
+    *,
+    incarnation: int = 1,
+    pool: str = "history",
+    domain: str = "domain-1",
+    region: str = "south",
+    port: int = 7001,
+    state: MemberState = MemberState.SERVING,
+) -> Member:
+    """Return a serving member."""
+    return Member(
+        name=name,
+        incarnation=incarnation,
+        host="127.0.0.1",
+        port=port,
+        pool=pool,
+        domain=domain,
+        region=region,
+        state=state,
+        slots=100,
+    )
