--- /dev/null
+++ b/src/sequoiaseam/_control.py
@@ -0,0 +1,350 @@
+"""A control host: replica, node sessions, leadership and operators."""
+
+import asyncio
+import os
+import secrets
+from datetime import datetime, timedelta
+from random import Random
+from typing import Any, Final
+
+from grpclib.const import Cardinality
+from grpclib.server import Server
+
+from sequoiaseam._access import Credentials, Identity, Role, Verifier
+from sequoiaseam._clock import Clock
+from sequoiaseam._commands import Command, CrashReported
+from sequoiaseam._control_links import ControlLinks
+from sequoiaseam._control_messages import (
+    ATTACH_PATH,
+    CALL_PATH,
+    FOLLOW_PATH,
+    PEER_PATH,
+    AliveBatch,
+    Failure,
+    PeerHello,
+    PeerPing,
+    Relay,
+    create_control_codec,
+)
+from sequoiaseam._feed import FeedSource
+from sequoiaseam._files import DiskFileSystem
+from sequoiaseam._journal import Journal
+from sequoiaseam._leadership import Leadership
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam._operations import EventLog, OperationHooks, Operations
+from sequoiaseam._operator import FollowRequest
+from sequoiaseam._replica import Replica, ReplicaConfig
+from sequoiaseam._replica_host import (
+    Confirmation,
+    ReplicaHooks,
+    ReplicaHost,
+)
+from sequoiaseam._replica_messages import Role as ReplicaRole
+from sequoiaseam._replica_messages import RoleChanged
+from sequoiaseam._rpc import Service, create_server
+from sequoiaseam._sessions import NodeSessions, SessionHooks
+from sequoiaseam._settings import ControlSettings
+from sequoiaseam._state import FleetState
+from sequoiaseam._tasks import TaskGroup
+from sequoiaseam.errors import ErrorCode, SeamError
+
+TICK: Final = timedelta(milliseconds=100)
+ALIVE_INTERVAL: Final = timedelta(milliseconds=500)
+IDENTITY_BYTES: Final = 16
+
+
+class Control:
+    """Everything of one ``sequoiaseam-control`` process."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._credentials = Credentials(
+            settings.secrets.fleet,
+            settings.secrets.operators,
+        )
+        self._codec = create_control_codec()
+        self._tasks = TaskGroup()
+        self._links = ControlLinks(
+            settings.name,
+            self._codec,
+            rng,
+            self._create_proof,
+        )
+        self._state = FleetState()
+        self._events = EventLog()
+        self._leadership: Leadership | None = None
+        self._leader: str | None = None
+        self._applied = asyncio.Event()
+        self._alive_at = clock.now()
+        journal = Journal(str(settings.data), DiskFileSystem())
+        restored = journal.open(lambda: secrets.token_hex(IDENTITY_BYTES))
+        if restored.snapshot is not None:
+            self._state = FleetState.load(restored.snapshot.data)
+        self._sessions = NodeSessions(
+            FeedSource(self._state),
+            clock,
+            SessionHooks(self._get_confirmation, self._forward),
+        )
+        self._host = ReplicaHost(
+            Replica(
+                ReplicaConfig(
+                    settings.name,
+                    tuple(settings.replicas),
+                    snapshot_entries=settings.snapshot_every,
+                ),
+                restored,
+                rng,
+                clock.now(),
+            ),
+            journal,
+            clock,
+            rng,
+            ReplicaHooks(
+                send=self._links.post,
+                apply=self._apply,
+                dump=lambda: self._state.dump(),
+                load=self._load,
+                change_role=self._change_role,
+            ),
+        )
+        self._operations = Operations(
+            lambda: self._state,
+            self._host,
+            self._sessions,
+            clock,
+            OperationHooks(lambda: self._leadership, self._wait_applied),
+        )
+        self._server: Server | None = None
+
+    # Lifecycle.
+
+    async def start(self) -> None:
+        """Open the listener and take part in the group."""
+        service = Service(
+            Verifier(self._credentials),
+            self._clock,
+            {
+                ATTACH_PATH: (Cardinality.STREAM_STREAM, self._attach),
+                PEER_PATH: (Cardinality.STREAM_STREAM, self._peer),
+                CALL_PATH: (Cardinality.UNARY_UNARY, self._call),
+                FOLLOW_PATH: (Cardinality.UNARY_STREAM, self._follow),
+            },
+        )
+        self._server = create_server(service, self._codec)
+        listen = self._settings.listen
+        await self._server.start(listen.host, listen.port)
+        self._links.update(self._settings.replicas)
+        self._host.start()
+        self._tasks.start(self._tick())
+
+    async def drain(self) -> None:
+        """End nothing: nodes and replicas move on by themselves."""
+
+    async def close(self) -> None:
+        """Close the listener and all connections."""
+        await self._tasks.cancel()
+        await self._links.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        await self._host.close()
+
+    def _create_proof(self) -> str:
+        return self._credentials.sign(
+            self._clock.now(),
+            Role.FLEET,
+            self._settings.name,
+            os.urandom(16).hex(),
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK.total_seconds())
+            now = self._clock.now()
+            if now - self._alive_at >= ALIVE_INTERVAL:
+                self._report_alive(now)
+            if self._leadership is not None:
+                self._leadership.tick(now)
+
+    def _report_alive(self, now: datetime) -> None:
+        since, self._alive_at = self._alive_at, now
+        batch = AliveBatch(
+            self._sessions.collect(since),
+            self._sessions.take_gone(),
+        )
+        if self._leadership is not None:
+            self._leadership.hear(now, batch)
+        elif self._leader is not None:
+            self._links.post(self._leader, batch)
+
+    # Replicated state.
+
+    def _get_confirmation(self) -> Confirmation | None:
+        return self._host.confirmation
+
+    def _apply(self, index: int, command: Command) -> None:
+        result = self._state.apply(index, command)
+        for node, message in self._sessions.feed.publish(index, command):
+            self._sessions.post(node, message)
+        self._events.record(self._state, command)
+        if result is not None:
+            log_event(
+                Level.INFO,
+                "edit applied",
+                edit=result.edit_id,
+                status=result.status.value,
+                revision=result.revision,
+                index=index,
+            )
+        if self._leadership is not None:
+            self._leadership.configure(self._clock.now())
+        self._applied.set()
+        self._applied = asyncio.Event()
+
+    def _load(self, data: bytes) -> None:
+        self._state = FleetState.load(data)
+        self._sessions.feed.replace_state(self._state)
+
+    async def _wait_applied(self, index: int) -> None:
+        while self._host.replica.applied_index < index:
+            await self._applied.wait()
+
+    def _change_role(self, change: RoleChanged) -> None:
+        self._leader = change.leader
+        log_event(
+            Level.INFO,
+            "role changed",
+            control=self._settings.name,
+            role=change.role.value,
+            term=change.term,
+            leader=change.leader or "",
+        )
+        if change.role is not ReplicaRole.LEADER:
+            self._leadership = None
+        elif self._leadership is None or self._leadership.term != change.term:
+            self._leadership = Leadership(
+                self._clock.now(),
+                change.term,
+                lambda: self._state,
+                self._rng,
+                self._start_proposal,
+            )
+
+    def _start_proposal(self, command: Command) -> None:
+        self._tasks.start(self._propose(command))
+
+    async def _propose(self, command: Command) -> None:
+        try:
+            await self._host.propose(command)
+        except SeamError as error:
+            log_event(
+                Level.INFO,
+                "proposal not committed",
+                command=type(command).__name__,
+                code=error.code.value,
+            )
+
+    # Nodes.
+
+    async def _attach(self, stream: Any, _: Identity) -> None:
+        await self._sessions.serve(stream)
+
+    def _forward(self, node: str, message: Any) -> None:
+        """Pass a node's message to the leader, here or elsewhere."""
+        if self._leadership is not None:
+            answer = self._handle_node(message)
+            if answer is not None:
+                self._sessions.post(node, answer)
+        elif self._leader is not None:
+            self._links.post(
+                self._leader,
+                Relay(node, self._codec.encode(message)),
+            )
+
+    def _handle_node(self, message: Any) -> object | None:
+        if self._leadership is None:
+            return None
+        now = self._clock.now()
+        if isinstance(message, CrashReported):
+            self._start_proposal(message)
+            return None
+        return self._leadership.receive(
+            now,
+            message,
+            lease_valid=self._host.replica.lease_valid(now),
+        )
+
+    # Other control hosts.
+
+    async def _peer(self, stream: Any, _: Identity) -> None:
+        hello = await stream.recv_message()
+        if not isinstance(hello, PeerHello):
+            return
+        async for message in stream:
+            if isinstance(message, PeerPing):
+                await stream.send_message(message)
+            else:
+                self._receive_peer(hello.name, message)
+
+    def _receive_peer(self, sender: str, message: Any) -> None:
+        if isinstance(message, AliveBatch):
+            if self._leadership is not None:
+                self._leadership.hear(self._clock.now(), message)
+        elif isinstance(message, Relay):
+            self._receive_relay(sender, message)
+        else:
+            self._host.receive(sender, message)
+
+    def _receive_relay(self, sender: str, relay: Relay) -> None:
+        """Handle a relayed message, or pass its answer to the node."""
+        message = self._codec.decode(relay.payload)
+        if relay.answer:
+            self._sessions.post(relay.node, message)
+            return
+        answer = self._handle_node(message)
+        if answer is not None:
+            self._links.post(
+                sender,
+                Relay(relay.node, self._codec.encode(answer), answer=True),
+            )
+
+    # Operators.
+
+    async def _call(self, stream: Any, identity: Identity) -> None:
+        request = await stream.recv_message()
+        try:
+            _require_operator(identity)
+            answer = await self._operations.run(request)
+        except SeamError as error:
+            answer = Failure(
+                error.code.value,
+                error.message,
+                self._leader or "",
+            )
+        await stream.send_message(answer)
+
+    async def _follow(self, stream: Any, identity: Identity) -> None:
+        request = await stream.recv_message()
+        if not isinstance(request, FollowRequest):
+            return
+        _require_operator(identity)
+        after = request.after_index
+        while True:
+            for event in await self._events.wait(after):
+                await stream.send_message(event)
+                after = event.index
+
+
+def _require_operator(identity: Identity) -> None:
+    if identity.role is not Role.OPERATOR:
+        raise SeamError(
+            ErrorCode.ACCESS_DENIED,
+            "only operators may do this",
+        )
--- /dev/null
+++ b/src/sequoiaseam/_control_links.py
@@ -0,0 +1,191 @@
+"""Streams between control hosts.
+
+Each host opens one stream to each other host and sends on its own
+stream only; the other side answers nothing but keep-alives.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any, Final
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from sequoiaseam._codec import Codec
+from sequoiaseam._control_messages import PEER_PATH, PeerHello, PeerPing
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam._rpc import create_channel, open_stream
+from sequoiaseam._settings import Endpoint
+from sequoiaseam._tasks import TaskGroup
+from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+from sequoiaseam.errors import SeamError
+
+RECONNECT_MIN_SECONDS: Final = 0.05
+RECONNECT_MAX_SECONDS: Final = 0.3
+# Messages beyond this are dropped; the replica sends again.
+QUEUE_LIMIT: Final = 10_000
+
+
+class ControlLink:
+    """This host's stream to one other control host."""
+
+    def __init__(
+        self,
+        name: str,
+        peer: str,
+        endpoint: Endpoint,
+        codec: Codec,
+        rng: Random,
+        create_proof: Callable[[], str],
+    ) -> None:
+        self._name = name
+        self._peer = peer
+        self._endpoint = endpoint
+        self._codec = codec
+        self._rng = rng
+        self._create_proof = create_proof
+        self._queue: asyncio.Queue[Any] | None = None
+        self._echo = asyncio.Event()
+
+    def post(self, message: object) -> None:
+        """Send a message, or drop it while there is no connection."""
+        if self._queue is not None:
+            with contextlib.suppress(asyncio.QueueFull):
+                self._queue.put_nowait(message)
+
+    async def run(self) -> None:
+        """Keep the stream open, forever."""
+        while True:
+            channel = create_channel(
+                self._endpoint.host,
+                self._endpoint.port,
+                self._codec,
+            )
+            try:
+                await self._serve(channel)
+            except (
+                GRPCError,
+                StreamTerminatedError,
+                OSError,
+                TimeoutError,
+                SeamError,
+            ) as error:
+                log_event(
+                    Level.DEBUG,
+                    "control link lost",
+                    peer=self._peer,
+                    error=type(error).__name__,
+                )
+            finally:
+                self._queue = None
+                channel.close()
+            await asyncio.sleep(
+                self._rng.uniform(
+                    RECONNECT_MIN_SECONDS,
+                    RECONNECT_MAX_SECONDS,
+                ),
+            )
+
+    async def _serve(self, channel: Channel) -> None:
+        tasks = TaskGroup()
+        async with open_stream(
+            channel,
+            PEER_PATH,
+            self._create_proof(),
+        ) as stream:
+            async with asyncio.timeout(CONNECTION_TIMEOUT.total_seconds()):
+                await stream.send_message(PeerHello(self._name))
+            queue: asyncio.Queue[Any] = asyncio.Queue(QUEUE_LIMIT)
+            self._queue = queue
+            reader = tasks.start(self._read(stream))
+            sender = tasks.start(self._send(stream, queue))
+            try:
+                await self._watch(reader, sender)
+            finally:
+                await tasks.cancel()
+                with contextlib.suppress(Exception):
+                    await stream.cancel()
+
+    async def _read(self, stream: Any) -> None:
+        async for _ in stream:
+            self._echo.set()
+
+    async def _send(self, stream: Any, queue: "asyncio.Queue[Any]") -> None:
+        while True:
+            await stream.send_message(await queue.get())
+
+    async def _watch(
+        self,
+        reader: "asyncio.Task[Any]",
+        sender: "asyncio.Task[Any]",
+    ) -> None:
+        """Ping until the stream ends or a ping is not echoed in time."""
+        interval = CONNECTION_PING_INTERVAL.total_seconds()
+        limit = CONNECTION_TIMEOUT.total_seconds()
+        for number in itertools.count():
+            self._echo.clear()
+            self.post(PeerPing(number))
+            async with asyncio.timeout(limit):
+                echo = asyncio.ensure_future(self._echo.wait())
+                try:
+                    done, _ = await asyncio.wait(
+                        (reader, sender, echo),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                finally:
+                    echo.cancel()
+            for task in done - {echo}:
+                task.result()
+                return
+            await asyncio.sleep(interval)
+
+
+class ControlLinks:
+    """The streams to all other control hosts."""
+
+    def __init__(
+        self,
+        name: str,
+        codec: Codec,
+        rng: Random,
+        create_proof: Callable[[], str],
+    ) -> None:
+        self._name = name
+        self._codec = codec
+        self._rng = rng
+        self._create_proof = create_proof
+        self._links: dict[str, tuple[Endpoint, ControlLink]] = {}
+        self._runs: dict[str, asyncio.Task[Any]] = {}
+        self._tasks = TaskGroup()
+
+    def update(self, hosts: Mapping[str, Endpoint]) -> None:
+        """Open and close links so that there is one to each host."""
+        for peer in list(self._links):
+            if hosts.get(peer) != self._links[peer][0]:
+                del self._links[peer]
+                self._runs.pop(peer).cancel()
+        for peer, endpoint in hosts.items():
+            if peer != self._name and peer not in self._links:
+                link = ControlLink(
+                    self._name,
+                    peer,
+                    endpoint,
+                    self._codec,
+                    self._rng,
+                    self._create_proof,
+                )
+                self._links[peer] = (endpoint, link)
+                self._runs[peer] = self._tasks.start(link.run())
+
+    def post(self, peer: str, message: object) -> None:
+        """Send a message to a control host; it may be lost."""
+        kept = self._links.get(peer)
+        if kept is not None:
+            kept[1].post(message)
+
+    async def close(self) -> None:
+        """Close all links."""
+        await self._tasks.cancel()
--- /dev/null
+++ b/src/sequoiaseam/_edge.py
@@ -0,0 +1,243 @@
+"""HTTP/1.1 server: callers' requests in, whole answers out.
+
+The same server, with another chain, is the loopback listener for the
+calls of the backend server.
+"""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, Final
+
+from aiohttp import web
+from aiohttp.http_exceptions import (
+    BadHttpMessage,
+    HttpProcessingError,
+    LineTooLong,
+)
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+
+from sequoiaseam._clock import Clock
+from sequoiaseam._exchange import Answer, Exchange, Next
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.const import (
+    HEADER_CODE,
+    HEADER_LIMIT,
+    HEADER_REQUEST_ID,
+    HEADER_VERDICT,
+)
+from sequoiaseam.errors import ErrorCode, RefusalError
+
+MILLISECOND: Final = timedelta(milliseconds=1)
+# The parser's own limit; the check of the whole header block, which
+# gives a refusal with a request id, comes before it.
+PARSER_LIMIT: Final = 2 * HEADER_LIMIT
+
+
+def create_refusal(
+    error: RefusalError,
+    request_id: str | None,
+) -> web.Response:
+    """Return the documented HTTP response for a refusal."""
+    headers = {
+        HEADER_CODE: error.code.value,
+        HEADER_VERDICT: error.verdict.value,
+    }
+    retry_after_ms: int | None = None
+    if error.retry_after is not None:
+        retry_after_ms = max(1, error.retry_after // MILLISECOND)
+        headers["Retry-After"] = str(-(-retry_after_ms // 1000))
+    if request_id is not None:
+        headers[HEADER_REQUEST_ID] = request_id
+    body = {
+        "code": error.code.value,
+        "verdict": error.verdict.value,
+        "message": error.message,
+        "request_id": request_id,
+        "retry_after_ms": retry_after_ms,
+    }
+    return web.Response(
+        status=error.status,
+        headers=headers,
+        body=json.dumps(body).encode(),
+        content_type="application/json",
+    )
+
+
+def create_response(answer: Answer, request_id: str | None) -> web.Response:
+    """Return the HTTP response for a whole answer."""
+    headers = CIMultiDict(answer.headers)
+    if request_id is not None:
+        headers[HEADER_REQUEST_ID] = request_id
+    return web.Response(
+        status=answer.status,
+        headers=headers,
+        body=answer.body,
+    )
+
+
+class EdgeProtocol(RequestHandler[web.BaseRequest]):
+    """Answer malformed HTTP with the documented refusal."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return a refusal; close the connection after it."""
+        del request, message
+        error = _classify_error(status, exc)
+        if error.code is ErrorCode.INTERNAL:
+            log_event(
+                Level.ERROR,
+                "request handler failed",
+                error=type(exc).__name__,
+            )
+        response = create_refusal(error, None)
+        response.force_close()
+        return response
+
+
+def _classify_error(status: int, exc: BaseException | None) -> RefusalError:
+    if isinstance(exc, LineTooLong):
+        return RefusalError(
+            ErrorCode.HEADERS_TOO_LARGE,
+            f"the headers are over {HEADER_LIMIT} bytes",
+        )
+    malformed = isinstance(exc, BadHttpMessage | HttpProcessingError)
+    if malformed or status < 500:
+        return RefusalError(
+            ErrorCode.BAD_REQUEST,
+            "the request is not well-formed HTTP/1.1",
+        )
+    return RefusalError(
+        ErrorCode.INTERNAL,
+        "the node failed to handle the request",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+class EdgeServer(web.Server[web.BaseRequest]):
+    """An aiohttp server that runs each request through a chain."""
+
+    def __init__(
+        self,
+        handler: Callable[
+            [web.BaseRequest],
+            Awaitable[web.StreamResponse],
+        ],
+    ) -> None:
+        # With handler_cancellation a request ends when its caller goes.
+        super().__init__(handler, handler_cancellation=True)
+
+    def __call__(self) -> RequestHandler[web.BaseRequest]:
+        return EdgeProtocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            max_line_size=PARSER_LIMIT,
+            max_field_size=PARSER_LIMIT,
+            max_headers=256,
+            access_log=None,
+            lingering_time=1.0,
+        )
+
+
+class Edge:
+    """Turn HTTP requests into exchanges and answers into responses."""
+
+    def __init__(self, clock: Clock, chain: Next) -> None:
+        self._clock = clock
+        self._chain = chain
+        self._active = 0
+        # Set while the node drains: connections close after the answer.
+        self.closing = False
+
+    @property
+    def active(self) -> int:
+        """Return how many requests are in progress."""
+        return self._active
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self._active += 1
+        try:
+            response = await self._run(request)
+        finally:
+            self._active -= 1
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _run(self, request: web.BaseRequest) -> web.Response:
+        exchange = Exchange(
+            method=request.method,
+            path=request.raw_path if hasattr(request, "raw_path") else "",
+            headers=_decode_headers(request),
+            body=b"",
+            arrived=self._clock.now(),
+            read_body=lambda limit: read_body(request, limit),
+        )
+        try:
+            answer = await self._chain(exchange)
+        except RefusalError as error:
+            response = create_refusal(error, exchange.request_id)
+            if not request.content.is_eof():
+                response.force_close()
+            return response
+        return create_response(answer, exchange.request_id)
+
+
+def _decode_headers(
+    request: web.BaseRequest,
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (
+            name.decode("ascii", "surrogateescape"),
+            value.decode("utf-8", "surrogateescape"),
+        )
+        for name, value in request.raw_headers
+    )
+
+
+async def read_body(request: web.BaseRequest, limit: int) -> bytes:
+    """Return the body; raise BODY_TOO_LARGE beyond ``limit`` bytes."""
+    too_large = RefusalError(
+        ErrorCode.BODY_TOO_LARGE,
+        f"the body is over the route's limit of {limit} bytes",
+    )
+    if (request.content_length or 0) > limit:
+        raise too_large
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > limit:
+                raise too_large
+            chunks.append(chunk)
+    except (HttpProcessingError, ConnectionError) as error:
+        raise RefusalError(
+            ErrorCode.BAD_REQUEST,
+            "the body is not whole",
+        ) from error
+    return b"".join(chunks)
+
+
+async def start_listener(
+    handler: Any,
+    host: str,
+    port: int,
+) -> tuple[web.ServerRunner, int]:
+    """Serve on an address; return the runner and the bound port."""
+    runner = web.ServerRunner(EdgeServer(handler), handle_signals=False)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port, backlog=1024)
+    await site.start()
+    return runner, runner.addresses[0][1]
--- /dev/null
+++ b/src/sequoiaseam/_exchange.py
@@ -0,0 +1,106 @@
+"""A request on its way through the filter chain, and its answer."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Protocol
+
+from sequoiaseam._attempt import RequestAttempts
+from sequoiaseam._frames import Headers
+from sequoiaseam._retry import RetryBudget
+from sequoiaseam._tables import Importance, Route
+from sequoiaseam.const import OPEN_WORKSPACE
+from sequoiaseam.errors import RefusalError
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request and what the filters have found out about it.
+
+    ``path`` holds the query string too. ``token`` is the caller's key;
+    it never leaves the entry node. ``caller_id`` tells whether the
+    request id came from the caller.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    arrived: datetime
+    # Reads the body up to a limit in bytes; None when it is there.
+    read_body: Callable[[int], Awaitable[bytes]] | None = None
+    token: str | None = None
+    timeout: timedelta | None = None
+    request_id: str | None = None
+    caller_id: bool = False
+    nested: bool = False
+    route: Route | None = None
+    workspace: str = OPEN_WORKSPACE
+    weight: float = 1.0
+    importance: Importance = Importance.NORMAL
+    deadline: datetime | None = None
+    begun: bool = False
+    depth: int = 0
+    root_id: str = ""
+    budget: RetryBudget = field(default_factory=lambda: RetryBudget(0))
+    # Pressure levels by pool, collected from the answers below.
+    pressures: dict[str, float] = field(default_factory=dict)
+    retries: int = 0
+    inside_rate: bool = False
+    queue_us: int = 0
+    service_us: int = 0
+    attempts: RequestAttempts | None = None
+
+    def get_route(self) -> Route:
+        """Return the route; the route filter has set it."""
+        if self.route is None:
+            raise RuntimeError("the route filter has not run")
+        return self.route
+
+    def get_deadline(self) -> datetime:
+        """Return the deadline; the route filter has set it."""
+        if self.deadline is None:
+            raise RuntimeError("the route filter has not run")
+        return self.deadline
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The whole answer to a request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+Next = Callable[[Exchange], Awaitable[Answer]]
+
+
+class Filter(Protocol):
+    """A step of the request path; refuses, answers or passes on."""
+
+    async def run(self, exchange: Exchange, proceed: Next) -> Answer:
+        """Handle the exchange; raise RefusalError to refuse it."""
+        ...
+
+
+def chain_filters(filters: Sequence[Filter], terminal: Next) -> Next:
+    """Return a function that runs the filters in order."""
+    proceed = terminal
+    for item in reversed(filters):
+        proceed = _bind(item, proceed)
+    return proceed
+
+
+def _bind(item: Filter, proceed: Next) -> Next:
+    async def run(exchange: Exchange) -> Answer:
+        return await item.run(exchange, proceed)
+
+    return run
+
+
+def limit_retry_after(error: RefusalError) -> int | None:
+    """Return a refusal's Retry-After in microseconds."""
+    if error.retry_after is None:
+        return None
+    return error.retry_after // timedelta(microseconds=1)
--- /dev/null
+++ b/src/sequoiaseam/_local.py
@@ -0,0 +1,89 @@
+"""Loopback listener for the node's own backend server.
+
+``PUT /v1/backend`` announces the backend server, ``DELETE`` withdraws
+it; any other request is a nested call and needs a handle.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+from urllib.parse import urlsplit
+
+import msgspec
+from aiohttp import web
+
+from sequoiaseam._backend import Announcement
+from sequoiaseam._edge import create_refusal, read_body
+from sequoiaseam._guard import Guard
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam.const import ANNOUNCE_INTERVAL, HEADER_HANDLE
+from sequoiaseam.errors import ErrorCode, RefusalError
+
+BACKEND_PATH: Final = "/v1/backend"
+ANNOUNCEMENT_LIMIT: Final = 4096
+STATES: Final = frozenset(("serving", "draining"))
+LOOPBACK: Final = frozenset(("127.0.0.1", "::1", "localhost"))
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def check_announcement(announcement: Announcement) -> None:
+    """Raise BAD_REQUEST unless the announcement is sound."""
+    url = urlsplit(announcement.url)
+    problems = {
+        "pool is empty": not announcement.pool,
+        "url is not http:// on loopback": (
+            url.scheme != "http" or url.hostname not in LOOPBACK
+        ),
+        "slots is not positive": announcement.slots < 1,
+        "connections is not positive": announcement.connections < 1,
+        "load is outside 0 to 1": not 0.0 <= announcement.load <= 1.0,
+        "state is unknown": announcement.state not in STATES,
+    }
+    found = [text for text, bad in problems.items() if bad]
+    if found:
+        raise RefusalError(ErrorCode.BAD_REQUEST, "; ".join(found))
+
+
+class LocalServer:
+    """Handle announcements; pass nested calls to their chain."""
+
+    def __init__(self, guard: Guard, nested: Handler) -> None:
+        self._guard = guard
+        self._nested = nested
+        self._decoder = msgspec.json.Decoder(Announcement)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of the backend server."""
+        if request.path != BACKEND_PATH or HEADER_HANDLE in request.headers:
+            return await self._nested(request)
+        try:
+            return await self._announce(request)
+        except RefusalError as error:
+            log_event(
+                Level.WARNING,
+                "announcement refused",
+                reason=error.message,
+            )
+            return create_refusal(error, None)
+
+    async def _announce(self, request: web.BaseRequest) -> web.Response:
+        if request.method == "DELETE":
+            self._guard.withdraw()
+            return web.Response(status=204)
+        if request.method != "PUT":
+            raise RefusalError(
+                ErrorCode.METHOD_NOT_ALLOWED,
+                f"{BACKEND_PATH} takes PUT and DELETE",
+            )
+        body = await read_body(request, ANNOUNCEMENT_LIMIT)
+        try:
+            announcement = self._decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise RefusalError(
+                ErrorCode.BAD_REQUEST,
+                str(error),
+            ) from error
+        check_announcement(announcement)
+        self._guard.announce(announcement)
+        milliseconds = ANNOUNCE_INTERVAL.total_seconds() * 1000
+        return web.json_response({"heartbeat_ms": int(milliseconds)})
--- /dev/null
+++ b/src/sequoiaseam/_node.py
@@ -0,0 +1,475 @@
+"""A node: the request path around the decision code, and its listeners."""
+
+import asyncio
+import os
+import secrets
+from datetime import datetime, timedelta
+from random import Random
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+
+from sequoiaseam._access import Credentials, Role, Verifier
+from sequoiaseam._balancer import Balancer
+from sequoiaseam._clock import Clock
+from sequoiaseam._commands import CrashReported, Member, MemberState
+from sequoiaseam._control_messages import (
+    DrainOrder,
+    NodeHello,
+    ReportPull,
+    ReportPush,
+    create_control_codec,
+)
+from sequoiaseam._dispatch import DispatchHooks, Dispatcher
+from sequoiaseam._edge import Edge, start_listener
+from sequoiaseam._exchange import chain_filters
+from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
+from sequoiaseam._filters import (
+    BodyFilter,
+    CallerFilter,
+    KeyFilter,
+    MetricsFilter,
+    NestedFilter,
+    PressureFilter,
+    QuotaFilter,
+    RouteFilter,
+)
+from sequoiaseam._frames import (
+    AnswerFrame,
+    CallFrame,
+    RefusalFrame,
+    create_frame_codec,
+)
+from sequoiaseam._guard import Guard, GuardHooks
+from sequoiaseam._handles import HandleTable
+from sequoiaseam._local import LocalServer
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam._members import MemberGone, MemberReport
+from sequoiaseam._metrics import NodeMetrics
+from sequoiaseam._once import OnceFilter, OnceHooks, OpenFilter, WitnessHost
+from sequoiaseam._peers import PEER_PATH, PeerLink, PeerServer
+from sequoiaseam._pressure import PressureMap
+from sequoiaseam._quarantine import QuarantineList
+from sequoiaseam._quota import QuotaGrant, QuotaSpender
+from sequoiaseam._quota_gate import QuotaGate
+from sequoiaseam._settings import NodeSettings
+from sequoiaseam._tables import Pool
+from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._uplink import Uplink, UplinkHooks
+from sequoiaseam._witness import (
+    Fence,
+    Intent,
+    OutcomeRecord,
+    Vote,
+    Witness,
+    mint_request_id,
+)
+
+TICK: Final = timedelta(milliseconds=50)
+# Other nodes learn of a drain within this time, so callers may still
+# enter here until then.
+DRAIN_NOTICE: Final = timedelta(seconds=2)
+# How long the answer to a request that ran during a crash waits for the
+# report to be in force, so that a resend meets it.
+CRASH_REPORT_WAIT: Final = timedelta(seconds=1)
+HANDLE_BYTES: Final = 24
+INCARNATION_BITS: Final = 10
+
+
+def create_incarnation(now: datetime, rng: Random) -> int:
+    """Return the start time in microseconds with random low bits."""
+    micros = int(now.timestamp() * 1_000_000)
+    return micros << INCARNATION_BITS | rng.getrandbits(INCARNATION_BITS)
+
+
+class Node:
+    """Everything of one ``sequoiaseam-node`` process."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        now = clock.now()
+        name = settings.name
+        self.incarnation = create_incarnation(now, rng)
+        self._credentials = Credentials(
+            settings.secrets.fleet,
+            settings.secrets.operators,
+        )
+        self._verifier = Verifier(self._credentials)
+        self.view = NodeView()
+        self._quarantine = QuarantineList()
+        self._known_crashes: frozenset[str] = frozenset()
+        self.metrics = NodeMetrics(name, now)
+        self._codec = create_frame_codec()
+        self._links: dict[str, PeerLink] = {}
+        self._tasks = TaskGroup()
+        self._session: aiohttp.ClientSession | None = None
+        self._runners: list[web.ServerRunner | web.AppRunner] = []
+        self._draining = False
+        self._peer_port = settings.peers.port
+        self._reported: Member | None = None
+        self._sequence = 0
+        self._pressure = PressureMap(rng)
+        self._balancer = Balancer(
+            name,
+            settings.domain,
+            settings.region,
+            rng,
+        )
+        self._handles = HandleTable(
+            lambda: secrets.token_urlsafe(HANDLE_BYTES),
+        )
+        self.guard = Guard(
+            name,
+            self.incarnation,
+            clock,
+            rng,
+            self._handles,
+            GuardHooks(
+                post=self._post,
+                quarantine=self._quarantine,
+                report_crash=self._report_crash,
+                get_pool=self._get_pool,
+            ),
+        )
+        self._uplink = Uplink(
+            settings.control_hosts,
+            create_control_codec(),
+            clock,
+            rng,
+            UplinkHooks(
+                create_hello=self._create_hello,
+                create_ping=self._create_ping,
+                create_proof=self._create_proof,
+                receive=self._receive_control,
+            ),
+        )
+        self._quota = QuotaGate(
+            QuotaSpender(name, self.incarnation),
+            clock,
+            self._uplink.post,
+        )
+        self._once = OnceFilter(
+            name,
+            self.incarnation,
+            clock,
+            self.view,
+            OnceHooks(
+                post=self._post,
+                find_incarnation=self._find_incarnation,
+                mint=lambda now: mint_request_id(now, rng),
+            ),
+        )
+        self._witness = WitnessHost(
+            Witness(name, now),
+            clock,
+            self.view,
+            self._post,
+        )
+        self._dispatcher = Dispatcher(
+            clock,
+            self._balancer,
+            self._pressure,
+            DispatchHooks(
+                call=self._call,
+                plan_attempt=self._once.plan,
+                get_retry_share=self._get_retry_share,
+                check=self._quarantine.check,
+                list_members=self._list_pool,
+            ),
+        )
+        self._edge = self._create_edge()
+        self._nested = self._create_nested()
+        self._peer_server = PeerServer(
+            self._codec,
+            lambda proof: self._verifier.verify(clock.now(), proof),
+            self.guard.run,
+            self._receive_peer,
+        )
+
+    def _create_edge(self) -> Edge:
+        chain = chain_filters(
+            (
+                MetricsFilter(self._clock, self.metrics),
+                CallerFilter(),
+                RouteFilter(self._clock, self.view),
+                KeyFilter(self._clock, self.view),
+                self._once,
+                QuotaFilter(self._quota),
+                PressureFilter(self._clock, self._pressure),
+                BodyFilter(),
+                OpenFilter(self._once),
+            ),
+            self._dispatcher.run,
+        )
+        return Edge(self._clock, chain)
+
+    def _create_nested(self) -> Edge:
+        chain = chain_filters(
+            (
+                MetricsFilter(self._clock, self.metrics),
+                NestedFilter(self._handles),
+                RouteFilter(self._clock, self.view),
+                self._once,
+                BodyFilter(),
+                OpenFilter(self._once),
+            ),
+            self._dispatcher.run,
+        )
+        return Edge(self._clock, chain)
+
+    # Lifecycle.
+
+    async def start(self) -> None:
+        """Open the listeners and attach to a control host."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+        settings = self._settings
+        await self._start_peer_listener()
+        local = LocalServer(self.guard, self._nested.handle)
+        await self._listen(local.handle, settings.local)
+        await self._listen(self._edge.handle, settings.callers)
+        if settings.metrics is not None:
+            await self._start_metrics_listener()
+        self._tasks.start(self._tick())
+        self._tasks.start(self._uplink.run())
+
+    async def _listen(self, handler: Any, endpoint: Any) -> None:
+        runner, _ = await start_listener(handler, endpoint.host, endpoint.port)
+        self._runners.append(runner)
+
+    async def _start_peer_listener(self) -> None:
+        runner = web.AppRunner(
+            self._peer_server.create_app(),
+            access_log=None,
+            handle_signals=False,
+        )
+        await runner.setup()
+        endpoint = self._settings.peers
+        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+        self._peer_port = runner.addresses[0][1]
+        self._runners.append(runner)
+
+    async def _start_metrics_listener(self) -> None:
+        endpoint = self._settings.metrics
+        if endpoint is None:
+            return
+        app = web.Application()
+        app.router.add_get("/metrics", self._answer_metrics)
+        runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        await runner.setup()
+        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+        self._runners.append(runner)
+
+    async def _answer_metrics(self, _: web.Request) -> web.Response:
+        text = self.metrics.format_text(self._clock.now())
+        return web.Response(body=text, content_type="text/plain")
+
+    async def drain(self) -> None:
+        """Take no new work; finish what is in progress."""
+        self._draining = True
+        self.guard.drain()
+        self._send_report()
+        limit = self._clock.now() + self._settings.drain_timeout
+        await asyncio.sleep(DRAIN_NOTICE.total_seconds())
+        self._edge.closing = True
+        while self._clock.now() < limit and self._is_busy():
+            await asyncio.sleep(TICK.total_seconds())
+        self._uplink.post(MemberGone(self._settings.name, self.incarnation))
+        await asyncio.sleep(TICK.total_seconds())
+
+    def _is_busy(self) -> bool:
+        return bool(self._edge.active or self.guard.running)
+
+    async def close(self) -> None:
+        """Close listeners and connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._tasks.cancel()
+        await self._peer_server.close()
+        for link in self._links.values():
+            await link.close()
+        await self.guard.close()
+        if self._session is not None:
+            await self._session.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK.total_seconds())
+            now = self._clock.now()
+            self.guard.tick(now)
+            self._quota.tick(now)
+            self._once.tick(now)
+            self._witness.tick(now)
+            self._send_report(only_changed=True)
+
+    # Other nodes.
+
+    async def _call(
+        self,
+        name: str,
+        frame: CallFrame,
+    ) -> AnswerFrame | RefusalFrame:
+        if name == self._settings.name:
+            return await self.guard.run(frame)
+        return await self._get_link(name).call(frame)
+
+    def _post(self, name: str, message: object) -> None:
+        if name == self._settings.name:
+            self._receive_peer(message)
+        elif name in self.view.members:
+            self._get_link(name).post(message)
+
+    def _get_link(self, name: str) -> PeerLink:
+        member = self.view.members[name]
+        url = f"http://{member.host}:{member.port}{PEER_PATH}"
+        link = self._links.get(name)
+        if link is not None and link.url == url:
+            return link
+        if self._session is None:
+            raise RuntimeError("the node is not started")
+        if link is not None:
+            self._tasks.start(link.close())
+        link = PeerLink(
+            url,
+            self._session,
+            self._codec,
+            self._create_proof,
+            self._receive_peer,
+            lambda: self._balancer.mark_lost(self._clock.now(), name),
+            lambda: self._balancer.mark_found(self._clock.now(), name),
+        )
+        self._links[name] = link
+        return link
+
+    def _receive_peer(self, message: Any) -> None:
+        if isinstance(message, Intent | Fence | OutcomeRecord):
+            self._witness.receive(message)
+        elif isinstance(message, Vote):
+            # Attempt and fence ids don't overlap.
+            self.guard.receive_vote(message)
+            self._once.receive_vote(message)
+
+    # Control hosts.
+
+    def _create_proof(self) -> str:
+        return self._credentials.sign(
+            self._clock.now(),
+            Role.FLEET,
+            self._settings.name,
+            os.urandom(16).hex(),
+        )
+
+    def _create_member(self) -> Member:
+        settings = self._settings
+        announcement = self.guard.announcement
+        if self._draining or self.guard.draining:
+            state = MemberState.DRAINING
+        elif announcement is None:
+            state = MemberState.JOINING
+        else:
+            state = MemberState.SERVING
+        return Member(
+            name=settings.name,
+            incarnation=self.incarnation,
+            host=settings.peers.host,
+            port=self._peer_port,
+            pool=announcement.pool if announcement else "",
+            domain=settings.domain,
+            region=settings.region,
+            state=state,
+            slots=announcement.slots if announcement else 0,
+        )
+
+    def _create_hello(self) -> NodeHello:
+        return NodeHello(self._create_report(), self.view.index)
+
+    def _create_report(self) -> MemberReport:
+        member = self._create_member()
+        if member != self._reported:
+            self._reported = member
+            self._sequence += 1
+        return MemberReport(member, self._sequence)
+
+    def _create_ping(self, now: datetime) -> Ping:
+        return self.view.ping(now)
+
+    def _send_report(self, *, only_changed: bool = False) -> None:
+        if only_changed and self._create_member() == self._reported:
+            return
+        self._uplink.post(self._create_report())
+
+    def _receive_control(self, message: Any) -> None:
+        if isinstance(message, FeedSnapshot | FeedDelta):
+            self._apply_feed(message)
+        elif isinstance(message, Pong):
+            self.view.receive(message)
+        elif isinstance(message, QuotaGrant):
+            self._quota.receive(message)
+        elif isinstance(message, ReportPull):
+            report = self.metrics.snapshot(self._clock.now())
+            self._uplink.post(ReportPush(message.pull_id, report))
+        elif isinstance(message, DrainOrder):
+            self.guard.drain()
+            self._send_report()
+
+    def _apply_feed(self, message: FeedSnapshot | FeedDelta) -> None:
+        now = self._clock.now()
+        revision = self.view.revision
+        if not self.view.apply(now, message):
+            self._uplink.post(self._create_hello())
+        self._balancer.update(now, self.view.members)
+        self._witness.assign()
+        for report in self.view.quarantine:
+            if report.crash_id not in self._known_crashes:
+                self._quarantine.apply(report)
+        self._known_crashes = frozenset(
+            report.crash_id for report in self.view.quarantine
+        )
+        if self.view.revision != revision:
+            self.guard.configure()
+            log_event(
+                Level.INFO,
+                "configuration in force",
+                revision=self.view.revision,
+            )
+
+    async def _report_crash(self, report: CrashReported) -> None:
+        """Report a crash and wait until the report is in force here."""
+        limit = self._clock.now() + CRASH_REPORT_WAIT
+        self._uplink.post(report)
+        while (
+            report.crash_id not in self._known_crashes
+            and self._clock.now() < limit
+        ):
+            await asyncio.sleep(TICK.total_seconds())
+
+    # Lookups in the view.
+
+    def _get_pool(self, name: str) -> Pool | None:
+        return self.view.tables.pools.get(name)
+
+    def _get_retry_share(self, pool: str) -> float:
+        row = self.view.tables.pools.get(pool)
+        return row.retry_share if row is not None else 0.0
+
+    def _find_incarnation(self, name: str) -> int:
+        if name == self._settings.name:
+            return self.incarnation
+        member = self.view.members.get(name)
+        return member.incarnation if member is not None else 0
+
+    def _list_pool(self, pool: str) -> tuple[str, ...]:
+        return tuple(
+            name
+            for name, member in self.view.members.items()
+            if member.pool == pool and member.state is MemberState.SERVING
+        )
--- /dev/null
+++ b/src/sequoiaseam/_operations.py
@@ -0,0 +1,367 @@
+"""Operators' requests on a control host."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any, Final
+
+from sequoiaseam._clock import Clock
+from sequoiaseam._commands import (
+    AddKey,
+    Command,
+    CrashReported,
+    EditTables,
+    MembersChanged,
+    WithdrawKey,
+    WitnessesAssigned,
+)
+from sequoiaseam._leadership import Leadership
+from sequoiaseam._operator import (
+    AddKeyRequest,
+    ApplyRequest,
+    BackupAnswer,
+    BackupRequest,
+    DrainRequest,
+    EditAnswer,
+    EditOutcome,
+    FollowEvent,
+    FollowKind,
+    InForceAnswer,
+    InForceRequest,
+    KeySummary,
+    ReplaceRequest,
+    ReplicaStatus,
+    ReportAnswer,
+    ReportRequest,
+    ShowAnswer,
+    ShowRequest,
+    StatusAnswer,
+    StatusRequest,
+    WithdrawKeyRequest,
+)
+from sequoiaseam._quarantine import QuarantineList
+from sequoiaseam._replica_host import ReplicaHost
+from sequoiaseam._sessions import NodeSessions
+from sequoiaseam._state import EditStatus, FleetState
+from sequoiaseam._tables import KeyRecord
+from sequoiaseam.errors import ErrorCode, SeamError
+
+EVENTS_KEPT: Final = 1000
+# Shorter than the client's own limit, so that an answer can say so.
+EDIT_TIMEOUT: Final = timedelta(seconds=3)
+OUTCOMES: Final = {
+    EditStatus.ACCEPTED: EditOutcome.ACCEPTED,
+    EditStatus.CONFLICT: EditOutcome.CONFLICT,
+    EditStatus.INVALID: EditOutcome.INVALID,
+    EditStatus.NOT_FOUND: EditOutcome.NOT_FOUND,
+}
+
+
+class EventLog:
+    """The newest committed changes, for those who follow them."""
+
+    def __init__(self) -> None:
+        self._events: deque[FollowEvent] = deque(maxlen=EVENTS_KEPT)
+        self._changed = asyncio.Event()
+
+    def record(self, state: FleetState, command: Command) -> None:
+        """Add the event of a command that was applied."""
+        event = describe_command(state, command)
+        if event is not None:
+            self._events.append(event)
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def wait(self, after: int) -> list[FollowEvent]:
+        """Return the events after an index, waiting for one."""
+        while True:
+            found = [event for event in self._events if event.index > after]
+            if found:
+                return found
+            await self._changed.wait()
+
+
+def describe_command(
+    state: FleetState,
+    command: Command,
+) -> FollowEvent | None:
+    """Return the event of a command; None if it had no effect."""
+    if isinstance(command, EditTables | AddKey | WithdrawKey):
+        result = state.find_result(command.edit_id)
+        accepted = (
+            result is not None
+            and result.status is EditStatus.ACCEPTED
+            and result.index == state.index
+        )
+        return _describe_edit(state, command) if accepted else None
+    if isinstance(command, MembersChanged):
+        names = [member.name for member in command.updated]
+        left = sorted(command.left or {})
+        text = f"updated {', '.join(names) or 'none'}"
+        if left:
+            text += f"; left {', '.join(left)}"
+        return _create_event(state, FollowKind.MEMBERS, text)
+    if isinstance(command, WitnessesAssigned):
+        text = f"{len(command.groups)} shards assigned"
+        return _create_event(state, FollowKind.WITNESSES, text)
+    if isinstance(command, CrashReported):
+        text = f"crash {command.crash_id}"
+        return _create_event(state, FollowKind.QUARANTINE, text)
+    return None
+
+
+def _create_event(
+    state: FleetState,
+    kind: FollowKind,
+    text: str,
+) -> FollowEvent:
+    return FollowEvent(state.index, state.revision, kind, text)
+
+
+def _describe_edit(
+    state: FleetState,
+    command: EditTables | AddKey | WithdrawKey,
+) -> FollowEvent:
+    tables = None
+    if isinstance(command, EditTables):
+        kind, tables = FollowKind.TABLES, command.tables
+        text = f"{len(tables.routes)} routes, {len(tables.pools)} pools"
+    elif isinstance(command, AddKey):
+        kind = FollowKind.KEY_ADDED
+        text = f"{command.key.key_id} for {command.key.workspace}"
+    else:
+        kind, text = FollowKind.KEY_WITHDRAWN, command.key_id
+    return FollowEvent(
+        state.index,
+        state.revision,
+        kind,
+        text,
+        command.operator,
+        tables,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class OperationHooks:
+    """What operations need of their control host."""
+
+    get_leadership: Callable[[], Leadership | None]
+    wait_applied: Callable[[int], Awaitable[None]]
+
+
+class Operations:
+    """Answer operators' requests, each with its typed answer."""
+
+    def __init__(
+        self,
+        get_state: Callable[[], FleetState],
+        host: ReplicaHost,
+        sessions: NodeSessions,
+        clock: Clock,
+        hooks: OperationHooks,
+    ) -> None:
+        self._get_state = get_state
+        self._host = host
+        self._sessions = sessions
+        self._clock = clock
+        self._hooks = hooks
+
+    async def run(self, request: Any) -> object:
+        """Return the answer; raise SeamError when there is none."""
+        answer: object = await self._handle(request)
+        return answer
+
+    @singledispatchmethod
+    async def _handle(self, request: Any) -> object:
+        raise SeamError(
+            ErrorCode.BAD_REQUEST,
+            f"{type(request).__name__} is not an operator's request",
+        )
+
+    @_handle.register
+    async def _(self, request: ApplyRequest) -> object:
+        return await self._edit(
+            EditTables(
+                request.edit_id,
+                request.operator,
+                request.base_revision,
+                request.tables,
+            ),
+        )
+
+    @_handle.register
+    async def _(self, request: AddKeyRequest) -> object:
+        key = KeyRecord(request.key_id, request.digest, request.workspace)
+        return await self._edit(
+            AddKey(request.edit_id, request.operator, None, key),
+        )
+
+    @_handle.register
+    async def _(self, request: WithdrawKeyRequest) -> object:
+        return await self._edit(
+            WithdrawKey(
+                request.edit_id,
+                request.operator,
+                None,
+                request.key_id,
+            ),
+        )
+
+    async def _edit(
+        self,
+        command: EditTables | AddKey | WithdrawKey,
+    ) -> EditAnswer:
+        """Commit an edit; a resend gets the first answer."""
+        try:
+            async with asyncio.timeout(EDIT_TIMEOUT.total_seconds()):
+                index = await self._host.propose(command)
+                await self._hooks.wait_applied(index)
+        except TimeoutError as error:
+            raise SeamError(
+                ErrorCode.OUTCOME_UNKNOWN,
+                "no majority has answered in time",
+            ) from error
+        result = self._get_state().find_result(command.edit_id)
+        if result is None:
+            raise SeamError(ErrorCode.INTERNAL, "the edit has no result")
+        return EditAnswer(
+            result.edit_id,
+            OUTCOMES[result.status],
+            result.revision,
+            result.message,
+        )
+
+    @_handle.register
+    async def _(self, request: ShowRequest) -> object:
+        await self._catch_up()
+        state = self._get_state()
+        return ShowAnswer(
+            state.revision,
+            state.index,
+            state.tables,
+            tuple(
+                KeySummary(key.key_id, key.workspace)
+                for key in state.keys.values()
+            ),
+            tuple(state.members.values()),
+        )
+
+    async def _catch_up(self) -> None:
+        """Wait until the state has all that was acknowledged before."""
+        try:
+            async with asyncio.timeout(EDIT_TIMEOUT.total_seconds()):
+                index = await self._host.read_barrier()
+                await self._hooks.wait_applied(index)
+        except TimeoutError as error:
+            raise SeamError(
+                ErrorCode.NOT_LEADER,
+                "no majority has answered in time",
+            ) from error
+
+    @_handle.register
+    async def _(self, request: ReportRequest) -> object:
+        reports = await self._sessions.pull_reports()
+        missing = set(self._get_state().members) - set(reports)
+        return ReportAnswer(reports, tuple(sorted(missing)))
+
+    @_handle.register
+    async def _(self, request: StatusRequest) -> object:
+        leadership = self._require_leadership()
+        state = self._get_state()
+        status = self._host.replica.status()
+        quarantine = QuarantineList()
+        for report in state.quarantine:
+            quarantine.apply(report)
+        return StatusAnswer(
+            leader=status.leader or "",
+            term=status.term,
+            commit_index=status.commit_index,
+            revision=state.revision,
+            replicas=self._list_replicas(),
+            members=tuple(state.members.values()),
+            lagging=leadership.find_lagging(state.index),
+            quarantined=len(
+                quarantine.list_quarantined(self._clock.now()),
+            ),
+        )
+
+    def _list_replicas(self) -> tuple[ReplicaStatus, ...]:
+        status = self._host.replica.status()
+        if status.membership is None:
+            return ()
+        matches = dict(status.matches)
+        rows = []
+        for replica in status.membership.replicas:
+            voter = replica in status.membership.voters
+            role = "voter" if voter else "learner"
+            if replica == status.replica:
+                role, match = status.role.value, status.last_index
+            else:
+                match = matches.get(replica.host, 0)
+            rows.append(
+                ReplicaStatus(
+                    replica.host,
+                    replica.identity,
+                    role,
+                    match,
+                    timedelta(0),
+                ),
+            )
+        return tuple(rows)
+
+    @_handle.register
+    async def _(self, request: DrainRequest) -> object:
+        if not self._sessions.drain(request.host):
+            raise SeamError(
+                ErrorCode.NOT_FOUND,
+                f"no host {request.host!r} is attached here",
+            )
+        return EditAnswer(
+            request.edit_id,
+            EditOutcome.ACCEPTED,
+            self._get_state().revision,
+        )
+
+    @_handle.register
+    async def _(self, request: ReplaceRequest) -> object:
+        await self._host.replace(request.old, request.new_name)
+        return EditAnswer(
+            request.edit_id,
+            EditOutcome.ACCEPTED,
+            self._get_state().revision,
+        )
+
+    @_handle.register
+    async def _(self, request: BackupRequest) -> object:
+        await self._catch_up()
+        state = self._get_state()
+        return BackupAnswer(state.index, state.revision, state.dump())
+
+    @_handle.register
+    async def _(self, request: InForceRequest) -> object:
+        leadership = self._require_leadership()
+        state = self._get_state()
+        if state.revision < request.revision:
+            return InForceAnswer(
+                in_force=False,
+                lagging=tuple(sorted(state.members)),
+            )
+        # The state's own index covers the revision's.
+        lagging = leadership.find_lagging(
+            self._find_index(request.revision),
+        )
+        return InForceAnswer(in_force=not lagging, lagging=lagging)
+
+    def _find_index(self, revision: int) -> int:
+        """Return the index that made a revision, or a later one."""
+        state = self._get_state()
+        return state.revision_indices.get(revision, state.index)
+
+    def _require_leadership(self) -> Leadership:
+        leadership = self._hooks.get_leadership()
+        if leadership is None:
+            raise SeamError(ErrorCode.NOT_LEADER, "this host doesn't lead")
+        return leadership
--- /dev/null
+++ b/src/sequoiaseam/_quota_gate.py
@@ -0,0 +1,85 @@
+"""Adapter of the node's quota spender."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from datetime import datetime
+
+from sequoiaseam._clock import Clock
+from sequoiaseam._gates import Waiters
+from sequoiaseam._quota import (
+    Admit,
+    QuotaAction,
+    QuotaGrant,
+    QuotaSpender,
+    RefuseQuota,
+    SendAsk,
+    SendSettle,
+)
+from sequoiaseam.errors import ErrorCode, RefusalError
+
+
+class QuotaGate:
+    """Let root requests wait for a token of their workspace."""
+
+    def __init__(
+        self,
+        spender: QuotaSpender,
+        clock: Clock,
+        post: Callable[[object], bool],
+    ) -> None:
+        self._spender = spender
+        self._clock = clock
+        self._post = post
+        self._ids = itertools.count(1)
+        self._waiters: Waiters[int, RefuseQuota | None] = Waiters()
+
+    async def acquire(self, workspace: str) -> bool:
+        """Spend a token; raise RefusalError QUOTA if there is none.
+
+        Return True, as the request is inside the workspace's rate.
+        """
+        request_id = next(self._ids)
+        future = self._waiters.expect(request_id)
+        now = self._clock.now()
+        self._perform(self._spender.request(now, workspace, request_id))
+        try:
+            refused = await future
+        except asyncio.CancelledError:
+            self._waiters.forget(request_id)
+            self._spender.cancel(workspace, request_id)
+            raise
+        if refused is None:
+            return True
+        raise QuotaError(refused)
+
+    def receive(self, grant: QuotaGrant) -> None:
+        """Take in the owner's answer."""
+        self._perform(self._spender.receive(self._clock.now(), grant))
+
+    def tick(self, now: datetime) -> None:
+        """Ask again, end grants, refuse what waited too long."""
+        self._perform(self._spender.tick(now))
+
+    def _perform(self, actions: tuple[QuotaAction, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendAsk):
+                self._post(action.ask)
+            elif isinstance(action, SendSettle):
+                self._post(action.settle)
+            elif isinstance(action, Admit):
+                self._waiters.resolve(action.request_id, None)
+            else:
+                self._waiters.resolve(action.request_id, action)
+
+
+class QuotaError(RefusalError):
+    """A root request that got no token."""
+
+    def __init__(self, refused: RefuseQuota) -> None:
+        super().__init__(
+            ErrorCode.QUOTA,
+            "the workspace is over its rate and burst",
+            retry_after=refused.retry_after,
+        )
+        self.inside_rate = bool(refused.inside_rate)
--- /dev/null
+++ b/src/sequoiaseam/_replica_host.py
@@ -0,0 +1,264 @@
+"""Adapter of the replica: disk, links and waiting proposals."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from functools import singledispatchmethod
+from random import Random
+from typing import Any, Final
+
+from sequoiaseam._clock import Clock
+from sequoiaseam._codec import Codec
+from sequoiaseam._commands import COMMAND_TYPES, Command
+from sequoiaseam._gates import Waiters
+from sequoiaseam._journal import Journal
+from sequoiaseam._logs import Level, log_event
+from sequoiaseam._replica import Replica
+from sequoiaseam._replica_messages import (
+    Action,
+    Actions,
+    Apply,
+    Confirmed,
+    InstallSnapshot,
+    Persist,
+    Proposed,
+    Rejected,
+    RoleChanged,
+    SaveSnapshot,
+    Send,
+    Snapshot,
+)
+from sequoiaseam._tasks import TaskGroup
+from sequoiaseam.errors import ErrorCode, SeamError
+
+TICK: Final = timedelta(milliseconds=25)
+CONFIRM_INTERVAL: Final = timedelta(milliseconds=250)
+
+COMMANDS: Final = Codec(COMMAND_TYPES)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaHooks:
+    """What the replica's adapter needs of its control host.
+
+    ``apply`` takes a committed command, ``dump`` and ``load`` a
+    snapshot of the state; ``change_role`` is told of each change of
+    role, term or leader.
+    """
+
+    send: Callable[[str, object], None]
+    apply: Callable[[int, Command], None]
+    dump: Callable[[], bytes]
+    load: Callable[[bytes], None]
+    change_role: Callable[[RoleChanged], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """The newest read index and when its round was asked for."""
+
+    index: int
+    asked: datetime
+
+
+class ReplicaHost:
+    """Run a replica: its actions in order, its disk in a thread."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        journal: Journal,
+        clock: Clock,
+        rng: Random,
+        hooks: ReplicaHooks,
+    ) -> None:
+        self.replica = replica
+        self._journal = journal
+        self._clock = clock
+        self._rng = rng
+        self._hooks = hooks
+        self._tasks = TaskGroup()
+        self._disk = ThreadPoolExecutor(1, "journal")
+        self._jobs: asyncio.Queue[Callable[[], Awaitable[None]]] = (
+            asyncio.Queue()
+        )
+        self._tokens = itertools.count(1)
+        self._proposals: Waiters[int, int] = Waiters()
+        self._reads: Waiters[int, int] = Waiters()
+        self.confirmation: Confirmation | None = None
+
+    def start(self) -> None:
+        """Begin to tick, to write and to confirm."""
+        self._tasks.start(self._tick())
+        self._tasks.start(self._write())
+        self._tasks.start(self._confirm())
+
+    async def close(self) -> None:
+        """End the tasks and wait for the disk."""
+        await self._tasks.cancel()
+        self._disk.shutdown(wait=True)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Take in another replica's message."""
+        self._perform(
+            self.replica.receive(self._clock.now(), sender, message),
+        )
+
+    async def propose(self, command: Command) -> int:
+        """Return the index at which the command is committed.
+
+        Raise SeamError NOT_LEADER when it surely is not, and
+        OUTCOME_UNKNOWN when it may still be.
+        """
+        token = next(self._tokens)
+        future = self._proposals.expect(token)
+        self._perform(
+            self.replica.propose(
+                self._clock.now(),
+                COMMANDS.encode(command),
+                token,
+            ),
+        )
+        return await future
+
+    async def replace(self, old: str, new: str) -> int:
+        """Replace a replica; return the index of the first step."""
+        token = next(self._tokens)
+        future = self._proposals.expect(token)
+        self._perform(
+            self.replica.replace(self._clock.now(), old, new, token),
+        )
+        return await future
+
+    async def read_barrier(self) -> int:
+        """Return an index that covers all acknowledged before."""
+        token = next(self._tokens)
+        future = self._reads.expect(token)
+        self._perform(self.replica.confirm(self._clock.now(), token))
+        return await future
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK.total_seconds())
+            self._perform(self.replica.tick(self._clock.now()))
+
+    async def _confirm(self) -> None:
+        """Keep the read index fresh for the nodes' leases."""
+        while True:
+            asked = self._clock.now()
+            try:
+                index = await self.read_barrier()
+                self.confirmation = Confirmation(index, asked)
+            except SeamError:
+                pass  # No leader at present; nodes see the age grow.
+            await asyncio.sleep(CONFIRM_INTERVAL.total_seconds())
+
+    async def _write(self) -> None:
+        """Do the disk's jobs one after the other."""
+        while True:
+            job = await self._jobs.get()
+            try:
+                await job()
+            except SeamError as error:
+                log_event(
+                    Level.ERROR,
+                    "disk failed, the replica stops taking part",
+                    code=error.code.value,
+                    reason=error.message,
+                )
+                self._perform(self.replica.fail_disk(self._clock.now()))
+                return
+
+    async def _run_on_disk(self, function: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._disk, function)
+
+    def _perform(self, actions: Actions) -> None:
+        for action in actions:
+            self._act(action)
+
+    @singledispatchmethod
+    def _act(self, action: Action) -> None:
+        raise TypeError(f"unknown action {type(action).__name__}")
+
+    @_act.register
+    def _(self, action: Send) -> None:
+        self._hooks.send(action.to, action.message)
+
+    @_act.register
+    def _(self, action: Persist) -> None:
+        async def job() -> None:
+            await self._run_on_disk(
+                lambda: self._journal.append(action.records),
+            )
+            self._perform(
+                self.replica.synced(self._clock.now(), action.token),
+            )
+
+        self._jobs.put_nowait(job)
+
+    @_act.register
+    def _(self, action: SaveSnapshot) -> None:
+        # Dumped at once, because the state moves on with the next Apply.
+        self._save(
+            Snapshot(
+                action.index,
+                action.term,
+                action.membership,
+                self._hooks.dump(),
+            ),
+        )
+
+    @_act.register
+    def _(self, action: InstallSnapshot) -> None:
+        self._hooks.load(action.snapshot.data)
+        self._save(action.snapshot)
+
+    def _save(self, snapshot: Snapshot) -> None:
+        async def job() -> None:
+            await self._run_on_disk(
+                lambda: self._journal.save_snapshot(snapshot),
+            )
+            self._perform(
+                self.replica.snapshot_saved(self._clock.now(), snapshot),
+            )
+
+        self._jobs.put_nowait(job)
+
+    @_act.register
+    def _(self, action: Apply) -> None:
+        if action.command:
+            self._hooks.apply(action.index, COMMANDS.decode(action.command))
+
+    @_act.register
+    def _(self, action: Proposed) -> None:
+        if isinstance(action.token, int):
+            self._proposals.resolve(action.token, action.index)
+
+    @_act.register
+    def _(self, action: Confirmed) -> None:
+        if isinstance(action.token, int):
+            self._reads.resolve(action.token, action.index)
+
+    @_act.register
+    def _(self, action: Rejected) -> None:
+        if not isinstance(action.token, int):
+            return
+        error = SeamError(
+            action.reason,
+            f"the leader is {action.leader or 'not known'}",
+        )
+        self._proposals.fail(action.token, error)
+        self._reads.fail(action.token, error)
+
+    @_act.register
+    def _(self, action: RoleChanged) -> None:
+        self._hooks.change_role(action)
+
+
+def is_not_leader(error: SeamError) -> bool:
+    """Tell whether another control host should be asked."""
+    return error.code is ErrorCode.NOT_LEADER
