--- /dev/null
+++ b/src/sequoiaseam/_log.py
@@ -0,0 +1,139 @@
+"""The log of a replica in memory."""
+
+from collections.abc import Iterable
+
+from sequoiaseam._replica_messages import Entry, Membership, Snapshot
+
+
+class ReplicaLog:
+    """Entries after a base index, and the memberships they set.
+
+    A membership takes effect when its entry is appended, and the one
+    before it again when that entry is truncated.
+    """
+
+    def __init__(
+        self,
+        snapshot: Snapshot | None,
+        entries: Iterable[Entry],
+    ) -> None:
+        self._base_index = 0
+        self._base_term = 0
+        self._entries: list[Entry] = []
+        self._memberships: list[tuple[int, Membership]] = []
+        if snapshot is not None:
+            self._reset(snapshot)
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def base_index(self) -> int:
+        """Return the index before the first entry held."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def membership(self) -> Membership | None:
+        """Return the newest membership, or None before the first."""
+        return self._memberships[-1][1] if self._memberships else None
+
+    @property
+    def membership_index(self) -> int:
+        """Return the index that set the newest membership."""
+        return self._memberships[-1][0] if self._memberships else 0
+
+    def find_membership(self, index: int) -> Membership | None:
+        """Return the membership in force at ``index``."""
+        for start, membership in reversed(self._memberships):
+            if start <= index:
+                return membership
+        return None
+
+    def find_term(self, index: int) -> int | None:
+        """Return the term at ``index``, or None if it isn't held."""
+        if index == self._base_index:
+            return self._base_term
+        if self._base_index < index <= self.last_index:
+            return self._entries[index - self._base_index - 1].term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """Return the entry at ``index``, which must be held."""
+        return self._entries[index - self._base_index - 1]
+
+    def read(self, start: int, count: int, size: int) -> tuple[Entry, ...]:
+        """Return entries from ``start``, at least one if there is any.
+
+        At most ``count`` entries and, but for the first, ``size`` bytes
+        of commands.
+        """
+        entries: list[Entry] = []
+        offset = start - self._base_index - 1
+        for entry in self._entries[offset : offset + count]:
+            size -= len(entry.command)
+            if entries and size < 0:
+                break
+            entries.append(entry)
+        return tuple(entries)
+
+    def append(self, entry: Entry) -> None:
+        """Append the entry that follows the last one."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} leaves a gap")
+        self._entries.append(entry)
+        if entry.membership is not None:
+            self._memberships.append((entry.index, entry.membership))
+
+    def truncate(self, start: int) -> None:
+        """Discard the entries from ``start`` on."""
+        del self._entries[max(0, start - self._base_index - 1) :]
+        while self._memberships and self._memberships[-1][0] >= start:
+            self._memberships.pop()
+
+    def find_conflict(self, index: int) -> int:
+        """Return the index before the run of equal terms at ``index``."""
+        term = self.find_term(index)
+        while index > self._base_index and self.find_term(index) == term:
+            index -= 1
+        return index
+
+    def compact(self, index: int) -> None:
+        """Discard the entries up to ``index``."""
+        term = self.find_term(index)
+        if term is None or index <= self._base_index:
+            return
+        membership = self.find_membership(index)
+        del self._entries[: index - self._base_index]
+        self._base_index = index
+        self._base_term = term
+        later = [one for one in self._memberships if one[0] > index]
+        if membership is not None:
+            later.insert(0, (index, membership))
+        self._memberships = later
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Continue from the snapshot; return whether entries were kept.
+
+        Entries after it are kept only if the entry at its index is the
+        same; otherwise they belong to another history.
+        """
+        if self.find_term(snapshot.index) == snapshot.term:
+            self.compact(snapshot.index)
+            return True
+        self._reset(snapshot)
+        return False
+
+    def _reset(self, snapshot: Snapshot) -> None:
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._entries = []
+        self._memberships = [(snapshot.index, snapshot.membership)]
