--- /dev/null
+++ b/src/sequoiaseam/_admission.py
@@ -0,0 +1,236 @@
+"""Admission of requests to one backend server."""
+
+import random
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Final
+
+from sequoiaseam._limiter import Completion, Limiter
+from sequoiaseam._pressure import INTERVAL, PoolPressure, PressureGauge
+from sequoiaseam._queue import Ticket, WaitingQueue
+from sequoiaseam._retry import compute_retry_after
+from sequoiaseam._tables import Pool
+from sequoiaseam.errors import ErrorCode
+
+TICK: Final = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Run the request of a ticket now."""
+
+    ticket_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse the request of a ticket; it hasn't run."""
+
+    ticket_id: int
+    code: ErrorCode
+    retry_after: timedelta
+
+
+AdmissionAction = Start | Refuse
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    started: datetime
+    alone: bool
+
+
+class Admission:
+    """Limiter and queue of one backend server.
+
+    Each ticket gets exactly one action, unless it is cancelled while it
+    waits.
+    """
+
+    def __init__(
+        self,
+        pool: Pool,
+        slots: int,
+        now: datetime,
+        rng: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._rng = rng
+        self._limiter = Limiter(_bound(pool, slots), pool.warmup, now)
+        self._queue = WaitingQueue()
+        self._gauge = PressureGauge(now)
+        self._runs: dict[int, _Run] = {}
+        self._alone = False
+        self._draining = False
+        self._area = 0.0
+        self._area_from = now
+        self._changed_at = now
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return len(self._runs)
+
+    @property
+    def queued(self) -> int:
+        """Return how many tickets wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        return self._limiter.limit
+
+    def offer(
+        self,
+        now: datetime,
+        ticket: Ticket,
+    ) -> tuple[AdmissionAction, ...]:
+        """Take a ticket; it starts, is refused, or waits."""
+        if ticket.ticket_id in self._runs or ticket.ticket_id in self._queue:
+            raise ValueError(f"ticket {ticket.ticket_id} is in use")
+        if self._draining:
+            return (self._refuse(ticket.ticket_id, ErrorCode.DRAINING),)
+        self._gauge.arrive(ticket.importance)
+        self._queue.push(ticket)
+        actions = self._pump(now)
+        while len(self._queue) > self._pool.queue:
+            victim = self._queue.find_victim(newest=self._is_late(now))
+            if victim is None:
+                break
+            self._queue.remove(victim.ticket_id)
+            self._gauge.refuse()
+            code = ErrorCode.QUEUE_FULL
+            actions.append(self._refuse(victim.ticket_id, code))
+        return tuple(actions)
+
+    def finish(
+        self,
+        now: datetime,
+        ticket_id: int,
+        completion: Completion,
+    ) -> tuple[AdmissionAction, ...]:
+        """Free the slot of a request that ended."""
+        run = self._runs.get(ticket_id)
+        if run is None:
+            return ()
+        self._integrate(now)
+        del self._runs[ticket_id]
+        self._alone = self._alone and not run.alone
+        self._limiter.finish(now, run.started, completion)
+        return tuple(self._pump(now))
+
+    def cancel(
+        self,
+        now: datetime,
+        ticket_id: int,
+    ) -> tuple[AdmissionAction, ...]:
+        """Forget a ticket; a running one frees its slot.
+
+        The caller closes the connection of a running one first.
+        """
+        if self._queue.remove(ticket_id) is not None:
+            return tuple(self._pump(now))
+        return self.finish(now, ticket_id, Completion.CANCELLED)
+
+    def tick(self, now: datetime) -> tuple[AdmissionAction, ...]:
+        """Drop tickets without time left, follow the limiter."""
+        self._limiter.tick(now)
+        return tuple(self._pump(now))
+
+    def next_due(self, now: datetime) -> datetime:
+        """Return when to call ``tick``."""
+        due = now + TICK
+        deadline = self._queue.find_next_deadline()
+        if deadline is None:
+            return due
+        latest = deadline - self._limiter.median.estimate(now)
+        return max(now, min(due, latest))
+
+    def configure(
+        self,
+        now: datetime,
+        pool: Pool,
+        slots: int,
+    ) -> tuple[AdmissionAction, ...]:
+        """Take over an edited pool or newly announced slots."""
+        self._pool = pool
+        self._limiter.configure(_bound(pool, slots), pool.warmup)
+        return self.tick(now)
+
+    def hint(self, now: datetime, load: float) -> None:
+        """Note the reported load, which may be stale or false."""
+        self._limiter.hint(now, load)
+
+    def drain(self, now: datetime) -> None:
+        """Refuse new tickets; those that wait still run."""
+        self._draining = True
+        self._roll(now)
+
+    def measure_pressure(self, now: datetime) -> PoolPressure:
+        """Return the pressure to send with responses."""
+        self._roll(now)
+        return PoolPressure(self._pool.name, self._gauge.level)
+
+    def _pump(self, now: datetime) -> list[AdmissionAction]:
+        """Start what may start, after dropping what is too late."""
+        actions: list[AdmissionAction] = []
+        latest = now + self._limiter.median.estimate(now)
+        for late in self._queue.expire(latest):
+            self._gauge.refuse()
+            code = ErrorCode.DEADLINE
+            actions.append(self._refuse(late.ticket_id, code))
+        while (ticket := self._choose(now)) is not None:
+            self._start(now, ticket)
+            actions.append(Start(ticket.ticket_id))
+        if not self._queue:
+            self._gauge.note_empty()
+        self._roll(now)
+        return actions
+
+    def _choose(self, now: datetime) -> Ticket | None:
+        if self._alone or len(self._runs) >= self._limiter.limit:
+            return None
+        ticket = self._queue.peek(newest=self._is_late(now))
+        if ticket is not None and ticket.alone and self._runs:
+            # Nothing of its rank or below starts until the server is
+            # idle, so the ticket doesn't starve.
+            return None
+        return ticket
+
+    def _start(self, now: datetime, ticket: Ticket) -> None:
+        self._integrate(now)
+        self._queue.start(ticket)
+        self._gauge.start()
+        self._limiter.start(now)
+        self._runs[ticket.ticket_id] = _Run(now, ticket.alone)
+        self._alone = ticket.alone
+
+    def _is_late(self, now: datetime) -> bool:
+        """Tell whether the queue stands, so that the newest go first."""
+        return self._queue.measure_age(now) > INTERVAL
+
+    def _integrate(self, now: datetime) -> None:
+        elapsed = (now - self._changed_at).total_seconds()
+        self._area += len(self._runs) / self._limiter.limit * elapsed
+        self._changed_at = now
+
+    def _roll(self, now: datetime) -> None:
+        age = now - self._area_from
+        if age < INTERVAL:
+            return
+        self._integrate(now)
+        busy = self._area / age.total_seconds()
+        self._area = 0.0
+        self._area_from = now
+        waited = self._queue.measure_age(now)
+        self._gauge.roll(now, len(self._queue), waited, busy)
+
+    def _refuse(self, ticket_id: int, code: ErrorCode) -> Refuse:
+        wait = compute_retry_after(self._rng, self._gauge.level)
+        return Refuse(ticket_id, code, wait)
+
+
+def _bound(pool: Pool, slots: int) -> int:
+    """Return the most requests that may run; 0 slots means unknown."""
+    return min(pool.slots, pool.connections, slots or pool.slots)
--- /dev/null
+++ b/src/sequoiaseam/_limiter.py
@@ -0,0 +1,291 @@
+"""Concurrency limit of one backend server, found from its latencies."""
+
+import enum
+import math
+from collections import deque
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from typing import Final
+
+# Relative latency above which a cut is tried.
+TOLERANCE: Final = 1.5
+# A trial cut to this part of the limit shows whether latency follows
+# the number of running requests. It costs 30% for two windows at most.
+TRIAL_RATIO: Final = 0.7
+HALF: Final = 0.5
+# Mean latencies of fewer samples vary by more than the tolerance.
+WINDOW_SAMPLES: Final = 30
+WINDOW_MIN: Final = timedelta(milliseconds=100)
+WINDOW_MAX: Final = timedelta(seconds=1)
+WINDOW_SAMPLES_MIN: Final = 3
+# The limit grows only while requests use most of it.
+BINDING: Final = 0.75
+# A server that was saturated from the first request on shows only in
+# a trial; with this interval trials cost about 1%.
+TRIAL_INTERVAL: Final = timedelta(seconds=5)
+TRIAL_SAMPLES: Final = 60
+COLD_SHARE: Final = 0.1
+TIMEOUT_SHARE: Final = 0.1
+# A level at which the server shed is approached fast up to this part.
+SHED_MARGIN: Final = 0.9
+SHED_MEMORY: Final = timedelta(seconds=30)
+HINT_LIFETIME: Final = timedelta(seconds=1)
+HINT_FULL: Final = 0.95
+MEDIAN_SAMPLES: Final = 65
+# The median of a server that completes nothing is halved at this
+# interval, so that requests are tried again.
+MEDIAN_LIFETIME: Final = timedelta(seconds=1)
+
+
+class Completion(enum.Enum):
+    """How a request that ran on the backend server ended."""
+
+    OK = "ok"
+    FAILED = "failed"
+    SHED = "shed"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class _Trial:
+    """Limit, mean running requests and latency before a cut."""
+
+    limit: float
+    load: float
+    latency: float
+
+
+class MedianLatency:
+    """Running median of service times."""
+
+    def __init__(self) -> None:
+        self._samples: deque[float] = deque(maxlen=MEDIAN_SAMPLES)
+        self._last: datetime | None = None
+        self._median = 0.0
+        self._dirty = 0
+
+    def record(self, now: datetime, latency: float) -> None:
+        """Add a service time in seconds."""
+        self._samples.append(latency)
+        self._last = now
+        self._dirty += 1
+        # Sorting for each sample would dominate the cost of a decision.
+        if self._dirty * 8 >= len(self._samples):
+            ordered = sorted(self._samples)
+            self._median = ordered[len(ordered) // 2]
+            self._dirty = 0
+
+    def estimate(self, now: datetime) -> timedelta:
+        """Return the median, halved for each second without samples."""
+        if self._last is None:
+            return timedelta(0)
+        idle = max(0.0, (now - self._last) / MEDIAN_LIFETIME - 1)
+        return timedelta(seconds=self._median * HALF ** min(idle, 60))
+
+
+class Limiter:
+    """Concurrency limit from the gradient of latency.
+
+    When the latency rises over its long-term value, the limit is cut on
+    trial. If the latency falls with it, the server was saturated and
+    the cut stays; otherwise the server is slow at any concurrency, the
+    limit returns and the new latency becomes the long-term value.
+    """
+
+    def __init__(self, slots: int, warmup: timedelta, now: datetime) -> None:
+        self._slots = slots
+        self._warmup = warmup
+        self._born = now
+        self._limit = max(1.0, slots * COLD_SHARE) if warmup else slots
+        self._base: float | None = None
+        self._trial: _Trial | None = None
+        self._trial_due = now + WINDOW_MAX
+        self._shed_load = 0.0
+        self._shed_at: datetime | None = None
+        self._hint = 0.0
+        self._hint_at = now
+        self._running = 0
+        self._changed_at = now
+        self._settling = False
+        self._reset(now)
+        self.median = MedianLatency()
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        return max(1, min(int(self._limit), self._slots))
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return self._running
+
+    def start(self, now: datetime) -> None:
+        """Count a request that starts."""
+        self._integrate(now)
+        self._running += 1
+
+    def finish(
+        self,
+        now: datetime,
+        started: datetime,
+        completion: Completion,
+    ) -> None:
+        """Count a request that ended and adapt the limit."""
+        load = self._running
+        self._integrate(now)
+        self._running -= 1
+        if completion is Completion.SHED:
+            self._shed(now, load)
+        elif completion in (Completion.OK, Completion.TIMEOUT):
+            latency = (now - started).total_seconds()
+            self.median.record(now, latency)
+            self._sample(started, latency, completion)
+        self.tick(now)
+
+    def tick(self, now: datetime) -> None:
+        """Close the window when it is full."""
+        if self._settling and self._running <= self.limit:
+            self._settling = False
+            self._reset(now)
+        age = now - self._window_from
+        samples = TRIAL_SAMPLES if self._trial else WINDOW_SAMPLES
+        full = self._count >= samples and age >= WINDOW_MIN
+        late = age >= WINDOW_MAX and self._count >= WINDOW_SAMPLES_MIN
+        if full or late:
+            self._close(now)
+
+    def hint(self, now: datetime, load: float) -> None:
+        """Note the load from 0 to 1 that the server reports."""
+        self._hint = load
+        self._hint_at = now
+
+    def configure(self, slots: int, warmup: timedelta) -> None:
+        """Take over new bounds."""
+        if slots > self._slots and self._limit >= self._slots:
+            self._limit += 1
+        self._slots = slots
+        self._warmup = warmup
+        self._limit = min(self._limit, float(slots))
+
+    def _reset(self, now: datetime) -> None:
+        self._window_from = now
+        self._area = 0.0
+        self._total = 0.0
+        self._count = 0
+        self._timeouts = 0
+        self._changed_at = now
+
+    def _integrate(self, now: datetime) -> None:
+        elapsed = (now - self._changed_at).total_seconds()
+        self._area += self._running * elapsed
+        self._changed_at = now
+
+    def _sample(
+        self,
+        started: datetime,
+        latency: float,
+        completion: Completion,
+    ) -> None:
+        # Requests from before a trial cut would blur its effect.
+        if self._settling or (self._trial and started < self._window_from):
+            return
+        self._count += 1
+        self._total += latency
+        self._timeouts += completion is Completion.TIMEOUT
+
+    def _shed(self, now: datetime, load: int) -> None:
+        """Halve, once for the requests that were running together."""
+        pause = max(0.1, 2 * (self._base or 0.0))
+        last = self._shed_at
+        if last is not None and (now - last).total_seconds() < pause:
+            return
+        self._shed_at = now
+        self._shed_load = float(load)
+        self._trial = None
+        self._settling = False
+        self._limit = max(1.0, min(self._limit, load) * HALF)
+        self._reset(now)
+
+    def _close(self, now: datetime) -> None:
+        self._integrate(now)
+        age = (now - self._window_from).total_seconds()
+        load = self._area / age
+        latency = self._total / self._count
+        late = self._timeouts > TIMEOUT_SHARE * self._count
+        self._reset(now)
+        if self._is_cold(now):
+            self._base = latency
+            self._grow(now)
+        elif self._trial is not None:
+            self._judge(now, self._trial, load, latency)
+        else:
+            self._adapt(now, load, latency, late=late)
+
+    def _adapt(
+        self,
+        now: datetime,
+        load: float,
+        latency: float,
+        *,
+        late: bool,
+    ) -> None:
+        base = self._base if self._base is not None else latency
+        binding = load >= BINDING * self.limit
+        raised = latency > TOLERANCE * base
+        due = late or raised or now >= self._trial_due
+        if due and binding and self.limit > 1:
+            self._cut(load, latency, HALF if late else TRIAL_RATIO)
+        elif raised:
+            base += 0.1 * (latency - base)
+        else:
+            if latency < base:
+                base += 0.3 * (latency - base)
+            if binding:
+                self._grow(now)
+        self._base = base
+
+    def _cut(self, load: float, latency: float, ratio: float) -> None:
+        self._trial = _Trial(self._limit, load, latency)
+        self._limit = max(1.0, self._limit * ratio)
+        self._settling = True
+
+    def _judge(
+        self,
+        now: datetime,
+        trial: _Trial,
+        load: float,
+        latency: float,
+    ) -> None:
+        """Keep the trial cut only when it lowered the latency."""
+        self._trial = None
+        cut = 1 - load / trial.load
+        gain = 1 - latency / trial.latency
+        if cut > 0.1 and gain >= HALF * cut:
+            # The latency may still include waiting in the server.
+            self._trial_due = now
+            self._base = min(latency, self._base or latency)
+            return
+        self._trial_due = now + TRIAL_INTERVAL
+        self._limit = trial.limit
+        if cut > 0.1:
+            self._base = latency
+            self._grow(now)
+
+    def _grow(self, now: datetime) -> None:
+        ceiling = float(self._slots)
+        if self._is_cold(now):
+            part = (now - self._born) / self._warmup
+            ceiling = max(1.0, self._slots * max(COLD_SHARE, part))
+        step = math.sqrt(self._limit)
+        if self._shed_at and now - self._shed_at < SHED_MEMORY:
+            gap = SHED_MARGIN * self._shed_load - self._limit
+            step = max(HALF * gap, 0.005 * self._limit, 0.05)
+        # A hint only slows growth: it may be stale or false.
+        if self._hint >= HINT_FULL and now - self._hint_at < HINT_LIFETIME:
+            step *= HALF
+        self._limit = min(ceiling, self._limit + step)
+
+    def _is_cold(self, now: datetime) -> bool:
+        return now - self._born < self._warmup
--- /dev/null
+++ b/src/sequoiaseam/_pressure.py
@@ -0,0 +1,364 @@
+"""Pressure of pools, measured at servers and obeyed at the root."""
+
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Final
+
+from sequoiaseam._retry import compute_retry_after
+from sequoiaseam._tables import Importance
+
+CLASSES: Final = len(Importance)
+# The top class is never refused entirely at the root, so that servers
+# still show when they recover.
+LEVEL_MAX: Final = CLASSES - 0.05
+
+# As in CoDel: waiting above the target for a whole interval is a
+# standing queue; shorter waits are bursts.
+DELAY_TARGET: Final = timedelta(milliseconds=5)
+INTERVAL: Final = timedelta(milliseconds=100)
+
+# Part of the excess that one interval removes; less than 1 because the
+# effect shows only after a round trip.
+RAISE_GAIN: Final = 0.5
+# A standing queue is removed over this many intervals.
+DRAIN_INTERVALS: Final = 10
+LOWER_GAIN: Final = 0.3
+# Free slots below this part are kept, so that the level doesn't
+# oscillate around full load.
+SPARE_MIN: Final = 0.05
+LOWER_STEP_MIN: Final = 0.02
+LOWER_STEP_MAX: Final = 0.25
+SMOOTHING: Final = 0.5
+# A class that is shed isn't seen; its last known load fades by half in
+# 2.3 s.
+MEMORY_FADE: Final = 0.97
+
+# A class of which less than this part is let in can't be measured.
+HIDDEN: Final = 0.05
+
+# Levels without an update fade between these ages.
+FADE_START: Final = timedelta(milliseconds=300)
+FADE_END: Final = timedelta(seconds=1)
+ATTACK: Final = timedelta(milliseconds=50)
+RELEASE: Final = timedelta(milliseconds=250)
+# Rounding must not leave a shed class a little open.
+SNAP: Final = 0.005
+ROUTE_MEMORY: Final = timedelta(seconds=60)
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPressure:
+    """Pressure of a pool from 0.0 (none) to 4.0.
+
+    All classes below the whole part are shed, and of the class equal to
+    it the fraction, from the workspaces most over their fair share.
+    """
+
+    pool: str
+    level: float
+
+
+class PressureGauge:
+    """Pressure of one backend server, from its queue."""
+
+    def __init__(self, now: datetime) -> None:
+        self.level = 0.0
+        self._from = now
+        self._arrived = [0] * CLASSES
+        self._started = 0
+        self._refused = 0
+        self._emptied = False
+        self._rates = [0.0] * CLASSES
+        self._start_rate = 0.0
+        self._loads = [0.0] * CLASSES
+
+    def arrive(self, importance: Importance) -> None:
+        """Count an offered ticket."""
+        self._arrived[importance] += 1
+
+    def start(self) -> None:
+        """Count a ticket that starts."""
+        self._started += 1
+
+    def refuse(self) -> None:
+        """Count a ticket refused for want of room or time."""
+        self._refused += 1
+
+    def note_empty(self) -> None:
+        """Note that no ticket waits."""
+        self._emptied = True
+
+    def roll(
+        self,
+        now: datetime,
+        queued: int,
+        age: timedelta,
+        busy: float,
+    ) -> None:
+        """Close intervals that are over.
+
+        ``age`` is that of the oldest waiting ticket, ``busy`` the part
+        of the limit that is in use.
+        """
+        count = (now - self._from) // INTERVAL
+        if count <= 0:
+            return
+        self._from += count * INTERVAL
+        self._smooth(count)
+        standing = not self._emptied and queued > 0 and age > DELAY_TARGET
+        if standing or self._refused:
+            self._raise(queued)
+        elif busy < 1 - SPARE_MIN:
+            for _ in range(min(count, 100)):
+                self._lower(1 - busy)
+        self._arrived = [0] * CLASSES
+        self._started = 0
+        self._refused = 0
+        self._emptied = queued == 0
+
+    def _smooth(self, count: int) -> None:
+        self._start_rate += SMOOTHING * (
+            self._started / count - self._start_rate
+        )
+        floor = int(self.level)
+        for rank in range(CLASSES):
+            rate = self._rates[rank]
+            rate += SMOOTHING * (self._arrived[rank] / count - rate)
+            self._rates[rank] = rate
+            open_part = min(1.0, max(0.0, rank + 1 - self.level))
+            seen = rate / open_part if open_part > HIDDEN else 0.0
+            if rank > floor or open_part > HIDDEN:
+                self._loads[rank] = seen
+            else:
+                self._loads[rank] *= MEMORY_FADE**count
+
+    def _raise(self, queued: int) -> None:
+        """Shed the excess of arrivals over starts, lowest class first."""
+        floor = int(self.level)
+        excess = sum(self._rates[floor:]) - self._start_rate
+        excess = max(0.0, excess) + queued / DRAIN_INTERVALS
+        excess *= RAISE_GAIN
+        level = self.level
+        while excess > 0 and level < LEVEL_MAX:
+            rank = int(level)
+            rate = self._rates[rank]
+            if rate <= excess:
+                excess -= rate
+                level = rank + 1.0
+            else:
+                open_part = (rank + 1 - level) * (1 - excess / rate)
+                level = rank + 1 - open_part
+                break
+        self.level = min(level, LEVEL_MAX)
+
+    def _lower(self, spare: float) -> None:
+        """Readmit about the load that fits into the free slots."""
+        if not self.level:
+            return
+        capacity = self._start_rate / max(1 - spare, SPARE_MIN)
+        rank = max(0, math.ceil(self.level) - 1)
+        load = self._loads[rank]
+        room = LOWER_GAIN * spare * capacity
+        least = LOWER_STEP_MIN + 0.2 * max(0.0, spare - 0.1)
+        step = room / load if load > 0 else LOWER_STEP_MAX
+        step = min(max(step, least), LOWER_STEP_MAX)
+        self.level = max(0.0, self.level - step)
+
+
+@dataclass(slots=True)
+class _Known:
+    """Level of one pool as its responses last told it."""
+
+    level: float
+    at: datetime
+
+    def fade(self, now: datetime) -> float:
+        """Return the level, less the part lost without updates."""
+        age = now - self.at
+        if age <= FADE_START:
+            return self.level
+        left = (FADE_END - age) / (FADE_END - FADE_START)
+        return self.level * max(0.0, left)
+
+    def merge(self, now: datetime, level: float) -> None:
+        """Follow a new value, faster up than down."""
+        old = self.fade(now)
+        span = ATTACK if level > old else RELEASE
+        part = 1 - math.exp(-max((now - self.at) / span, 0.02))
+        self.level = old + part * (level - old)
+        if abs(self.level - level) < SNAP:
+            self.level = level
+        self.at = now
+
+
+@dataclass(slots=True)
+class _Demand:
+    """Arrivals of one workspace and what is refused of them."""
+
+    weight: float
+    count: int = 0
+    rate: float = 0.0
+    refused_part: float = 0.0
+    # Sum of refused parts not yet turned into refusals.
+    owed: float = 0.0
+
+
+@dataclass(slots=True)
+class _Split:
+    """Arrivals for one pool and class by workspace."""
+
+    at: datetime
+    fraction: float = 0.0
+    demands: dict[str, _Demand] = field(default_factory=dict)
+
+    def record(self, now: datetime, workspace: str, weight: float) -> None:
+        """Count an arrival."""
+        demand = self.demands.get(workspace)
+        if demand is None:
+            demand = self.demands[workspace] = _Demand(weight)
+        demand.weight = weight
+        demand.count += 1
+        count = (now - self.at) // INTERVAL
+        if count > 0:
+            self._roll(count)
+            self.at += count * INTERVAL
+
+    def decide(self, workspace: str, fraction: float) -> bool:
+        """Return whether to refuse this arrival of the workspace."""
+        if abs(fraction - self.fraction) > 0.01:
+            self._share(fraction)
+        demand = self.demands[workspace]
+        demand.owed += demand.refused_part
+        if demand.owed < 1:
+            return False
+        demand.owed -= 1
+        return True
+
+    def _roll(self, count: int) -> None:
+        keep = 0.8 ** min(count, 50)
+        for name, demand in list(self.demands.items()):
+            fresh = demand.count / count
+            demand.rate = keep * demand.rate + (1 - keep) * fresh
+            demand.count = 0
+            if demand.rate < 1e-3:
+                del self.demands[name]
+        self._share(self.fraction)
+
+    def _share(self, fraction: float) -> None:
+        """Cap the workspaces at a common rate for their weight."""
+        self.fraction = fraction
+        rates = {
+            name: (demand.rate, demand.weight)
+            for name, demand in self.demands.items()
+        }
+        cap = compute_cap(rates, fraction)
+        for demand in self.demands.values():
+            allowed = cap * demand.weight
+            over = demand.rate > allowed
+            demand.refused_part = 1 - allowed / demand.rate if over else 0.0
+
+
+def compute_cap(
+    rates: Mapping[str, tuple[float, float]],
+    fraction: float,
+) -> float:
+    """Return the rate for weight 1 above which load is refused.
+
+    ``rates`` has a rate and a weight for each workspace. With the cap,
+    the given fraction of all load is refused, and a workspace below its
+    fair share loses nothing.
+    """
+    left = (1 - fraction) * sum(rate for rate, _ in rates.values())
+    weight = sum(weight for _, weight in rates.values())
+    for rate, part in sorted(rates.values(), key=lambda rw: rw[0] / rw[1]):
+        if rate * weight > left * part:
+            return left / weight
+        left -= rate
+        weight -= part
+    return math.inf
+
+
+class PressureMap:
+    """What one node knows of the pressure of pools."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._levels: dict[str, _Known] = {}
+        self._routes: dict[str, dict[str, datetime]] = {}
+        self._splits: dict[tuple[str, Importance], _Split] = {}
+
+    def observe(
+        self,
+        now: datetime,
+        route: str,
+        pressures: tuple[PoolPressure, ...],
+    ) -> None:
+        """Learn from a response which pools a route reaches."""
+        pools = self._routes.setdefault(route, {})
+        for pressure in pressures:
+            pools[pressure.pool] = now
+            known = self._levels.get(pressure.pool)
+            if known is None:
+                known = _Known(0.0, now - FADE_END)
+                self._levels[pressure.pool] = known
+            known.merge(now, pressure.level)
+
+    def decide(
+        self,
+        now: datetime,
+        route: str,
+        importance: Importance,
+        workspace: str,
+        weight: float,
+    ) -> timedelta | None:
+        """Return when to retry a root request that is refused.
+
+        None lets the request in. Each root request must come here, as
+        the workspaces' shares are counted here.
+        """
+        top = 0.0
+        split: _Split | None = None
+        for pool, seen in list(self._routes.get(route, {}).items()):
+            if now - seen > ROUTE_MEMORY:
+                del self._routes[route][pool]
+                continue
+            key = (pool, importance)
+            counted = self._splits.setdefault(key, _Split(now))
+            counted.record(now, workspace, weight)
+            level = self._levels[pool].fade(now)
+            if level > top:
+                top, split = level, counted
+        if split is None or not self._is_refused(
+            split,
+            importance,
+            workspace,
+            top,
+        ):
+            return None
+        return compute_retry_after(self._rng, top - importance)
+
+    def collect(
+        self,
+        now: datetime,
+        pools: frozenset[str],
+    ) -> tuple[PoolPressure, ...]:
+        """Return the levels of pools to send on with a response."""
+        return tuple(
+            PoolPressure(pool, known.fade(now) if known else 0.0)
+            for pool in sorted(pools)
+            for known in (self._levels.get(pool),)
+        )
+
+    def _is_refused(
+        self,
+        split: _Split,
+        importance: Importance,
+        workspace: str,
+        level: float,
+    ) -> bool:
+        if importance != int(level):
+            return importance < level
+        return split.decide(workspace, level - int(level))
