Add at-most-once, quarantine, handles and header sanitization

Change: witnesses vote per id, epoch and slot; attempts start with a majority; fences prove "not run" by durations only, so no clocks are compared; requests with the node's own id ask no witnesses. Crash reports make fingerprints suspects, a second one quarantines them.

--- /dev/null
+++ b/src/sequoiaseam/_headers.py
@@ -0,0 +1,362 @@
+"""Header sanitization of requests and responses.
+
+Names are compared in lower case with ``_`` read as ``-``, since many
+servers map both to one variable.
+"""
+
+import binascii
+import re
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+from urllib.parse import unquote_to_bytes
+
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.const import (
+    HEADER_HANDLE,
+    HEADER_IDEMPOTENCY,
+    HEADER_LIMIT,
+    HEADER_PREFIX,
+    HEADER_TIMEOUT,
+)
+from sequoiaseam.errors import ErrorCode, RefusalError
+
+Headers = tuple[tuple[str, str], ...]
+
+# RFC 9110, 7.6.1, and the ones that older proxies treat alike.
+HOP_BY_HOP: Final = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authentication-info",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ),
+)
+
+# Framing is made anew at each hop; Expect is answered by the entry node.
+FRAMING: Final = frozenset(("content-length", "expect"))
+
+# Headers that a Connection header must not remove.
+END_TO_END: Final = frozenset(
+    (
+        "authorization",
+        "content-length",
+        "content-type",
+        "cookie",
+        "host",
+        "idempotency-key",
+    ),
+)
+
+# Headers that may come only once.
+SINGLE: Final = frozenset(
+    ("content-length", "host", "idempotency-key", "transfer-encoding"),
+)
+
+# Longest time limit that a caller may ask for, as for a route.
+TIMEOUT_MAX_MS: Final = 300_000
+TOKEN_NAME: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+BEARER: Final = re.compile(r"bearer +([A-Za-z0-9._~+/-]+=*)", re.IGNORECASE)
+DIGITS: Final = re.compile(r"[0-9]{1,18}", re.ASCII)
+ESCAPE: Final = re.compile(rb"\\u00([0-7][0-9a-fA-F])")
+
+# Layers of percent-encoding that are looked through for a key.
+ENCODING_LAYERS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """A caller's headers: what the node uses, and what it forwards."""
+
+    token: str | None
+    timeout: timedelta | None
+    request_id: str | None
+    forward: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class NestedHeaders:
+    """Headers of a call from the node's own backend server."""
+
+    handle: str
+    timeout: timedelta | None
+    request_id: str | None
+    forward: Headers
+
+
+def check_request(
+    headers: Sequence[tuple[str, str]],
+    raw_path: str,
+) -> CallerHeaders:
+    """Return a caller's headers, sanitized.
+
+    ``raw_path`` is the request target as received, with the query.
+    Raise RefusalError BAD_REQUEST, HEADERS_TOO_LARGE, FORGED_HEADER or
+    KEY_EXPOSED; its verdict is about this request only.
+    """
+    _check_common(headers, raw_path)
+    _check_forged(headers, allowed=frozenset((HEADER_TIMEOUT.lower(),)))
+    token = _extract_token(headers)
+    if token is not None:
+        _check_exposure(token, headers, raw_path)
+    return CallerHeaders(
+        token=token,
+        timeout=_read_timeout(headers),
+        request_id=_find(headers, HEADER_IDEMPOTENCY),
+        forward=tuple(_strip(headers)),
+    )
+
+
+def check_nested_request(
+    headers: Sequence[tuple[str, str]],
+    raw_path: str,
+) -> NestedHeaders:
+    """Return a backend server's headers, sanitized.
+
+    Raise RefusalError as ``check_request`` does, and HANDLE_UNKNOWN
+    unless there is exactly one handle.
+    """
+    _check_common(headers, raw_path)
+    names = frozenset((HEADER_TIMEOUT.lower(), HEADER_HANDLE.lower()))
+    _check_forged(headers, allowed=names)
+    handles = _find_all(headers, HEADER_HANDLE)
+    if len(handles) != 1 or not handles[0]:
+        raise _refuse(
+            ErrorCode.HANDLE_UNKNOWN,
+            f"exactly one {HEADER_HANDLE} header is needed",
+        )
+    others = [
+        (name, value)
+        for name, value in headers
+        if _fold(name) != HEADER_HANDLE.lower()
+    ]
+    _check_exposure(handles[0], others, raw_path)
+    return NestedHeaders(
+        handle=handles[0],
+        timeout=_read_timeout(headers),
+        request_id=_find(headers, HEADER_IDEMPOTENCY),
+        forward=tuple(_strip(headers)),
+    )
+
+
+def check_body(token: str | None, body: bytes) -> None:
+    """Raise RefusalError KEY_EXPOSED if the body has the key."""
+    if token is not None and _contains(body, token.encode("latin-1")):
+        raise _refuse(
+            ErrorCode.KEY_EXPOSED,
+            "the key is also in the body",
+        )
+
+
+def clean_response(headers: Sequence[tuple[str, str]]) -> Headers:
+    """Return a backend server's headers without hop-by-hop and forged."""
+    return tuple(_strip(headers))
+
+
+def _refuse(code: ErrorCode, message: str) -> RefusalError:
+    return RefusalError(code, message, verdict=Verdict.NOT_RUN)
+
+
+def _fold(name: str) -> str:
+    """Return the form under which a name is compared."""
+    return name.strip().lower().replace("_", "-")
+
+
+def _find_all(
+    headers: Sequence[tuple[str, str]],
+    name: str,
+) -> list[str]:
+    folded = name.lower()
+    return [value.strip() for key, value in headers if _fold(key) == folded]
+
+
+def _find(headers: Sequence[tuple[str, str]], name: str) -> str | None:
+    return next(iter(_find_all(headers, name)), None)
+
+
+def _check_common(
+    headers: Sequence[tuple[str, str]],
+    raw_path: str,
+) -> None:
+    """Check size, names, values, framing and duplicates."""
+    size = len(raw_path) + sum(len(n) + len(v) + 4 for n, v in headers)
+    if size > HEADER_LIMIT:
+        raise _refuse(
+            ErrorCode.HEADERS_TOO_LARGE,
+            f"the headers exceed {HEADER_LIMIT} bytes",
+        )
+    for name, value in headers:
+        if not TOKEN_NAME.fullmatch(name):
+            raise _refuse(ErrorCode.BAD_REQUEST, "malformed header name")
+        if any(c in value for c in "\r\n\0"):
+            raise _refuse(ErrorCode.BAD_REQUEST, "malformed header value")
+    counts = Counter(_fold(name) for name, _ in headers)
+    for name in sorted(SINGLE):
+        if counts[name] > 1:
+            raise _refuse(ErrorCode.BAD_REQUEST, f"more than one {name}")
+    _check_framing(headers)
+    nominated = _list_nominated(headers) & END_TO_END
+    if nominated:
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            "Connection names an end-to-end header",
+        )
+
+
+def _check_framing(headers: Sequence[tuple[str, str]]) -> None:
+    """Refuse what two servers could read as different lengths."""
+    length = _find(headers, "content-length")
+    encoding = _find(headers, "transfer-encoding")
+    if length is not None and encoding is not None:
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            "Content-Length and Transfer-Encoding",
+        )
+    if length is not None and not DIGITS.fullmatch(length):
+        raise _refuse(ErrorCode.BAD_REQUEST, "malformed Content-Length")
+    if encoding is not None and encoding.lower() != "chunked":
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            "unsupported Transfer-Encoding",
+        )
+
+
+def _check_forged(
+    headers: Sequence[tuple[str, str]],
+    allowed: frozenset[str],
+) -> None:
+    prefix = HEADER_PREFIX.lower()
+    for name, _ in headers:
+        folded = _fold(name)
+        if folded.startswith(prefix) and (
+            folded not in allowed or "_" in name
+        ):
+            raise _refuse(
+                ErrorCode.FORGED_HEADER,
+                f"callers may not send {HEADER_PREFIX}* headers",
+            )
+
+
+def _extract_token(headers: Sequence[tuple[str, str]]) -> str | None:
+    """Return the key of the only Authorization header, if there is one."""
+    if _find_all(headers, "proxy-authorization"):
+        raise _refuse(
+            ErrorCode.KEY_EXPOSED,
+            "Proxy-Authorization is not accepted",
+        )
+    given = [
+        (name, value)
+        for name, value in headers
+        if _fold(name) == "authorization"
+    ]
+    if not given:
+        return None
+    if len(given) > 1:
+        raise _refuse(
+            ErrorCode.KEY_EXPOSED,
+            "more than one Authorization header",
+        )
+    match = BEARER.fullmatch(given[0][1].strip())
+    if match is None:
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            "Authorization must be a bearer token",
+        )
+    return match[1]
+
+
+def _check_exposure(
+    secret: str,
+    headers: Sequence[tuple[str, str]],
+    raw_path: str,
+) -> None:
+    """Refuse a key or handle that is anywhere but in its own header."""
+    wanted = secret.encode("latin-1")
+    if _contains(raw_path.encode("utf-8", "surrogateescape"), wanted):
+        raise _refuse(
+            ErrorCode.KEY_EXPOSED,
+            "the key is also in the path or query",
+        )
+    for name, value in headers:
+        text = name if _fold(name) == "authorization" else f"{name}:{value}"
+        if _contains(text.encode("utf-8", "surrogateescape"), wanted):
+            raise _refuse(
+                ErrorCode.KEY_EXPOSED,
+                "the key is also in another header",
+            )
+
+
+def _contains(text: bytes, secret: bytes) -> bool:
+    """Tell whether a text has the secret, plain or encoded."""
+    folded = secret.lower()
+    # Whole groups of three bytes look the same whatever follows them.
+    whole = secret[: len(secret) // 3 * 3]
+    if whole and binascii.b2a_base64(whole, newline=False) in text:
+        return True
+    for _ in range(ENCODING_LAYERS):
+        if folded in text.lower():
+            return True
+        plain = text
+        if b"%" in text:
+            plain = unquote_to_bytes(text)
+        if b"\\u00" in plain:
+            plain = ESCAPE.sub(
+                lambda match: bytes((int(match[1], 16),)),
+                plain,
+            )
+        if plain == text:
+            return False
+        text = plain
+    return folded in text.lower()
+
+
+def _read_timeout(
+    headers: Sequence[tuple[str, str]],
+) -> timedelta | None:
+    values = _find_all(headers, HEADER_TIMEOUT)
+    if not values:
+        return None
+    if len(values) > 1 or not DIGITS.fullmatch(values[0]):
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            f"malformed {HEADER_TIMEOUT}",
+        )
+    milliseconds = int(values[0])
+    if not 1 <= milliseconds <= TIMEOUT_MAX_MS:
+        raise _refuse(
+            ErrorCode.BAD_REQUEST,
+            f"{HEADER_TIMEOUT} is outside 1 to {TIMEOUT_MAX_MS}",
+        )
+    return timedelta(milliseconds=milliseconds)
+
+
+def _list_nominated(headers: Sequence[tuple[str, str]]) -> frozenset[str]:
+    """Return the names that Connection headers list."""
+    return frozenset(
+        _fold(name)
+        for value in _find_all(headers, "connection")
+        for name in value.split(",")
+    )
+
+
+def _strip(
+    headers: Sequence[tuple[str, str]],
+) -> Iterator[tuple[str, str]]:
+    """Yield the headers that pass on to the next hop."""
+    dropped = HOP_BY_HOP | FRAMING | _list_nominated(headers)
+    prefix = HEADER_PREFIX.lower()
+    for name, value in headers:
+        folded = _fold(name)
+        if folded in dropped or folded.startswith(prefix):
+            continue
+        if folded == "authorization":
+            continue
+        yield name, value
--- /dev/null
+++ b/tests/test_handles.py
@@ -0,0 +1,67 @@
+"""Tests of handles for nested calls."""
+
+import unittest
+from dataclasses import dataclass
+
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._handles import CallContext, HandleTable
+from sequoiaseam._tables import Importance
+
+
+@dataclass
+class FakeBudget:
+    """A budget that never gives anything."""
+
+    remaining: int = 0
+
+    def take(self) -> bool:
+        """Refuse."""
+        return False
+
+    def split(self) -> int:
+        """Give nothing."""
+        return 0
+
+    def give_back(self, count: int) -> None:
+        """Ignore what is returned."""
+
+
+def build_context(root_id: str = "r1") -> CallContext:
+    """Return the context of a root request."""
+    return CallContext(
+        root_id=root_id,
+        workspace="coop",
+        route="quotes",
+        importance=Importance.HIGH,
+        weight=1.0,
+        deadline=EPOCH,
+        budget=FakeBudget(),
+    )
+
+
+class HandleTableTest(unittest.TestCase):
+    """Guards against a handle that outlives or mixes up its request."""
+
+    def test_finds_only_live_handles(self) -> None:
+        table = HandleTable(iter(("h1", "h2")).__next__)
+        one, two = build_context("r1"), build_context("r2")
+        first, second = table.issue(one), table.issue(two)
+        self.assertIs(table.find(first), one)
+        self.assertIs(table.find(second), two)
+        table.revoke(first)
+        table.revoke(first)
+        self.assertIsNone(table.find(first))
+        self.assertIsNone(table.find(""))
+        self.assertEqual(len(table), 1)
+
+    def test_refuses_a_repeating_source(self) -> None:
+        table = HandleTable(lambda: "same")
+        table.issue(build_context())
+        with self.assertRaises(ValueError):
+            table.issue(build_context())
+
+    def test_keeps_the_highest_pressure_of_a_pool(self) -> None:
+        context = build_context()
+        for level in (0.5, 2.5, 1.0):
+            context.collect_pressure("billing", level)
+        self.assertEqual(context.pressures, {"billing": 2.5})
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,154 @@
+"""Tests of the quarantine of requests that crash servers."""
+
+import unittest
+from datetime import datetime, timedelta
+from typing import Any
+
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._commands import CrashReported
+from sequoiaseam._quarantine import (
+    ENTRIES_MAX,
+    QUARANTINE_TIME,
+    SUSPECT_TIME,
+    CrashWatch,
+    QuarantineList,
+    Standing,
+    SuspicionCleared,
+    choose_trial,
+    compute_fingerprint,
+)
+
+SECOND = timedelta(seconds=1)
+
+
+class QuarantineListTest(unittest.TestCase):
+    """Guards against a third crash, and against punishing bystanders."""
+
+    def setUp(self) -> None:
+        self.list = QuarantineList()
+
+    def crash(
+        self,
+        name: str,
+        *fingerprints: int,
+        at: datetime = EPOCH,
+    ) -> None:
+        self.list.apply(CrashReported(name, fingerprints, at))
+
+    def check(self, fingerprint: int, at: datetime = EPOCH) -> Standing:
+        return self.list.check(at, fingerprint)
+
+    def test_second_crash_quarantines_only_what_recurs(self) -> None:
+        self.crash("c1", 1, 2)
+        self.assertIs(self.check(1), Standing.SUSPECT)
+        self.assertIs(self.check(3), Standing.CLEAR)
+        self.crash("c2", 1)
+        self.assertIs(self.check(1), Standing.QUARANTINED)
+        self.assertIs(self.check(2), Standing.SUSPECT)
+
+    def test_copy_of_a_report_counts_once(self) -> None:
+        self.crash("c1", 1)
+        self.crash("c1", 1)
+        self.assertIs(self.check(1), Standing.SUSPECT)
+
+    def test_completed_bystander_is_cleared(self) -> None:
+        self.crash("c1", 1, 2)
+        self.crash("c2", 1, 2)
+        self.crash("c3", 1)
+        self.list.clear(SuspicionCleared((1, 2), EPOCH))
+        self.assertIs(self.check(1), Standing.QUARANTINED)
+        self.assertIs(self.check(2), Standing.CLEAR)
+
+    def test_standing_over_time(self) -> None:
+        self.crash("c1", 1)
+        self.assertIs(self.check(1, EPOCH + SUSPECT_TIME), Standing.CLEAR)
+        self.crash("c2", 1)
+        end = EPOCH + QUARANTINE_TIME
+        self.assertIs(self.check(1, end - SECOND), Standing.QUARANTINED)
+        self.assertIs(self.check(1, end), Standing.SUSPECT)
+        self.crash("c3", 1, at=end)
+        again = end + 2 * QUARANTINE_TIME - SECOND
+        self.assertIs(self.check(1, again), Standing.QUARANTINED)
+
+    def test_same_log_gives_same_state_after_a_snapshot(self) -> None:
+        self.crash("c1", 1, 2)
+        loaded = QuarantineList.load(*self.list.dump())
+        for one in (self.list, loaded):
+            one.apply(CrashReported("c1", (1, 2), EPOCH))
+            one.apply(CrashReported("c2", (2,), EPOCH + SECOND))
+        self.assertEqual(loaded.dump(), self.list.dump())
+        (entry,) = loaded.list_quarantined(EPOCH + SECOND)
+        self.assertEqual(entry.fingerprint, 2)
+
+    def test_entries_are_bounded_and_oldest_go(self) -> None:
+        self.crash("c1", *range(ENTRIES_MAX))
+        self.crash("c2", -1, 0)
+        self.assertIs(self.check(1), Standing.CLEAR)
+        self.assertIs(self.check(0), Standing.QUARANTINED)
+
+
+class CrashWatchTest(unittest.TestCase):
+    """Guards against lost or false reports of one server."""
+
+    def setUp(self) -> None:
+        self.watch = CrashWatch()
+        self.shared = QuarantineList()
+
+    def check(self, fingerprint: int) -> Standing:
+        return self.watch.check(EPOCH, fingerprint, self.shared)
+
+    def test_reports_what_was_running(self) -> None:
+        self.watch.start(1, 10)
+        self.watch.start(1, 11)
+        self.watch.start(2, 12)
+        self.watch.start(3, 13)
+        self.watch.finish(12)
+        self.watch.finish(12)
+        self.assertEqual(self.watch.count_running(1), 2)
+        report = self.watch.crash(EPOCH, "c1")
+        assert report is not None
+        self.assertEqual(set(report.fingerprints), {1, 3})
+        self.assertIsNone(self.watch.crash(EPOCH, "c2"))
+
+    def test_own_crash_counts_before_it_is_replicated(self) -> None:
+        for run_id, standing in (
+            (1, Standing.SUSPECT),
+            (2, Standing.QUARANTINED),
+        ):
+            self.watch.start(1, run_id)
+            self.watch.crash(EPOCH, f"c{run_id}")
+            self.assertIs(self.check(1), standing)
+
+    def test_reports_completed_suspects_once(self) -> None:
+        self.shared.apply(CrashReported("c1", (1, 2), EPOCH))
+        for run_id, fingerprint in enumerate((1, 3)):
+            self.watch.start(fingerprint, run_id)
+            self.watch.finish(run_id)
+        self.watch.start(2, 9)
+        self.watch.finish(9, whole=False)
+        cleared = self.watch.report_cleared(EPOCH, self.shared)
+        self.assertEqual(cleared, SuspicionCleared((1,), EPOCH))
+        self.assertIsNone(self.watch.report_cleared(EPOCH, self.shared))
+
+
+class ChooseTrialTest(unittest.TestCase):
+    """Guards against copies of a suspect crashing several servers."""
+
+    def test_all_nodes_agree_and_suspects_spread(self) -> None:
+        names = [f"n{i}" for i in range(5)]
+        chosen = {choose_trial(f, names) for f in range(50)}
+        self.assertEqual(chosen, set(names))
+        for fingerprint in range(50):
+            self.assertEqual(
+                choose_trial(fingerprint, names),
+                choose_trial(fingerprint, reversed(names)),
+            )
+        self.assertIsNone(choose_trial(1, ()))
+
+    def test_fingerprint_is_of_one_request(self) -> None:
+        base: list[Any] = ["coop", "quotes", "POST", "/q", b"body"]
+        prints = {compute_fingerprint(*base)}
+        for index, value in enumerate(("x", "x", "x", "x", b"x")):
+            other = [*base[:index], value, *base[index + 1 :]]
+            prints.add(compute_fingerprint(*other))
+        self.assertEqual(len(prints), 6)
--- /dev/null
+++ b/tests/test_witness.py
@@ -0,0 +1,223 @@
+"""Tests of the votes of one witness."""
+
+import random
+import unittest
+from dataclasses import replace
+from datetime import datetime, timedelta
+from typing import Any
+
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._commands import WitnessGroup
+from sequoiaseam._witness import (
+    ELIGIBILITY_DELAY,
+    OUTCOME_MEMORY,
+    Decision,
+    Fence,
+    FenceMark,
+    Intent,
+    OutcomeRecord,
+    RecordKey,
+    Vote,
+    Witness,
+    mint_request_id,
+    parse_request_id,
+)
+from sequoiaseam.const import (
+    CLOCK_SKEW,
+    OUTCOME_BODY_LIMIT,
+    WITNESS_RETENTION,
+    WITNESS_SHARDS,
+)
+from sequoiaseam.errors import ErrorCode, RefusalError
+
+GROUP = WitnessGroup(1, ("w1", "w2", "w3"))
+READY = EPOCH + ELIGIBILITY_DELAY + timedelta(seconds=1)
+
+
+def build_key(number: int = 0, minted: datetime = READY) -> RecordKey:
+    """Return a key with an id minted at ``minted``."""
+    rng = random.Random(number)
+    return RecordKey("coop", mint_request_id(minted, rng))
+
+
+def build_intent(attempt: str = "a", **changes: Any) -> Intent:
+    """Return an intent of a non-idempotent request."""
+    key = build_key()
+    intent = Intent(key, attempt, b"digest", "g", 1, "e", READY, 1, 3)
+    return replace(intent, **changes)
+
+
+def build_outcome(
+    key: RecordKey | None = None,
+    attempt: str = "a",
+    body: bytes = b"booked",
+) -> OutcomeRecord:
+    """Return the outcome of an attempt."""
+    key = key or build_key()
+    return OutcomeRecord(key, attempt, b"digest", 200, (), body)
+
+
+class WitnessTest(unittest.TestCase):
+    """Guards against two attempts of one id being granted."""
+
+    def setUp(self) -> None:
+        self.witness = Witness("w1", EPOCH)
+        self.assign(GROUP, EPOCH)
+
+    def assign(self, group: WitnessGroup, now: datetime = READY) -> None:
+        groups = dict.fromkeys(range(WITNESS_SHARDS), group)
+        self.witness.assign(now, groups)
+
+    def ask(
+        self,
+        message: Intent | Fence,
+        now: datetime = READY,
+        *,
+        fresh: bool = True,
+    ) -> Vote:
+        vote = self.witness.receive(now, fresh=fresh, message=message)
+        assert vote is not None
+        return vote
+
+    def assert_decision(
+        self,
+        decision: Decision,
+        message: Intent | Fence,
+        now: datetime = READY,
+        *,
+        fresh: bool = True,
+    ) -> None:
+        vote = self.ask(message, now, fresh=fresh)
+        self.assertIs(vote.decision, decision)
+
+    def test_grants_one_attempt_and_supersedes_only_named(self) -> None:
+        wrong = build_intent("c", supersedes=("b",))
+        right = build_intent("b", supersedes=("a",))
+        self.assert_decision(Decision.GRANTED, build_intent("a"))
+        self.assert_decision(Decision.GRANTED, build_intent("a"))
+        self.assert_decision(Decision.DUPLICATE, wrong)
+        self.assertEqual(self.ask(right).attempts, 2)
+        self.assert_decision(Decision.DUPLICATE, build_intent("a"))
+        other = build_intent("d", body_digest=b"other")
+        self.assert_decision(Decision.MISMATCH, other)
+
+    def test_abstains_where_records_may_be_lost(self) -> None:
+        def minted(at: datetime) -> Intent:
+            return build_intent(key=build_key(minted=at))
+
+        early = EPOCH + ELIGIBILITY_DELAY
+        cases = {
+            "not fresh": (build_intent(), READY, False),
+            "other epoch": (build_intent(epoch=2), READY, True),
+            "minted too early": (minted(early), READY, True),
+            "dropped": (build_intent(), READY + WITNESS_RETENTION, True),
+            "future": (minted(READY + CLOCK_SKEW * 1.1), READY, True),
+            "malformed": (
+                build_intent(key=RecordKey("coop", "7")),
+                READY,
+                True,
+            ),
+        }
+        for name, (intent, now, fresh) in cases.items():
+            with self.subTest(name):
+                self.assert_decision(
+                    Decision.ABSTAIN,
+                    intent,
+                    now,
+                    fresh=fresh,
+                )
+
+    def test_keeps_eligibility_only_without_a_gap(self) -> None:
+        three, two = ("w1", "w2", "w4"), ("w1", "w2")
+        cases = {
+            "next epoch": ((WitnessGroup(2, three),), Decision.GRANTED),
+            "missed epoch": ((WitnessGroup(3, three),), Decision.ABSTAIN),
+            "smaller group": ((WitnessGroup(2, two),), Decision.ABSTAIN),
+            "removed and returned": (
+                (WitnessGroup(2, ("w2", "w3", "w4")), WitnessGroup(3, three)),
+                Decision.ABSTAIN,
+            ),
+        }
+        for name, (groups, decision) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                for group in groups:
+                    self.assign(group)
+                intent = build_intent(epoch=groups[-1].epoch)
+                self.assert_decision(decision, intent)
+
+    def test_counts_attempts_of_idempotent_requests(self) -> None:
+        for name, decision in (
+            ("a", Decision.GRANTED),
+            ("b", Decision.GRANTED),
+            ("c", Decision.EXHAUSTED),
+        ):
+            intent = build_intent(name, idempotent=True, limit=2)
+            self.assert_decision(decision, intent)
+
+    def test_fence_stops_what_is_not_proved_later(self) -> None:
+        fence = Fence(build_key(), "f1", "e", 1)
+        self.assert_decision(Decision.UNSEEN, fence)
+        later = READY + timedelta(seconds=2)
+        self.assertEqual(
+            self.ask(build_intent("a"), later).fence_age,
+            timedelta(seconds=2),
+        )
+        for mark, decision in (
+            (FenceMark("w2", "f1"), Decision.FENCED),
+            (FenceMark("w1", "f0"), Decision.FENCED),
+            (FenceMark("w1", "f1"), Decision.GRANTED),
+        ):
+            intent = build_intent("b", marks=(mark,))
+            self.assert_decision(decision, intent)
+        self.assertEqual(self.ask(fence).holders, ("b",))
+        proved = replace(fence, unstarted=("b",))
+        self.assert_decision(Decision.UNSEEN, proved)
+
+    def test_returns_outcome_even_if_the_intent_was_lost(self) -> None:
+        outcome = build_outcome()
+        self.witness.receive(READY, fresh=True, message=outcome)
+        self.assertEqual(self.ask(build_intent("b")).outcome, outcome)
+        other = build_intent("b", body_digest=b"other")
+        self.assert_decision(Decision.MISMATCH, other)
+
+    def test_outcome_bodies_are_bounded(self) -> None:
+        body = b"x" * OUTCOME_BODY_LIMIT
+        count = OUTCOME_MEMORY // OUTCOME_BODY_LIMIT + 1
+        for number in range(count):
+            outcome = build_outcome(build_key(number), body=body)
+            self.witness.receive(READY, fresh=True, message=outcome)
+        for number, kept in ((0, None), (count - 1, body)):
+            found = self.ask(build_intent("b", key=build_key(number)))
+            assert found.outcome is not None
+            self.assertEqual(found.outcome.body, kept)
+
+    def test_drops_records_after_retention(self) -> None:
+        self.ask(build_intent("a"))
+        for minutes, count in ((5, 1), (11, 0)):
+            self.witness.tick(READY + timedelta(minutes=minutes))
+            self.assertEqual(len(self.witness), count)
+
+
+class RequestIdTest(unittest.TestCase):
+    """Guards against ids that the records can't cover."""
+
+    def test_reads_back_and_refuses_what_is_not_covered(self) -> None:
+        rng = random.Random(1)
+        request_id = mint_request_id(READY, rng)
+        quoted = f'"{request_id.upper()}"'
+        self.assertEqual(parse_request_id(quoted, READY), request_id)
+        future = mint_request_id(READY + CLOCK_SKEW * 1.1, rng)
+        old = mint_request_id(READY - WITNESS_RETENTION, rng)
+        cases = {
+            "": ErrorCode.ID_MALFORMED,
+            "6f9619ff-8b86-4011-b42d-00cf4fc964ff": ErrorCode.ID_MALFORMED,
+            "ffffffff-ffff-7fff-bfff-ffffffffffff": ErrorCode.ID_MALFORMED,
+            future: ErrorCode.ID_MALFORMED,
+            old: ErrorCode.ID_EXPIRED,
+        }
+        for text, code in cases.items():
+            with self.subTest(text):
+                with self.assertRaises(RefusalError) as caught:
+                    parse_request_id(text, READY)
+                self.assertIs(caught.exception.code, code)
