--- /dev/null
+++ b/src/sequoiaseam/_metrics.py
@@ -0,0 +1,500 @@
+"""What a node measures of the requests it answers."""
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Final, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+from sequoiaseam._tables import Importance
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.errors import ErrorCode
+
+# Bounds the memory of a node: a row with all three histograms takes
+# 38 KB (tracemalloc), so the rows take at most 8 MB.
+ROWS_MAX: Final = 200
+OTHER: Final = "other"
+
+# Histograms count microseconds up to the longest timeout of a route.
+HISTOGRAM_MAX_US: Final = 300_000_000
+HISTOGRAM_DIGITS: Final = 2
+# Four-byte counts halve the memory of a row.
+HISTOGRAM_WORD_BYTES: Final = 4
+MICROSECOND: Final = timedelta(microseconds=1)
+QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
+
+# Refusals that show a lack of capacity.
+OVERLOAD_CODES: Final = frozenset(
+    (
+        ErrorCode.OVERLOAD,
+        ErrorCode.QUEUE_FULL,
+        ErrorCode.DEADLINE,
+        ErrorCode.SHED,
+        ErrorCode.TIMEOUT,
+    ),
+)
+# Refusals that a caller inside its rate has done nothing to cause.
+SYSTEM_CODES: Final = OVERLOAD_CODES | frozenset(
+    (
+        ErrorCode.STALE,
+        ErrorCode.QUOTA,
+        ErrorCode.NO_SERVER,
+        ErrorCode.DRAINING,
+        ErrorCode.RETRIES_EXHAUSTED,
+        ErrorCode.NO_WITNESSES,
+        ErrorCode.SERVER_FAILED,
+        ErrorCode.INCOMPLETE,
+        ErrorCode.CONNECTION_LOST,
+        ErrorCode.INTERNAL,
+    ),
+)
+# A second counts as overloaded when more than this share of its
+# requests is refused for lack of capacity.
+OVERLOAD_SHARE: Final = 0.01
+# An overload is over after this long without an overloaded second.
+OVERLOAD_QUIET: Final = timedelta(seconds=5)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSample:
+    """One answered request, recorded by the node that answered it.
+
+    ``code`` is None for a whole answer. ``queue_time`` and
+    ``service_time`` are None for a request that got no slot. ``root``
+    is set for a caller's request, not for a nested call.
+    """
+
+    route: str
+    pool: str
+    workspace: str
+    importance: Importance
+    code: ErrorCode | None
+    verdict: Verdict
+    inside_rate: bool
+    worth: float
+    retries: int
+    queue_time: timedelta | None
+    service_time: timedelta | None
+    total_time: timedelta
+    root: bool
+
+
+class RowKey(NamedTuple):
+    """What requests are counted by."""
+
+    route: str
+    pool: str
+    workspace: str
+    importance: Importance
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRow:
+    """Totals since the node started; offered, whole and worth as below.
+
+    ``offered`` = ``whole`` + the sum of ``refused`` + ``may_have_run``.
+    Worth and the inside-rate columns count root requests only.
+    Histograms are in hdrhistogram's encoding, in microseconds.
+    """
+
+    route: str
+    pool: str
+    workspace: str
+    importance: Importance
+    offered: int
+    roots: int
+    whole: int
+    refused: Mapping[str, int]
+    may_have_run: int
+    retries: int
+    worth_offered: float
+    worth: float
+    inside_rate: int
+    inside_rate_whole: int
+    inside_rate_refused: int
+    queue_times: bytes = b""
+    service_times: bytes = b""
+    total_times: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReport:
+    """A node's rows and its overload state; durations, not times.
+
+    ``recovery`` is how long the last overload lasted from its worst
+    second to its end. Both durations are None where there was none.
+    """
+
+    node: str
+    uptime: timedelta
+    rows: tuple[ReportRow, ...]
+    overloaded: bool = False
+    since_overload: timedelta | None = None
+    recovery: timedelta | None = None
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(
+        1,
+        HISTOGRAM_MAX_US,
+        HISTOGRAM_DIGITS,
+        word_size=HISTOGRAM_WORD_BYTES,
+    )
+
+
+def encode_histogram(histogram: HdrHistogram | None) -> bytes:
+    """Return the encoded bytes, or none for an empty histogram."""
+    if histogram is None:
+        return b""
+    return bytes(histogram.encode())
+
+
+def decode_histogram(data: bytes) -> HdrHistogram:
+    """Return the histogram that the bytes encode, empty for none."""
+    return HdrHistogram.decode(data) if data else make_histogram()
+
+
+class Distribution:
+    """A histogram that takes memory only once something is recorded."""
+
+    __slots__ = ("histogram", "total")
+
+    def __init__(self) -> None:
+        self.histogram: HdrHistogram | None = None
+        self.total = timedelta(0)
+
+    def record(self, value: timedelta | None) -> None:
+        """Count a duration; None is not counted."""
+        if value is None:
+            return
+        if self.histogram is None:
+            self.histogram = make_histogram()
+        microseconds = min(max(value // MICROSECOND, 1), HISTOGRAM_MAX_US)
+        self.histogram.record_value(microseconds)
+        self.total += value
+
+
+@dataclass(slots=True)
+class RowCounts:
+    """Counters of one row."""
+
+    offered: int = 0
+    roots: int = 0
+    whole: int = 0
+    refused: dict[str, int] = field(default_factory=dict)
+    may_have_run: int = 0
+    retries: int = 0
+    worth_offered: float = 0.0
+    worth: float = 0.0
+    inside_rate: int = 0
+    inside_rate_whole: int = 0
+    inside_rate_refused: int = 0
+    queue: Distribution = field(default_factory=Distribution)
+    service: Distribution = field(default_factory=Distribution)
+    whole_time: Distribution = field(default_factory=Distribution)
+
+    def record(self, sample: RequestSample) -> None:
+        """Count a sample."""
+        self.offered += 1
+        self.retries += sample.retries
+        self.queue.record(sample.queue_time)
+        self.service.record(sample.service_time)
+        self._record_outcome(sample)
+        if sample.root:
+            self._record_root(sample)
+
+    def _record_outcome(self, sample: RequestSample) -> None:
+        if sample.code is None:
+            self.whole += 1
+            self.whole_time.record(sample.total_time)
+        elif sample.verdict is Verdict.MAY_HAVE_RUN:
+            self.may_have_run += 1
+        else:
+            name = sample.code.value
+            self.refused[name] = self.refused.get(name, 0) + 1
+
+    def _record_root(self, sample: RequestSample) -> None:
+        self.roots += 1
+        self.worth_offered += sample.worth
+        if sample.code is None:
+            self.worth += sample.worth
+        if not sample.inside_rate:
+            return
+        self.inside_rate += 1
+        if sample.code is None:
+            self.inside_rate_whole += 1
+        elif sample.code in SYSTEM_CODES:
+            self.inside_rate_refused += 1
+
+    def build_row(self, key: RowKey) -> ReportRow:
+        """Return the totals so far."""
+        return ReportRow(
+            *key,
+            offered=self.offered,
+            roots=self.roots,
+            whole=self.whole,
+            refused=dict(self.refused),
+            may_have_run=self.may_have_run,
+            retries=self.retries,
+            worth_offered=self.worth_offered,
+            worth=self.worth,
+            inside_rate=self.inside_rate,
+            inside_rate_whole=self.inside_rate_whole,
+            inside_rate_refused=self.inside_rate_refused,
+            queue_times=encode_histogram(self.queue.histogram),
+            service_times=encode_histogram(self.service.histogram),
+            total_times=encode_histogram(self.whole_time.histogram),
+        )
+
+
+class OverloadWatch:
+    """Find overloads from the share of refusals in each second."""
+
+    def __init__(self, now: datetime) -> None:
+        self._second = now
+        self._offered = 0
+        self._refused = 0
+        self._peak_share = 0.0
+        self._peak_end = now
+        self._last_end: datetime | None = None
+        self._active = False
+        self._recovery: timedelta | None = None
+
+    def record(self, now: datetime, *, refused: bool) -> None:
+        """Count a request."""
+        self.advance(now)
+        self._offered += 1
+        self._refused += refused
+
+    def advance(self, now: datetime) -> None:
+        """Close the seconds that are over."""
+        if now - self._second >= timedelta(seconds=1):
+            self._close_second()
+            # Seconds without requests need no closing one by one.
+            elapsed = (now - self._second) // timedelta(seconds=1)
+            self._second += timedelta(seconds=elapsed)
+        last = self._last_end
+        if self._active and last and now - last >= OVERLOAD_QUIET:
+            self._active = False
+            self._recovery = last - self._peak_end
+
+    def _close_second(self) -> None:
+        share = self._refused / self._offered if self._offered else 0.0
+        self._offered = self._refused = 0
+        if share <= OVERLOAD_SHARE:
+            return
+        end = self._second + timedelta(seconds=1)
+        if self._last_end and end - self._last_end > OVERLOAD_QUIET:
+            self._active = False
+        if not self._active or share >= self._peak_share:
+            self._peak_share = share
+            self._peak_end = end
+        self._active = True
+        self._last_end = end
+
+    def is_active(self) -> bool:
+        """Return whether an overload is in progress."""
+        return self._active
+
+    def measure_since(self, now: datetime) -> timedelta | None:
+        """Return the time since the end of the last overloaded second."""
+        if self._last_end is None:
+            return None
+        return max(now - self._last_end, timedelta(0))
+
+    def get_recovery(self) -> timedelta | None:
+        """Return the last overload's time from its peak to its end."""
+        return self._recovery
+
+
+class NodeMetrics:
+    """Counts of a node, by route, pool, workspace and class."""
+
+    def __init__(self, node: str, now: datetime) -> None:
+        self._node = node
+        self._started = now
+        self._rows: dict[RowKey, RowCounts] = {}
+        self._overload = OverloadWatch(now)
+
+    def record(self, now: datetime, sample: RequestSample) -> None:
+        """Count a request; once, where its answer is sent."""
+        key = RowKey(
+            sample.route,
+            sample.pool,
+            sample.workspace,
+            sample.importance,
+        )
+        self._find_row(key).record(sample)
+        self._overload.record(now, refused=sample.code in OVERLOAD_CODES)
+
+    def _find_row(self, key: RowKey) -> RowCounts:
+        row = self._rows.get(key)
+        if row is not None:
+            return row
+        if len(self._rows) >= ROWS_MAX:
+            key = RowKey(OTHER, OTHER, OTHER, key.importance)
+        return self._rows.setdefault(key, RowCounts())
+
+    def snapshot(self, now: datetime) -> NodeReport:
+        """Return everything counted so far."""
+        self._overload.advance(now)
+        return NodeReport(
+            node=self._node,
+            uptime=now - self._started,
+            rows=tuple(
+                counts.build_row(key) for key, counts in self._rows.items()
+            ),
+            overloaded=self._overload.is_active(),
+            since_overload=self._overload.measure_since(now),
+            recovery=self._overload.get_recovery(),
+        )
+
+    def iterate_rows(self) -> Iterator[tuple[RowKey, RowCounts]]:
+        """Yield each row's key and counts."""
+        yield from self._rows.items()
+
+
+LABELS: Final = ("route", "pool", "workspace", "class")
+# Metric names, their texts, and the attribute of RowCounts.
+COUNTERS: Final = (
+    ("offered", "Requests received", "offered"),
+    ("whole", "Requests answered whole", "whole"),
+    ("may_have_run", "Requests that may have run", "may_have_run"),
+    ("retries", "Retries made", "retries"),
+    ("worth", "Worth of the root requests answered whole", "worth"),
+    (
+        "inside_rate_refused",
+        "Root requests refused inside their workspace's rate",
+        "inside_rate_refused",
+    ),
+)
+SUMMARIES: Final = (
+    ("queue_seconds", "Time in the queue", "queue"),
+    ("service_seconds", "Time in the backend server", "service"),
+    ("total_seconds", "Time to a whole answer", "whole_time"),
+)
+Family = CounterMetricFamily | GaugeMetricFamily | SummaryMetricFamily
+
+
+class MetricsCollector(Collector):
+    """Hand a node's counts to prometheus-client when it asks."""
+
+    def __init__(self, metrics: NodeMetrics, now: datetime) -> None:
+        self._metrics = metrics
+        self._now = now
+
+    def collect(self) -> Iterator[Family]:
+        """Yield the metric families."""
+        rows = [
+            ((*key[:3], key.importance.name.lower()), counts)
+            for key, counts in self._metrics.iterate_rows()
+        ]
+        yield from _collect_counters(rows)
+        yield _collect_refusals(rows)
+        yield from _collect_summaries(rows)
+        yield from self._collect_overload()
+
+    def _collect_overload(self) -> Iterator[Family]:
+        report = self._metrics.snapshot(self._now)
+        yield GaugeMetricFamily(
+            "sequoiaseam_overloaded",
+            "1 while an overload is in progress",
+            value=float(report.overloaded),
+        )
+        for name, text, value in (
+            (
+                "since_overload_seconds",
+                "Time since the last overloaded second",
+                report.since_overload,
+            ),
+            (
+                "recovery_seconds",
+                "Time from the peak to the end of the last overload",
+                report.recovery,
+            ),
+        ):
+            if value is not None:
+                yield GaugeMetricFamily(
+                    f"sequoiaseam_{name}",
+                    text,
+                    value=value.total_seconds(),
+                )
+
+
+Rows = Sequence[tuple[tuple[str, ...], RowCounts]]
+
+
+def _collect_counters(rows: Rows) -> Iterator[Family]:
+    for name, text, attribute in COUNTERS:
+        family = CounterMetricFamily(
+            f"sequoiaseam_{name}",
+            text,
+            labels=LABELS,
+        )
+        for labels, counts in rows:
+            family.add_metric(labels, getattr(counts, attribute))
+        yield family
+
+
+def _collect_refusals(rows: Rows) -> Family:
+    family = CounterMetricFamily(
+        "sequoiaseam_refused",
+        "Requests refused, by code",
+        labels=(*LABELS, "code"),
+    )
+    for labels, counts in rows:
+        for code, count in counts.refused.items():
+            family.add_metric((*labels, code), count)
+    return family
+
+
+def _collect_summaries(rows: Rows) -> Iterator[Family]:
+    for name, text, attribute in SUMMARIES:
+        full_name = f"sequoiaseam_{name}"
+        family = SummaryMetricFamily(full_name, text, labels=LABELS)
+        for labels, counts in rows:
+            distribution: Distribution = getattr(counts, attribute)
+            _add_summary(family, full_name, labels, distribution)
+        yield family
+
+
+def _add_summary(
+    family: SummaryMetricFamily,
+    name: str,
+    labels: tuple[str, ...],
+    distribution: Distribution,
+) -> None:
+    histogram = distribution.histogram
+    if histogram is None:
+        return
+    family.add_metric(
+        labels,
+        histogram.get_total_count(),
+        distribution.total.total_seconds(),
+    )
+    for quantile in QUANTILES:
+        microseconds = histogram.get_value_at_percentile(quantile * 100)
+        family.add_sample(
+            name,
+            {
+                **dict(zip(LABELS, labels, strict=True)),
+                "quantile": f"{quantile:g}",
+            },
+            microseconds / 1e6,
+        )
+
+
+def format_metrics(metrics: NodeMetrics, now: datetime) -> bytes:
+    """Return the Prometheus text format of a node's counts."""
+    registry = CollectorRegistry()
+    registry.register(MetricsCollector(metrics, now))
+    return generate_latest(registry)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,7 +3,10 @@
 from datetime import timedelta
 
 from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._metrics import RequestSample
 from sequoiaseam._tables import Importance, Pool, Route, Tables, Workspace
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.errors import ErrorCode
 
 
 def build_route(
@@ -69,3 +72,29 @@
         state=state,
         slots=100,
     )
+
+
+def build_sample(
+    code: ErrorCode | None = None,
+    *,
+    verdict: Verdict = Verdict.NOT_RUN,
+    inside_rate: bool = True,
+    retries: int = 0,
+) -> RequestSample:
+    """Return a root request's sample, of a whole answer by default."""
+    millisecond = timedelta(milliseconds=1)
+    return RequestSample(
+        route="quotes",
+        pool="history",
+        workspace="coop",
+        importance=Importance.HIGH,
+        code=code,
+        verdict=Verdict.RAN if code is None else verdict,
+        inside_rate=inside_rate,
+        worth=2.0,
+        retries=retries,
+        queue_time=millisecond if code is None else None,
+        service_time=5 * millisecond if code is None else None,
+        total_time=6 * millisecond,
+        root=True,
+    )
