Merge node reports into the overload report

Cause: operators read one row per route, pool, workspace and class over the whole fleet, as in the reports of their retired system.

Change: _report sums the counts, merges the histograms and names the worst-served workspace, the hosts that are missing and each part's age. It writes aligned tables, JSON and CSV and draws histograms. Tables are split by columns where the terminal is narrow, because cut cells hide figures. Two answers can be subtracted for the report of an interval; a restarted node counts from its start. Rows carry their own overload state.

--- a/src/sequoiaseam/_metrics.py
+++ b/src/sequoiaseam/_metrics.py
@@ -28,7 +28,8 @@
 # Histograms count microseconds up to the longest timeout of a route.
 HISTOGRAM_MAX_US: Final = 300_000_000
 HISTOGRAM_DIGITS: Final = 2
-# Four-byte counts halve the memory of a row.
+# Four-byte counts halve the memory of a row. One wraps after 124 days
+# of 400 requests a second that all take the same time.
 HISTOGRAM_WORD_BYTES: Final = 4
 MICROSECOND: Final = timedelta(microseconds=1)
 BUCKET_BOUNDS: Final = (
@@ -103,11 +104,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportRow:
-    """Totals since the node started; offered, whole and worth as below.
+    """Totals of one row since the node started, and its overload state.
 
     ``offered`` = ``whole`` + the sum of ``refused`` + ``may_have_run``.
     Worth and the inside-rate columns count root requests only.
     Histograms are in hdrhistogram's encoding, in microseconds.
+    ``recovery`` is how long the row's last overload lasted from its
+    worst second to its end.
     """
 
     route: str
@@ -127,15 +130,13 @@
     inside_rate_refused: int
     queue_times: bytes = b""
     service_times: bytes = b""
+    since_overload: timedelta | None = None
+    recovery: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class NodeReport:
-    """A node's rows and its overload state; durations, not times.
-
-    ``recovery`` is how long the last overload lasted from its worst
-    second to its end. Both durations are None where there was none.
-    """
+    """A node's rows, and the overload state of all of them together."""
 
     node: str
     uptime: timedelta
@@ -215,10 +216,71 @@
         self.buckets.record(value)
 
 
+class OverloadWatch:
+    """Find overloads from the share of refusals in each second."""
+
+    def __init__(self, now: datetime) -> None:
+        self._second = now
+        self._offered = 0
+        self._refused = 0
+        self._peak_share = 0.0
+        self._peak_end = now
+        self._last_end: datetime | None = None
+        self._active = False
+        self._recovery: timedelta | None = None
+
+    def record(self, now: datetime, *, refused: bool) -> None:
+        """Count a request."""
+        self.advance(now)
+        self._offered += 1
+        self._refused += refused
+
+    def advance(self, now: datetime) -> None:
+        """Close the seconds that are over."""
+        if now - self._second >= timedelta(seconds=1):
+            self._close_second()
+            # Seconds without requests need no closing one by one.
+            elapsed = (now - self._second) // timedelta(seconds=1)
+            self._second += timedelta(seconds=elapsed)
+        last = self._last_end
+        if self._active and last and now - last >= OVERLOAD_QUIET:
+            self._active = False
+            self._recovery = last - self._peak_end
+
+    def _close_second(self) -> None:
+        share = self._refused / self._offered if self._offered else 0.0
+        self._offered = self._refused = 0
+        if share <= OVERLOAD_SHARE:
+            return
+        end = self._second + timedelta(seconds=1)
+        if self._last_end and end - self._last_end > OVERLOAD_QUIET:
+            self._active = False
+        if not self._active or share >= self._peak_share:
+            self._peak_share = share
+            self._peak_end = end
+        self._active = True
+        self._last_end = end
+
+    def is_active(self) -> bool:
+        """Return whether an overload is in progress."""
+        return self._active
+
+    def measure_since(self, now: datetime) -> timedelta | None:
+        """Return the time since the end of the last overloaded second."""
+        if self._last_end is None:
+            return None
+        return max(now - self._last_end, timedelta(0))
+
+    def get_recovery(self) -> timedelta | None:
+        """Return the last overload's time from its peak to its end."""
+        return self._recovery
+
+
 @dataclass(slots=True)
 class RowCounts:
     """Counters of one row."""
 
+    overload: OverloadWatch
     offered: int = 0
     roots: int = 0
     whole: int = 0
@@ -234,8 +296,9 @@
     service: Distribution = field(default_factory=Distribution)
     whole_time: Buckets = field(default_factory=Buckets)
 
-    def record(self, sample: RequestSample) -> None:
+    def record(self, now: datetime, sample: RequestSample) -> None:
         """Count a sample."""
+        self.overload.record(now, refused=sample.code in OVERLOAD_CODES)
         self.offered += 1
         self.retries += sample.retries
         self.queue.record(sample.queue_time)
@@ -267,8 +330,9 @@
         elif sample.code in SYSTEM_CODES:
             self.inside_rate_refused += 1
 
-    def build_row(self, key: RowKey) -> ReportRow:
+    def build_row(self, now: datetime, key: RowKey) -> ReportRow:
         """Return the totals so far."""
+        self.overload.advance(now)
         return ReportRow(
             *key,
             offered=self.offered,
@@ -284,69 +348,11 @@
             inside_rate_refused=self.inside_rate_refused,
             queue_times=encode_histogram(self.queue.histogram),
             service_times=encode_histogram(self.service.histogram),
+            since_overload=self.overload.measure_since(now),
+            recovery=self.overload.get_recovery(),
         )
 
 
-class OverloadWatch:
-    """Find overloads from the share of refusals in each second."""
-
-    def __init__(self, now: datetime) -> None:
-        self._second = now
-        self._offered = 0
-        self._refused = 0
-        self._peak_share = 0.0
-        self._peak_end = now
-        self._last_end: datetime | None = None
-        self._active = False
-        self._recovery: timedelta | None = None
-
-    def record(self, now: datetime, *, refused: bool) -> None:
-        """Count a request."""
-        self.advance(now)
-        self._offered += 1
-        self._refused += refused
-
-    def advance(self, now: datetime) -> None:
-        """Close the seconds that are over."""
-        if now - self._second >= timedelta(seconds=1):
-            self._close_second()
-            # Seconds without requests need no closing one by one.
-            elapsed = (now - self._second) // timedelta(seconds=1)
-            self._second += timedelta(seconds=elapsed)
-        last = self._last_end
-        if self._active and last and now - last >= OVERLOAD_QUIET:
-            self._active = False
-            self._recovery = last - self._peak_end
-
-    def _close_second(self) -> None:
-        share = self._refused / self._offered if self._offered else 0.0
-        self._offered = self._refused = 0
-        if share <= OVERLOAD_SHARE:
-            return
-        end = self._second + timedelta(seconds=1)
-        if self._last_end and end - self._last_end > OVERLOAD_QUIET:
-            self._active = False
-        if not self._active or share >= self._peak_share:
-            self._peak_share = share
-            self._peak_end = end
-        self._active = True
-        self._last_end = end
-
-    def is_active(self) -> bool:
-        """Return whether an overload is in progress."""
-        return self._active
-
-    def measure_since(self, now: datetime) -> timedelta | None:
-        """Return the time since the end of the last overloaded second."""
-        if self._last_end is None:
-            return None
-        return max(now - self._last_end, timedelta(0))
-
-    def get_recovery(self) -> timedelta | None:
-        """Return the last overload's time from its peak to its end."""
-        return self._recovery
-
-
 class NodeMetrics:
     """Counts of a node, by route, pool, workspace and class."""
 
@@ -364,29 +370,29 @@
             sample.workspace,
             sample.importance,
         )
-        self._find_row(key).record(sample)
+        self._find_row(now, key).record(now, sample)
         self._overload.record(now, refused=sample.code in OVERLOAD_CODES)
 
-    def _find_row(self, key: RowKey) -> RowCounts:
+    def _find_row(self, now: datetime, key: RowKey) -> RowCounts:
         row = self._rows.get(key)
         if row is not None:
             return row
         if len(self._rows) >= ROWS_MAX:
             key = RowKey(OTHER, OTHER, OTHER, key.importance)
-        return self._rows.setdefault(key, RowCounts())
+        return self._rows.setdefault(key, RowCounts(OverloadWatch(now)))
 
     def snapshot(self, now: datetime) -> NodeReport:
         """Return everything counted so far."""
-        return self.build_report(now, self.iterate_report_rows())
+        return self.build_report(now, self.iterate_report_rows(now))
 
-    def iterate_report_rows(self) -> Iterator[ReportRow]:
+    def iterate_report_rows(self, now: datetime) -> Iterator[ReportRow]:
         """Yield the rows of a report, each of which takes some time.
 
         A node that must not stop for all rows at once pauses between
         them and hands them to ``build_report``.
         """
         for key, counts in tuple(self._rows.items()):
-            yield counts.build_row(key)
+            yield counts.build_row(now, key)
 
     def build_report(
         self,
--- /dev/null
+++ b/src/sequoiaseam/_report.py
@@ -0,0 +1,553 @@
+"""The overload report: node reports merged over the fleet."""
+
+import csv
+import enum
+import io
+import json
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from typing import Any, Final
+
+from hdrh.histogram import HdrHistogram
+from rich.box import SIMPLE_HEAD
+from rich.console import Console, Group, RenderableType
+from rich.table import Table
+from rich.text import Text
+
+from sequoiaseam._metrics import (
+    HISTOGRAM_DIGITS,
+    HISTOGRAM_MAX_US,
+    NodeReport,
+    ReportRow,
+    decode_histogram,
+    encode_histogram,
+    make_histogram,
+)
+from sequoiaseam._operator import HostReport, ReportAnswer
+
+PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
+# Longer lists of hosts show the oldest reports only.
+HOSTS_SHOWN: Final = 12
+TABLE_WIDTH_MAX: Final = 1000
+BAR_WIDTH: Final = 50
+# Bounds of the bars of a drawn histogram, in microseconds.
+BAR_BOUNDS_US: Final = tuple(
+    factor * 10**power for power in range(2, 9) for factor in (1, 2, 5)
+)
+
+
+class Grouping(enum.Enum):
+    """What the rows of a report are summed up by."""
+
+    ROUTE = "route"
+    POOL = "pool"
+    WORKSPACE = "workspace"
+    CLASS = "class"
+
+
+GROUP_TITLES: Final = tuple(grouping.value for grouping in Grouping)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetRow:
+    """One row of the report; times by percentile."""
+
+    group: Mapping[str, str]
+    offered: int
+    whole: int
+    refused: Mapping[str, int]
+    may_have_run: int
+    retries: int
+    worth_offered: float
+    worth: float
+    inside_rate_refused: int
+    queue: Mapping[float, timedelta]
+    service: Mapping[float, timedelta]
+    worst_served: str
+    worst_share: float | None
+    since_overload: timedelta | None
+    recovery: timedelta | None
+
+    @property
+    def goodput(self) -> float | None:
+        """Return the share of the offered worth answered whole."""
+        if not self.worth_offered:
+            return None
+        return self.worth / self.worth_offered
+
+
+@dataclass(frozen=True, slots=True)
+class FleetReport:
+    """All rows, how old each host's part is, and the hosts missing."""
+
+    rows: tuple[FleetRow, ...]
+    total: FleetRow
+    ages: Mapping[str, timedelta]
+    missing: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Gathered:
+    """Rows of one group, summed up one by one."""
+
+    rows: list[ReportRow] = field(default_factory=list)
+    queue: HdrHistogram | None = None
+    service: HdrHistogram | None = None
+
+    def add(self, row: ReportRow) -> None:
+        """Add a node's row."""
+        self.rows.append(row)
+        self.queue = add_histogram(self.queue, row.queue_times)
+        self.service = add_histogram(self.service, row.service_times)
+
+
+def add_histogram(
+    total: HdrHistogram | None,
+    data: bytes,
+) -> HdrHistogram | None:
+    """Add an encoded histogram to a total, which is made if needed."""
+    if not data:
+        return total
+    if total is None:
+        # Eight-byte counts, since the fleet's totals exceed four bytes.
+        total = HdrHistogram(1, HISTOGRAM_MAX_US, HISTOGRAM_DIGITS)
+    total.add(decode_histogram(data))
+    return total
+
+
+def measure_percentiles(
+    histogram: HdrHistogram | None,
+) -> Mapping[float, timedelta]:
+    """Return the reported percentiles; none of an empty histogram."""
+    if histogram is None or not histogram.get_total_count():
+        return {}
+    values = histogram.get_percentile_to_value_dict(list(PERCENTILES))
+    return {
+        percentile: timedelta(microseconds=int(values[percentile]))
+        for percentile in PERCENTILES
+    }
+
+
+def find_worst_served(
+    rows: Iterable[ReportRow],
+) -> tuple[str, float | None]:
+    """Return the workspace with the least share answered whole.
+
+    Only root requests inside the workspace's rate count.
+    """
+    offered: dict[str, int] = {}
+    whole: dict[str, int] = {}
+    for row in rows:
+        name = row.workspace
+        offered[name] = offered.get(name, 0) + row.inside_rate
+        whole[name] = whole.get(name, 0) + row.inside_rate_whole
+    shares = {
+        name: whole[name] / count for name, count in offered.items() if count
+    }
+    if not shares:
+        return "", None
+    worst = min(shares, key=lambda name: (shares[name], name))
+    return worst, shares[worst]
+
+
+def _sum_refused(rows: Iterable[ReportRow]) -> Mapping[str, int]:
+    totals: dict[str, int] = {}
+    for row in rows:
+        for code, count in row.refused.items():
+            totals[code] = totals.get(code, 0) + count
+    return dict(sorted(totals.items(), key=lambda item: (-item[1], item[0])))
+
+
+def _build_row(group: Mapping[str, str], gathered: Gathered) -> FleetRow:
+    rows = gathered.rows
+    worst, share = find_worst_served(rows)
+    since = [r.since_overload for r in rows if r.since_overload is not None]
+    recoveries = [r.recovery for r in rows if r.recovery is not None]
+    return FleetRow(
+        group=group,
+        offered=sum(row.offered for row in rows),
+        whole=sum(row.whole for row in rows),
+        refused=_sum_refused(rows),
+        may_have_run=sum(row.may_have_run for row in rows),
+        retries=sum(row.retries for row in rows),
+        worth_offered=sum(row.worth_offered for row in rows),
+        worth=sum(row.worth for row in rows),
+        inside_rate_refused=sum(row.inside_rate_refused for row in rows),
+        queue=measure_percentiles(gathered.queue),
+        service=measure_percentiles(gathered.service),
+        worst_served=worst,
+        worst_share=share,
+        since_overload=min(since, default=None),
+        recovery=max(recoveries, default=None),
+    )
+
+
+def _get_group(row: ReportRow, by: Grouping | None) -> tuple[str, ...]:
+    values = {
+        Grouping.ROUTE: row.route,
+        Grouping.POOL: row.pool,
+        Grouping.WORKSPACE: row.workspace,
+        Grouping.CLASS: row.importance.name.lower(),
+    }
+    return tuple(values.values()) if by is None else (values[by],)
+
+
+def merge_reports(
+    answer: ReportAnswer,
+    by: Grouping | None = None,
+) -> FleetReport:
+    """Merge the hosts' reports; one row per group, all four by default."""
+    titles = GROUP_TITLES if by is None else (by.value,)
+    groups: dict[tuple[str, ...], Gathered] = {}
+    total = Gathered()
+    for row in _iterate_rows(answer):
+        groups.setdefault(_get_group(row, by), Gathered()).add(row)
+        total.add(row)
+    return FleetReport(
+        rows=tuple(
+            _build_row(dict(zip(titles, key, strict=True)), groups[key])
+            for key in sorted(groups)
+        ),
+        total=_build_row(dict.fromkeys(titles, "all"), total),
+        ages={name: part.age for name, part in answer.reports.items()},
+        missing=tuple(sorted(answer.missing)),
+    )
+
+
+def _iterate_rows(answer: ReportAnswer) -> Iterator[ReportRow]:
+    """Yield all rows, with times since an overload as of now."""
+    for part in answer.reports.values():
+        for row in part.report.rows:
+            if row.since_overload is None:
+                yield row
+            else:
+                since = row.since_overload + part.age
+                yield replace(row, since_overload=since)
+
+
+# Differences between two answers, for the report of an interval.
+
+
+def subtract_histogram(new: bytes, old: bytes) -> bytes:
+    """Return what a histogram has gained since it was ``old``."""
+    if not new or not old:
+        return new
+    before = decode_histogram(old)
+    gained = make_histogram()
+    for item in decode_histogram(new).get_recorded_iterator():
+        value = item.value_iterated_to
+        count = item.count_added_in_this_iter_step
+        count -= before.get_count_at_value(value)
+        if count > 0:
+            gained.record_value(value, count)
+    return encode_histogram(gained)
+
+
+def _subtract_row(new: ReportRow, old: ReportRow) -> ReportRow:
+    return replace(
+        new,
+        offered=new.offered - old.offered,
+        roots=new.roots - old.roots,
+        whole=new.whole - old.whole,
+        refused={
+            code: count - old.refused.get(code, 0)
+            for code, count in new.refused.items()
+            if count > old.refused.get(code, 0)
+        },
+        may_have_run=new.may_have_run - old.may_have_run,
+        retries=new.retries - old.retries,
+        worth_offered=new.worth_offered - old.worth_offered,
+        worth=new.worth - old.worth,
+        inside_rate=new.inside_rate - old.inside_rate,
+        inside_rate_whole=new.inside_rate_whole - old.inside_rate_whole,
+        inside_rate_refused=(
+            new.inside_rate_refused - old.inside_rate_refused
+        ),
+        queue_times=subtract_histogram(new.queue_times, old.queue_times),
+        service_times=subtract_histogram(
+            new.service_times,
+            old.service_times,
+        ),
+    )
+
+
+def _subtract_report(new: NodeReport, old: NodeReport) -> NodeReport:
+    if new.uptime < old.uptime:
+        # The node has restarted, so all of its counts are new.
+        return new
+    before = {_get_group(row, None): row for row in old.rows}
+    rows = []
+    for row in new.rows:
+        earlier = before.get(_get_group(row, None))
+        rows.append(row if earlier is None else _subtract_row(row, earlier))
+    return replace(new, rows=tuple(row for row in rows if row.offered))
+
+
+def subtract_answer(new: ReportAnswer, old: ReportAnswer) -> ReportAnswer:
+    """Return what happened between two answers.
+
+    A host that the older answer lacks is left out and named as missing,
+    because its counts since then are not known.
+    """
+    known = {
+        name: HostReport(
+            _subtract_report(part.report, old.reports[name].report),
+            part.age,
+        )
+        for name, part in new.reports.items()
+        if name in old.reports
+    }
+    lacking = sorted(new.reports.keys() - known.keys())
+    return ReportAnswer(known, tuple(sorted({*new.missing, *lacking})))
+
+
+# Presentation.
+
+
+def _format_ms(value: timedelta) -> str:
+    return f"{value / timedelta(milliseconds=1):.3g}"
+
+
+def format_age(value: timedelta | None) -> str:
+    """Return a short text for a duration, or a dash for none."""
+    if value is None:
+        return "-"
+    seconds = value.total_seconds()
+    if seconds < 120:
+        return f"{seconds:.1f} s"
+    if seconds < 7200:
+        return f"{seconds / 60:.0f} min"
+    return f"{seconds / 3600:.0f} h"
+
+
+def _format_share(value: float | None) -> str:
+    return "-" if value is None else f"{value * 100:.1f}%"
+
+
+def _format_times(times: Mapping[float, timedelta]) -> str:
+    return "/".join(map(_format_ms, times.values())) or "-"
+
+
+def _format_refused(row: FleetRow) -> str:
+    return "\n".join(f"{code} {n}" for code, n in row.refused.items()) or "-"
+
+
+def _format_worst(row: FleetRow) -> str:
+    if row.worst_share is None:
+        return "-"
+    return f"{row.worst_served} {_format_share(row.worst_share)}"
+
+
+@dataclass(frozen=True, slots=True)
+class ReportColumn:
+    """A column of the table: its title and its cell's text."""
+
+    title: str
+    show: Callable[[FleetRow], str]
+    right: bool = True
+
+
+COLUMNS: Final = (
+    ReportColumn("offered", lambda row: str(row.offered)),
+    ReportColumn("whole", lambda row: str(row.whole)),
+    ReportColumn("refused\nby reason", _format_refused, right=False),
+    ReportColumn("may\nhave run", lambda row: str(row.may_have_run)),
+    ReportColumn("retries", lambda row: str(row.retries)),
+    ReportColumn("goodput", lambda row: _format_share(row.goodput)),
+    ReportColumn("queue ms", lambda row: _format_times(row.queue)),
+    ReportColumn("service ms", lambda row: _format_times(row.service)),
+    ReportColumn("refused\nin rate", lambda r: str(r.inside_rate_refused)),
+    ReportColumn("worst served", _format_worst, right=False),
+    ReportColumn("overload\nago", lambda r: format_age(r.since_overload)),
+    ReportColumn("recovery", lambda row: format_age(row.recovery)),
+)
+
+
+def _build_table(
+    report: FleetReport,
+    columns: Sequence[ReportColumn],
+) -> Table:
+    table = Table(box=SIMPLE_HEAD, pad_edge=False, padding=(0, 1, 0, 0))
+    for title in report.total.group:
+        table.add_column(title, no_wrap=True)
+    for column in columns:
+        table.add_column(
+            column.title,
+            justify="right" if column.right else "left",
+            no_wrap=True,
+        )
+    rows = (*report.rows, report.total)
+    for number, row in enumerate(rows):
+        table.add_row(
+            *(Text(name) for name in row.group.values()),
+            *(Text(column.show(row)) for column in columns),
+            end_section=number == len(rows) - 2,
+        )
+    return table
+
+
+def describe_parts(report: FleetReport) -> str:
+    """Say how old each host's part is and which hosts are missing."""
+    ages = sorted(report.ages.items(), key=lambda item: -item[1])
+    shown = ", ".join(
+        f"{name} {format_age(age)}" for name, age in ages[:HOSTS_SHOWN]
+    )
+    more = len(ages) - HOSTS_SHOWN
+    rest = f", {more} newer ones" if more > 0 else ""
+    lines = [f"reports of {len(ages)} hosts; ages: {shown or 'none'}{rest}"]
+    if report.missing:
+        names = ", ".join(report.missing)
+        lines.append(f"missing hosts ({len(report.missing)}): {names}")
+    return "\n".join(lines)
+
+
+def _fit_columns(
+    report: FleetReport,
+    console: Console,
+) -> Iterator[Table]:
+    """Yield as few tables as fit the console's width, in column order."""
+    chosen: list[ReportColumn] = []
+    for column in COLUMNS:
+        table = _build_table(report, (*chosen, column))
+        # The measured maximum is that of the console at most.
+        wide = console.measure(
+            table,
+            options=console.options.update(
+                width=TABLE_WIDTH_MAX,
+            ),
+        ).maximum
+        if chosen and wide > console.width:
+            yield _build_table(report, chosen)
+            chosen = []
+        chosen.append(column)
+    yield _build_table(report, chosen)
+
+
+def render_report(report: FleetReport, console: Console) -> RenderableType:
+    """Return the table, in several parts if the console is narrow."""
+    note = Text(
+        f"{describe_parts(report)}\n"
+        "queue and service times are p50/p90/p99/p99.9",
+    )
+    return Group(*_fit_columns(report, console), note)
+
+
+def _get_seconds(value: timedelta | None) -> float | None:
+    return None if value is None else value.total_seconds()
+
+
+def _name_percentile(percentile: float) -> str:
+    return f"p{percentile:g}"
+
+
+def build_record(row: FleetRow) -> dict[str, Any]:
+    """Return a row's values for JSON and CSV, durations in seconds."""
+    record: dict[str, Any] = {
+        **row.group,
+        "offered": row.offered,
+        "whole": row.whole,
+        "refused": dict(row.refused),
+        "may_have_run": row.may_have_run,
+        "retries": row.retries,
+        "worth_offered": row.worth_offered,
+        "worth": row.worth,
+        "goodput": row.goodput,
+    }
+    for name, times in (("queue", row.queue), ("service", row.service)):
+        for percentile in PERCENTILES:
+            title = f"{name}_{_name_percentile(percentile)}_s"
+            record[title] = _get_seconds(times.get(percentile))
+    record["inside_rate_refused"] = row.inside_rate_refused
+    record["worst_served"] = row.worst_served
+    record["worst_share"] = row.worst_share
+    record["since_overload_s"] = _get_seconds(row.since_overload)
+    record["recovery_s"] = _get_seconds(row.recovery)
+    return record
+
+
+def format_json(report: FleetReport) -> str:
+    """Return the report as one JSON object."""
+    return json.dumps(
+        {
+            "rows": [build_record(row) for row in report.rows],
+            "total": build_record(report.total),
+            "ages_s": {
+                name: age.total_seconds() for name, age in report.ages.items()
+            },
+            "missing": list(report.missing),
+        },
+        indent=2,
+    )
+
+
+def format_csv(report: FleetReport) -> str:
+    """Return the rows as CSV, with a column for each refusal code."""
+    output = io.StringIO()
+    codes = sorted(report.total.refused)
+    titles: list[str] = []
+    for title in build_record(report.total):
+        if title == "refused":
+            titles.extend(f"refused_{code}" for code in codes)
+        else:
+            titles.append(title)
+    writer = csv.DictWriter(output, titles, lineterminator="\n")
+    writer.writeheader()
+    for row in report.rows:
+        record = build_record(row)
+        refused = record.pop("refused")
+        for code in codes:
+            record[f"refused_{code}"] = refused.get(code, 0)
+        writer.writerow(record)
+    return output.getvalue()
+
+
+def merge_times(
+    answer: ReportAnswer,
+    get: Callable[[ReportRow], bytes],
+    pool: str | None = None,
+) -> HdrHistogram | None:
+    """Merge one histogram of all rows, or of those of a pool."""
+    total: HdrHistogram | None = None
+    for part in answer.reports.values():
+        for row in part.report.rows:
+            if pool is None or row.pool == pool:
+                total = add_histogram(total, get(row))
+    return total
+
+
+def count_bars(histogram: HdrHistogram) -> list[tuple[int, int]]:
+    """Return (upper bound in microseconds, count) from first to last."""
+    counts = dict.fromkeys(BAR_BOUNDS_US, 0)
+    for item in histogram.get_recorded_iterator():
+        value = item.value_iterated_to
+        bound = next((b for b in BAR_BOUNDS_US if value <= b), None)
+        counts[bound or BAR_BOUNDS_US[-1]] += (
+            item.count_added_in_this_iter_step
+        )
+    bars = list(counts.items())
+    filled = [number for number, (_, count) in enumerate(bars) if count]
+    return bars[filled[0] : filled[-1] + 1] if filled else []
+
+
+def draw_histogram(title: str, histogram: HdrHistogram | None) -> str:
+    """Return a histogram as lines of text, one bar a line."""
+    bars = [] if histogram is None else count_bars(histogram)
+    if histogram is None or not bars:
+        return f"{title}: nothing recorded\n"
+    most = max(count for _, count in bars)
+    total = sum(count for _, count in bars)
+    lines = [f"{title}: {total} requests"]
+    for bound, count in bars:
+        bar = "#" * round(count / most * BAR_WIDTH)
+        limit = _format_ms(timedelta(microseconds=bound))
+        lines.append(
+            f"  <= {limit:>7} ms {bar:<{BAR_WIDTH}} "
+            f"{count:>9} {count / total * 100:5.1f}%",
+        )
+    times = measure_percentiles(histogram).items()
+    marks = ", ".join(
+        f"{_name_percentile(percentile)} {_format_ms(value)} ms"
+        for percentile, value in times
+    )
+    return "\n".join([*lines, f"  {marks}"]) + "\n"
