--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,223 @@
+"""Start and stop a small fleet of real processes on loopback."""
+
+import asyncio
+import contextlib
+import secrets
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self
+
+from sequoiaseam._operator import OperatorClient
+from sequoiaseam._operator_client import connect
+from sequoiaseam._settings import Endpoint
+
+LOOPBACK: Final = "127.0.0.1"
+STOP_SECONDS: Final = 10.0
+SECRET_BYTES: Final = 32
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports; they are taken again right after."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket())
+            one.bind((LOOPBACK, 0))
+            ports.append(int(one.getsockname()[1]))
+        return ports
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlan:
+    """A node and the stand-in backend server beside it."""
+
+    name: str
+    domain: str
+    pool: str
+    slots: int = 40
+    delay_ms: float = 5.0
+    nested: str = ""
+    backend: bool = True
+
+
+@dataclass(slots=True)
+class RunningNode:
+    """A node's process, its backend server's and their ports."""
+
+    plan: NodePlan
+    callers: int
+    peers: int
+    local: int
+    backend_port: int
+    process: asyncio.subprocess.Process
+    backend: asyncio.subprocess.Process | None = None
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Control hosts, nodes and stand-ins in a temporary folder."""
+
+    nodes: tuple[NodePlan, ...]
+    controls: int = 3
+    running: dict[str, RunningNode] = field(default_factory=dict)
+    control_processes: dict[str, asyncio.subprocess.Process] = field(
+        default_factory=dict,
+    )
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    _folder: "tempfile.TemporaryDirectory[str] | None" = None
+
+    @property
+    def folder(self) -> Path:
+        """Return the folder that holds settings, data and logs."""
+        if self._folder is None:
+            raise RuntimeError("the fleet is not started")
+        return Path(self._folder.name)
+
+    @property
+    def secrets_path(self) -> Path:
+        """Return the file of shared secrets."""
+        return self.folder / "secrets.ini"
+
+    async def __aenter__(self) -> Self:
+        self._folder = tempfile.TemporaryDirectory(prefix="sequoiaseam-")
+        self._write_secrets()
+        ports = find_ports(self.controls)
+        self.endpoints = {
+            f"control-{number}": Endpoint(LOOPBACK, port)
+            for number, port in enumerate(ports, 1)
+        }
+        for name in self.endpoints:
+            await self.start_control(name)
+        for plan in self.nodes:
+            await self.start_node(plan)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        processes = list(self.control_processes.values())
+        for node in self.running.values():
+            processes.append(node.process)
+            if node.backend is not None:
+                processes.append(node.backend)
+        await asyncio.gather(*(stop_process(one) for one in processes))
+        if self._folder is not None:
+            self._folder.cleanup()
+
+    def connect(self) -> OperatorClient:
+        """Return a client for operators."""
+        return connect(list(self.endpoints.values()), self.secrets_path)
+
+    def _write_secrets(self) -> None:
+        path = self.secrets_path
+        path.touch(mode=0o600)
+        path.write_text(
+            f"[fleet]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n"
+            f"[operators]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n",
+        )
+
+    async def start_control(self, name: str) -> None:
+        """Start a control host on its data folder."""
+        endpoint = self.endpoints[name]
+        replicas = "\n".join(
+            f"{peer} = {address}" for peer, address in self.endpoints.items()
+        )
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            f"[control]\nname = {name}\ndomain = {name}\nregion = south\n"
+            f"data = {self.folder / (name + '-data')}\nlisten = {endpoint}\n"
+            f"[replicas]\n{replicas}\n"
+            f"[access]\nsecrets = {self.secrets_path}\n",
+        )
+        self.control_processes[name] = await self._spawn(
+            name,
+            "sequoiaseam._control_main",
+            str(path),
+        )
+
+    async def start_node(self, plan: NodePlan) -> None:
+        """Start a node and its backend server."""
+        callers, peers, local, backend = find_ports(4)
+        hosts = "\n".join(
+            f"    {peer} {address}" for peer, address in self.endpoints.items()
+        )
+        path = self.folder / f"{plan.name}.ini"
+        path.write_text(
+            f"[node]\nname = {plan.name}\ndomain = {plan.domain}\n"
+            "region = south\n"
+            f"[listen]\ncallers = {LOOPBACK}:{callers}\n"
+            f"peers = {LOOPBACK}:{peers}\nlocal = {LOOPBACK}:{local}\n"
+            f"[control]\nhosts =\n{hosts}\n"
+            f"[access]\nsecrets = {self.secrets_path}\n",
+        )
+        process = await self._spawn(
+            plan.name,
+            "sequoiaseam._node_main",
+            str(path),
+        )
+        node = RunningNode(plan, callers, peers, local, backend, process)
+        self.running[plan.name] = node
+        if plan.backend:
+            await self.start_backend(node)
+
+    async def start_backend(self, node: RunningNode) -> None:
+        """Start the stand-in backend server beside a node."""
+        plan = node.plan
+        node.backend = await self._spawn(
+            f"{plan.name}-backend",
+            "bench.backend",
+            "--name",
+            plan.name,
+            "--pool",
+            plan.pool,
+            "--port",
+            str(node.backend_port),
+            "--node-port",
+            str(node.local),
+            "--slots",
+            str(plan.slots),
+            "--delay-ms",
+            str(plan.delay_ms),
+            "--nested",
+            plan.nested,
+        )
+
+    async def _spawn(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+    ) -> asyncio.subprocess.Process:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdout=log,
+                stderr=log,
+            )
+
+    def read_log(self, name: str) -> str:
+        """Return a process's output."""
+        return (self.folder / f"{name}.log").read_text()
+
+
+async def stop_process(process: asyncio.subprocess.Process) -> None:
+    """Ask a process to end; kill it when it does not."""
+    if process.returncode is not None:
+        return
+    process.terminate()
+    try:
+        async with asyncio.timeout(STOP_SECONDS):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -126,7 +126,7 @@
             _check_shed(response)
             return Answer(
                 response.status,
-                clean_response(tuple(response.headers.items())),
+                clean_response(_convert_headers(response)),
                 body,
             )
 
@@ -151,6 +151,13 @@
         await self._session.close()
 
 
+def _convert_headers(response: aiohttp.ClientResponse) -> Headers:
+    """Return the headers as plain text, which the codec needs."""
+    return tuple(
+        (str(name), value) for name, value in response.headers.items()
+    )
+
+
 def _check_shed(response: aiohttp.ClientResponse) -> None:
     """Raise SHED when the backend server says that it did not run it."""
     shed = (
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -83,6 +83,8 @@
         self._leader: str | None = None
         self._applied = asyncio.Event()
         self._alive_at = clock.now()
+        # Log index of each revision since the start.
+        self._revision_indices: dict[int, int] = {}
         journal = Journal(str(settings.data), DiskFileSystem())
         restored = journal.open(lambda: secrets.token_hex(IDENTITY_BYTES))
         if restored.snapshot is not None:
@@ -119,7 +121,11 @@
             self._host,
             self._sessions,
             clock,
-            OperationHooks(lambda: self._leadership, self._wait_applied),
+            OperationHooks(
+                get_leadership=lambda: self._leadership,
+                wait_applied=self._wait_applied,
+                find_index=self._find_index,
+            ),
         )
         self._server: Server | None = None
 
@@ -203,6 +209,7 @@
                 revision=result.revision,
                 index=index,
             )
+            self._revision_indices.setdefault(result.revision, index)
         if self._leadership is not None:
             self._leadership.configure(self._clock.now())
         self._applied.set()
@@ -212,8 +219,12 @@
         self._state = FleetState.load(data)
         self._sessions.feed.replace_state(self._state)
 
+    def _find_index(self, revision: int) -> int:
+        """Return the index of a revision, or a later one."""
+        return self._revision_indices.get(revision, self._state.index)
+
     async def _wait_applied(self, index: int) -> None:
-        while self._host.replica.applied_index < index:
+        while self._host.applied_index < index:
             await self._applied.wait()
 
     def _change_role(self, change: RoleChanged) -> None:
--- a/src/sequoiaseam/_dispatch.py
+++ b/src/sequoiaseam/_dispatch.py
@@ -209,8 +209,7 @@
             self._clock.now(),
             exchange.get_route().name,
             tuple(
-                PoolPressure(pool, level)
-                for pool, level in response.pressures
+                PoolPressure(pool, level) for pool, level in response.pressures
             ),
         )
         merge_pressures(exchange.pressures, dict(response.pressures))
--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -79,7 +79,7 @@
     )
 
 
-class EdgeProtocol(RequestHandler[web.BaseRequest]):
+class EdgeProtocol(RequestHandler):
     """Answer malformed HTTP with the documented refusal."""
 
     __slots__ = ()
@@ -124,7 +124,7 @@
     )
 
 
-class EdgeServer(web.Server[web.BaseRequest]):
+class EdgeServer(web.Server):
     """An aiohttp server that runs each request through a chain."""
 
     def __init__(
@@ -137,14 +137,13 @@
         # With handler_cancellation a request ends when its caller goes.
         super().__init__(handler, handler_cancellation=True)
 
-    def __call__(self) -> RequestHandler[web.BaseRequest]:
+    def __call__(self) -> RequestHandler:
         return EdgeProtocol(
             self,
             loop=asyncio.get_running_loop(),
             max_line_size=PARSER_LIMIT,
             max_field_size=PARSER_LIMIT,
             max_headers=256,
-            access_log=None,
             lingering_time=1.0,
         )
 
@@ -156,13 +155,15 @@
         self._clock = clock
         self._chain = chain
         self._active = 0
+        self._idle = asyncio.Event()
         # Set while the node drains: connections close after the answer.
         self.closing = False
 
-    @property
-    def active(self) -> int:
-        """Return how many requests are in progress."""
-        return self._active
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self._active:
+            self._idle.clear()
+            await self._idle.wait()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -171,6 +172,8 @@
             response = await self._run(request)
         finally:
             self._active -= 1
+            if not self._active:
+                self._idle.set()
         if self.closing:
             response.force_close()
         return response
--- a/src/sequoiaseam/_gates.py
+++ b/src/sequoiaseam/_gates.py
@@ -12,12 +12,12 @@
 from sequoiaseam._admission import (
     Admission,
     AdmissionAction,
-    Completion,
     Refuse,
     Start,
-    Ticket,
 )
 from sequoiaseam._clock import Clock
+from sequoiaseam._limiter import Completion
+from sequoiaseam._queue import Ticket
 from sequoiaseam.errors import ErrorCode, RefusalError
 
 Key = TypeVar("Key", bound=Hashable)
@@ -69,6 +69,13 @@
         self.admission = admission
         self._clock = clock
         self._waiters: Waiters[int, None] = Waiters()
+        self._idle = asyncio.Event()
+
+    async def wait_idle(self) -> None:
+        """Wait until nothing runs."""
+        while self.admission.running:
+            self._idle.clear()
+            await self._idle.wait()
 
     async def enter(self, ticket: Ticket) -> None:
         """Wait for a slot; raise RefusalError when there is none."""
@@ -108,6 +115,8 @@
         self._perform(self.admission.tick(now))
 
     def _perform(self, actions: tuple[AdmissionAction, ...]) -> None:
+        if not self.admission.running:
+            self._idle.set()
         for action in actions:
             if isinstance(action, Start):
                 self._waiters.resolve(action.ticket_id, None)
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -8,8 +8,7 @@
 from random import Random
 from typing import Final
 
-
-from sequoiaseam._admission import Admission, Completion, Ticket
+from sequoiaseam._admission import Admission
 from sequoiaseam._attempt import (
     AttemptPlan,
     AttemptTracker,
@@ -28,6 +27,7 @@
 )
 from sequoiaseam._gates import AdmissionGate, Waiters
 from sequoiaseam._handles import CallContext, HandleTable
+from sequoiaseam._limiter import Completion
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._quarantine import (
     CrashWatch,
@@ -35,6 +35,7 @@
     Standing,
     compute_fingerprint,
 )
+from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import RetryBudget
 from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
@@ -136,6 +137,8 @@
         self._ids = itertools.count(1)
         self._tasks = TaskGroup()
         self._draining = False
+        self._active = 0
+        self._idle = asyncio.Event()
         # Attempts that are proved never to start, until it is reported.
         self._unstarted: set[str] = set()
 
@@ -149,18 +152,14 @@
         """Tell whether new calls are refused."""
         session = self._session
         return self._draining or (
-            session is not None
-            and session.announcement.state == "draining"
+            session is not None and session.announcement.state == "draining"
         )
 
-    @property
-    def running(self) -> int:
-        """Return how many calls run or wait."""
-        session = self._session
-        if session is None:
-            return 0
-        admission = session.gate.admission
-        return admission.running + admission.queued
+    async def wait_idle(self) -> None:
+        """Wait until no call runs or waits."""
+        while self._active:
+            self._idle.clear()
+            await self._idle.wait()
 
     def announce(self, announcement: Announcement) -> None:
         """Take in an announcement of the backend server."""
@@ -239,6 +238,15 @@
 
     async def run(self, call: CallFrame) -> AnswerFrame | RefusalFrame:
         """Run a call; a refusal comes back as a frame."""
+        self._active += 1
+        try:
+            return await self._answer(call)
+        finally:
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+
+    async def _answer(self, call: CallFrame) -> AnswerFrame | RefusalFrame:
         budget = RetryBudget(call.budget)
         pressures: dict[str, float] = {}
         try:
@@ -492,8 +500,7 @@
 
     async def _close(self, session: BackendSession) -> None:
         """Close the client once no call uses it any more."""
-        while session.gate.admission.running:
-            await asyncio.sleep(0.05)
+        await session.gate.wait_idle()
         await session.client.close()
 
     def _record_outcome(self, call: CallFrame, answer: Answer) -> None:
--- a/src/sequoiaseam/_handles.py
+++ b/src/sequoiaseam/_handles.py
@@ -11,7 +11,10 @@
 class Budget(Protocol):
     """The part of a retry budget that a call tree's node holds."""
 
-    remaining: int
+    @property
+    def remaining(self) -> int:
+        """Return how many retries are left."""
+        ...
 
     def take(self) -> bool:
         """Use one retry; return False if none is left."""
--- a/src/sequoiaseam/_headers.py
+++ b/src/sequoiaseam/_headers.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import lru_cache
 from typing import Final
 from urllib.parse import unquote_to_bytes
 
@@ -165,6 +166,9 @@
     return RefusalError(code, message, verdict=Verdict.NOT_RUN)
 
 
+# Names repeat from request to request; the bound keeps a caller who makes
+# names up from filling the memory.
+@lru_cache(maxsize=1024)
 def _fold(name: str) -> str:
     """Return the form under which a name is compared."""
     return name.strip().lower().replace("_", "-")
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -1,6 +1,7 @@
 """A node: the request path around the decision code, and its listeners."""
 
 import asyncio
+import contextlib
 import os
 import secrets
 from datetime import datetime, timedelta
@@ -21,7 +22,7 @@
     ReportPush,
     create_control_codec,
 )
-from sequoiaseam._dispatch import DispatchHooks, Dispatcher
+from sequoiaseam._dispatch import Dispatcher, DispatchHooks
 from sequoiaseam._edge import Edge, start_listener
 from sequoiaseam._exchange import chain_filters
 from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
@@ -41,12 +42,13 @@
     RefusalFrame,
     create_frame_codec,
 )
+from sequoiaseam._gates import Waiters
 from sequoiaseam._guard import Guard, GuardHooks
 from sequoiaseam._handles import HandleTable
 from sequoiaseam._local import LocalServer
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
-from sequoiaseam._metrics import NodeMetrics
+from sequoiaseam._metrics import NodeMetrics, format_metrics
 from sequoiaseam._once import OnceFilter, OnceHooks, OpenFilter, WitnessHost
 from sequoiaseam._peers import PEER_PATH, PeerLink, PeerServer
 from sequoiaseam._pressure import PressureMap
@@ -106,6 +108,7 @@
         self.view = NodeView()
         self._quarantine = QuarantineList()
         self._known_crashes: frozenset[str] = frozenset()
+        self._crash_waiters: Waiters[str, None] = Waiters()
         self.metrics = NodeMetrics(name, now)
         self._codec = create_frame_codec()
         self._links: dict[str, PeerLink] = {}
@@ -270,7 +273,7 @@
         self._runners.append(runner)
 
     async def _answer_metrics(self, _: web.Request) -> web.Response:
-        text = self.metrics.format_text(self._clock.now())
+        text = format_metrics(self.metrics, self._clock.now())
         return web.Response(body=text, content_type="text/plain")
 
     async def drain(self) -> None:
@@ -281,13 +284,17 @@
         limit = self._clock.now() + self._settings.drain_timeout
         await asyncio.sleep(DRAIN_NOTICE.total_seconds())
         self._edge.closing = True
-        while self._clock.now() < limit and self._is_busy():
-            await asyncio.sleep(TICK.total_seconds())
+        left = limit - self._clock.now()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left.total_seconds()):
+                await self._wait_idle()
         self._uplink.post(MemberGone(self._settings.name, self.incarnation))
         await asyncio.sleep(TICK.total_seconds())
 
-    def _is_busy(self) -> bool:
-        return bool(self._edge.active or self.guard.running)
+    async def _wait_idle(self) -> None:
+        """Wait until callers and other nodes have their answers."""
+        await self._edge.wait_idle()
+        await self.guard.wait_idle()
 
     async def close(self) -> None:
         """Close listeners and connections."""
@@ -411,7 +418,7 @@
         if isinstance(message, FeedSnapshot | FeedDelta):
             self._apply_feed(message)
         elif isinstance(message, Pong):
-            self.view.receive(message)
+            self.view.receive(self._clock.now(), message)
         elif isinstance(message, QuotaGrant):
             self._quota.receive(message)
         elif isinstance(message, ReportPull):
@@ -431,6 +438,7 @@
         for report in self.view.quarantine:
             if report.crash_id not in self._known_crashes:
                 self._quarantine.apply(report)
+                self._crash_waiters.resolve(report.crash_id, None)
         self._known_crashes = frozenset(
             report.crash_id for report in self.view.quarantine
         )
@@ -444,13 +452,13 @@
 
     async def _report_crash(self, report: CrashReported) -> None:
         """Report a crash and wait until the report is in force here."""
-        limit = self._clock.now() + CRASH_REPORT_WAIT
+        in_force = self._crash_waiters.expect(report.crash_id)
         self._uplink.post(report)
-        while (
-            report.crash_id not in self._known_crashes
-            and self._clock.now() < limit
-        ):
-            await asyncio.sleep(TICK.total_seconds())
+        await asyncio.wait(
+            (in_force,),
+            timeout=CRASH_REPORT_WAIT.total_seconds(),
+        )
+        self._crash_waiters.forget(report.crash_id)
 
     # Lookups in the view.
 
--- a/src/sequoiaseam/_once.py
+++ b/src/sequoiaseam/_once.py
@@ -258,4 +258,3 @@
     def tick(self, now: datetime) -> None:
         """Drop records past their retention."""
         self._witness.tick(now)
-
--- a/src/sequoiaseam/_operations.py
+++ b/src/sequoiaseam/_operations.py
@@ -150,6 +150,7 @@
 
     get_leadership: Callable[[], Leadership | None]
     wait_applied: Callable[[int], Awaitable[None]]
+    find_index: Callable[[int], int]
 
 
 class Operations:
@@ -235,7 +236,7 @@
         )
 
     @_handle.register
-    async def _(self, request: ShowRequest) -> object:
+    async def _(self, _: ShowRequest) -> object:
         await self._catch_up()
         state = self._get_state()
         return ShowAnswer(
@@ -262,13 +263,13 @@
             ) from error
 
     @_handle.register
-    async def _(self, request: ReportRequest) -> object:
+    async def _(self, _: ReportRequest) -> object:
         reports = await self._sessions.pull_reports()
         missing = set(self._get_state().members) - set(reports)
         return ReportAnswer(reports, tuple(sorted(missing)))
 
     @_handle.register
-    async def _(self, request: StatusRequest) -> object:
+    async def _(self, _: StatusRequest) -> object:
         leadership = self._require_leadership()
         state = self._get_state()
         status = self._host.replica.status()
@@ -335,7 +336,7 @@
         )
 
     @_handle.register
-    async def _(self, request: BackupRequest) -> object:
+    async def _(self, _: BackupRequest) -> object:
         await self._catch_up()
         state = self._get_state()
         return BackupAnswer(state.index, state.revision, state.dump())
@@ -349,17 +350,11 @@
                 in_force=False,
                 lagging=tuple(sorted(state.members)),
             )
-        # The state's own index covers the revision's.
         lagging = leadership.find_lagging(
-            self._find_index(request.revision),
+            self._hooks.find_index(request.revision),
         )
         return InForceAnswer(in_force=not lagging, lagging=lagging)
 
-    def _find_index(self, revision: int) -> int:
-        """Return the index that made a revision, or a later one."""
-        state = self._get_state()
-        return state.revision_indices.get(revision, state.index)
-
     def _require_leadership(self) -> Leadership:
         leadership = self._hooks.get_leadership()
         if leadership is None:
--- a/src/sequoiaseam/_operator_client.py
+++ b/src/sequoiaseam/_operator_client.py
@@ -89,7 +89,7 @@
                 CALL_PATH,
                 request,
                 proof=self._create_proof(),
-                timeout=CALL_TIMEOUT.total_seconds(),
+                limit=CALL_TIMEOUT.total_seconds(),
             )
         except GRPCError as error:
             raise _convert_error(error) from error
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from datetime import timedelta
@@ -198,13 +199,14 @@
     frame: AnswerFrame | RefusalFrame,
 ) -> AnswerFrame | RefusalFrame:
     """Raise INCOMPLETE when an answer's body is not what was sent."""
-    if isinstance(frame, AnswerFrame):
-        if frame.checksum != compute_checksum(frame.body):
-            raise RefusalError(
-                ErrorCode.INCOMPLETE,
-                "the answer's checksum does not match its body",
-                verdict=Verdict.MAY_HAVE_RUN,
-            )
+    if isinstance(frame, AnswerFrame) and (
+        frame.checksum != compute_checksum(frame.body)
+    ):
+        raise RefusalError(
+            ErrorCode.INCOMPLETE,
+            "the answer's checksum does not match its body",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
     return frame
 
 
@@ -292,14 +294,22 @@
         socket: web.WebSocketResponse,
         call: CallFrame,
     ) -> None:
-        answer = await self._run_call(call)
-        if socket.closed:
-            return
         try:
-            await socket.send_bytes(self._codec.encode(answer))
-        except (ConnectionError, RuntimeError):
-            # The caller sees the lost connection and decides by itself.
+            data = self._codec.encode(await self._run_call(call))
+        except Exception as error:  # noqa: BLE001
+            # Without an answer the caller would wait for its deadline.
+            log_event(
+                Level.ERROR,
+                "call failed",
+                route=call.route,
+                error=type(error).__name__,
+            )
+            data = self._codec.encode(_create_failure(call))
+        if socket.closed:
             return
+        with contextlib.suppress(ConnectionError, RuntimeError):
+            # The caller sees a lost connection and decides by itself.
+            await socket.send_bytes(data)
 
     async def drain(self, limit: timedelta) -> None:
         """Wait until all calls are answered, at most ``limit``."""
@@ -316,6 +326,19 @@
             await socket.close()
 
 
+def _create_failure(call: CallFrame) -> RefusalFrame:
+    """Return the refusal for a call that met an unexpected error."""
+    return RefusalFrame(
+        call.call_id,
+        ErrorCode.INTERNAL,
+        Verdict.MAY_HAVE_RUN,
+        "the guarding node failed to handle the call",
+        None,
+        (),
+        0,
+    )
+
+
 def _cancel_call(call: CallFrame, task: asyncio.Task[Any]) -> None:
     """Cancel a call, unless its outcome must be kept for a resend."""
     if call.idempotent or call.attempt is None:
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -1,6 +1,7 @@
 """What the long-running programs share."""
 
 import asyncio
+import gc
 import signal
 import sys
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 
 EXIT_SETTINGS: Final = 2
 EXIT_START: Final = 3
+GC_THRESHOLDS: Final = (20_000, 20, 50)
 
 
 class Service(Protocol):
@@ -54,6 +56,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     await service.start()
+    # What is loaded by now stays; keeping it out of later collections
+    # shortens the pauses that show in the slowest requests.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     log_event(Level.INFO, "started", host=name)
     await stop.wait()
     log_event(Level.INFO, "draining", host=name)
--- a/src/sequoiaseam/_replica_host.py
+++ b/src/sequoiaseam/_replica_host.py
@@ -32,7 +32,7 @@
     Snapshot,
 )
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam.errors import ErrorCode, SeamError
+from sequoiaseam.errors import SeamError
 
 TICK: Final = timedelta(milliseconds=25)
 CONFIRM_INTERVAL: Final = timedelta(milliseconds=250)
@@ -89,6 +89,7 @@
         self._proposals: Waiters[int, int] = Waiters()
         self._reads: Waiters[int, int] = Waiters()
         self.confirmation: Confirmation | None = None
+        self.applied_index = 0
 
     def start(self) -> None:
         """Begin to tick, to write and to confirm."""
@@ -214,6 +215,7 @@
 
     @_act.register
     def _(self, action: InstallSnapshot) -> None:
+        self.applied_index = action.snapshot.index
         self._hooks.load(action.snapshot.data)
         self._save(action.snapshot)
 
@@ -230,6 +232,8 @@
 
     @_act.register
     def _(self, action: Apply) -> None:
+        # Set first, so that whoever the hook wakes sees it.
+        self.applied_index = action.index
         if action.command:
             self._hooks.apply(action.index, COMMANDS.decode(action.command))
 
@@ -257,8 +261,3 @@
     @_act.register
     def _(self, action: RoleChanged) -> None:
         self._hooks.change_role(action)
-
-
-def is_not_leader(error: SeamError) -> bool:
-    """Tell whether another control host should be asked."""
-    return error.code is ErrorCode.NOT_LEADER
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -86,7 +86,8 @@
         return run
 
     def _identify(self, stream: "Stream[Any, Any]") -> Identity:
-        proof = (stream.metadata or {}).get(PROOF_KEY, "")
+        metadata = stream.metadata
+        proof = metadata.get(PROOF_KEY, "") if metadata else ""
         try:
             return self._verifier.verify(self._clock.now(), str(proof))
         except SeamError as error:
@@ -123,12 +124,12 @@
     request: Any,
     *,
     proof: str,
-    timeout: float,
+    limit: float,
 ) -> Any:
-    """Call a unary method; the time limit is in seconds."""
+    """Call a unary method; ``limit`` is in seconds."""
     method: Any = UnaryUnaryMethod(channel, path, object, object)
     return await method(
         request,
-        timeout=timeout,
+        timeout=limit,
         metadata={PROOF_KEY: proof},
     )
--- a/src/sequoiaseam/_tasks.py
+++ b/src/sequoiaseam/_tasks.py
@@ -4,8 +4,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
-
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam.errors import RefusalError
 
 
 class TaskGroup:
@@ -33,7 +33,8 @@
         if task.cancelled():
             return
         error = task.exception()
-        if error is not None:
+        # A refusal is a request's answer; whoever waits for it gets it.
+        if error is not None and not isinstance(error, RefusalError):
             log_event(
                 Level.ERROR,
                 "background task failed",
