Keep pressure off classes whose load fits, follow warm-up when idle

A standing queue of an already shed class raised the level by more than two classes, and the limit of an idle server stayed at its cold value.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -99,7 +99,7 @@
             if victim is None:
                 break
             self._queue.remove(victim.ticket_id)
-            self._gauge.refuse()
+            self._gauge.refuse(victim.importance)
             code = ErrorCode.QUEUE_FULL
             actions.append(self._refuse(victim.ticket_id, code))
         return tuple(actions)
@@ -177,14 +177,13 @@
         actions: list[AdmissionAction] = []
         latest = now + self._limiter.median.estimate(now)
         for late in self._queue.expire(latest):
-            self._gauge.refuse()
+            self._gauge.refuse(late.importance)
             code = ErrorCode.DEADLINE
             actions.append(self._refuse(late.ticket_id, code))
         while (ticket := self._choose(now)) is not None:
             self._start(now, ticket)
             actions.append(Start(ticket.ticket_id))
-        if not self._queue:
-            self._gauge.note_empty()
+        self._gauge.note_queue(self._queue.counts)
         self._roll(now)
         return actions
 
@@ -224,7 +223,7 @@
         self._area = 0.0
         self._area_from = now
         waited = self._queue.measure_age(now)
-        self._gauge.roll(now, len(self._queue), waited, busy)
+        self._gauge.roll(now, self._queue.counts, waited, busy)
 
     def _refuse(self, ticket_id: int, code: ErrorCode) -> Refuse:
         wait = compute_retry_after(self._rng, self._gauge.level)
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -28,7 +28,7 @@
 TIMEOUT_SHARE: Final = 0.1
 # A level at which the server shed is approached fast up to this part.
 SHED_MARGIN: Final = 0.9
-SHED_MEMORY: Final = timedelta(seconds=30)
+SHED_PROBE: Final = 0.005
 HINT_LIFETIME: Final = timedelta(seconds=1)
 HINT_FULL: Final = 0.95
 MEDIAN_SAMPLES: Final = 65
@@ -106,6 +106,7 @@
         self._hint = 0.0
         self._hint_at = now
         self._running = 0
+        self._was_cut = False
         self._changed_at = now
         self._settling = False
         self._reset(now)
@@ -116,6 +117,13 @@
         """Return how many requests may run at once."""
         return max(1, min(int(self._limit), self._slots))
 
+    def _find_ceiling(self, now: datetime) -> float:
+        """Return the bound that rises while the server is cold."""
+        if not self._is_cold(now):
+            return float(self._slots)
+        part = (now - self._born) / self._warmup
+        return max(1.0, self._slots * max(COLD_SHARE, part))
+
     @property
     def running(self) -> int:
         """Return how many requests run."""
@@ -146,6 +154,10 @@
 
     def tick(self, now: datetime) -> None:
         """Close the window when it is full."""
+        if not self._was_cut:
+            # Idle servers warm up as well; a limit too high is cut on
+            # trial when the load comes.
+            self._limit = self._find_ceiling(now)
         if self._settling and self._running <= self.limit:
             self._settling = False
             self._reset(now)
@@ -163,8 +175,6 @@
 
     def configure(self, slots: int, warmup: timedelta) -> None:
         """Take over new bounds."""
-        if slots > self._slots and self._limit >= self._slots:
-            self._limit += 1
         self._slots = slots
         self._warmup = warmup
         self._limit = min(self._limit, float(slots))
@@ -201,6 +211,7 @@
         last = self._shed_at
         if last is not None and (now - last).total_seconds() < pause:
             return
+        self._was_cut = True
         self._shed_at = now
         self._shed_load = float(load)
         self._trial = None
@@ -247,6 +258,7 @@
         self._base = base
 
     def _cut(self, load: float, latency: float, ratio: float) -> None:
+        self._was_cut = True
         self._trial = _Trial(self._limit, load, latency)
         self._limit = max(1.0, self._limit * ratio)
         self._settling = True
@@ -274,18 +286,18 @@
             self._grow(now)
 
     def _grow(self, now: datetime) -> None:
-        ceiling = float(self._slots)
-        if self._is_cold(now):
-            part = (now - self._born) / self._warmup
-            ceiling = max(1.0, self._slots * max(COLD_SHARE, part))
         step = math.sqrt(self._limit)
-        if self._shed_at and now - self._shed_at < SHED_MEMORY:
+        if self._shed_at is not None:
+            # Fast up to the level at which the server shed, slow near
+            # it, then faster again, as the server may have recovered.
             gap = SHED_MARGIN * self._shed_load - self._limit
-            step = max(HALF * gap, 0.005 * self._limit, 0.05)
+            age = (now - self._shed_at).total_seconds()
+            slow = SHED_PROBE * self._limit * math.exp2(min(age, 20.0))
+            step = max(HALF * gap, min(step, max(slow, 0.05)))
         # A hint only slows growth: it may be stale or false.
         if self._hint >= HINT_FULL and now - self._hint_at < HINT_LIFETIME:
             step *= HALF
-        self._limit = min(ceiling, self._limit + step)
+        self._limit = min(self._find_ceiling(now), self._limit + step)
 
     def _is_cold(self, now: datetime) -> bool:
         return now - self._born < self._warmup
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
@@ -83,41 +83,47 @@
         """Count a ticket that starts."""
         self._started += 1
 
-    def refuse(self) -> None:
+    def refuse(self, importance: Importance) -> None:
         """Count a ticket refused for want of room or time."""
-        self._refused += 1
+        self._refused += importance >= int(self.level)
 
-    def note_empty(self) -> None:
-        """Note that no ticket waits."""
-        self._emptied = True
+    def note_queue(self, queued: Sequence[int]) -> None:
+        """Note how many tickets of each class wait.
+
+        Those of classes that are shed already don't count: they must
+        not raise the level to the next class.
+        """
+        if not any(queued[int(self.level) :]):
+            self._emptied = True
 
     def roll(
         self,
         now: datetime,
-        queued: int,
+        queued: Sequence[int],
         age: timedelta,
         busy: float,
     ) -> None:
         """Close intervals that are over.
 
-        ``age`` is that of the oldest waiting ticket, ``busy`` the part
-        of the limit that is in use.
+        ``queued`` counts the waiting tickets by class, ``age`` is that
+        of the oldest one, ``busy`` the part of the limit in use.
         """
         count = (now - self._from) // INTERVAL
         if count <= 0:
             return
         self._from += count * INTERVAL
         self._smooth(count)
-        standing = not self._emptied and queued > 0 and age > DELAY_TARGET
+        waiting = sum(queued[int(self.level) :])
+        standing = waiting and not self._emptied and age > DELAY_TARGET
         if standing or self._refused:
-            self._raise(queued)
+            self._raise(waiting)
         elif busy < 1 - SPARE_MIN:
             for _ in range(min(count, 100)):
                 self._lower(1 - busy)
         self._arrived = [0] * CLASSES
         self._started = 0
         self._refused = 0
-        self._emptied = queued == 0
+        self._emptied = waiting == 0
 
     def _smooth(self, count: int) -> None:
         self._start_rate += SMOOTHING * (
@@ -148,6 +154,9 @@
             if rate <= excess:
                 excess -= rate
                 level = rank + 1.0
+                # Classes whose own load fits aren't touched.
+                if sum(self._rates[rank + 1 :]) <= self._start_rate:
+                    break
             else:
                 open_part = (rank + 1 - level) * (1 - excess / rate)
                 level = rank + 1 - open_part
--- a/src/sequoiaseam/_queue.py
+++ b/src/sequoiaseam/_queue.py
@@ -121,6 +121,12 @@
     def __contains__(self, ticket_id: int) -> bool:
         return ticket_id in self._tickets
 
+    @property
+    def counts(self) -> list[int]:
+        """Return how many tickets of each class wait."""
+        counts = self._counts
+        return [a + b for a, b in zip(counts[::2], counts[1::2], strict=True)]
+
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         self._tickets[ticket.ticket_id] = ticket
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -274,9 +274,10 @@
 
     def test_false_hint_does_not_pin_the_limit(self) -> None:
         server = self.build(cores=60)
-        server.limiter.configure(6, timedelta(0))
-        server.limiter.configure(60, timedelta(0))
-        for _ in range(40):
+        server.sheds_over = 6
+        server.run(1)
+        server.sheds_over = 10_000
+        for _ in range(80):
             server.limiter.hint(server.now, 1.0)
             server.run(0.1)
         self.assertGreater(server.limiter.limit, 50)
