--- /dev/null
+++ b/bench/emulator.py
@@ -0,0 +1,633 @@
+"""Discrete-event emulation of services, nodes, callers and delays.
+
+Drives the real decision code under a manual clock. It emulates backend
+servers and callers, not the cluster: membership and pings are replaced
+by their delays.
+"""
+
+import enum
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from functools import partial
+from typing import Final
+
+from sequoiaseam._clock import ManualClock
+from sequoiaseam._pressure import PoolPressure
+from sequoiaseam._tables import Importance
+
+# Loss of throughput for each request beyond the cores, as from context
+# switches and memory.
+OVERHEAD: Final = 0.01
+WORK_SHAPE: Final = 4.0
+COLD_SPEED: Final = 0.3
+CONNECT_TIMEOUT: Final = 0.25
+RESENDS_MAX: Final = 12
+RESEND_WAIT: Final = (0.1, 0.4)
+PATIENCE: Final = 5.0
+
+
+class Outcome(enum.Enum):
+    """What a call came to."""
+
+    OK = "ok"
+    REFUSED = "refused"
+    # A nested call was refused after this one had run in part.
+    DEEP = "deep"
+    FAILED = "failed"
+    LOST = "lost"
+    EXPIRED = "expired"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """A call: the service that serves it and the calls that it makes."""
+
+    service: str
+    children: tuple["Plan", ...] = ()
+
+
+@dataclass(frozen=True)
+class ServiceSpec:
+    """One service, scaled; ``work`` is the mean in seconds."""
+
+    name: str
+    servers: int
+    slots: int
+    connections: int
+    cores: int
+    work: float
+    queue: int
+
+
+@dataclass(frozen=True)
+class RouteSpec:
+    """One route with its share of the load."""
+
+    name: str
+    plan: Plan
+    importance: Importance
+    worth: float
+    share: float
+    idempotent: bool = True
+
+
+@dataclass(frozen=True)
+class WorkspaceSpec:
+    """One workspace with its share of the load, also its weight."""
+
+    name: str
+    share: float
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A site: services, routes, workspaces, delays in seconds."""
+
+    name: str
+    services: tuple[ServiceSpec, ...]
+    routes: tuple[RouteSpec, ...]
+    workspaces: tuple[WorkspaceSpec, ...]
+    domains: int
+    client_delay: float
+    rate: float
+    domain_delay: float = 0.0015
+    local_delay: float = 0.0002
+    timeout: float = 2.0
+
+
+class Simulation:
+    """Event queue under a manual clock."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.time = 0.0
+        self.now = self.clock.now()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Plan an action."""
+        entry = (self.time + delay, next(self._numbers), action)
+        heapq.heappush(self._events, entry)
+
+    def run(self, until: float) -> None:
+        """Run the actions up to a time."""
+        while self._events and self._events[0][0] <= until:
+            at, _, action = heapq.heappop(self._events)
+            step = timedelta(seconds=at - self.time)
+            self.now = self.clock.advance(step)
+            self.time = at
+            action()
+
+
+@dataclass(eq=False)
+class Job:
+    """One request on a backend server."""
+
+    work: float
+    worked: Callable[[], None]
+    failed: Callable[[Outcome], None]
+    poison: bool = False
+    active: bool = False
+    ended: bool = False
+
+
+class Server:
+    """A backend server that shares its cores among active requests.
+
+    A request holds its slot until it is released, also while it waits
+    for nested calls. Requests over the slots wait in a backlog.
+    """
+
+    def __init__(self, sim: Simulation, spec: ServiceSpec) -> None:
+        self.sim = sim
+        self.spec = spec
+        self.speed = 1.0
+        self.alive = True
+        self.crashes = 0
+        self.backlog_max = spec.connections
+        # What the load endpoint shows instead of the truth.
+        self.false_load: float | None = None
+        self.jobs: set[Job] = set()
+        self.backlog: deque[Job] = deque()
+        self.on_crash: Callable[[], None] = lambda: None
+        self.on_restart: Callable[[], None] = lambda: None
+        self._active: list[tuple[float, int, Job]] = []
+        self._count = 0
+        self._virtual = 0.0
+        self._updated = 0.0
+        self._version = 0
+        self._numbers = itertools.count()
+
+    @property
+    def load(self) -> float:
+        """Return the load that the server reports, from 0 to 1."""
+        if self.false_load is not None:
+            return self.false_load
+        return min(1.0, len(self.jobs) / self.spec.slots)
+
+    def submit(self, job: Job) -> bool:
+        """Run a job now or later; return False when it is shed."""
+        if not self.alive:
+            return False
+        if len(self.jobs) < self.spec.slots:
+            self._begin(job)
+            return True
+        while self.backlog and self.backlog[0].ended:
+            self.backlog.popleft()
+        if len(self.backlog) >= self.backlog_max:
+            return False
+        self.backlog.append(job)
+        return True
+
+    def release(self, job: Job) -> None:
+        """Free the slot of a job that is done or cancelled."""
+        if job.ended:
+            return
+        job.ended = True
+        if job in self.jobs:
+            self.jobs.remove(job)
+            if job.active:
+                self._deactivate(job)
+                self._plan()
+            self._refill()
+
+    def change_speed(self, speed: float) -> None:
+        """Set how fast the cores work."""
+        self._advance()
+        self.speed = speed
+        self._plan()
+
+    def crash(self, down: float, warmup: float) -> None:
+        """Fail everything that runs; come back cold after a while."""
+        self.crashes += 1
+        self.alive = False
+        jobs = [*self.jobs, *self.backlog]
+        self.on_crash()
+        self.jobs.clear()
+        self.backlog.clear()
+        self._active.clear()
+        self._count = 0
+        self._version += 1
+        for job in jobs:
+            if not job.ended:
+                job.ended = True
+                job.failed(Outcome.LOST)
+        self.sim.after(down, partial(self.restart, warmup))
+
+    def restart(self, warmup: float) -> None:
+        """Come back cold."""
+        self.alive = True
+        self.on_restart()
+        self.change_speed(COLD_SPEED)
+        for part in range(1, 6):
+            speed = COLD_SPEED + (1 - COLD_SPEED) * part / 5
+            self.sim.after(
+                warmup * part / 5,
+                partial(self.change_speed, speed),
+            )
+
+    def _begin(self, job: Job) -> None:
+        self.jobs.add(job)
+        self._advance()
+        job.active = True
+        self._count += 1
+        entry = (self._virtual + job.work, next(self._numbers), job)
+        heapq.heappush(self._active, entry)
+        self._plan()
+        if job.poison:
+            self.sim.after(0.02, partial(self._poisoned, job))
+
+    def _poisoned(self, job: Job) -> None:
+        if job in self.jobs and not job.ended:
+            self.crash(2.0, 2.0)
+
+    def _deactivate(self, job: Job) -> None:
+        self._advance()
+        job.active = False
+        self._count -= 1
+
+    def _refill(self) -> None:
+        while self.backlog and len(self.jobs) < self.spec.slots:
+            job = self.backlog.popleft()
+            if not job.ended:
+                self._begin(job)
+
+    def _rate(self) -> float:
+        if not self._count:
+            return 0.0
+        cores = self.spec.cores
+        rate = self.speed * min(1.0, cores / self._count)
+        return rate / (1 + OVERHEAD * max(0, self._count - cores))
+
+    def _advance(self) -> None:
+        elapsed = self.sim.time - self._updated
+        self._virtual += elapsed * self._rate()
+        self._updated = self.sim.time
+
+    def _plan(self) -> None:
+        self._version += 1
+        while self._active and not self._active[0][2].active:
+            heapq.heappop(self._active)
+        if self._active:
+            left = max(0.0, self._active[0][0] - self._virtual)
+            wait = left / self._rate()
+            self.sim.after(wait, partial(self._complete, self._version))
+
+    def _complete(self, version: int) -> None:
+        if version != self._version:
+            return
+        self._advance()
+        _, _, job = heapq.heappop(self._active)
+        self._deactivate(job)
+        self._plan()
+        job.worked()
+
+
+@dataclass(eq=False)
+class Root:
+    """One attempt of a caller's request."""
+
+    number: int
+    route: RouteSpec
+    workspace: WorkspaceSpec
+    deadline: datetime
+    poison: bool = False
+    cancelled: bool = False
+    # Undo the calls in progress when the caller gives up.
+    stops: list[Callable[[], None]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer to a call, with what controlled nodes add to it."""
+
+    outcome: Outcome
+    pressures: tuple[PoolPressure, ...] = ()
+    unused: int = 0
+    load: float | None = None
+
+
+Respond = Callable[[Reply], None]
+Forward = Callable[[Plan, Respond], None]
+
+
+class Network:
+    """Delays and losses between nodes, known by name."""
+
+    def __init__(self, sim: Simulation, site: Deployment) -> None:
+        self.sim = sim
+        self.site = site
+        self.domains: dict[str, str] = {}
+        self.dead: set[str] = set()
+        self.silent: set[frozenset[str]] = set()
+
+    def send(self, a: str, b: str, action: Callable[[], object]) -> None:
+        """Deliver from node ``a`` to ``b``, unless it is lost."""
+        if a == b:
+            action()
+            return
+        if frozenset((a, b)) in self.silent:
+            return
+        near = self.domains[a] == self.domains[b]
+        delay = self.site.local_delay if near else self.site.domain_delay
+        self.sim.after(delay, partial(self._arrive, a, b, action))
+
+    def _arrive(self, a: str, b: str, action: Callable[[], object]) -> None:
+        if a not in self.dead and b not in self.dead:
+            action()
+
+
+class EmulatedNode:
+    """A node with its server; subclasses add the control."""
+
+    def __init__(self, fleet: "Fleet", name: str, server: Server) -> None:
+        self.fleet = fleet
+        self.sim = fleet.sim
+        self.name = name
+        self.server = server
+        # Calls to other nodes without an answer yet.
+        self.pending: dict[object, tuple[str, Respond]] = {}
+
+    def enter(self, root: Root, respond: Respond) -> None:
+        """Take a caller's request."""
+        raise NotImplementedError
+
+    def drop_peer(self, name: str) -> None:
+        """Fail the calls on a connection known to be lost."""
+        lost = [k for k, (peer, _) in self.pending.items() if peer == name]
+        for key in lost:
+            self.pending.pop(key)[1](Reply(Outcome.LOST))
+
+    def transmit(
+        self,
+        peer: "EmulatedNode",
+        action: Callable[[Respond], object],
+        respond: Respond,
+    ) -> None:
+        """Call a peer; the answer, if any, comes once."""
+        key = object()
+        self.pending[key] = (peer.name, respond)
+
+        def answer(reply: Reply) -> None:
+            self.fleet.network.send(
+                peer.name,
+                self.name,
+                partial(self._settle, key, reply),
+            )
+
+        send = self.fleet.network.send
+        send(self.name, peer.name, partial(action, answer))
+
+    def run_job(
+        self,
+        root: Root,
+        plan: Plan,
+        forward: Forward,
+        respond: Respond,
+    ) -> Job | None:
+        """Run a call on the own server, then its nested calls."""
+        mean = self.server.spec.work / WORK_SHAPE
+        work = self.sim.rng.gammavariate(WORK_SHAPE, mean)
+
+        def fail(outcome: Outcome) -> None:
+            respond(Reply(outcome))
+
+        def step(position: int, reply: Reply) -> None:
+            if job.ended:
+                return
+            if reply.outcome is not Outcome.OK:
+                self.server.release(job)
+                refused = reply.outcome is Outcome.REFUSED
+                fail(Outcome.DEEP if refused else reply.outcome)
+            elif position < len(plan.children):
+                forward(plan.children[position], partial(step, position + 1))
+            else:
+                self.server.release(job)
+                fail(Outcome.OK)
+
+        job = Job(work, partial(step, 0, Reply(Outcome.OK)), fail)
+        job.poison = root.poison
+        if not self.server.submit(job):
+            fail(Outcome.REFUSED if self.server.alive else Outcome.LOST)
+            return None
+        return job
+
+    def _settle(self, key: object, reply: Reply) -> None:
+        entry = self.pending.pop(key, None)
+        if entry is not None:
+            entry[1](reply)
+
+
+class PlainNode(EmulatedNode):
+    """No control: retries at each hop, trust in the reported load."""
+
+    HOP_RETRIES: Final = 2
+
+    def enter(self, root: Root, respond: Respond) -> None:
+        """Forward without any check."""
+        self._attempt(root, self.HOP_RETRIES, root.route.plan, respond)
+
+    def _attempt(
+        self,
+        root: Root,
+        retries: int,
+        plan: Plan,
+        respond: Respond,
+    ) -> None:
+        """Call the less loaded of two members, retry on any error."""
+        members = self.fleet.list_healthy(plan.service)
+        if not members:
+            respond(Reply(Outcome.FAILED))
+            return
+        pair = self.sim.rng.sample(members, min(2, len(members)))
+        peer = min(pair, key=lambda node: node.server.load)
+        assert isinstance(peer, PlainNode)
+
+        def finish(reply: Reply) -> None:
+            if reply.outcome is Outcome.OK or not retries:
+                respond(reply)
+            else:
+                self._attempt(root, retries - 1, plan, respond)
+
+        forward = partial(peer.forward_plain, root)
+        self.transmit(
+            peer,
+            lambda answer: peer.run_job(root, plan, forward, answer),
+            finish,
+        )
+
+    def forward_plain(self, root: Root, plan: Plan, respond: Respond) -> None:
+        """Make a nested call."""
+        self._attempt(root, self.HOP_RETRIES, plan, respond)
+
+
+NodeFactory = Callable[["Fleet", str, Server], EmulatedNode]
+
+
+class Fleet:
+    """All nodes of a deployment, and what the platform knows of them."""
+
+    def __init__(
+        self,
+        sim: Simulation,
+        site: Deployment,
+        factory: NodeFactory,
+        *,
+        backlog: bool,
+    ) -> None:
+        self.sim = sim
+        self.site = site
+        self.network = Network(sim, site)
+        self.nodes: dict[str, EmulatedNode] = {}
+        self.pools: dict[str, list[EmulatedNode]] = {}
+        self.unhealthy: set[str] = set()
+        for spec in site.services:
+            self.pools[spec.name] = []
+            for number in range(spec.servers):
+                name = f"{spec.name}-{number}"
+                domain = f"domain-{number % site.domains}"
+                self.network.domains[name] = domain
+                server = Server(sim, spec)
+                if not backlog:
+                    server.backlog_max = spec.queue
+                node = factory(self, name, server)
+                self.nodes[name] = node
+                self.pools[spec.name].append(node)
+        # Callers hold connections to two nodes of each domain.
+        self.entries = [
+            node
+            for pool in list(self.pools.values())[:2]
+            for node in pool[: site.domains]
+        ]
+
+    def list_healthy(self, service: str) -> list[EmulatedNode]:
+        """Return the members that health checks let through."""
+        return [
+            node
+            for node in self.pools[service]
+            if node.name not in self.unhealthy
+        ]
+
+
+@dataclass(eq=False)
+class Request:
+    """A caller's request over all its attempts."""
+
+    number: int
+    route: RouteSpec
+    workspace: WorkspaceSpec
+    arrived: float
+    poison: bool = False
+    attempts: int = 0
+    # Time of the whole answer, and the result of the first attempt.
+    answered: float | None = None
+    first: Outcome | None = None
+
+
+class Callers:
+    """Send requests at a rate and resend those that fail."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.sim = fleet.sim
+        self.site = fleet.site
+        self.requests: list[Request] = []
+        self.factors = {space.name: 1.0 for space in self.site.workspaces}
+        self._generation = 0
+        self._start()
+
+    def scale(self, factor: float, workspace: str | None = None) -> None:
+        """Change the rate of one workspace or of all."""
+        for name in self.factors if workspace is None else (workspace,):
+            self.factors[name] = factor
+        self._start()
+
+    def submit(
+        self,
+        route: RouteSpec,
+        workspace: WorkspaceSpec,
+        *,
+        poison: bool = False,
+    ) -> None:
+        """Send a new request."""
+        request = Request(
+            len(self.requests),
+            route,
+            workspace,
+            self.sim.time,
+            poison,
+        )
+        self.requests.append(request)
+        self._attempt(request)
+
+    def _start(self) -> None:
+        self._generation += 1
+        self._plan(self._generation)
+
+    def _plan(self, generation: int) -> None:
+        total = sum(
+            space.share * self.factors[space.name]
+            for space in self.site.workspaces
+        )
+        wait = self.sim.rng.expovariate(total * self.site.rate)
+        self.sim.after(wait, partial(self._arrive, generation))
+
+    def _arrive(self, generation: int) -> None:
+        if generation != self._generation:
+            return
+        self._plan(generation)
+        spaces = self.site.workspaces
+        weights = [s.share * self.factors[s.name] for s in spaces]
+        (space,) = self.sim.rng.choices(spaces, weights)
+        routes = self.site.routes
+        (route,) = self.sim.rng.choices(routes, [r.share for r in routes])
+        self.submit(route, space)
+
+    def _attempt(self, request: Request) -> None:
+        request.attempts += 1
+        node = self.sim.rng.choice(self.fleet.entries)
+        if node.name in self.fleet.network.dead:
+            self.sim.after(CONNECT_TIMEOUT, partial(self._again, request))
+            return
+        deadline = self.sim.now + timedelta(seconds=self.site.timeout)
+        root = Root(
+            request.number,
+            request.route,
+            request.workspace,
+            deadline,
+            request.poison,
+        )
+        delay = self.site.client_delay
+        end = partial(self._end, request, root)
+
+        def respond(reply: Reply) -> None:
+            self.sim.after(delay, partial(end, reply.outcome))
+
+        self.sim.after(delay, partial(node.enter, root, respond))
+        self.sim.after(self.site.timeout, partial(end, Outcome.EXPIRED))
+
+    def _end(self, request: Request, root: Root, outcome: Outcome) -> None:
+        if root.cancelled:
+            return
+        root.cancelled = True
+        for stop in root.stops:
+            stop()
+        if request.first is None:
+            request.first = outcome
+        if outcome is Outcome.OK:
+            request.answered = self.sim.time
+        else:
+            wait = self.sim.rng.uniform(*RESEND_WAIT)
+            self.sim.after(wait, partial(self._again, request))
+
+    def _again(self, request: Request) -> None:
+        late = self.sim.time - request.arrived > PATIENCE
+        if not late and request.attempts <= RESENDS_MAX:
+            self._attempt(request)
