Check a table row's other columns when one is malformed

Cause: a row with one malformed value was left out of the validation, so its values out of range were reported only after the first correction.

Change: a malformed required value is replaced by a placeholder for the checks, and each section and key is reported once.

Conclusion: all problems of a file are listed at once.

--- a/src/sequoiaseam/_tablefile.py
+++ b/src/sequoiaseam/_tablefile.py
@@ -141,37 +141,44 @@
     }
 
 
+def _make_placeholder(attribute: str, name: str) -> str | int:
+    """Return a value for a required column whose text is bad.
+
+    The row's other columns are checked with it. The path is one that no
+    other route has.
+    """
+    return {"path": f"/-/{name}", "pool": "-"}.get(attribute, 1)
+
+
 def _take_row(
     ini: IniFile,
     row_type: type[RowT],
     table: str,
     name: str,
-) -> RowT | None:
-    """Take one section; return None if a value in it is bad."""
+) -> RowT:
+    """Take one section; problems in it are noted."""
     section = f"{table} {name}"
     defaults = _get_defaults(row_type)
-    before = len(ini.problems)
-    values: dict[str, Any] = {
-        attribute: ini.take(
+    values: dict[str, Any] = {}
+    for attribute, column in COLUMNS[table].items():
+        value = ini.take(
             section,
             column.title,
             column.parse,
             defaults.get(attribute),
         )
-        for attribute, column in COLUMNS[table].items()
-    }
-    if len(ini.problems) > before:
-        return None
+        if value is None:
+            value = _make_placeholder(attribute, name)
+        values[attribute] = value
     return row_type(name=name, **values)
 
 
 def _take_rows(
-    ini: IniFile, row_type: type[RowT], table: str
-) -> dict[
-    str,
-    RowT | None,
-]:
-    rows: dict[str, RowT | None] = {}
+    ini: IniFile,
+    row_type: type[RowT],
+    table: str,
+) -> dict[str, RowT]:
+    rows: dict[str, RowT] = {}
     for section in tuple(ini.sections):
         kind, _, name = section.partition(" ")
         if kind == table:
@@ -179,47 +186,30 @@
     return rows
 
 
-def _keep_sound(rows: Mapping[str, RowT | None]) -> dict[str, RowT]:
-    return {name: row for name, row in rows.items() if row is not None}
-
-
-def _report_table_problems(
-    ini: IniFile,
-    tables: Tables,
-    unsound_pools: frozenset[str],
-) -> None:
-    """Note what validation finds, at the file's lines."""
+def _report_table_problems(ini: IniFile, tables: Tables) -> None:
+    """Note what validation finds beyond the problems of parsing."""
+    reported = {(p.section, p.key) for p in ini.problems}
     for problem in find_problems(tables):
-        # The pool is there; a bad value in it is reported already.
-        if (problem.table, problem.column) == ("route", "pool") and (
-            tables.routes[problem.row].pool in unsound_pools
-        ):
-            continue
-        title = COLUMNS[problem.table].get(problem.column)
-        ini.report(
-            f"{problem.table} {problem.row}",
-            title.title if title else problem.column,
-            problem.message,
-        )
+        section = f"{problem.table} {problem.row}"
+        column = COLUMNS[problem.table].get(problem.column)
+        key = column.title if column else problem.column
+        if (section, key) not in reported:
+            ini.report(section, key, problem.message)
 
 
 def _build_tables(ini: IniFile) -> Tables:
     """Return the tables; raise FileError TABLE_INVALID if unsound."""
-    routes = _take_rows(ini, Route, "route")
-    pools = _take_rows(ini, Pool, "pool")
-    workspaces = _take_rows(ini, Workspace, "workspace")
+    tables = Tables(
+        routes=_take_rows(ini, Route, "route"),
+        pools=_take_rows(ini, Pool, "pool"),
+        workspaces=_take_rows(ini, Workspace, "workspace"),
+    )
     ini.check_unknown(
         section
         for section in ini.sections
         if section.partition(" ")[0] in COLUMNS
     )
-    tables = Tables(
-        routes=_keep_sound(routes),
-        pools=_keep_sound(pools),
-        workspaces=_keep_sound(workspaces),
-    )
-    unsound = frozenset(name for name, row in pools.items() if row is None)
-    _report_table_problems(ini, tables, unsound)
+    _report_table_problems(ini, tables)
     ini.finish(ErrorCode.TABLE_INVALID)
     return tables
 
--- a/tests/test_tablefile.py
+++ b/tests/test_tablefile.py
@@ -109,10 +109,15 @@
                 places = {(p.section, p.key, p.line) for p in error.problems}
                 self.assertIn(expected, places)
 
-    def test_reports_only_the_cause_of_a_bad_pool(self) -> None:
+    def test_reports_every_column_once(self) -> None:
+        text = TEXT.replace("slots = 50", "slots = many\nqueue = 1000000")
+        text = text.replace("path = /accept", "path = a b").replace("10", "x")
         with self.assertRaises(FileError) as caught:
-            parse_tables(TEXT.replace("slots = 50", "slots = many"))
-        self.assertEqual([p.key for p in caught.exception.problems], ["slots"])
+            parse_tables(text)
+        self.assertEqual(
+            [p.key for p in caught.exception.problems],
+            ["path", "slots", "queue", "burst"],
+        )
 
     def test_diff_names_rows_and_columns(self) -> None:
         old = build_tables()
