Add the command line for operators

Cause: operators edit tables, manage keys, drain hosts, replace control hosts and read reports while traffic runs.

A key's token is made here, printed once after acceptance, and only its digest is sent.

--- /dev/null
+++ b/src/sequoiaseam/_cli_edits.py
@@ -0,0 +1,365 @@
+"""Commands that change something."""
+
+import hashlib
+import secrets
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Final
+
+from sequoiaseam._cli_environment import (
+    NO_WAIT,
+    Environment,
+    Remote,
+    UsageError,
+    Waiting,
+)
+from sequoiaseam._editing import (
+    EXIT_TEXTS,
+    OUTCOME_CODES,
+    OUTCOME_EXITS,
+    ExitCode,
+    format_changes,
+    needs_confirmation,
+    submit,
+    wait_in_force,
+)
+from sequoiaseam._operator import (
+    AddKeyRequest,
+    ApplyRequest,
+    DrainRequest,
+    EditAnswer,
+    EditOutcome,
+    OperatorClient,
+    ReplaceRequest,
+    ShowAnswer,
+    ShowRequest,
+    WithdrawKeyRequest,
+)
+from sequoiaseam._settings import parse_endpoint, parse_name
+from sequoiaseam._tablefile import diff_tables, load_tables
+from sequoiaseam._tables import Tables
+
+TOKEN_BYTES: Final = 32
+
+
+def make_edit_id() -> str:
+    """Return a fresh edit ID."""
+    return uuid.uuid4().hex
+
+
+async def finish_edit(
+    env: Environment,
+    client: OperatorClient,
+    answer: EditAnswer,
+    waiting: Waiting,
+) -> ExitCode:
+    """Say what became of an edit and wait for it if asked to."""
+    if answer.outcome is not EditOutcome.ACCEPTED:
+        code = OUTCOME_CODES[answer.outcome]
+        reason = answer.message or EXIT_TEXTS[OUTCOME_EXITS[answer.outcome]]
+        env.note(f"error: {code.value}: {reason}")
+    if answer.outcome is EditOutcome.UNKNOWN:
+        env.note(
+            f"The outcome of edit {answer.edit_id} is unknown: "
+            "it may have taken effect or may take effect yet.",
+        )
+    if answer.outcome is EditOutcome.ACCEPTED:
+        env.note(f"accepted as revision {answer.revision}")
+        if waiting.wait:
+            return await wait_and_tell(env, client, answer.revision, waiting)
+    return OUTCOME_EXITS[answer.outcome]
+
+
+async def wait_and_tell(
+    env: Environment,
+    client: OperatorClient,
+    revision: int,
+    waiting: Waiting,
+) -> ExitCode:
+    """Wait for a revision; name the hosts that lack it in the end."""
+    state = await wait_in_force(
+        client,
+        revision,
+        waiting.wait_timeout,
+        env.sleep,
+    )
+    if state.in_force:
+        env.note(f"revision {revision} is in force on all hosts")
+        return ExitCode.DONE
+    names = ", ".join(state.lagging) or "not known"
+    env.note(
+        f"revision {revision} is accepted but not in force everywhere; "
+        f"hosts that lag behind: {names}",
+    )
+    return ExitCode.NOT_IN_FORCE
+
+
+class EditCommands:
+    """Commands that change something."""
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+
+    async def apply(
+        self,
+        file: Path,
+        *,
+        remote: Remote,
+        waiting: Waiting = NO_WAIT,
+        dry_run: bool = False,
+        yes: bool = False,
+        base_revision: int | None = None,
+        edit_id: str | None = None,
+    ) -> int:
+        """Replace the tables by those of a file.
+
+        Parameters
+        ----------
+        file
+            Tables as INI text.
+        dry_run
+            Show the differences only.
+        yes
+            Don't ask before many rows are removed.
+        base_revision
+            Revision that the file was made from; the newest if not given.
+        edit_id
+            ID of an earlier edit whose outcome is unknown, to send it
+            again. Needs --base-revision.
+
+        """
+        if edit_id is not None and base_revision is None:
+            raise UsageError("--edit-id needs --base-revision")
+        tables = load_tables(file)
+        async with self._env.open(remote) as client:
+            current = await client.show(ShowRequest())
+            verdict = self._preview(current, tables, base_revision, edit_id)
+            if verdict is not None:
+                if verdict is ExitCode.DONE and waiting.wait:
+                    return await wait_and_tell(
+                        self._env,
+                        client,
+                        current.revision,
+                        waiting,
+                    )
+                return verdict
+            if dry_run:
+                return ExitCode.DONE
+            if not yes and not self._confirm(current, tables):
+                return ExitCode.REFUSED
+            request = ApplyRequest(
+                edit_id or make_edit_id(),
+                remote.operator,
+                current.revision if base_revision is None else base_revision,
+                tables,
+            )
+            return await self._send(client, request, file, waiting)
+
+    def _preview(
+        self,
+        current: ShowAnswer,
+        tables: Tables,
+        base_revision: int | None,
+        edit_id: str | None,
+    ) -> ExitCode | None:
+        """Show the differences; return an exit code if that is all."""
+        changes = diff_tables(current.tables, tables)
+        if changes:
+            self._env.say(format_changes(changes))
+        if edit_id is not None:
+            # The control hosts know what became of the earlier attempt.
+            return None
+        if base_revision not in (None, current.revision):
+            self._env.note(
+                f"error: CONFLICT: the newest revision is "
+                f"{current.revision}, not {base_revision}",
+            )
+            return ExitCode.CONFLICT
+        if not changes:
+            self._env.note(f"revision {current.revision} is the same")
+            return ExitCode.DONE
+        return None
+
+    def _confirm(self, current: ShowAnswer, tables: Tables) -> bool:
+        changes = diff_tables(current.tables, tables)
+        if not needs_confirmation(current.tables, changes):
+            return True
+        if self._env.ask("This removes many rows. Apply it?"):
+            return True
+        self._env.note("not applied: many rows would go; confirm with --yes")
+        return False
+
+    async def _send(
+        self,
+        client: OperatorClient,
+        request: ApplyRequest,
+        file: Path,
+        waiting: Waiting,
+    ) -> ExitCode:
+        # Known before anything is sent, in case the command is stopped.
+        self._env.note(f"edit ID {request.edit_id}")
+        answer = await submit(
+            request.edit_id,
+            lambda: client.apply(request),
+            self._env.sleep,
+        )
+        exit_code = await finish_edit(self._env, client, answer, waiting)
+        if answer.outcome is EditOutcome.UNKNOWN:
+            self._env.note(
+                "Find out by sending the same edit again: "
+                f"sequoiaseam apply {file} --edit-id {request.edit_id} "
+                f"--base-revision {request.base_revision}",
+            )
+        if answer.outcome is EditOutcome.CONFLICT:
+            await self._show_conflict(client, request)
+        return exit_code
+
+    async def _show_conflict(
+        self,
+        client: OperatorClient,
+        request: ApplyRequest,
+    ) -> None:
+        current = await client.show(ShowRequest())
+        changes = diff_tables(current.tables, request.tables)
+        self._env.note(
+            f"The newest revision is {current.revision}; "
+            "the file differs from it by:",
+        )
+        self._env.note(format_changes(changes))
+
+    async def key_add(
+        self,
+        workspace: str,
+        *,
+        remote: Remote,
+        waiting: Waiting = NO_WAIT,
+    ) -> int:
+        """Give a workspace a key and print its token once.
+
+        Only the token's SHA-256 digest is sent and kept.
+        """
+        token = secrets.token_urlsafe(TOKEN_BYTES)
+        key_id = f"{workspace}-{secrets.token_hex(4)}"
+        request = AddKeyRequest(
+            edit_id=make_edit_id(),
+            operator=remote.operator,
+            key_id=key_id,
+            digest=hashlib.sha256(token.encode()).digest(),
+            workspace=workspace,
+        )
+        async with self._env.open(remote) as client:
+            answer = await submit(
+                request.edit_id,
+                lambda: client.add_key(request),
+                self._env.sleep,
+            )
+            if answer.outcome is EditOutcome.ACCEPTED:
+                self._env.note(f"key ID: {key_id}")
+                self._env.say(token)
+            exit_code = await finish_edit(self._env, client, answer, waiting)
+        if answer.outcome is EditOutcome.UNKNOWN:
+            self._env.note(
+                "The token is discarded, so nobody can use the key. "
+                f"Withdraw it if it is listed: sequoiaseam key withdraw "
+                f"{key_id}",
+            )
+        return exit_code
+
+    async def key_withdraw(
+        self,
+        key_id: str,
+        *,
+        remote: Remote,
+        waiting: Waiting = NO_WAIT,
+    ) -> int:
+        """Withdraw a key; it stops working within 5 seconds."""
+        request = WithdrawKeyRequest(make_edit_id(), remote.operator, key_id)
+        return await self._edit(
+            remote,
+            waiting,
+            request.edit_id,
+            lambda client: client.withdraw_key(request),
+        )
+
+    async def drain(
+        self,
+        host: str,
+        *,
+        remote: Remote,
+        waiting: Waiting = NO_WAIT,
+    ) -> int:
+        """Take a host's backend server out of rotation.
+
+        Requests that run there finish; new ones go elsewhere.
+        """
+        request = DrainRequest(make_edit_id(), remote.operator, host)
+        return await self._edit(
+            remote,
+            waiting,
+            request.edit_id,
+            lambda client: client.drain(request),
+        )
+
+    async def replace(
+        self,
+        old: str,
+        new: str,
+        *,
+        remote: Remote,
+        yes: bool = False,
+    ) -> int:
+        """Replace a control host.
+
+        Parameters
+        ----------
+        old
+            Name of the host that leaves.
+        new
+            NAME=IP:port of the host that joins. The name alone is enough
+            where a host has lost its disk and comes back itself.
+        yes
+            Don't ask before the change.
+
+        """
+        name, _, address = new.partition("=")
+        try:
+            parse_name(name)
+            endpoint = str(parse_endpoint(address)) if address else ""
+        except ValueError as error:
+            raise UsageError(f"{new}: {error}") from error
+        if not endpoint and name != old:
+            raise UsageError(f"{new}: a new host needs NAME=IP:port")
+        if not yes and not self._env.ask(
+            f"Replace control host {old} by {new}?",
+        ):
+            self._env.note("not replaced; confirm with --yes")
+            return ExitCode.REFUSED
+        request = ReplaceRequest(
+            make_edit_id(),
+            remote.operator,
+            old,
+            name,
+            endpoint,
+        )
+        return await self._edit(
+            remote,
+            NO_WAIT,
+            request.edit_id,
+            lambda client: client.replace(request),
+        )
+
+    async def _edit(
+        self,
+        remote: Remote,
+        waiting: Waiting,
+        edit_id: str,
+        send: Callable[[OperatorClient], Awaitable[EditAnswer]],
+    ) -> ExitCode:
+        async with self._env.open(remote) as client:
+            answer = await submit(
+                edit_id,
+                lambda: send(client),
+                self._env.sleep,
+            )
+            return await finish_edit(self._env, client, answer, waiting)
--- /dev/null
+++ b/src/sequoiaseam/_cli_views.py
@@ -0,0 +1,329 @@
+"""Commands that change nothing."""
+
+import os
+from pathlib import Path
+from typing import Final, Literal
+
+from sequoiaseam._cli_environment import Environment, Remote, UsageError
+from sequoiaseam._editing import ExitCode, format_changes
+from sequoiaseam._ini import read_ini
+from sequoiaseam._operator import (
+    BackupRequest,
+    FollowRequest,
+    OperatorClient,
+    ReportAnswer,
+    ReportRequest,
+    ShowRequest,
+    StatusRequest,
+    UnreachableError,
+)
+from sequoiaseam._report import (
+    Grouping,
+    describe_parts,
+    draw_histogram,
+    format_csv,
+    format_json,
+    merge_reports,
+    merge_times,
+    render_report,
+    subtract_answer,
+)
+from sequoiaseam._settings import (
+    load_control_settings,
+    load_node_settings,
+    load_secrets,
+)
+from sequoiaseam._tablefile import (
+    COLUMNS,
+    diff_tables,
+    format_tables,
+    load_tables,
+)
+from sequoiaseam._views import (
+    build_keys_table,
+    build_pools_table,
+    build_replicas_table,
+    build_views,
+    describe_event,
+    describe_status,
+)
+from sequoiaseam.errors import ErrorCode
+
+View = Literal["all", "routes", "pools", "workspaces", "keys", "members"]
+FOLLOW_RETRY_S: Final = 1.0
+FOLLOW_ATTEMPTS: Final = 10
+LIVE_INTERVAL_S: Final = 2.0
+POLL_ATTEMPTS: Final = 10
+
+
+class ViewCommands:
+    """Commands that change nothing."""
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+
+    async def show(
+        self,
+        what: View = "all",
+        *,
+        remote: Remote,
+        ini: bool = False,
+    ) -> int:
+        """Show the committed tables, keys and members.
+
+        Parameters
+        ----------
+        what
+            Table to show.
+        ini
+            Print the tables as a file that ``apply`` takes.
+
+        """
+        async with self._env.open(remote) as client:
+            answer = await client.show(ShowRequest())
+        if ini:
+            self._env.say(format_tables(answer.tables).rstrip("\n"))
+        else:
+            for name, table in build_views(answer).items():
+                if what in ("all", name):
+                    self._env.show(table)
+        self._env.note(f"revision {answer.revision}")
+        return ExitCode.DONE
+
+    async def key_list(self, *, remote: Remote) -> int:
+        """List the keys' IDs and workspaces."""
+        async with self._env.open(remote) as client:
+            answer = await client.show(ShowRequest())
+        self._env.show(build_keys_table(answer.keys))
+        return ExitCode.DONE
+
+    async def follow(
+        self,
+        *,
+        remote: Remote,
+        after: int | None = None,
+    ) -> int:
+        """Print each change as it is committed.
+
+        Parameters
+        ----------
+        after
+            Log index to start after; the newest if not given.
+
+        """
+        async with self._env.open(remote) as client:
+            current = await client.show(ShowRequest())
+            tables = current.tables
+            index = current.index if after is None else after
+            failures = 0
+            while True:
+                try:
+                    async for event in client.follow(FollowRequest(index)):
+                        failures = 0
+                        index = event.index
+                        self._env.say(describe_event(event))
+                        if event.tables is not None:
+                            changes = diff_tables(tables, event.tables)
+                            self._env.say(format_changes(changes))
+                            tables = event.tables
+                except UnreachableError:
+                    failures += 1
+                    if failures >= FOLLOW_ATTEMPTS:
+                        raise
+                self._env.note(f"connecting again after index {index}")
+                await self._env.sleep(FOLLOW_RETRY_S)
+
+    async def report(
+        self,
+        *,
+        remote: Remote,
+        by: Grouping | None = None,
+        format: Literal["table", "json", "csv"] = "table",  # noqa: A002
+        live: bool = False,
+        last: float | None = None,
+        rounds: int | None = None,
+    ) -> int:
+        """Report goodput, refusals, times and overloads of the fleet.
+
+        Parameters
+        ----------
+        by
+            What to sum up by; one row per route, pool, workspace and
+            class if not given.
+        format
+            Format of the output.
+        live
+            Report again and again, each time what happened since the
+            time before.
+        last
+            Report the next so many seconds instead of all since each
+            node started; with --live the time between reports, which is
+            2 then.
+        rounds
+            End --live after so many reports.
+
+        """
+        if rounds is not None and not live:
+            raise UsageError("--rounds needs --live")
+        if last is not None and last <= 0:
+            raise UsageError("--last must be more than 0")
+        async with self._env.open(remote) as client:
+            answer = await client.report(ReportRequest())
+            if not live and last is None:
+                self._print_report(answer, by, format)
+                return ExitCode.DONE
+            done = 0
+            while done != (rounds if live else 1):
+                newer = await self._poll(client, last or LIVE_INTERVAL_S)
+                if live and self._env.output.is_terminal:
+                    self._env.output.clear()
+                self._print_report(subtract_answer(newer, answer), by, format)
+                answer = newer
+                done += 1
+        return ExitCode.DONE
+
+    async def _poll(
+        self,
+        client: OperatorClient,
+        interval_s: float,
+    ) -> ReportAnswer:
+        """Return the next answer; outlast a short loss of contact."""
+        for _ in range(POLL_ATTEMPTS - 1):
+            await self._env.sleep(interval_s)
+            try:
+                return await client.report(ReportRequest())
+            except UnreachableError as error:
+                self._env.note(f"no report: {error.message}")
+        await self._env.sleep(interval_s)
+        return await client.report(ReportRequest())
+
+    def _print_report(
+        self,
+        answer: ReportAnswer,
+        by: Grouping | None,
+        format_name: str,
+    ) -> None:
+        report = merge_reports(answer, by)
+        if format_name == "json":
+            self._env.say(format_json(report))
+        elif format_name == "csv":
+            self._env.say(format_csv(report).rstrip("\n"))
+            self._env.note(describe_parts(report))
+        else:
+            output = self._env.output
+            output.print(render_report(report, output))
+
+    async def histogram(
+        self,
+        *,
+        remote: Remote,
+        pool: str | None = None,
+    ) -> int:
+        """Draw the times in the queue and in the backend servers.
+
+        Parameters
+        ----------
+        pool
+            Pool to draw; all of them if not given.
+
+        """
+        async with self._env.open(remote) as client:
+            answer = await client.report(ReportRequest())
+        for title, times in (
+            ("queue", merge_times(answer, lambda r: r.queue_times, pool)),
+            ("service", merge_times(answer, lambda r: r.service_times, pool)),
+        ):
+            self._env.say(draw_histogram(title, times))
+        self._env.note(describe_parts(merge_reports(answer)))
+        return ExitCode.DONE
+
+    async def status(self, *, remote: Remote) -> int:
+        """Show the state of the control hosts and backend servers."""
+        async with self._env.open(remote) as client:
+            answer = await client.status(StatusRequest())
+        self._env.say(describe_status(answer))
+        self._env.show(build_replicas_table(answer.replicas))
+        self._env.show(build_pools_table(answer.members))
+        return ExitCode.DONE
+
+    async def control_status(self, *, remote: Remote) -> int:
+        """Show the state of the control hosts."""
+        async with self._env.open(remote) as client:
+            answer = await client.status(StatusRequest())
+        self._env.say(describe_status(answer))
+        self._env.show(build_replicas_table(answer.replicas))
+        return ExitCode.DONE
+
+    async def backup(self, file: Path, *, remote: Remote) -> int:
+        """Write the whole state of the control hosts to a new file.
+
+        Parameters
+        ----------
+        file
+            File to write; it must not exist.
+
+        """
+        async with self._env.open(remote) as client:
+            answer = await client.backup(BackupRequest())
+        try:
+            write_new_file(file, answer.data)
+        except OSError as error:
+            self._env.note(
+                f"error: {ErrorCode.DISK_FAILED.value}: {file}: "
+                f"{error.strerror}",
+            )
+            return ExitCode.REFUSED
+        self._env.note(
+            f"{file}: revision {answer.revision}, log index {answer.index}, "
+            f"{len(answer.data)} bytes",
+        )
+        return ExitCode.DONE
+
+    def check(self, file: Path) -> int:
+        """Check a file of settings, secrets or tables without a fleet.
+
+        Parameters
+        ----------
+        file
+            File to check; its sections say which kind it is.
+
+        """
+        kind = check_file(file)
+        self._env.note(f"{file}: sound {kind}")
+        return ExitCode.DONE
+
+
+def write_new_file(file: Path, data: bytes) -> None:
+    """Write and sync a file only its owner can read; it must be new."""
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    with os.fdopen(os.open(file, flags, 0o600), "wb") as output:
+        output.write(data)
+        output.flush()
+        os.fsync(output.fileno())
+    folder = os.open(file.absolute().parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def check_file(file: Path) -> str:
+    """Return what kind of file it is; raise FileError if it is unsound."""
+    ini = read_ini(file, ErrorCode.SETTING_INVALID)
+    names = set(ini.sections)
+    if any(name.partition(" ")[0] in COLUMNS for name in names):
+        load_tables(file)
+        return "tables"
+    if "node" in names:
+        load_node_settings(file)
+        return "settings of a node"
+    if names & {"control", "replicas"}:
+        load_control_settings(file)
+        return "settings of a control host"
+    if names & {"fleet", "operators"}:
+        present = ("fleet", "operators")
+        load_secrets(file, tuple(name for name in present if name in names))
+        return "secrets"
+    ini.report("", "", "has no section of settings, secrets or tables")
+    ini.finish(ErrorCode.SETTING_INVALID)
+    raise AssertionError(file)
--- a/src/sequoiaseam/_report.py
+++ b/src/sequoiaseam/_report.py
@@ -4,17 +4,16 @@
 import enum
 import io
 import json
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any, Final
 
 from hdrh.histogram import HdrHistogram
-from rich.box import SIMPLE_HEAD
 from rich.console import Console, Group, RenderableType
-from rich.table import Table
 from rich.text import Text
 
+from sequoiaseam._grid import Grid
 from sequoiaseam._metrics import (
     HISTOGRAM_DIGITS,
     HISTOGRAM_MAX_US,
@@ -29,7 +28,6 @@
 PERCENTILES: Final = (50.0, 90.0, 99.0, 99.9)
 # Longer lists of hosts show the oldest reports only.
 HOSTS_SHOWN: Final = 12
-TABLE_WIDTH_MAX: Final = 1000
 BAR_WIDTH: Final = 50
 # Bounds of the bars of a drawn histogram, in microseconds.
 BAR_BOUNDS_US: Final = tuple(
@@ -364,27 +362,22 @@
 )
 
 
-def _build_table(
-    report: FleetReport,
-    columns: Sequence[ReportColumn],
-) -> Table:
-    table = Table(box=SIMPLE_HEAD, pad_edge=False, padding=(0, 1, 0, 0))
-    for title in report.total.group:
-        table.add_column(title, no_wrap=True)
-    for column in columns:
-        table.add_column(
-            column.title,
-            justify="right" if column.right else "left",
-            no_wrap=True,
-        )
-    rows = (*report.rows, report.total)
-    for number, row in enumerate(rows):
-        table.add_row(
-            *(Text(name) for name in row.group.values()),
-            *(Text(column.show(row)) for column in columns),
-            end_section=number == len(rows) - 2,
-        )
-    return table
+def _build_grid(report: FleetReport) -> Grid:
+    keys = len(report.total.group)
+    return Grid(
+        titles=(*report.total.group, *(c.title for c in COLUMNS)),
+        rows=[
+            (*row.group.values(), *(c.show(row) for c in COLUMNS))
+            for row in (*report.rows, report.total)
+        ],
+        keys=keys,
+        numbers=frozenset(
+            keys + number
+            for number, column in enumerate(COLUMNS)
+            if column.right
+        ),
+        total=True,
+    )
 
 
 def describe_parts(report: FleetReport) -> str:
@@ -395,42 +388,20 @@
     )
     more = len(ages) - HOSTS_SHOWN
     rest = f", {more} newer ones" if more > 0 else ""
-    lines = [f"reports of {len(ages)} hosts; ages: {shown or 'none'}{rest}"]
+    lines = [f"hosts reporting: {len(ages)}; ages: {shown or 'none'}{rest}"]
     if report.missing:
         names = ", ".join(report.missing)
         lines.append(f"missing hosts ({len(report.missing)}): {names}")
     return "\n".join(lines)
 
 
-def _fit_columns(
-    report: FleetReport,
-    console: Console,
-) -> Iterator[Table]:
-    """Yield as few tables as fit the console's width, in column order."""
-    chosen: list[ReportColumn] = []
-    for column in COLUMNS:
-        table = _build_table(report, (*chosen, column))
-        # The measured maximum is that of the console at most.
-        wide = console.measure(
-            table,
-            options=console.options.update(
-                width=TABLE_WIDTH_MAX,
-            ),
-        ).maximum
-        if chosen and wide > console.width:
-            yield _build_table(report, chosen)
-            chosen = []
-        chosen.append(column)
-    yield _build_table(report, chosen)
-
-
 def render_report(report: FleetReport, console: Console) -> RenderableType:
     """Return the table, in several parts if the console is narrow."""
     note = Text(
         f"{describe_parts(report)}\n"
         "queue and service times are p50/p90/p99/p99.9",
     )
-    return Group(*_fit_columns(report, console), note)
+    return Group(_build_grid(report).render(console), note)
 
 
 def _get_seconds(value: timedelta | None) -> float | None:
--- /dev/null
+++ b/src/sequoiaseam/_views.py
@@ -0,0 +1,146 @@
+"""What the command line prints about the configuration and the fleet."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from rich.console import Console
+
+from sequoiaseam._commands import Member
+from sequoiaseam._grid import Grid
+from sequoiaseam._operator import (
+    FollowEvent,
+    KeySummary,
+    ReplicaStatus,
+    ShowAnswer,
+    StatusAnswer,
+)
+from sequoiaseam._report import format_age
+from sequoiaseam._tablefile import COLUMNS, format_row, get_rows
+from sequoiaseam._tables import Tables
+
+# Output that is not to a terminal is not folded.
+PLAIN_WIDTH = 400
+
+
+def make_console(*, stderr: bool = False) -> Console:
+    """Return a console that prints names as they are."""
+    console = Console(stderr=stderr, markup=False, highlight=False)
+    if not console.is_terminal:
+        console.width = PLAIN_WIDTH
+    return console
+
+
+def build_rows_table(tables: Tables, kind: str) -> Grid:
+    """Return the routes, pools or workspaces as a table."""
+    titles = [column.title for column in COLUMNS[kind].values()]
+    rows = sorted(get_rows(tables, kind).items())
+    return Grid(
+        titles=("name", *titles),
+        rows=[(name, *format_row(kind, row).values()) for name, row in rows],
+        name=f"{kind}s",
+    )
+
+
+def build_keys_table(keys: Iterable[KeySummary]) -> Grid:
+    """Return the keys as a table."""
+    return Grid(
+        name="keys",
+        titles=("key ID", "workspace"),
+        rows=sorted((key.key_id, key.workspace) for key in keys),
+    )
+
+
+def build_members_table(members: Iterable[Member]) -> Grid:
+    """Return the members as a table."""
+    return Grid(
+        name="members",
+        titles=(
+            "host",
+            "pool",
+            "state",
+            "slots",
+            "domain",
+            "region",
+            "address",
+        ),
+        rows=sorted(
+            (
+                member.name,
+                member.pool or "-",
+                member.state.value,
+                str(member.slots),
+                member.domain,
+                member.region,
+                f"{member.host}:{member.port}",
+            )
+            for member in members
+        ),
+    )
+
+
+def build_views(answer: ShowAnswer) -> Mapping[str, Grid]:
+    """Return each table by the name that ``show`` takes."""
+    return {
+        "routes": build_rows_table(answer.tables, "route"),
+        "pools": build_rows_table(answer.tables, "pool"),
+        "workspaces": build_rows_table(answer.tables, "workspace"),
+        "keys": build_keys_table(answer.keys),
+        "members": build_members_table(answer.members),
+    }
+
+
+def build_replicas_table(replicas: Iterable[ReplicaStatus]) -> Grid:
+    """Return the control hosts as a table."""
+    return Grid(
+        name="control hosts",
+        titles=("host", "role", "index", "heard", "identity"),
+        rows=[
+            (
+                replica.name,
+                replica.role,
+                str(replica.match_index),
+                format_age(replica.heard),
+                replica.identity,
+            )
+            for replica in sorted(replicas, key=lambda r: r.name)
+        ],
+    )
+
+
+def build_pools_table(members: Iterable[Member]) -> Grid:
+    """Return how many members of each pool are in which state."""
+    counts = Counter((member.pool, member.state) for member in members)
+    return Grid(
+        name="backend servers",
+        titles=("pool", "state", "hosts"),
+        rows=sorted(
+            (pool or "-", state.value, str(count))
+            for (pool, state), count in counts.items()
+        ),
+    )
+
+
+def describe_status(answer: StatusAnswer) -> str:
+    """Return the state of the fleet in a few lines."""
+    summary = (
+        f"leader {answer.leader or 'unknown'}, term {answer.term}, "
+        f"revision {answer.revision}, log index {answer.commit_index}"
+    )
+    lines = [summary]
+    if answer.lagging:
+        lines.append(
+            f"hosts that lag behind ({len(answer.lagging)}): "
+            f"{', '.join(answer.lagging)}",
+        )
+    if answer.quarantined:
+        lines.append(f"quarantined requests: {answer.quarantined}")
+    return "\n".join(lines)
+
+
+def describe_event(event: FollowEvent) -> str:
+    """Return a committed change as one line."""
+    author = f" by {event.operator}" if event.operator else ""
+    return (
+        f"index {event.index} revision {event.revision} "
+        f"{event.kind.value}{author}: {event.summary}"
+    )
