Correct faults found by damaged files and a review

Cause: a fuzz of damaged settings and table files met two uncaught errors: a path with a null byte, and a size of hundreds of digits, which validation can't format.

Change: each is corrected, with tests for the two uncaught errors and a seeded fuzz of 1,500 damaged files in the tests. Table widths are computed instead of drawn.

--- a/src/sequoiaseam/_cli_edits.py
+++ b/src/sequoiaseam/_cli_edits.py
@@ -65,7 +65,8 @@
             "it may have taken effect or may take effect yet.",
         )
     if answer.outcome is EditOutcome.ACCEPTED:
-        env.note(f"accepted as revision {answer.revision}")
+        made = f" as revision {answer.revision}" if answer.revision else ""
+        env.note(f"accepted{made}")
         if waiting.wait:
             return await wait_and_tell(env, client, answer.revision, waiting)
     return OUTCOME_EXITS[answer.outcome]
@@ -287,7 +288,6 @@
         host: str,
         *,
         remote: Remote,
-        waiting: Waiting = NO_WAIT,
     ) -> int:
         """Take a host's backend server out of rotation.
 
@@ -296,7 +296,7 @@
         request = DrainRequest(make_edit_id(), remote.operator, host)
         return await self._edit(
             remote,
-            waiting,
+            NO_WAIT,
             request.edit_id,
             lambda client: client.drain(request),
         )
--- a/src/sequoiaseam/_cli_views.py
+++ b/src/sequoiaseam/_cli_views.py
@@ -39,6 +39,7 @@
     format_tables,
     load_tables,
 )
+from sequoiaseam._tables import Tables
 from sequoiaseam._views import (
     build_keys_table,
     build_pools_table,
@@ -113,7 +114,8 @@
         """
         async with self._env.open(remote) as client:
             current = await client.show(ShowRequest())
-            tables = current.tables
+            # What older events changed can't be told from newer tables.
+            tables = current.tables if after is None else None
             index = current.index if after is None else after
             failures = 0
             while True:
@@ -122,10 +124,7 @@
                         failures = 0
                         index = event.index
                         self._env.say(describe_event(event))
-                        if event.tables is not None:
-                            changes = diff_tables(tables, event.tables)
-                            self._env.say(format_changes(changes))
-                            tables = event.tables
+                        tables = self._show_edit(tables, event.tables)
                 except UnreachableError:
                     failures += 1
                     if failures >= FOLLOW_ATTEMPTS:
@@ -133,6 +132,16 @@
                 self._env.note(f"connecting again after index {index}")
                 await self._env.sleep(FOLLOW_RETRY_S)
 
+    def _show_edit(
+        self,
+        old: Tables | None,
+        new: Tables | None,
+    ) -> Tables | None:
+        """Print what an event changed; return the tables after it."""
+        if old is not None and new is not None:
+            self._env.say(format_changes(diff_tables(old, new)))
+        return new or old
+
     async def report(
         self,
         *,
--- a/src/sequoiaseam/_grid.py
+++ b/src/sequoiaseam/_grid.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from typing import Final
 
 from rich.box import SIMPLE_HEAD
+from rich.cells import cell_len
 from rich.console import Console, Group
 from rich.table import Table
 from rich.text import Text
 
-WIDTH_MAX: Final = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class Grid:
@@ -51,19 +49,27 @@
             )
         return table
 
-    def split(self, console: Console) -> Iterator[Table]:
+    def measure(self, column: int) -> int:
+        """Return the width of a column, with padding and divider."""
+        cells = (self.titles[column], *(row[column] for row in self.rows))
+        lines = (line for cell in cells for line in cell.split("\n"))
+        return max(map(cell_len, lines)) + 2
+
+    def split(self, width: int) -> Iterator[Table]:
         """Yield as few tables as needed so that no cell is cut off."""
-        wide = console.options.update(width=WIDTH_MAX)
+        start = sum(map(self.measure, range(self.keys)))
+        used = start
         chosen: list[int] = []
         for column in range(self.keys, len(self.titles)):
-            table = self.build((*chosen, column))
-            width = console.measure(table, options=wide).maximum
-            if chosen and width > console.width:
+            needed = self.measure(column)
+            if chosen and used + needed > width:
                 yield self.build(chosen)
                 chosen = []
+                used = start
             chosen.append(column)
+            used += needed
         yield self.build(chosen)
 
     def render(self, console: Console) -> Group:
         """Return the tables for a console, one below the other."""
-        return Group(*self.split(console))
+        return Group(*self.split(console.width))
--- a/src/sequoiaseam/_ini.py
+++ b/src/sequoiaseam/_ini.py
@@ -121,7 +121,8 @@
 def _scan(ini: IniFile, text: str) -> None:
     """Find the line of each section and key, and the duplicates."""
     section = ""
-    for number, line in enumerate(text.splitlines(), start=1):
+    # As configparser does; splitlines would also split at other characters.
+    for number, line in enumerate(text.split("\n"), start=1):
         if match := SECTION.match(line):
             section = match["name"]
             _note_line(ini, section, "", number)
@@ -182,8 +183,9 @@
     """Read and parse a file; raise FileError if it can't be read."""
     try:
         text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        reason = getattr(error, "strerror", None) or "is not UTF-8 text"
+    except (OSError, ValueError) as error:
+        # ValueError: not UTF-8, or a path that no file can have.
+        reason = getattr(error, "strerror", None) or "not UTF-8 text"
         problem = FileProblem(str(path), 0, "", "", f"can't be read: {reason}")
         raise FileError(code, (problem,)) from error
     return parse_ini(str(path), text)
--- a/src/sequoiaseam/_metrics.py
+++ b/src/sequoiaseam/_metrics.py
@@ -73,6 +73,8 @@
 class RequestSample:
     """One answered request, recorded by the node that answered it.
 
+    Names come from the tables and are empty where there is none, so a
+    caller can't add rows by sending other names.
     ``code`` is None for a whole answer. ``queue_time`` and
     ``service_time`` are None for a request that got no slot. ``root``
     is set for a caller's request, not for a nested call.
@@ -327,7 +329,10 @@
         self.inside_rate += 1
         if sample.code is None:
             self.inside_rate_whole += 1
-        elif sample.code in SYSTEM_CODES:
+        elif (
+            sample.code in SYSTEM_CODES
+            and sample.verdict is not Verdict.MAY_HAVE_RUN
+        ):
             self.inside_rate_refused += 1
 
     def build_row(self, now: datetime, key: RowKey) -> ReportRow:
--- a/src/sequoiaseam/_operator.py
+++ b/src/sequoiaseam/_operator.py
@@ -64,7 +64,8 @@
     """Answer to an edit.
 
     ``revision`` is the revision that the edit made, or on a conflict
-    the newest one. ``message`` says what is wrong with an invalid edit.
+    the newest one; 0 for an edit that makes none, such as draining.
+    ``message`` says what is wrong with an invalid edit.
     """
 
     edit_id: str
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -295,8 +295,8 @@
 
 
 def _parse_path(text: str) -> Path:
-    if not text:
-        raise ValueError("is empty")
+    if not text.isprintable() or not text:
+        raise ValueError(f"{text!r} is not a path")
     return Path(text)
 
 
--- a/src/sequoiaseam/_units.py
+++ b/src/sequoiaseam/_units.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 DURATION: Final = re.compile(r"([0-9]+(?:\.[0-9]+)?)(us|ms|s|min|h)")
-SIZE: Final = re.compile(r"([0-9]+)(B|KiB|MiB|GiB)")
+SIZE: Final = re.compile(r"([0-9]{1,15})(B|KiB|MiB|GiB)")
 WHOLE: Final = re.compile(r"[0-9]{1,18}")
 DECIMAL: Final = re.compile(r"[0-9]+(?:\.[0-9]+)?(?:e[+-]?[0-9]+)?")
 # Longest first, so that formatting finds the shortest exact text.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import random
 from datetime import timedelta
 
 from sequoiaseam._commands import Member, MemberState
@@ -98,3 +99,16 @@
         total_time=6 * millisecond,
         root=True,
     )
+
+
+def damage_text(rng: random.Random, text: str) -> str:
+    """Return a file's text with a few random changes."""
+    characters = list(text)
+    for _ in range(rng.randint(1, 6)):
+        start = rng.randrange(len(characters))
+        length = rng.choice((0, 1, 20))
+        new = rng.choice("[]=;%\n\r\t \0\x1c\u0661abc09.-e/") * rng.choice(
+            (0, 1, 2, 500),
+        )
+        characters[start : start + length] = new or characters[:30]
+    return "".join(characters)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of the settings files."""
 
+import contextlib
+import random
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -14,6 +16,7 @@
     load_secrets,
 )
 from sequoiaseam.errors import ErrorCode
+from tests.builders import damage_text
 
 NODE = """\
 [node]
@@ -96,6 +99,7 @@
             ("0.0.0.0:8000", "localhost:8000"): ("listen", "callers", 6),
             ("0.0.0.0:8000", "127.0.0.1:8002"): ("listen", "", 5),
             ("c2 10", "c1 10"): ("control", "hosts", 10),
+            ("secrets.ini", "a\0b"): ("access", "secrets", 14),
             ("500ms", "500"): ("limits", "drain_timeout", 17),
             ("500ms", "3h"): ("limits", "drain_timeout", 17),
             ("64KiB", "1GiB"): ("limits", "body", 16),
@@ -157,3 +161,18 @@
                 self.refuse(load_node_settings, text)
         with self.assertRaises(FileError):
             load_node_settings(self.folder / "absent.ini")
+
+    def test_damaged_files_raise_nothing_else(self) -> None:
+        rng = random.Random(7)
+        for number in range(500):
+            self.write("secrets.ini", damage_text(rng, SECRETS))
+            for load, text in (
+                (load_node_settings, NODE),
+                (load_control_settings, CONTROL),
+            ):
+                damaged = self.write("x.ini", damage_text(rng, text))
+                with (
+                    self.subTest(number=number, text=damaged.read_bytes()),
+                    contextlib.suppress(FileError),
+                ):
+                    load(damaged)
--- a/tests/test_tablefile.py
+++ b/tests/test_tablefile.py
@@ -1,5 +1,6 @@
 """Tests of tables as INI text."""
 
+import random
 import unittest
 from dataclasses import replace
 from datetime import timedelta
@@ -17,7 +18,7 @@
 )
 from sequoiaseam._tables import Importance, Pool, Route, Tables, Workspace
 from sequoiaseam.errors import ErrorCode
-from tests.builders import build_route, build_tables
+from tests.builders import build_route, build_tables, damage_text
 
 TEXT = """\
 [route accept]
@@ -91,6 +92,7 @@
             ("pool = billing", "pool = other"): ("route accept", "pool", 4),
             ("1.5s", "1.5"): ("route accept", "timeout", 7),
             ("1.5s", "9min"): ("route accept", "timeout", 7),
+            ("2MiB", "9" * 400 + "MiB"): ("route accept", "body_limit", 8),
             ("POST, PUT", "POST,,PUT"): ("route accept", "methods", 3),
             ("slots = 50", "slots = 0"): ("pool billing", "slots", 11),
             ("slots", "slot"): ("pool billing", "slot", 11),
@@ -109,6 +111,19 @@
                 places = {(p.section, p.key, p.line) for p in error.problems}
                 self.assertIn(expected, places)
 
+    def test_damaged_files_are_refused_or_read_exactly(self) -> None:
+        rng = random.Random(7)
+        for number in range(500):
+            text = damage_text(rng, TEXT)
+            with self.subTest(number=number, text=text):
+                try:
+                    tables = parse_tables(text)
+                except FileError as error:
+                    self.assertTrue(error.problems)
+                else:
+                    again = parse_tables(format_tables(tables))
+                    self.assertEqual(again, tables)
+
     def test_reports_every_column_once(self) -> None:
         text = TEXT.replace("slots = 50", "slots = many\nqueue = 1000000")
         text = text.replace("path = /accept", "path = a b").replace("10", "x")
