Refuse waiting times that are no positive numbers

Cause: `--wait-timeout nan` never ended, because no time is at or beyond it, and `--last nan` was passed on to the event loop.

Change: both options take finite numbers above 0 only; anything else is wrong usage, before anything is sent.

--- a/src/sequoiaseam/_cli_environment.py
+++ b/src/sequoiaseam/_cli_environment.py
@@ -4,6 +4,7 @@
 import contextlib
 import getpass
 import importlib
+import math
 import sys
 from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
@@ -52,6 +53,12 @@
     ] = field(default_factory=getpass.getuser)
 
 
+def check_seconds(_: object, value: float | None) -> None:
+    """Raise ValueError for a duration that is no positive number."""
+    if value is not None and not 0 < value < math.inf:
+        raise ValueError("must be a number of seconds above 0")
+
+
 @Parameter(name="*")
 @dataclass(frozen=True)
 class Waiting:
@@ -63,7 +70,10 @@
     ] = False
     wait_timeout: Annotated[
         float,
-        Parameter(help="How long to wait, in seconds."),
+        Parameter(
+            help="How long to wait, in seconds.",
+            validator=check_seconds,
+        ),
     ] = 30.0
 
 
--- a/src/sequoiaseam/_cli_views.py
+++ b/src/sequoiaseam/_cli_views.py
@@ -2,9 +2,16 @@
 
 import os
 from pathlib import Path
-from typing import Final, Literal
+from typing import Annotated, Final, Literal
 
-from sequoiaseam._cli_environment import Environment, Remote, UsageError
+from cyclopts import Parameter
+
+from sequoiaseam._cli_environment import (
+    Environment,
+    Remote,
+    UsageError,
+    check_seconds,
+)
 from sequoiaseam._editing import ExitCode, format_changes
 from sequoiaseam._ini import read_ini
 from sequoiaseam._operator import (
@@ -149,7 +156,10 @@
         by: Grouping | None = None,
         format: Literal["table", "json", "csv"] = "table",  # noqa: A002
         live: bool = False,
-        last: float | None = None,
+        last: Annotated[
+            float | None,
+            Parameter(validator=check_seconds),
+        ] = None,
         rounds: int | None = None,
     ) -> int:
         """Report goodput, refusals, times and overloads of the fleet.
@@ -174,8 +184,6 @@
         """
         if rounds is not None and not live:
             raise UsageError("--rounds needs --live")
-        if last is not None and last <= 0:
-            raise UsageError("--last must be more than 0")
         async with self._env.open(remote) as client:
             answer = await client.report(ReportRequest())
             if not live and last is None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -371,6 +371,8 @@
             ("report", "--by", "host"),
             ("report", "--rounds", 2),
             ("report", "--last", "-1"),
+            ("report", "--last", "nan"),
+            ("key", "withdraw", "k1", "--wait", "--wait-timeout", "nan"),
             ("control", "replace", "c1", "c4"),
             ("show", "--control", "localhost:1"),
         ):
