--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.http_exceptions import (
     BadHttpMessage,
     HttpProcessingError,
@@ -31,6 +31,7 @@
 )
 from sequoiaseam.errors import ErrorCode, RefusalError
 
+SERVER_NAME: Final = "sequoiaseam"
 MILLISECOND: Final = timedelta(milliseconds=1)
 # The parser's own limit; the check of the whole header block, which
 # gives a refusal with a request id, comes before it.
@@ -45,6 +46,7 @@
     headers = {
         HEADER_CODE: error.code.value,
         HEADER_VERDICT: error.verdict.value,
+        hdrs.SERVER: SERVER_NAME,
     }
     retry_after_ms: int | None = None
     if error.retry_after is not None:
@@ -72,6 +74,7 @@
     headers = CIMultiDict(answer.headers)
     if request_id is not None:
         headers[HEADER_REQUEST_ID] = request_id
+    headers.setdefault(hdrs.SERVER, SERVER_NAME)
     return web.Response(
         status=answer.status,
         headers=headers,
--- a/src/sequoiaseam/_exchange.py
+++ b/src/sequoiaseam/_exchange.py
@@ -47,8 +47,9 @@
     pressures: dict[str, float] = field(default_factory=dict)
     retries: int = 0
     inside_rate: bool = False
-    queue_us: int = 0
-    service_us: int = 0
+    # Microseconds; None for a request that got no slot.
+    queue_us: int | None = None
+    service_us: int | None = None
     attempts: RequestAttempts | None = None
 
     def get_route(self) -> Route:
--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -63,14 +63,18 @@
                 inside_rate=exchange.inside_rate,
                 worth=route.worth if route else 0.0,
                 retries=exchange.retries,
-                queue_time=timedelta(microseconds=exchange.queue_us),
-                service_time=timedelta(microseconds=exchange.service_us),
+                queue_time=_convert_us(exchange.queue_us),
+                service_time=_convert_us(exchange.service_us),
                 total_time=now - exchange.arrived,
                 root=not exchange.nested,
             ),
         )
 
 
+def _convert_us(value: int | None) -> timedelta | None:
+    return None if value is None else timedelta(microseconds=value)
+
+
 class CallerFilter:
     """Take in a caller's headers; the key stays on this node."""
 
