Close gaps in access, paths, crash reports and slow bodies

Cause: reading the adapters against the invariants showed that a node's secret was enough to send log entries as a control host, that dot segments reached other routes, that a withdrawn or resized backend server with running calls counted as a crash, that a crash report sent while detached was lost, and that a slow body could hold a request beyond its deadline. Change: control hosts prove themselves with the operators' secret, which nodes do not have; such paths are refused; only a changed instance or a refused connection counts as a crash; reports are repeated until they are in force; bodies are read under the deadline.

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 from dataclasses import dataclass
 from typing import Final
@@ -100,6 +101,7 @@
                 "slots": options.slots,
                 "load": min(1.0, self._running / options.slots),
                 "state": self._state,
+                "instance": str(os.getpid()),
             },
         ) as response:
             await response.read()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -82,6 +82,11 @@
         """Return the file of shared secrets."""
         return self.folder / "secrets.ini"
 
+    @property
+    def node_secrets_path(self) -> Path:
+        """Return the file of the secret that nodes have."""
+        return self.folder / "node-secrets.ini"
+
     async def __aenter__(self) -> Self:
         self._folder = tempfile.TemporaryDirectory(prefix="sequoiaseam-")
         self._write_secrets()
@@ -116,12 +121,16 @@
         return connect(list(self.endpoints.values()), self.secrets_path)
 
     def _write_secrets(self) -> None:
-        path = self.secrets_path
-        path.touch(mode=0o600)
-        path.write_text(
-            f"[fleet]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n"
-            f"[operators]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n",
+        fleet = f"[fleet]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n"
+        operators = (
+            f"[operators]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n"
         )
+        for path, text in (
+            (self.secrets_path, fleet + operators),
+            (self.node_secrets_path, fleet),
+        ):
+            path.touch(mode=0o600)
+            path.write_text(text)
 
     async def start_control(self, name: str) -> None:
         """Start a control host on its data folder."""
@@ -155,7 +164,7 @@
             f"[listen]\ncallers = {LOOPBACK}:{callers}\n"
             f"peers = {LOOPBACK}:{peers}\nlocal = {LOOPBACK}:{local}\n"
             f"[control]\nhosts =\n{hosts}\n"
-            f"[access]\nsecrets = {self.secrets_path}\n",
+            f"[access]\nsecrets = {self.node_secrets_path}\n",
         )
         process = await self._spawn(
             plan.name,
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -7,7 +7,8 @@
 from random import Random
 from typing import Any, Final
 
-from grpclib.const import Cardinality
+from grpclib.const import Cardinality, Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from sequoiaseam._access import Credentials, Identity, Role, Verifier
@@ -46,7 +47,7 @@
 from sequoiaseam._settings import ControlSettings
 from sequoiaseam._state import FleetState
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam.errors import ErrorCode, SeamError
+from sequoiaseam.errors import SeamError
 
 TICK: Final = timedelta(milliseconds=100)
 ALIVE_INTERVAL: Final = timedelta(milliseconds=500)
@@ -163,9 +164,11 @@
         await self._host.close()
 
     def _create_proof(self) -> str:
+        # A node has no operators' secret, so it can't pose as a control
+        # host and append to the log.
         return self._credentials.sign(
             self._clock.now(),
-            Role.FLEET,
+            Role.OPERATOR,
             self._settings.name,
             os.urandom(16).hex(),
         )
@@ -264,8 +267,8 @@
 
     # Nodes.
 
-    async def _attach(self, stream: Any, _: Identity) -> None:
-        await self._sessions.serve(stream)
+    async def _attach(self, stream: Any, identity: Identity) -> None:
+        await self._sessions.serve(stream, identity.name)
 
     def _forward(self, node: str, message: Any) -> None:
         """Pass a node's message to the leader, here or elsewhere."""
@@ -294,9 +297,10 @@
 
     # Other control hosts.
 
-    async def _peer(self, stream: Any, _: Identity) -> None:
+    async def _peer(self, stream: Any, identity: Identity) -> None:
+        _require_operator(identity)
         hello = await stream.recv_message()
-        if not isinstance(hello, PeerHello):
+        if not isinstance(hello, PeerHello) or hello.name != identity.name:
             return
         async for message in stream:
             if isinstance(message, PeerPing):
@@ -329,9 +333,9 @@
     # Operators.
 
     async def _call(self, stream: Any, identity: Identity) -> None:
+        _require_operator(identity)
         request = await stream.recv_message()
         try:
-            _require_operator(identity)
             answer = await self._operations.run(request)
         except SeamError as error:
             answer = Failure(
@@ -342,10 +346,10 @@
         await stream.send_message(answer)
 
     async def _follow(self, stream: Any, identity: Identity) -> None:
+        _require_operator(identity)
         request = await stream.recv_message()
         if not isinstance(request, FollowRequest):
             return
-        _require_operator(identity)
         after = request.after_index
         while True:
             for event in await self._events.wait(after):
@@ -354,8 +358,9 @@
 
 
 def _require_operator(identity: Identity) -> None:
+    """Raise PERMISSION_DENIED for a node."""
     if identity.role is not Role.OPERATOR:
-        raise SeamError(
-            ErrorCode.ACCESS_DENIED,
-            "only operators may do this",
+        raise GRPCError(
+            Status.PERMISSION_DENIED,
+            "a node may not do this",
         )
--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -184,7 +184,7 @@
     async def _run(self, request: web.BaseRequest) -> web.Response:
         exchange = Exchange(
             method=request.method,
-            path=request.raw_path if hasattr(request, "raw_path") else "",
+            path=request.raw_path,
             headers=_decode_headers(request),
             body=b"",
             arrived=self._clock.now(),
--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -1,5 +1,7 @@
 """Filters of the request path on the entry node."""
 
+import asyncio
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Final
 
@@ -13,6 +15,7 @@
     check_request,
 )
 from sequoiaseam._metrics import NodeMetrics, RequestSample
+from sequoiaseam._paths import check_path
 from sequoiaseam._pressure import PressureMap
 from sequoiaseam._quota_gate import QuotaError, QuotaGate
 from sequoiaseam._retry import RetryBudget
@@ -139,6 +142,7 @@
     async def run(self, exchange: Exchange, proceed: Next) -> Answer:
         """Refuse unknown routes and methods."""
         path = exchange.path.partition("?")[0]
+        check_path(path)
         route, known = match_route(self._view.tables, exchange.method, path)
         if route is None:
             self._refuse(exchange, known=known)
@@ -278,11 +282,31 @@
 class BodyFilter:
     """Read the body within the route's limit."""
 
+    def __init__(self, clock: Clock, body_limit: int) -> None:
+        self._clock = clock
+        self._body_limit = body_limit
+
     async def run(self, exchange: Exchange, proceed: Next) -> Answer:
         """Refuse a body over the limit or one that shows the key."""
         if exchange.read_body is not None:
-            limit = exchange.get_route().body_limit
-            exchange.body = await exchange.read_body(limit)
+            exchange.body = await self._read(exchange, exchange.read_body)
         check_body(exchange.token, exchange.body)
         exchange.token = None
         return await proceed(exchange)
+
+    async def _read(
+        self,
+        exchange: Exchange,
+        read: Callable[[int], Awaitable[bytes]],
+    ) -> bytes:
+        """Read the body before the deadline, or refuse the request."""
+        limit = min(exchange.get_route().body_limit, self._body_limit)
+        left = exchange.get_deadline() - self._clock.now()
+        try:
+            async with asyncio.timeout(left.total_seconds()):
+                return await read(limit)
+        except TimeoutError as error:
+            raise RefusalError(
+                ErrorCode.DEADLINE,
+                "the body did not arrive in time",
+            ) from error
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -1,6 +1,7 @@
 """The guarding side of a node: runs calls on its backend server."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -53,6 +54,7 @@
 COMPLETIONS: Final = {
     ErrorCode.SHED: Completion.SHED,
     ErrorCode.TIMEOUT: Completion.TIMEOUT,
+    ErrorCode.DEADLINE: Completion.CANCELLED,
 }
 
 
@@ -169,13 +171,21 @@
             self._replace(now, announcement)
             return
         session.heard = now
+        resized = session.announcement.slots != announcement.slots
         session.announcement = announcement
+        if resized:
+            self.configure()
         session.gate.admission.hint(now, announcement.load)
         if announcement.state == "draining":
             session.gate.admission.drain(now)
 
     def _replace(self, now: datetime, announcement: Announcement) -> None:
-        self._tasks.start(self._report_crash(now))
+        session = self._session
+        if session is not None and _is_restart(
+            session.announcement,
+            announcement,
+        ):
+            self._tasks.start(self._report_crash(now))
         self._detach()
         pool = self._hooks.get_pool(announcement.pool)
         if pool is None:
@@ -467,8 +477,11 @@
             if broken:
                 asyncio.get_running_loop().call_later(
                     SUSPECT_TIME.total_seconds(),
-                    self._watch.finish,
-                    run_id,
+                    functools.partial(
+                        self._watch.finish,
+                        run_id,
+                        whole=False,
+                    ),
                 )
             else:
                 self._watch.finish(run_id)
@@ -586,9 +599,13 @@
 
 def _is_other(old: Announcement, new: Announcement) -> bool:
     """Tell whether two announcements are of different server starts."""
-    return (old.pool, old.url, old.instance, old.slots) != (
+    return (old.pool, old.url, old.instance) != (
         new.pool,
         new.url,
         new.instance,
-        new.slots,
     )
+
+
+def _is_restart(old: Announcement, new: Announcement) -> bool:
+    """Tell whether the server ended without a goodbye and came back."""
+    return bool(old.instance) and old.instance != new.instance
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -75,6 +75,7 @@
 # How long the answer to a request that ran during a crash waits for the
 # report to be in force, so that a resend meets it.
 CRASH_REPORT_WAIT: Final = timedelta(seconds=1)
+CRASH_REPORT_TRIES: Final = 30
 HANDLE_BYTES: Final = 24
 INCARNATION_BITS: Final = 10
 
@@ -207,7 +208,7 @@
                 self._once,
                 QuotaFilter(self._quota),
                 PressureFilter(self._clock, self._pressure),
-                BodyFilter(),
+                BodyFilter(self._clock, self._settings.body_limit),
                 OpenFilter(self._once),
             ),
             self._dispatcher.run,
@@ -221,7 +222,7 @@
                 NestedFilter(self._handles),
                 RouteFilter(self._clock, self.view),
                 self._once,
-                BodyFilter(),
+                BodyFilter(self._clock, self._settings.body_limit),
                 OpenFilter(self._once),
             ),
             self._dispatcher.run,
@@ -357,6 +358,11 @@
         self._links[name] = link
         return link
 
+    def _close_links(self) -> None:
+        """Close the connections to nodes that have left."""
+        for name in self._links.keys() - self.view.members.keys():
+            self._tasks.start(self._links.pop(name).close())
+
     def _receive_peer(self, message: Any) -> None:
         if isinstance(message, Intent | Fence | OutcomeRecord):
             self._witness.receive(message)
@@ -434,6 +440,7 @@
         if not self.view.apply(now, message):
             self._uplink.post(self._create_hello())
         self._balancer.update(now, self.view.members)
+        self._close_links()
         self._witness.assign()
         for report in self.view.quarantine:
             if report.crash_id not in self._known_crashes:
@@ -444,6 +451,9 @@
         )
         if self.view.revision != revision:
             self.guard.configure()
+            # Tells the control host at once that the revision is in
+            # force here.
+            self._uplink.post(self.view.ping(now))
             log_event(
                 Level.INFO,
                 "configuration in force",
@@ -453,13 +463,21 @@
     async def _report_crash(self, report: CrashReported) -> None:
         """Report a crash and wait until the report is in force here."""
         in_force = self._crash_waiters.expect(report.crash_id)
-        self._uplink.post(report)
+        self._tasks.start(self._repeat_crash(report))
         await asyncio.wait(
             (in_force,),
             timeout=CRASH_REPORT_WAIT.total_seconds(),
         )
         self._crash_waiters.forget(report.crash_id)
 
+    async def _repeat_crash(self, report: CrashReported) -> None:
+        """Send a report until it is in force; a leader may be lost."""
+        for _ in range(CRASH_REPORT_TRIES):
+            if report.crash_id in self._known_crashes:
+                return
+            self._uplink.post(report)
+            await asyncio.sleep(CRASH_REPORT_WAIT.total_seconds())
+
     # Lookups in the view.
 
     def _get_pool(self, name: str) -> Pool | None:
--- a/src/sequoiaseam/_operator_client.py
+++ b/src/sequoiaseam/_operator_client.py
@@ -236,7 +236,7 @@
 
 
 def _convert_error(error: GRPCError) -> SeamError:
-    if error.status is Status.UNAUTHENTICATED:
+    if error.status in (Status.UNAUTHENTICATED, Status.PERMISSION_DENIED):
         return SeamError(ErrorCode.ACCESS_DENIED, str(error.message))
     if error.status is Status.UNAVAILABLE:
         return SeamError(ErrorCode.CONNECTION_LOST, str(error.message))
--- a/src/sequoiaseam/_sessions.py
+++ b/src/sequoiaseam/_sessions.py
@@ -84,12 +84,13 @@
         """Return the attached nodes by name."""
         return self._sessions
 
-    async def serve(self, stream: Any) -> None:
+    async def serve(self, stream: Any, name: str) -> None:
         """Serve one node until its stream ends or goes silent."""
         hello = await stream.recv_message()
         if not isinstance(hello, NodeHello):
             return
-        name = hello.report.member.name
+        if hello.report.member.name != name:
+            return
         session = NodeSession(
             name,
             hello.report,
