Exclude nested waits from the limiter's latency, smooth by counts

Cause: waiting for a slow deep service looked like saturation of the services above it, and servers with few requests a second followed noise. Change: latency without nested time, trial cuts only on enough samples, demand estimates averaged over about 20 tickets.

--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -93,6 +93,7 @@
         self.respond = respond
         self.job: Job | None = None
         self.running = False
+        self.nested = timedelta(0)
 
 
 class ControlledNode(EmulatedNode):
@@ -266,13 +267,18 @@
     def _run(self, number: int, call: _Call) -> None:
         call.running = True
         tried: frozenset[str] = frozenset()
-        forward = partial(self._attempt, call.root, call.budget, tried)
-        call.job = self.run_job(
-            call.root,
-            call.plan,
-            forward,
-            partial(self._finish, number),
-        )
+
+        def forward(plan: Plan, respond: Respond) -> None:
+            sent = self.sim.now
+
+            def note(reply: Reply) -> None:
+                call.nested += self.sim.now - sent
+                respond(reply)
+
+            self._attempt(call.root, call.budget, tried, plan, note)
+
+        finish = partial(self._finish, number)
+        call.job = self.run_job(call.root, call.plan, forward, finish)
 
     def _finish(self, number: int, reply: Reply) -> None:
         call = self.calls.pop(number, None)
@@ -281,7 +287,8 @@
         if reply.outcome is Outcome.OK:
             quarantine(self.fleet).clear(call.root.number)
         completion = COMPLETIONS[reply.outcome]
-        actions = self.admission.finish(self.sim.now, number, completion)
+        now = self.sim.now
+        actions = self.admission.finish(now, number, completion, call.nested)
         answer = partial(self._answer, call, reply.outcome)
         if self.server.alive:
             answer()
@@ -299,7 +306,8 @@
             self.server.release(call.job)
         if call.running:
             end = Completion.TIMEOUT
-            actions = self.admission.finish(self.sim.now, number, end)
+            now = self.sim.now
+            actions = self.admission.finish(now, number, end, call.nested)
         else:
             actions = self.admission.cancel(self.sim.now, number)
         self._answer(call, Outcome.EXPIRED)
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -25,6 +25,8 @@
 OVERHEAD: Final = 0.01
 WORK_SHAPE: Final = 4.0
 COLD_SPEED: Final = 0.3
+POISON_WORK: Final = 0.1
+POISON_DELAY: Final = 0.02
 CONNECT_TIMEOUT: Final = 0.25
 RESENDS_MAX: Final = 12
 RESEND_WAIT: Final = (0.1, 0.4)
@@ -242,7 +244,7 @@
         heapq.heappush(self._active, entry)
         self._plan()
         if job.poison:
-            self.sim.after(0.02, partial(self._poisoned, job))
+            self.sim.after(POISON_DELAY, partial(self._poisoned, job))
 
     def _poisoned(self, job: Job) -> None:
         if job in self.jobs and not job.ended:
@@ -414,6 +416,9 @@
 
         job = Job(work, partial(step, 0, Reply(Outcome.OK)), fail)
         job.poison = root.poison
+        if root.poison:
+            # Long enough to crash the server before it is done.
+            job.work = max(job.work, POISON_WORK)
         if not self.server.submit(job):
             fail(Outcome.REFUSED if self.server.alive else Outcome.LOST)
             return None
--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -109,15 +109,19 @@
         now: datetime,
         ticket_id: int,
         completion: Completion,
+        nested: timedelta = timedelta(0),
     ) -> tuple[AdmissionAction, ...]:
-        """Free the slot of a request that ended."""
+        """Free the slot of a request that ended.
+
+        ``nested`` is the time it waited for nested calls.
+        """
         run = self._runs.get(ticket_id)
         if run is None:
             return ()
         self._integrate(now)
         del self._runs[ticket_id]
         self._alone = self._alone and not run.alone
-        self._limiter.finish(now, run.started, completion)
+        self._limiter.finish(now, run.started, completion, nested)
         return tuple(self._pump(now))
 
     def cancel(
@@ -175,7 +179,10 @@
     def _pump(self, now: datetime) -> list[AdmissionAction]:
         """Start what may start, after dropping what is too late."""
         actions: list[AdmissionAction] = []
-        latest = now + self._limiter.median.estimate(now)
+        # While others wait, a slot isn't risked on one that would just
+        # about be in time.
+        standing = self._is_late(now)
+        latest = now + self._limiter.median.estimate(now, high=standing)
         for late in self._queue.expire(latest):
             self._gauge.refuse(late.importance)
             code = ErrorCode.DEADLINE
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -16,8 +16,13 @@
 # Mean latencies of fewer samples vary by more than the tolerance.
 WINDOW_SAMPLES: Final = 30
 WINDOW_MIN: Final = timedelta(milliseconds=100)
+# A slow server fills no window; it may still grow, but isn't cut.
 WINDOW_MAX: Final = timedelta(seconds=1)
 WINDOW_SAMPLES_MIN: Final = 3
+TRIAL_MAX: Final = timedelta(seconds=5)
+# A wrong cut loses throughput, a limit too high only time, so that a
+# cut needs most of the gain that a saturated server would show.
+TRIAL_GAIN: Final = 0.6
 # The limit grows only while requests use most of it.
 BINDING: Final = 0.75
 # A server that was saturated from the first request on shows only in
@@ -63,6 +68,7 @@
         self._samples: deque[float] = deque(maxlen=MEDIAN_SAMPLES)
         self._last: datetime | None = None
         self._median = 0.0
+        self._high = 0.0
         self._dirty = 0
 
     def record(self, now: datetime, latency: float) -> None:
@@ -74,14 +80,19 @@
         if self._dirty * 8 >= len(self._samples):
             ordered = sorted(self._samples)
             self._median = ordered[len(ordered) // 2]
+            self._high = ordered[len(ordered) * 9 // 10]
             self._dirty = 0
 
-    def estimate(self, now: datetime) -> timedelta:
-        """Return the median, halved for each second without samples."""
+    def estimate(self, now: datetime, *, high: bool = False) -> timedelta:
+        """Return the median, or with ``high`` the 90th percentile.
+
+        It is halved for each second without samples.
+        """
         if self._last is None:
             return timedelta(0)
         idle = max(0.0, (now - self._last) / MEDIAN_LIFETIME - 1)
-        return timedelta(seconds=self._median * HALF ** min(idle, 60))
+        value = self._high if high else self._median
+        return timedelta(seconds=value * HALF ** min(idle, 60))
 
 
 class Limiter:
@@ -139,8 +150,13 @@
         now: datetime,
         started: datetime,
         completion: Completion,
+        nested: timedelta = timedelta(0),
     ) -> None:
-        """Count a request that ended and adapt the limit."""
+        """Count a request that ended and adapt the limit.
+
+        ``nested`` is the time it waited for nested calls, which says
+        nothing of this server's capacity.
+        """
         load = self._running
         self._integrate(now)
         self._running -= 1
@@ -149,7 +165,8 @@
         elif completion in (Completion.OK, Completion.TIMEOUT):
             latency = (now - started).total_seconds()
             self.median.record(now, latency)
-            self._sample(started, latency, completion)
+            own = max(0.0, latency - nested.total_seconds())
+            self._sample(started, own, completion)
         self.tick(now)
 
     def tick(self, now: datetime) -> None:
@@ -164,9 +181,10 @@
         age = now - self._window_from
         samples = TRIAL_SAMPLES if self._trial else WINDOW_SAMPLES
         full = self._count >= samples and age >= WINDOW_MIN
-        late = age >= WINDOW_MAX and self._count >= WINDOW_SAMPLES_MIN
-        if full or late:
+        if full or (self._trial and age >= TRIAL_MAX):
             self._close(now)
+        elif age >= WINDOW_MAX and self._count >= WINDOW_SAMPLES_MIN:
+            self._grow_early(now)
 
     def hint(self, now: datetime, load: float) -> None:
         """Note the load from 0 to 1 that the server reports."""
@@ -219,18 +237,32 @@
         self._limit = max(1.0, min(self._limit, load) * HALF)
         self._reset(now)
 
-    def _close(self, now: datetime) -> None:
+    def _measure_load(self, now: datetime) -> float:
+        """Return the mean number of running requests in the window."""
         self._integrate(now)
-        age = (now - self._window_from).total_seconds()
-        load = self._area / age
+        return self._area / (now - self._window_from).total_seconds()
+
+    def _grow_early(self, now: datetime) -> None:
+        """Grow after a window with few samples but a good latency."""
         latency = self._total / self._count
-        late = self._timeouts > TIMEOUT_SHARE * self._count
+        good = self._base is None or latency <= TOLERANCE * self._base
+        binding = self._measure_load(now) >= BINDING * self.limit
+        if good and binding and self._trial is None:
+            self._reset(now)
+            self._grow(now)
+
+    def _close(self, now: datetime) -> None:
+        load = self._measure_load(now)
+        count = self._count
+        latency = self._total / max(1, count)
+        late = self._timeouts > TIMEOUT_SHARE * count
         self._reset(now)
-        if self._is_cold(now):
+        if self._trial is not None:
+            enough = count >= WINDOW_SAMPLES
+            self._judge(now, self._trial, load, latency, enough=enough)
+        elif self._is_cold(now):
             self._base = latency
             self._grow(now)
-        elif self._trial is not None:
-            self._judge(now, self._trial, load, latency)
         else:
             self._adapt(now, load, latency, late=late)
 
@@ -269,19 +301,21 @@
         trial: _Trial,
         load: float,
         latency: float,
+        *,
+        enough: bool,
     ) -> None:
         """Keep the trial cut only when it lowered the latency."""
         self._trial = None
         cut = 1 - load / trial.load
         gain = 1 - latency / trial.latency
-        if cut > 0.1 and gain >= HALF * cut:
+        if enough and cut > 0.1 and gain >= TRIAL_GAIN * cut:
             # The latency may still include waiting in the server.
             self._trial_due = now
             self._base = min(latency, self._base or latency)
             return
         self._trial_due = now + TRIAL_INTERVAL
         self._limit = trial.limit
-        if cut > 0.1:
+        if enough and cut > 0.1:
             self._base = latency
             self._grow(now)
 
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -31,7 +31,11 @@
 SPARE_MIN: Final = 0.05
 LOWER_STEP_MIN: Final = 0.02
 LOWER_STEP_MAX: Final = 0.25
-SMOOTHING: Final = 0.5
+# Estimates average over about this many tickets, so that servers with
+# few requests a second don't follow noise.
+SMOOTHING_COUNT: Final = 20
+SMOOTHING_MIN: Final = 0.05
+SMOOTHING_MAX: Final = 0.5
 # A class that is shed isn't seen; its last known load fades by half in
 # 2.3 s.
 MEMORY_FADE: Final = 0.97
@@ -71,7 +75,6 @@
         self._started = 0
         self._refused = 0
         self._emptied = False
-        self._rates = [0.0] * CLASSES
         self._start_rate = 0.0
         self._loads = [0.0] * CLASSES
 
@@ -126,42 +129,49 @@
         self._emptied = waiting == 0
 
     def _smooth(self, count: int) -> None:
-        self._start_rate += SMOOTHING * (
-            self._started / count - self._start_rate
-        )
-        floor = int(self.level)
+        """Update the estimates of starts and of demand by class."""
+        seen = sum(self._arrived) + self._started
+        part = seen / count / SMOOTHING_COUNT
+        part = min(SMOOTHING_MAX, max(SMOOTHING_MIN, part))
+        part = 1 - (1 - part) ** min(count, 100)
+        self._start_rate += part * (self._started / count - self._start_rate)
         for rank in range(CLASSES):
-            rate = self._rates[rank]
-            rate += SMOOTHING * (self._arrived[rank] / count - rate)
-            self._rates[rank] = rate
-            open_part = min(1.0, max(0.0, rank + 1 - self.level))
-            seen = rate / open_part if open_part > HIDDEN else 0.0
-            if rank > floor or open_part > HIDDEN:
-                self._loads[rank] = seen
+            open_part = self._find_open(rank)
+            if open_part > HIDDEN:
+                load = self._arrived[rank] / count / open_part
+                self._loads[rank] += part * (load - self._loads[rank])
             else:
                 self._loads[rank] *= MEMORY_FADE**count
 
+    def _find_open(self, rank: int) -> float:
+        """Return the part of a class that the level lets in."""
+        return min(1.0, max(0.0, rank + 1 - self.level))
+
+    def _expect(self, least: int) -> float:
+        """Return the arrivals to expect of a class and those above."""
+        return sum(
+            self._loads[rank] * self._find_open(rank)
+            for rank in range(least, CLASSES)
+        )
+
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
-        floor = int(self.level)
-        excess = sum(self._rates[floor:]) - self._start_rate
-        excess = max(0.0, excess) + queued / DRAIN_INTERVALS
-        excess *= RAISE_GAIN
-        level = self.level
-        while excess > 0 and level < LEVEL_MAX:
-            rank = int(level)
-            rate = self._rates[rank]
-            if rate <= excess:
-                excess -= rate
-                level = rank + 1.0
-                # Classes whose own load fits aren't touched.
-                if sum(self._rates[rank + 1 :]) <= self._start_rate:
-                    break
-            else:
-                open_part = (rank + 1 - level) * (1 - excess / rate)
-                level = rank + 1 - open_part
-                break
-        self.level = min(level, LEVEL_MAX)
+        excess = self._expect(int(self.level)) - self._start_rate
+        excess = RAISE_GAIN * (excess + queued / DRAIN_INTERVALS)
+        if excess <= 0:
+            # The queue drains by itself.
+            return
+        for rank in range(int(self.level), CLASSES):
+            rate = self._loads[rank] * self._find_open(rank)
+            if rate > excess:
+                open_part = self._find_open(rank) * (1 - excess / rate)
+                self.level = min(rank + 1 - open_part, LEVEL_MAX)
+                return
+            excess -= rate
+            self.level = min(rank + 1.0, LEVEL_MAX)
+            # Classes whose own load fits aren't touched.
+            if self._expect(rank + 1) <= self._start_rate:
+                return
 
     def _lower(self, spare: float) -> None:
         """Readmit about the load that fits into the free slots."""
