Let requests that wait for nested calls not count to the limit

Cause: the limit of services above a slow one was taken by waiting requests. Change: admission is told of nested calls; the limit bounds requests that work, the slots all.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -34,10 +34,14 @@
 AdmissionAction = Start | Refuse
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Run:
     started: datetime
     alone: bool
+    # Nested calls in progress, since when, and their time so far.
+    calls: int = 0
+    since: datetime | None = None
+    nested: timedelta = timedelta(0)
 
 
 class Admission:
@@ -78,7 +82,7 @@
 
     @property
     def limit(self) -> int:
-        """Return how many requests may run at once."""
+        """Return how many requests may work at once."""
         return self._limiter.limit
 
     def offer(
@@ -109,21 +113,48 @@
         now: datetime,
         ticket_id: int,
         completion: Completion,
-        nested: timedelta = timedelta(0),
     ) -> tuple[AdmissionAction, ...]:
-        """Free the slot of a request that ended.
-
-        ``nested`` is the time it waited for nested calls.
-        """
+        """Free the slot of a request that ended."""
         run = self._runs.get(ticket_id)
         if run is None:
             return ()
+        if run.calls:
+            run.calls = 1
+            self._resume(now, run)
         self._integrate(now)
         del self._runs[ticket_id]
         self._alone = self._alone and not run.alone
-        self._limiter.finish(now, run.started, completion, nested)
+        self._limiter.finish(now, run.started, completion, run.nested)
+        return tuple(self._pump(now))
+
+    def suspend(
+        self,
+        now: datetime,
+        ticket_id: int,
+    ) -> tuple[AdmissionAction, ...]:
+        """Note that a running request waits for a nested call.
+
+        It keeps its slot, but the server may work on others meanwhile:
+        the limit bounds requests that work, the slots those that work
+        or wait.
+        """
+        run = self._runs.get(ticket_id)
+        if run is None:
+            return ()
+        run.calls += 1
+        if run.calls > 1:
+            return ()
+        run.since = now
+        self._integrate(now)
+        self._limiter.suspend(now)
         return tuple(self._pump(now))
 
+    def resume(self, now: datetime, ticket_id: int) -> None:
+        """Note the end of a nested call."""
+        run = self._runs.get(ticket_id)
+        if run is not None and run.calls:
+            self._resume(now, run)
+
     def cancel(
         self,
         now: datetime,
@@ -195,7 +226,7 @@
         return actions
 
     def _choose(self, now: datetime) -> Ticket | None:
-        if self._alone or len(self._runs) >= self._limiter.limit:
+        if self._alone or not self._has_room():
             return None
         ticket = self._queue.peek(newest=self._is_late(now))
         if ticket is not None and ticket.alone and self._runs:
@@ -204,6 +235,20 @@
             return None
         return ticket
 
+    def _resume(self, now: datetime, run: _Run) -> None:
+        run.calls -= 1
+        if not run.calls and run.since is not None:
+            run.nested += now - run.since
+            run.since = None
+            self._integrate(now)
+            self._limiter.start(now)
+
+    def _has_room(self) -> bool:
+        """Tell whether one more request may start."""
+        limiter = self._limiter
+        working = limiter.running < limiter.limit
+        return working and len(self._runs) < limiter.slots
+
     def _start(self, now: datetime, ticket: Ticket) -> None:
         self._integrate(now)
         self._queue.start(ticket)
@@ -218,7 +263,12 @@
 
     def _integrate(self, now: datetime) -> None:
         elapsed = (now - self._changed_at).total_seconds()
-        self._area += len(self._runs) / self._limiter.limit * elapsed
+        limiter = self._limiter
+        busy = max(
+            limiter.running / limiter.limit,
+            len(self._runs) / limiter.slots,
+        )
+        self._area += busy * elapsed
         self._changed_at = now
 
     def _roll(self, now: datetime) -> None:
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -125,7 +125,7 @@
 
     @property
     def limit(self) -> int:
-        """Return how many requests may run at once."""
+        """Return how many requests may work at once."""
         return max(1, min(int(self._limit), self._slots))
 
     def _find_ceiling(self, now: datetime) -> float:
@@ -137,14 +137,24 @@
 
     @property
     def running(self) -> int:
-        """Return how many requests run."""
+        """Return how many requests run without waiting."""
         return self._running
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests may run or wait for nested calls."""
+        return self._slots
+
     def start(self, now: datetime) -> None:
-        """Count a request that starts."""
+        """Count a request that starts or goes on working."""
         self._integrate(now)
         self._running += 1
 
+    def suspend(self, now: datetime) -> None:
+        """Count a request that stops working, for a nested call."""
+        self._integrate(now)
+        self._running -= 1
+
     def finish(
         self,
         now: datetime,
@@ -158,8 +168,7 @@
         nothing of this server's capacity.
         """
         load = self._running
-        self._integrate(now)
-        self._running -= 1
+        self.suspend(now)
         if completion is Completion.SHED:
             self._shed(now, load)
         elif completion in (Completion.OK, Completion.TIMEOUT):
