Lower the pressure by known demand, faster while slots stay free

Cause: fixed steps readmitted several times the capacity, the level oscillated with a period of 2 s. Change: steps from the demand as it was let in three intervals ago, growing by half while slots stay free.

--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -25,11 +26,16 @@
 RAISE_GAIN: Final = 0.5
 # A standing queue is removed over this many intervals.
 DRAIN_INTERVALS: Final = 10
-LOWER_GAIN: Final = 0.3
+LOWER_GAIN: Final = 0.4
+# While slots stay free, each interval lowers the level by this much
+# more, so that an old estimate of the demand doesn't delay recovery.
+LOWER_GROWTH: Final = 1.5
+# Intervals until a level shows in the arrivals.
+LAG: Final = 3
 # Free slots below this part are kept, so that the level doesn't
 # oscillate around full load.
 SPARE_MIN: Final = 0.05
-LOWER_STEP_MIN: Final = 0.02
+LOWER_STEP_MIN: Final = 0.005
 LOWER_STEP_MAX: Final = 0.25
 # Estimates average over about this many tickets, so that servers with
 # few requests a second don't follow noise.
@@ -47,7 +53,7 @@
 FADE_START: Final = timedelta(milliseconds=300)
 FADE_END: Final = timedelta(seconds=1)
 ATTACK: Final = timedelta(milliseconds=50)
-RELEASE: Final = timedelta(milliseconds=250)
+RELEASE: Final = timedelta(milliseconds=100)
 # Rounding must not leave a shed class a little open.
 SNAP: Final = 0.005
 ROUTE_MEMORY: Final = timedelta(seconds=60)
@@ -77,6 +83,8 @@
         self._emptied = False
         self._start_rate = 0.0
         self._loads = [0.0] * CLASSES
+        self._lowered = 0
+        self._levels = deque([0.0] * LAG, maxlen=LAG)
 
     def arrive(self, importance: Importance) -> None:
         """Count an offered ticket."""
@@ -119,10 +127,12 @@
         waiting = sum(queued[int(self.level) :])
         standing = waiting and not self._emptied and age > DELAY_TARGET
         if standing or self._refused:
+            self._lowered = 0
             self._raise(waiting)
         elif busy < 1 - SPARE_MIN:
             for _ in range(min(count, 100)):
                 self._lower(1 - busy)
+        self._levels.append(self.level)
         self._arrived = [0] * CLASSES
         self._started = 0
         self._refused = 0
@@ -136,7 +146,8 @@
         part = 1 - (1 - part) ** min(count, 100)
         self._start_rate += part * (self._started / count - self._start_rate)
         for rank in range(CLASSES):
-            open_part = self._find_open(rank)
+            level = min(self._levels)
+            open_part = min(1.0, max(0.0, rank + 1 - level))
             if open_part > HIDDEN:
                 load = self._arrived[rank] / count / open_part
                 self._loads[rank] += part * (load - self._loads[rank])
@@ -181,9 +192,10 @@
         rank = max(0, math.ceil(self.level) - 1)
         load = self._loads[rank]
         room = LOWER_GAIN * spare * capacity
-        least = LOWER_STEP_MIN + 0.2 * max(0.0, spare - 0.1)
         step = room / load if load > 0 else LOWER_STEP_MAX
-        step = min(max(step, least), LOWER_STEP_MAX)
+        step = max(step, LOWER_STEP_MIN) * LOWER_GROWTH**self._lowered
+        step = min(step, LOWER_STEP_MAX)
+        self._lowered = min(self._lowered + 1, 20)
         self.level = max(0.0, self.level - step)
 
 
