--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -266,13 +266,17 @@
     def _run(self, number: int, call: _Call) -> None:
         call.running = True
         tried: frozenset[str] = frozenset()
-        forward = partial(self._attempt, call.root, call.budget, tried)
-        call.job = self.run_job(
-            call.root,
-            call.plan,
-            forward,
-            partial(self._finish, number),
-        )
+
+        def forward(plan: Plan, respond: Respond) -> None:
+            def note(reply: Reply) -> None:
+                self.admission.resume(self.sim.now, number)
+                respond(reply)
+
+            self._attempt(call.root, call.budget, tried, plan, note)
+            self._act(self.admission.suspend(self.sim.now, number))
+
+        finish = partial(self._finish, number)
+        call.job = self.run_job(call.root, call.plan, forward, finish)
 
     def _finish(self, number: int, reply: Reply) -> None:
         call = self.calls.pop(number, None)
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -25,13 +26,22 @@
 RAISE_GAIN: Final = 0.5
 # A standing queue is removed over this many intervals.
 DRAIN_INTERVALS: Final = 10
-LOWER_GAIN: Final = 0.3
+LOWER_GAIN: Final = 0.4
+# While slots stay free, each interval lowers the level by this much
+# more, so that an old estimate of the demand doesn't delay recovery.
+LOWER_GROWTH: Final = 1.5
+# Intervals until a level shows in the arrivals.
+LAG: Final = 3
 # Free slots below this part are kept, so that the level doesn't
 # oscillate around full load.
 SPARE_MIN: Final = 0.05
-LOWER_STEP_MIN: Final = 0.02
+LOWER_STEP_MIN: Final = 0.005
 LOWER_STEP_MAX: Final = 0.25
-SMOOTHING: Final = 0.5
+# Estimates average over about this many tickets, so that servers with
+# few requests a second don't follow noise.
+SMOOTHING_COUNT: Final = 20
+SMOOTHING_MIN: Final = 0.05
+SMOOTHING_MAX: Final = 0.5
 # A class that is shed isn't seen; its last known load fades by half in
 # 2.3 s.
 MEMORY_FADE: Final = 0.97
@@ -43,7 +53,7 @@
 FADE_START: Final = timedelta(milliseconds=300)
 FADE_END: Final = timedelta(seconds=1)
 ATTACK: Final = timedelta(milliseconds=50)
-RELEASE: Final = timedelta(milliseconds=250)
+RELEASE: Final = timedelta(milliseconds=100)
 # Rounding must not leave a shed class a little open.
 SNAP: Final = 0.005
 ROUTE_MEMORY: Final = timedelta(seconds=60)
@@ -71,9 +81,10 @@
         self._started = 0
         self._refused = 0
         self._emptied = False
-        self._rates = [0.0] * CLASSES
         self._start_rate = 0.0
         self._loads = [0.0] * CLASSES
+        self._lowered = 0
+        self._levels = deque([0.0] * LAG, maxlen=LAG)
 
     def arrive(self, importance: Importance) -> None:
         """Count an offered ticket."""
@@ -116,52 +127,62 @@
         waiting = sum(queued[int(self.level) :])
         standing = waiting and not self._emptied and age > DELAY_TARGET
         if standing or self._refused:
+            self._lowered = 0
             self._raise(waiting)
         elif busy < 1 - SPARE_MIN:
             for _ in range(min(count, 100)):
                 self._lower(1 - busy)
+        self._levels.append(self.level)
         self._arrived = [0] * CLASSES
         self._started = 0
         self._refused = 0
         self._emptied = waiting == 0
 
     def _smooth(self, count: int) -> None:
-        self._start_rate += SMOOTHING * (
-            self._started / count - self._start_rate
-        )
-        floor = int(self.level)
+        """Update the estimates of starts and of demand by class."""
+        seen = sum(self._arrived) + self._started
+        part = seen / count / SMOOTHING_COUNT
+        part = min(SMOOTHING_MAX, max(SMOOTHING_MIN, part))
+        part = 1 - (1 - part) ** min(count, 100)
+        self._start_rate += part * (self._started / count - self._start_rate)
         for rank in range(CLASSES):
-            rate = self._rates[rank]
-            rate += SMOOTHING * (self._arrived[rank] / count - rate)
-            self._rates[rank] = rate
-            open_part = min(1.0, max(0.0, rank + 1 - self.level))
-            seen = rate / open_part if open_part > HIDDEN else 0.0
-            if rank > floor or open_part > HIDDEN:
-                self._loads[rank] = seen
+            level = min(self._levels)
+            open_part = min(1.0, max(0.0, rank + 1 - level))
+            if open_part > HIDDEN:
+                load = self._arrived[rank] / count / open_part
+                self._loads[rank] += part * (load - self._loads[rank])
             else:
                 self._loads[rank] *= MEMORY_FADE**count
 
+    def _find_open(self, rank: int) -> float:
+        """Return the part of a class that the level lets in."""
+        return min(1.0, max(0.0, rank + 1 - self.level))
+
+    def _expect(self, least: int) -> float:
+        """Return the arrivals to expect of a class and those above."""
+        return sum(
+            self._loads[rank] * self._find_open(rank)
+            for rank in range(least, CLASSES)
+        )
+
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
-        floor = int(self.level)
-        excess = sum(self._rates[floor:]) - self._start_rate
-        excess = max(0.0, excess) + queued / DRAIN_INTERVALS
-        excess *= RAISE_GAIN
-        level = self.level
-        while excess > 0 and level < LEVEL_MAX:
-            rank = int(level)
-            rate = self._rates[rank]
-            if rate <= excess:
-                excess -= rate
-                level = rank + 1.0
-                # Classes whose own load fits aren't touched.
-                if sum(self._rates[rank + 1 :]) <= self._start_rate:
-                    break
-            else:
-                open_part = (rank + 1 - level) * (1 - excess / rate)
-                level = rank + 1 - open_part
-                break
-        self.level = min(level, LEVEL_MAX)
+        excess = self._expect(int(self.level)) - self._start_rate
+        excess = RAISE_GAIN * (excess + queued / DRAIN_INTERVALS)
+        if excess <= 0:
+            # The queue drains by itself.
+            return
+        for rank in range(int(self.level), CLASSES):
+            rate = self._loads[rank] * self._find_open(rank)
+            if rate > excess:
+                open_part = self._find_open(rank) * (1 - excess / rate)
+                self.level = min(rank + 1 - open_part, LEVEL_MAX)
+                return
+            excess -= rate
+            self.level = min(rank + 1.0, LEVEL_MAX)
+            # Classes whose own load fits aren't touched.
+            if self._expect(rank + 1) <= self._start_rate:
+                return
 
     def _lower(self, spare: float) -> None:
         """Readmit about the load that fits into the free slots."""
@@ -171,9 +192,10 @@
         rank = max(0, math.ceil(self.level) - 1)
         load = self._loads[rank]
         room = LOWER_GAIN * spare * capacity
-        least = LOWER_STEP_MIN + 0.2 * max(0.0, spare - 0.1)
         step = room / load if load > 0 else LOWER_STEP_MAX
-        step = min(max(step, least), LOWER_STEP_MAX)
+        step = max(step, LOWER_STEP_MIN) * LOWER_GROWTH**self._lowered
+        step = min(step, LOWER_STEP_MAX)
+        self._lowered = min(self._lowered + 1, 20)
         self.level = max(0.0, self.level - step)
 
 
