Tell admission of nested calls; warm the quickstart's servers at once

Cause: a request that waits for a nested call held the limit of its server, and the quickstart's surge met servers in a 10 s warm-up, so that their limit was 1 to 3 of 4. Change: the guard suspends and resumes the ticket around nested calls; the quickstart's pools warm up within 1 s.

--- a/bench/quickstart.py
+++ b/bench/quickstart.py
@@ -45,6 +45,8 @@
 START_LIMIT: Final = 25.0
 WITHDRAWAL_LIMIT: Final = 5.0
 OPERATOR: Final = "quickstart"
+# The stand-ins are warm at once; a long warm-up would outlast the run.
+WARMUP: Final = timedelta(seconds=1)
 
 NODES: Final = (
     NodePlan("history-1", "domain-1", "history", slots=4, delay_ms=20),
@@ -72,8 +74,8 @@
         ),
     },
     pools={
-        "history": Pool("history", slots=4, queue=40),
-        "acceptance": Pool("acceptance", slots=40, queue=80),
+        "history": Pool("history", slots=4, queue=40, warmup=WARMUP),
+        "acceptance": Pool("acceptance", slots=40, queue=80, warmup=WARMUP),
     },
     workspaces={
         "coop": Workspace("coop", rate=600.0, burst=600),
--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -126,9 +126,11 @@
         exchange.root_id = context.root_id
         exchange.budget = RetryBudget(context.budget.split())
         exchange.pressures = context.pressures
+        context.on_nested_start()
         try:
             return await proceed(exchange)
         finally:
+            context.on_nested_end()
             context.budget.give_back(exchange.budget.remaining)
 
 
--- a/src/sequoiaseam/_gates.py
+++ b/src/sequoiaseam/_gates.py
@@ -98,6 +98,16 @@
             self.admission.finish(self._clock.now(), ticket_id, completion),
         )
 
+    def suspend(self, ticket_id: int) -> None:
+        """Note that a running request waits for a nested call."""
+        self._perform(
+            self.admission.suspend(self._clock.now(), ticket_id),
+        )
+
+    def resume(self, ticket_id: int) -> None:
+        """Note that a nested call ended."""
+        self.admission.resume(self._clock.now(), ticket_id)
+
     def abandon(self) -> None:
         """Refuse everything that waits: the backend server is gone."""
         for ticket_id in self._waiters.list_keys():
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -387,7 +387,12 @@
         completion = Completion.CANCELLED
         try:
             self._start_attempt(admitted.call)
-            answer = await self._send(session, admitted, fingerprint)
+            answer = await self._send(
+                session,
+                ticket.ticket_id,
+                admitted,
+                fingerprint,
+            )
             failed = answer.status >= 500
             completion = Completion.FAILED if failed else Completion.OK
         except RefusalError as error:
@@ -433,6 +438,7 @@
     async def _send(
         self,
         session: BackendSession,
+        ticket_id: int,
         admitted: "Admitted",
         fingerprint: int,
     ) -> Answer:
@@ -448,6 +454,14 @@
                 budget=admitted.budget,
                 depth=call.depth,
                 pressures=admitted.pressures,
+                on_nested_start=functools.partial(
+                    session.gate.suspend,
+                    ticket_id,
+                ),
+                on_nested_end=functools.partial(
+                    session.gate.resume,
+                    ticket_id,
+                ),
             ),
         )
         run_id = next(self._ids)
--- a/src/sequoiaseam/_handles.py
+++ b/src/sequoiaseam/_handles.py
@@ -29,13 +29,18 @@
         ...
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 @dataclass(slots=True)
 class CallContext:
     """What a guarding node needs to run a request's nested calls.
 
     ``deadline`` is by this node's clock. ``depth`` is 0 for a root
     request. ``pressures`` collects the highest level by pool that the
-    nested calls reported.
+    nested calls reported. The callbacks tell the admission that the
+    request waits for a nested call.
     """
 
     root_id: str
@@ -47,6 +52,8 @@
     budget: Budget
     depth: int = 0
     pressures: dict[str, float] = field(default_factory=dict)
+    on_nested_start: Callable[[], None] = _ignore
+    on_nested_end: Callable[[], None] = _ignore
 
     def collect_pressure(self, pool: str, level: float) -> None:
         """Keep the highest level of a pool."""
