--- a/src/sequoiaseam/_files.py
+++ b/src/sequoiaseam/_files.py
@@ -8,8 +8,8 @@
 class FileSystem(Protocol):
     """Files by path; errors are OSError.
 
-    What was appended, truncated, renamed or removed is durable only
-    after ``sync`` of the file, or ``sync_folder`` for names.
+    What was appended, renamed or removed is durable only after ``sync``
+    of the file, or ``sync_folder`` for names.
     """
 
     def make_folder(self, folder: str) -> None:
@@ -28,10 +28,6 @@
         """Write at the end of the file, creating it if necessary."""
         ...
 
-    def truncate(self, path: str, size: int) -> None:
-        """Cut the file to ``size`` bytes."""
-        ...
-
     def sync(self, path: str) -> None:
         """Make the contents of the file durable."""
         ...
@@ -74,10 +70,6 @@
         while view:
             view = view[os.write(handle, view) :]
 
-    def truncate(self, path: str, size: int) -> None:
-        """Cut the file to ``size`` bytes."""
-        os.ftruncate(self._handle(path), size)
-
     def sync(self, path: str) -> None:
         """Make the contents of the file durable."""
         os.fsync(self._handle(path))
--- a/src/sequoiaseam/_journal.py
+++ b/src/sequoiaseam/_journal.py
@@ -4,7 +4,8 @@
 xxh3 checksum over length and payload, and the payload, which is a
 MessagePack array of encoded records. A frame is written with one call
 and synced before the next one is written, so a crash can damage only
-the last frame. A new log file replaces the old one with each snapshot.
+the last frame. A new log file replaces the old one at each start and
+with each snapshot.
 """
 
 import struct
@@ -102,7 +103,7 @@
         self._entries: list[Entry] = []
 
     def open(self, make_identity: Callable[[], str]) -> Restored:
-        """Read the folder, repair a torn tail and return the contents.
+        """Read the folder, drop a torn tail and return the contents.
 
         An empty folder gets the identity that ``make_identity``
         returns. Raise SeamError JOURNAL_DAMAGED or DISK_FAILED.
@@ -126,7 +127,10 @@
             self._remove_others(names)
         if not self._identity:
             self._identity = make_identity()
-            self._replace_log()
+        # A new file, because after a failed sync the old one may read
+        # back bytes that are not on the disk and that a later sync
+        # doesn't write again.
+        self._replace_log()
         return Restored(
             self._identity,
             self._hard_state,
@@ -246,23 +250,20 @@
         while offset < len(data):
             payload = unpack_frame(data, offset)
             if payload is None:
-                self._cut_tail(path, data, offset)
+                self._check_tail(data, offset)
                 break
             for encoded in PAYLOAD.decode(payload):
                 self._apply(self._decode(RECORDS, encoded))
             offset += HEADER.size + len(payload)
-        # After a crash of the process alone, the last frame may be
-        # readable but not durable yet.
-        self._files.sync(path)
         if not self._identity:
             raise self._damage("the log has no identity")
 
-    def _cut_tail(self, path: str, data: bytes, offset: int) -> None:
+    def _check_tail(self, data: bytes, offset: int) -> None:
+        """Raise JOURNAL_DAMAGED unless a torn write explains the rest."""
         # The first frame is synced before the file gets its name, so
         # damage there is not the trace of a crash.
         if offset == 0 or has_frame_after(data, offset):
             raise self._damage(f"checksum mismatch at byte {offset}")
-        self._files.truncate(path, offset)
 
     def _apply(self, record: Record) -> None:
         match record:
--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -76,6 +76,8 @@
         self._votes: set[ReplicaId] = set()
         self._asked: dict[int, Asked] = {}
         self._empty: dict[str, ReplicaId] = {}
+        self._greeted = set(config.hosts)
+        self._found_group = False
         self._waiting: dict[str, ReplicaId] = {}
         self._hello_due = now
 
@@ -303,8 +305,10 @@
         """Ask whether an election could be won, without a new term."""
         self._deadline = self._draw_deadline(now)
         if self._id not in self._membership().voters:
-            return
-        if self._hard != self._hard_synced:
+            # The entry that made it a learner may have been truncated
+            # by another leader, which then doesn't know of it.
+            self._greet()
+        if not self._may_lead() or self._hard != self._hard_synced:
             return
         self._role = Role.PRE_CANDIDATE
         self._leader = None
@@ -313,6 +317,22 @@
         self._request_votes(trial=True)
         self._count_votes(now)
 
+    def _may_lead(self) -> bool:
+        """Return whether this replica may stand for election.
+
+        A voter whose removal isn't known to be committed must, since
+        the others may lack an entry that only it has.
+        """
+        if self._id in self._membership().voters:
+            return True
+        index = self._log.membership_index
+        before = self._log.find_membership(index - 1)
+        return (
+            index > self._commit
+            and before is not None
+            and self._id in before.voters
+        )
+
     def _request_votes(self, *, trial: bool) -> None:
         term = self.term + 1 if trial else self.term
         for voter in self._membership().voters:
@@ -401,12 +421,20 @@
     def _tick_empty(self, now: datetime) -> None:
         if now < self._hello_due:
             return
-        self._hello_due = now + HEARTBEAT_INTERVAL
-        others = [one for one in self._config.hosts if one != self._id.host]
-        for host in others:
-            self._out.append(Send(host, Hello(self._id)))
-        if not others:
+        # Once there is a group, only an operator can let this one in.
+        self._hello_due = now + (
+            ELECTION_TIMEOUT_MAX if self._found_group else HEARTBEAT_INTERVAL
+        )
+        if self._config.hosts == (self._id.host,):
             self._adopt()
+            return
+        self._greet()
+
+    def _greet(self) -> None:
+        """Ask all known hosts, so that a leader may add this replica."""
+        members = {one.host for one in self._membership().replicas}
+        for host in sorted((self._greeted | members) - {self._id.host}):
+            self._out.append(Send(host, Hello(self._id)))
 
     def _on_hello(self, sender: str, message: Hello) -> None:
         if message.asker.host != sender:
@@ -415,14 +443,26 @@
         room = len(self._waiting) < WAITING_LIMIT or sender in self._waiting
         if self._hard.group and not known and room:
             self._waiting[sender] = message.asker
-        reply = HelloReply(message.asker, self._id, self._hard.group)
+        hosts = self._config.hosts
+        if self._hard.group:
+            hosts = tuple(one.host for one in self._membership().replicas)
+        reply = HelloReply(message.asker, self._id, self._hard.group, hosts)
         self._out.append(Send(sender, reply))
 
     def _on_hello_reply(self, sender: str, message: HelloReply) -> None:
-        """Form the group once every listed host has said it is empty."""
-        if message.asker != self._id or self._hard.group:
+        """Form the group once every listed host has said it is empty.
+
+        They must list the same hosts, or they would form two groups. A
+        member of a group names the others, so that its leader learns of
+        this replica whatever its settings list.
+        """
+        if message.asker != self._id:
             return
         if message.group:
+            self._found_group = True
+            self._greeted.update(message.hosts)
+        same = set(message.hosts) == set(self._config.hosts)
+        if self._hard.group or message.group or not same:
             self._empty.pop(sender, None)
             return
         if message.replica.host == sender:
--- a/src/sequoiaseam/_replica_leader.py
+++ b/src/sequoiaseam/_replica_leader.py
@@ -349,8 +349,7 @@
     ) -> Membership | None:
         incoming, outgoing = membership.incoming, membership.outgoing
         if incoming is not None:
-            behind = self._log.last_index - self._progress[incoming].match
-            if behind > CAUGHT_UP_ENTRIES:
+            if not self._is_caught_up(now, self._progress[incoming]):
                 return None
             if outgoing is None or not self._is_lost(now, membership):
                 voters = tuple(sorted((*membership.voters, incoming)))
@@ -360,6 +359,15 @@
         voters = tuple(one for one in membership.voters if one != outgoing)
         return Membership(voters, incoming, None)
 
+    def _is_caught_up(self, now: datetime, progress: Progress) -> bool:
+        """Return whether a learner could join a quorum at once."""
+        behind = self._log.last_index - progress.match
+        return (
+            progress.match >= self._term_start
+            and behind <= CAUGHT_UP_ENTRIES
+            and now - (progress.acked or NEVER) < ELECTION_TIMEOUT_MIN
+        )
+
     def _is_lost(self, now: datetime, membership: Membership) -> bool:
         """Return whether the outgoing replica should leave first.
 
--- a/src/sequoiaseam/_replica_messages.py
+++ b/src/sequoiaseam/_replica_messages.py
@@ -162,11 +162,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HelloReply:
-    """Answer to Hello; ``group`` is "" when the answering one is empty."""
+    """Answer to Hello; ``group`` is "" when the answering one is empty.
+
+    ``hosts`` are then those in its settings, otherwise those of the
+    group's members.
+    """
 
     asker: ReplicaId
     replica: ReplicaId
     group: str
+    hosts: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -213,3 +213,34 @@
         self.assertIn(Append, map(type, sent))
         for message in sent:
             self.assertEqual(message, codec.decode(codec.encode(message)))
+
+    def test_hosts_with_other_settings_form_no_group(self) -> None:
+        """Guard against two groups when settings list different hosts."""
+        fleet = FakeFleet(1, 3, 1)
+        fleet.loss = 0.3
+        fleet.start()
+        self.assertTrue(fleet.run_until(fleet.leader))
+        fleet.run(3.0)
+        groups = {host.replica.status().membership for host in fleet.live()}
+        self.assertEqual({None, fleet.membership()}, groups)
+
+    def vote_on(self, host: FakeHost) -> bool:
+        """Return whether the host is a voter in its own log."""
+        membership = host.replica.status().membership
+        return membership is not None and host.identity in membership.voters
+
+    def test_leader_that_removes_itself_is_cut_off(self) -> None:
+        """Guard against a stall: only the old leader has all entries."""
+        fleet = start_fleet(1, spares=1)
+        old = fleet.require_leader()
+        fleet.run(1.0)
+        fleet.replace("h0", "h1")
+        while self.vote_on(old):
+            fleet.run(0.0005)
+        fleet.propose(old, b"x")
+        fleet.isolate(old.name)
+        fleet.run(5.0)
+        fleet.cut.clear()
+        self.assertTrue(fleet.run_until(fleet.leader))
+        self.assertTrue(fleet.run_until(fleet.has_converged))
+        fleet.check_end()
