Measure the quota and shorten its waits

Cause: nothing showed the refusals inside the rate; under 8x load held requests waited a second, as the owner's ideal bucket promised tokens that its level never held, and a failover paused grants for 1.6 s. Tokens spent beyond the ideal bucket's consent come out of it; tokens owed to a held request are kept for it; grants live 0.5 s instead of 1 s; a node covers up to 8 tokens of 400 ms; the owner holds no more than 2 s of requests. The simulated feed and lease fleets move to bench/_hosts.

--- /dev/null
+++ b/bench/_hosts.py
@@ -0,0 +1,344 @@
+"""Simulated control hosts and nodes for the feed and the leases.
+
+Time is true time in seconds and moves in steps of 0.1 s. Each process
+has its own clock, and messages are late, lost, repeated and reordered.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import Final
+
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._commands import (
+    AddKey,
+    Command,
+    EditTables,
+    Member,
+    MembersChanged,
+    MemberState,
+    WithdrawKey,
+    WitnessesAssigned,
+    WitnessGroup,
+)
+from sequoiaseam._feed import FeedMessage, FeedSource, NodeView, Pong
+from sequoiaseam._keyring import compute_digest
+from sequoiaseam._members import MemberRegistry, MemberReport
+from sequoiaseam._state import FleetState
+from sequoiaseam._tables import KeyRecord, Pool, Route, Tables, Workspace
+
+STEP: Final = 0.1
+POOLS: Final = ("history", "billing", "geology")
+# What nodes subscribe to: the pools of all routes, or some pools.
+SCOPES: Final = (None, frozenset(("history",)), frozenset(("billing",)))
+TOKENS: Final = 4
+
+Mail = list[tuple[float, Callable[[], None]]]
+
+
+def tell_time(seconds: float) -> datetime:
+    """Return the time some seconds after the start."""
+    return EPOCH + timedelta(seconds=seconds)
+
+
+def make_member(name: str, incarnation: int, pool: str = "history") -> Member:
+    """Return a serving member."""
+    return Member(
+        name=name,
+        incarnation=incarnation,
+        host="127.0.0.1",
+        port=7001,
+        pool=pool,
+        domain="domain-1",
+        region="south",
+        state=MemberState.SERVING,
+    )
+
+
+def make_key(number: int) -> KeyRecord:
+    """Return the key with the token ``t`` and the number."""
+    return KeyRecord(f"k{number}", compute_digest(f"t{number}"), "coop")
+
+
+def make_tables(*pools: str) -> Tables:
+    """Return tables with a route for each pool."""
+    return Tables(
+        routes={p: Route(name=p, path=f"/{p}", pool=p) for p in pools},
+        pools={p: Pool(name=p) for p in pools},
+        workspaces={"coop": Workspace("coop", 100.0, 200)},
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class RatedClock:
+    """A clock with an offset in seconds and a rate of about 1."""
+
+    rate: float
+    offset: float
+
+    def read(self, seconds: float) -> datetime:
+        """Return the clock's time at a true time."""
+        return tell_time(self.offset + seconds * self.rate)
+
+    def invert(self, when: datetime) -> float:
+        """Return the true time at which the clock shows ``when``."""
+        return ((when - EPOCH).total_seconds() - self.offset) / self.rate
+
+
+@dataclass
+class FeedHost:
+    """A control host that applies the log late and may be cut off."""
+
+    clock: RatedClock
+    state: FleetState = field(default_factory=FleetState)
+    # True time and index of the last read-index confirmation.
+    confirmed: tuple[float, int] = (0.0, 0)
+    cut: bool = False
+
+    def __post_init__(self) -> None:
+        self.source = FeedSource(self.state)
+
+
+@dataclass
+class FeedNode:
+    """A node that is attached to one control host at a time."""
+
+    name: str
+    clock: RatedClock
+    host: FeedHost
+    view: NodeView = field(default_factory=NodeView)
+
+
+class FeedFleet:
+    """Control hosts that lag and nodes that move between them."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.now = 0.0
+        self.log: list[Command] = []
+        # When each token that is not known now was withdrawn.
+        self.withdrawn: dict[str, float] = {}
+        # Longest time from a key's withdrawal for which a view that
+        # knows the key stays fresh if its node hears nothing more.
+        self.exposure = 0.0
+        self._rng = rng
+        self._mail: Mail = []
+        self._loss = rng.choice((0.0, 0.2))
+        self._reference = FleetState()
+        self.hosts = [FeedHost(self._make_clock()) for _ in range(3)]
+        self.nodes = [
+            FeedNode(f"n{i}", self._make_clock(), rng.choice(self.hosts))
+            for i in range(2)
+        ]
+
+    def step(self) -> None:
+        """Advance by one step."""
+        self.now += STEP
+        if self._rng.random() < 0.3:
+            self._commit(self._make_command())
+        for host in self.hosts:
+            self._step_host(host)
+        for node in self.nodes:
+            self._step_node(node)
+        due = [event for at, event in self._mail if at <= self.now]
+        self._mail = [m for m in self._mail if m[0] > self.now]
+        self._rng.shuffle(due)
+        for event in due:
+            event()
+        for node in self.nodes:
+            self._measure_exposure(node)
+
+    def heal(self) -> FleetState:
+        """Deliver everything; return the state that the log gives."""
+        self._loss = 0.0
+        for node in self.nodes:
+            self._catch_up(node.host)
+            self._subscribe(node)
+        while self._mail:
+            self._mail.pop(0)[1]()
+        return self._reference
+
+    def _make_clock(self) -> RatedClock:
+        rate = self._rng.choice((0.99, 1.0, 1.01))
+        return RatedClock(rate, self._rng.uniform(0, 1e6))
+
+    def _make_command(self) -> Command:
+        rng = self._rng
+        edit_id = f"e{len(self.log)}"
+        tables = make_tables(*rng.sample(POOLS, 2))
+        revision = self._reference.revision
+        number = rng.randrange(TOKENS)
+        name, incarnation = f"m{rng.randrange(5)}", rng.randrange(3)
+        member = make_member(name, incarnation, rng.choice(POOLS[:2]))
+        group = WitnessGroup(len(self.log), (f"m{rng.randrange(5)}",))
+        commands: tuple[Command, ...] = (
+            EditTables(edit_id, "x", revision, tables),
+            AddKey(edit_id, "x", None, make_key(number)),
+            WithdrawKey(edit_id, "x", None, f"k{number}"),
+            MembersChanged((member,)),
+            MembersChanged((), {name: incarnation}),
+            WitnessesAssigned({rng.randrange(2): group}),
+        )
+        return rng.choice(commands)
+
+    def _commit(self, command: Command) -> None:
+        self.log.append(command)
+        known = set(self._reference.keys)
+        self._reference.apply(len(self.log), command)
+        for key_id in known - self._reference.keys.keys():
+            self.withdrawn[f"t{key_id[1:]}"] = self.now
+        for key_id in self._reference.keys:
+            self.withdrawn.pop(f"t{key_id[1:]}", None)
+
+    def _measure_exposure(self, node: FeedNode) -> None:
+        view = node.view
+        if view.fresh_until is None:
+            return
+        until = node.clock.invert(view.fresh_until)
+        # A key might be withdrawn right after the newest confirmation.
+        newest = max(host.confirmed[0] for host in self.hosts)
+        self.exposure = max(self.exposure, until - newest)
+        for token, at in self.withdrawn.items():
+            if view.keyring.identify(token) is not None:
+                self.exposure = max(self.exposure, until - at)
+
+    def _post(self, event: Callable[[], None]) -> None:
+        """Deliver an event late, twice or not at all."""
+        for _ in range(self._rng.choice((1, 1, 1, 2))):
+            if self._rng.random() >= self._loss:
+                delay = self._rng.choice((0.0, 0.01, 0.2, 1.5))
+                self._mail.append((self.now + delay, event))
+
+    def _send(self, node: FeedNode, message: FeedMessage | None) -> None:
+        if message is not None:
+            self._post(lambda: self._deliver(node, message))
+
+    def _deliver(self, node: FeedNode, message: FeedMessage) -> None:
+        if not node.view.apply(node.clock.read(self.now), message):
+            self._subscribe(node)
+
+    def _subscribe(self, node: FeedNode) -> None:
+        view = node.view
+        answer = node.host.source.subscribe(
+            node.name,
+            view.index,
+            view.pools,
+            covered=view.covered,
+        )
+        self._send(node, answer)
+
+    def _step_host(self, host: FeedHost) -> None:
+        if self._rng.random() < 0.03:
+            host.cut = not host.cut
+        if host.cut:
+            return
+        if self._rng.random() < 0.5:
+            host.confirmed = (self.now, len(self.log))
+        if self._rng.random() < 0.5:
+            self._catch_up(host)
+
+    def _catch_up(self, host: FeedHost) -> None:
+        nodes = {node.name: node for node in self.nodes}
+        for command in self.log[host.state.index :]:
+            index = host.state.index + 1
+            host.state.apply(index, command)
+            for name, message in host.source.publish(index, command):
+                if nodes[name].host is host:
+                    self._send(nodes[name], message)
+
+    def _step_node(self, node: FeedNode) -> None:
+        rng = self._rng
+        if rng.random() < 0.1:
+            node.host.source.unsubscribe(node.name)
+            node.host = rng.choice(self.hosts)
+            node.view.follow(rng.choice((*SCOPES, node.view.pools)))
+            self._subscribe(node)
+        if rng.random() < 0.02:
+            node.view = NodeView()
+            self._subscribe(node)
+        if rng.random() < 0.3:
+            host, view = node.host, node.view
+            sent = view.ping(node.clock.read(self.now)).sent
+            self._post(lambda: self._answer(node, view, host, sent))
+
+    def _answer(
+        self,
+        node: FeedNode,
+        view: NodeView,
+        host: FeedHost,
+        sent: datetime,
+    ) -> None:
+        at, index = host.confirmed
+        age = host.clock.read(self.now) - host.clock.read(at)
+        pong = Pong(sent, index, age)
+        self._post(lambda: view.receive(node.clock.read(self.now), pong))
+
+
+class LeaseFleet:
+    """Nodes that die and come back, and a leader that may change.
+
+    A live node's reports arrive within 2 s of each other. A proposal may
+    be lost, but none within 5 s of another.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.now = 0.0
+        self.members: dict[str, Member] = {}
+        # Since when nodes are dead, and the leader leads.
+        self.dead: dict[str, float] = {}
+        self.led = 0.0
+        self._rng = rng
+        self._registry = MemberRegistry(EPOCH)
+        self._incarnations = dict.fromkeys("abcd", 1)
+        self._sent = dict.fromkeys("abcd", 0.0)
+        self._mail: list[tuple[float, MemberReport]] = []
+        self._commits: list[tuple[float, MembersChanged]] = []
+        self._lost = 0.0
+
+    def step(self) -> list[MembersChanged]:
+        """Advance by one step; return what was committed in it."""
+        self.now += STEP
+        for name in self._incarnations:
+            self._step_node(name)
+        self._step_leader()
+        due = [command for at, command in self._commits if at <= self.now]
+        self._commits = [c for c in self._commits if c[0] > self.now]
+        return due
+
+    def is_live(self, name: str, incarnation: int) -> bool:
+        """Return whether an incarnation of a node is running."""
+        current = self._incarnations[name] == incarnation
+        return current and name not in self.dead
+
+    def _step_node(self, name: str) -> None:
+        rng = self._rng
+        if rng.random() < 0.01:
+            if self.dead.pop(name, None) is None:
+                self.dead[name] = self.now
+                return
+            self._incarnations[name] += 1
+            self._sent[name] = 0.0
+        if name in self.dead:
+            return
+        if rng.random() < 0.2 or self.now >= self._sent[name] + 1.9:
+            self._sent[name] = self.now
+            report = MemberReport(make_member(name, self._incarnations[name]))
+            again = self.now + rng.random() / 2
+            self._mail += [(self.now, report), (again, report)]
+
+    def _step_leader(self) -> None:
+        rng, now = self._rng, tell_time(self.now)
+        due = [report for at, report in self._mail if at <= self.now]
+        self._mail = [m for m in self._mail if m[0] > self.now]
+        rng.shuffle(due)
+        proposed = self._registry.heard(now, tuple(due))
+        proposed += self._registry.tick(now, self.members)
+        if rng.random() < 0.02:
+            self.led = self.now
+            self._registry.lead(now, self.members)
+        for command in proposed:
+            assert isinstance(command, MembersChanged)
+            if self.now - self._lost > 5 and rng.random() < 0.1:
+                self._lost = self.now
+            else:
+                self._commits.append((self.now + STEP, command))
--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -359,7 +359,8 @@
         self._keys: dict[str, KeyRecord] = {}
         # When the index last moved, by the node's clock.
         self.updated: datetime | None = None
-        self._fresh_until: datetime | None = None
+        # End of the lease, by the node's clock.
+        self.fresh_until: datetime | None = None
         self._pongs: list[Pong] = []
         self._pending: dict[int, FeedDelta] = {}
 
@@ -408,7 +409,7 @@
 
     def is_fresh(self, now: datetime) -> bool:
         """Return whether keyed requests may be served."""
-        return self._fresh_until is not None and now < self._fresh_until
+        return self.fresh_until is not None and now < self.fresh_until
 
     def _drain_pongs(self) -> None:
         waiting = []
@@ -417,8 +418,8 @@
                 waiting.append(pong)
                 continue
             until = pong.sent - pong.age * AGE_FACTOR + LEASE_ON_NODE
-            if self._fresh_until is None or until > self._fresh_until:
-                self._fresh_until = until
+            if self.fresh_until is None or until > self.fresh_until:
+                self.fresh_until = until
         self._pongs = waiting
 
     def _drain_pending(self) -> None:
--- a/src/sequoiaseam/_members.py
+++ b/src/sequoiaseam/_members.py
@@ -335,8 +335,10 @@
         """Move a shard off a witness with over twice its fair load."""
         fair = WITNESS_SHARDS * self._size / max(1, len(self._able))
         busiest = max(names, key=lambda name: self._load[name])
+        if self._load[busiest] <= 2 * fair + 1:
+            return ()
         new = self._pick(names, busiest)
-        if self._load[busiest] <= 2 * fair + 1 or new is None:
+        if new is None:
             return ()
         kept = [n for n in names if n != busiest]
         domains = {self._able[n].domain for n in (*kept, new)}
--- a/src/sequoiaseam/_quota.py
+++ b/src/sequoiaseam/_quota.py
@@ -8,7 +8,9 @@
 the owner stops counting it.
 
 Amounts are integers, ``TOKEN`` units for a token and time in
-microseconds, so that no rounding adds up to an extra token.
+microseconds, so that no rounding adds up to an extra token. Windows are
+measured by the owner's clock: refilling 1% slower, for a clock that may
+be that fast, would refuse 2% of a workspace's requests inside the rate.
 """
 
 from collections import deque
@@ -24,7 +26,7 @@
 _MICROSECOND: Final = timedelta(microseconds=1)
 _SECOND_US: Final = 10**6
 
-GRANT_TTL: Final = timedelta(seconds=1)
+GRANT_TTL: Final = timedelta(milliseconds=500)
 # A node ends a grant early enough for clocks that run apart by
 # CLOCK_DRIFT each way, with as much again in hand.
 NODE_TTL_FACTOR: Final = 1 - 4 * CLOCK_DRIFT
@@ -33,12 +35,14 @@
     1 + 4 * CLOCK_DRIFT
 )
 
-# Prefetched tokens cover this much of a node's demand, which is counted
-# in two slots.
-HORIZON: Final = timedelta(milliseconds=200)
+# Prefetched tokens cover a quarter of the demand of a horizon, which is
+# counted in two slots, or all of it up to a few tokens.
+HORIZON: Final = timedelta(milliseconds=400)
+TARGET_SHARE: Final = 4
+TARGET_FEW: Final = 8  # tokens
 _SLOT: Final = HORIZON / 2
 # Pause between asks that no request waits for.
-PREFETCH_PAUSE: Final = HORIZON / 8
+PREFETCH_PAUSE: Final = timedelta(milliseconds=25)
 # Unused tokens go back after this long without a request, or earlier
 # when this many should have come by then.
 IDLE_MAX: Final = HORIZON
@@ -54,16 +58,20 @@
 ASK_TIMEOUT: Final = timedelta(milliseconds=100)
 ASK_TIMEOUT_MAX: Final = timedelta(milliseconds=400)
 # Requests wait at most this long for a token that the owner says is
-# inside the rate, or for an owner to answer at all.
-PATIENCE: Final = timedelta(seconds=2)
+# inside the rate, or for an owner to answer at all: about an election
+# and TAKEOVER_WAIT.
+PATIENCE: Final = timedelta(seconds=2.5)
+# The owner holds no more requests than it can serve in this time.
+HOLD_MAX: Final = timedelta(seconds=2)
 WAITING_MAX: Final = 10_000  # requests of a workspace at a node
 
 RETRY_MIN: Final = timedelta(milliseconds=2)
 RETRY_MAX: Final = timedelta(milliseconds=250)
 # Nodes whose requests had to wait gather more of them before they ask
-# again, so that all nodes together send at most about this many asks in
-# a pace slot for a workspace.
-ASKS_PER_SLOT: Final = 100
+# again, so that all nodes together send at most about as many asks for a
+# workspace as it has tokens, within these bounds for each pace slot.
+ASKS_PER_SLOT_MIN: Final = 10
+ASKS_PER_SLOT_MAX: Final = 100
 PACE_SLOT: Final = timedelta(milliseconds=100)
 PACE_MIN: Final = RETRY_MIN
 PACE_MAX: Final = timedelta(milliseconds=100)
@@ -98,8 +106,9 @@
     """Answer to an ask.
 
     Tokens are valid for ``ttl`` from when the ask was sent. Of the
-    requests left waiting, ``hold`` are inside the rate and worth asking
-    for again after ``retry_after``; the others are over it.
+    requests left waiting, the first ``inside`` are inside the rate, and
+    the first ``hold`` of those are worth asking for again after
+    ``retry_after``.
     """
 
     node: str
@@ -110,6 +119,7 @@
     grant_id: int
     tokens: int
     ttl: timedelta
+    inside: int
     hold: int
     retry_after: timedelta
     pace: timedelta
@@ -252,7 +262,9 @@
             self.slot = now
         if now - self.slot < PACE_SLOT:
             return
-        share = self.asks * PACE_SLOT / (now - self.slot) / ASKS_PER_SLOT
+        by_rate = self.refill * (PACE_SLOT // _MICROSECOND) // TOKEN
+        most = min(max(by_rate, ASKS_PER_SLOT_MIN), ASKS_PER_SLOT_MAX)
+        share = self.asks * PACE_SLOT / (now - self.slot) / most
         # At most twice as fast or eight times as slow at once.
         pace = self.pace * min(8.0, max(0.5, share))
         self.pace = min(max(pace, PACE_MIN), PACE_MAX)
@@ -331,13 +343,18 @@
         session.credit += _charge_ideal(bucket, ask.arrived)
         tokens = self._issue(now, bucket, session, ask)
         left = max(0, ask.waiting - tokens)
-        hold = self._compute_hold(now, bucket, session, left)
+        inside = self._count_inside(now, bucket, session, left)
+        most = bucket.refill * (HOLD_MAX // _MICROSECOND) // TOKEN
+        room = max(0, most - bucket.count_owed(now, key))
+        session.credit = min(session.credit, room)
+        hold = max(0, session.credit)
         bucket.owed.pop(key, None)
         if hold:
             bucket.owed[key] = session
         return self._answer(
             ask,
             tokens,
+            inside=inside,
             hold=hold,
             retry_after=self._estimate_wait(now, bucket),
             pace=bucket.pace,
@@ -401,7 +418,7 @@
         self._next_grant += 1
         return tokens
 
-    def _compute_hold(
+    def _count_inside(
         self,
         now: datetime,
         bucket: _Bucket,
@@ -416,8 +433,11 @@
             bucket.grants[grant_id][1] // TOKEN
             for grant_id in session.grants.values()
         )
-        # What isn't waiting or in hand is past: refused, lost or expired.
-        session.credit = min(left, max(session.credit, -in_hand))
+        # Tokens spent beyond the ideal bucket's consent come out of it,
+        # else it would promise more than the level ever holds.
+        beyond = max(0, -in_hand - session.credit)
+        bucket.ideal -= beyond * TOKEN
+        session.credit = min(left, session.credit + beyond)
         return max(0, session.credit)
 
     def _estimate_wait(self, now: datetime, bucket: _Bucket) -> timedelta:
@@ -435,6 +455,7 @@
         ask: QuotaAsk,
         tokens: int,
         *,
+        inside: int = 0,
         hold: int = 0,
         retry_after: timedelta,
         pace: timedelta = RETRY_MIN,
@@ -448,6 +469,7 @@
             grant_id=self._next_grant - 1 if tokens else 0,
             tokens=tokens,
             ttl=GRANT_TTL,
+            inside=inside,
             hold=hold,
             retry_after=retry_after,
             pace=pace,
@@ -466,7 +488,7 @@
 
 def _charge_ideal(bucket: _Bucket, arrived: int) -> int:
     """Charge the ideal bucket; return how many arrivals it admits."""
-    inside = min(arrived, bucket.ideal // TOKEN)
+    inside = min(arrived, max(0, bucket.ideal // TOKEN))
     bucket.ideal -= inside * TOKEN
     return inside
 
@@ -751,10 +773,11 @@
     if demand < PREFETCH_MIN:
         account.target = 0
         return waiting
+    needed = max(demand // TARGET_SHARE, min(demand, TARGET_FEW))
     # When requests wait, demand outran what was prefetched; then the
     # target grows faster than the count of arrivals does.
     floor = 2 * account.target if waiting else account.target * 3 // 4
-    account.target = min(max(demand, floor), 4 * demand)
+    account.target = min(max(needed, floor), 2 * demand)
     in_hand = account.count()
     if not waiting and in_hand > account.target // 2:
         return 0
@@ -778,8 +801,8 @@
     wait = max(grant.retry_after, grant.pace) if grant.hold else grant.pace
     account.next_ask = now + min(wait, RETRY_MAX)
     return tuple(
-        RefuseQuota(w.request_id, grant.retry_after, inside_rate=False)
-        for w in refused
+        RefuseQuota(w.request_id, grant.retry_after, place < grant.inside)
+        for place, w in enumerate(refused, start=grant.hold)
     )
 
 
