Restore backups, add control hosts by address, vote early in first groups

Cause: a backup could not be restored, a new control host's address was known only from settings, the status showed a made-up time for each replica, and a new fleet refused every keyed non-idempotent request for 13.5 s because no witness could tell that nothing had run before. Change: the log carries a restore and control hosts' addresses; the status shows when each replica last answered; a witness votes at once in its shard's first group if the leader chose this very run of it. A restore moves all shards to a second group, whose witnesses wait.

--- a/src/sequoiaseam/_cli.py
+++ b/src/sequoiaseam/_cli.py
@@ -59,6 +59,7 @@
     control.command(edits.replace, name="replace")
     control.command(views.control_status, name="status")
     control.command(views.backup, name="backup")
+    control.command(edits.restore, name="restore")
     app.command(control)
 
     @app.command
--- a/src/sequoiaseam/_cli_edits.py
+++ b/src/sequoiaseam/_cli_edits.py
@@ -32,6 +32,7 @@
     EditOutcome,
     OperatorClient,
     ReplaceRequest,
+    RestoreRequest,
     ShowAnswer,
     ShowRequest,
     WithdrawKeyRequest,
@@ -48,6 +49,14 @@
     return uuid.uuid4().hex
 
 
+def read_backup(file: Path) -> bytes:
+    """Return a file's content; raise UsageError if it can't be read."""
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        raise UsageError(f"{file}: {error.strerror}") from error
+
+
 async def finish_edit(
     env: Environment,
     client: OperatorClient,
@@ -349,6 +358,27 @@
             lambda client: client.replace(request),
         )
 
+    async def restore(self, file: Path, *, remote: Remote) -> int:
+        """Take over tables and keys of a backup in a new, empty group.
+
+        Parameters
+        ----------
+        file
+            File that `control backup` wrote.
+
+        """
+        request = RestoreRequest(
+            make_edit_id(),
+            remote.operator,
+            read_backup(file),
+        )
+        return await self._edit(
+            remote,
+            NO_WAIT,
+            request.edit_id,
+            lambda client: client.restore(request),
+        )
+
     async def _edit(
         self,
         remote: Remote,
--- a/src/sequoiaseam/_commands.py
+++ b/src/sequoiaseam/_commands.py
@@ -81,13 +81,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WitnessGroup:
-    """Witnesses of one shard: member names, and since when each serves.
+    """Witnesses of one shard.
 
-    ``epoch`` grows with each change of the group.
+    ``epoch`` grows with each change of the group. ``incarnations`` are
+    those of the witnesses when the group was planned.
     """
 
     epoch: int
     witnesses: tuple[str, ...]
+    incarnations: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +101,39 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashReported:
-    """Fingerprints that were running when a backend server died."""
+    """Fingerprints that were running when a backend server died.
+
+    With ``cleared`` it says the opposite: these suspects have run whole
+    since.
+    """
 
     crash_id: str
     fingerprints: tuple[int, ...]
     at: datetime
+    cleared: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ControlAddressSet:
+    """Address of a control host that joins the group."""
+
+    name: str
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Take over tables and keys of a backup in a new, empty group.
+
+    ``revision`` is the backup's, so that revisions go on from there.
+    """
+
+    edit_id: str
+    operator: str
+    revision: int
+    tables: Tables
+    keys: tuple[KeyRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +148,8 @@
     | MembersChanged
     | WitnessesAssigned
     | CrashReported
+    | ControlAddressSet
+    | Restore
     | Noop
 )
 COMMAND_TYPES: tuple[type[Command], ...] = (
@@ -127,5 +159,7 @@
     MembersChanged,
     WitnessesAssigned,
     CrashReported,
+    ControlAddressSet,
+    Restore,
     Noop,
 )
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -13,7 +13,11 @@
 
 from sequoiaseam._access import Credentials, Identity, Role, Verifier
 from sequoiaseam._clock import Clock
-from sequoiaseam._commands import Command, CrashReported
+from sequoiaseam._commands import (
+    Command,
+    ControlAddressSet,
+    CrashReported,
+)
 from sequoiaseam._control_links import ControlLinks
 from sequoiaseam._control_messages import (
     ATTACH_PATH,
@@ -44,7 +48,7 @@
 from sequoiaseam._replica_messages import RoleChanged
 from sequoiaseam._rpc import Service, create_server
 from sequoiaseam._sessions import NodeSessions, SessionHooks
-from sequoiaseam._settings import ControlSettings
+from sequoiaseam._settings import ControlSettings, Endpoint
 from sequoiaseam._state import FleetState
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import SeamError
@@ -147,7 +151,7 @@
         self._server = create_server(service, self._codec)
         listen = self._settings.listen
         await self._server.start(listen.host, listen.port)
-        self._links.update(self._settings.replicas)
+        self._update_links()
         self._host.start()
         self._tasks.start(self._tick())
 
@@ -213,13 +217,23 @@
                 index=index,
             )
             self._revision_indices.setdefault(result.revision, index)
+        if isinstance(command, ControlAddressSet):
+            self._update_links()
         if self._leadership is not None:
             self._leadership.configure(self._clock.now())
         self._applied.set()
         self._applied = asyncio.Event()
 
+    def _update_links(self) -> None:
+        """Follow the addresses of settings and log; the log's win."""
+        hosts = dict(self._settings.replicas)
+        for name, address in self._state.controls.items():
+            hosts[name] = Endpoint(address.host, address.port)
+        self._links.update(hosts)
+
     def _load(self, data: bytes) -> None:
         self._state = FleetState.load(data)
+        self._update_links()
         self._sessions.feed.replace_state(self._state)
 
     def _find_index(self, revision: int) -> int:
--- a/src/sequoiaseam/_leadership.py
+++ b/src/sequoiaseam/_leadership.py
@@ -10,7 +10,10 @@
 from sequoiaseam._members import MemberGone, MemberRegistry, MemberReport
 from sequoiaseam._quota import QuotaAsk, QuotaOwner, QuotaSettle
 from sequoiaseam._state import FleetState
+from sequoiaseam.const import WITNESSES_PER_SHARD
 
+# How long the first witness groups wait for enough members.
+FORM_TIME: Final = timedelta(seconds=5)
 PLAN_INTERVAL: Final = timedelta(milliseconds=500)
 
 
@@ -52,10 +55,25 @@
             self._plan(now)
 
     def _plan(self, now: datetime) -> None:
+        if not self._may_assign(now):
+            return
         plan = self._registry.plan(now, self._get_state().groups, self._rng)
         if plan is not None:
             self._propose(plan)
 
+    def _may_assign(self, now: datetime) -> bool:
+        """Tell whether the first groups may be formed.
+
+        A group formed of the first node alone would take long to grow,
+        as one witness is added at a time.
+        """
+        state = self._get_state()
+        if state.groups or len(state.members) >= WITNESSES_PER_SHARD:
+            return True
+        if not state.members:
+            self._began = now
+        return now - self._began >= FORM_TIME
+
     def _propose_all(self, commands: tuple[Command, ...]) -> None:
         for command in commands:
             self._propose(command)
--- a/src/sequoiaseam/_members.py
+++ b/src/sequoiaseam/_members.py
@@ -258,17 +258,20 @@
     moves = MOVES_PER_PLAN
     for shard in range(WITNESS_SHARDS):
         group = groups.get(shard)
-        if group is None:
+        if group is None or not group.witnesses:
             witnesses = planner.create()
-            epoch = 1
         else:
             witnesses = planner.repair(group, settled=shard not in unsettled)
             if not witnesses and shard not in unsettled and moves:
                 witnesses = planner.improve(group)
                 moves -= bool(witnesses)
-            epoch = group.epoch + 1
         if witnesses:
-            changed[shard] = WitnessGroup(epoch, witnesses)
+            epoch = 1 if group is None else group.epoch + 1
+            incarnations = tuple(
+                members[name].incarnation if name in members else 0
+                for name in witnesses
+            )
+            changed[shard] = WitnessGroup(epoch, witnesses, incarnations)
     return WitnessesAssigned(changed) if changed else None
 
 
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -172,7 +172,7 @@
             ),
         )
         self._witness = WitnessHost(
-            Witness(name, now),
+            Witness(name, now, self.incarnation),
             clock,
             self.view,
             self._post,
--- a/src/sequoiaseam/_operations.py
+++ b/src/sequoiaseam/_operations.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from functools import singledispatchmethod
 from typing import Any, Final
 
@@ -12,9 +12,11 @@
 from sequoiaseam._commands import (
     AddKey,
     Command,
+    ControlAddressSet,
     CrashReported,
     EditTables,
     MembersChanged,
+    Restore,
     WithdrawKey,
     WitnessesAssigned,
 )
@@ -36,6 +38,7 @@
     ReplicaStatus,
     ReportAnswer,
     ReportRequest,
+    RestoreRequest,
     ShowAnswer,
     ShowRequest,
     StatusAnswer,
@@ -44,12 +47,19 @@
 )
 from sequoiaseam._quarantine import QuarantineList
 from sequoiaseam._replica_host import ReplicaHost
+from sequoiaseam._replica_messages import ReplicaId
+from sequoiaseam._replica_messages import ReplicaStatus as GroupStatus
 from sequoiaseam._sessions import NodeSessions
+from sequoiaseam._settings import parse_endpoint
 from sequoiaseam._state import EditStatus, FleetState
 from sequoiaseam._tables import KeyRecord
+from sequoiaseam.const import ELECTION_TIMEOUT_MAX
 from sequoiaseam.errors import ErrorCode, SeamError
 
 EVENTS_KEPT: Final = 1000
+# A replica that has not answered for this long is shown as lost; the
+# leader sends a heartbeat every 150 ms.
+LOST_AFTER: Final = ELECTION_TIMEOUT_MAX
 # Shorter than the client's own limit, so that an answer can say so.
 EDIT_TIMEOUT: Final = timedelta(seconds=3)
 OUTCOMES: Final = {
@@ -89,7 +99,7 @@
     command: Command,
 ) -> FollowEvent | None:
     """Return the event of a command; None if it had no effect."""
-    if isinstance(command, EditTables | AddKey | WithdrawKey):
+    if isinstance(command, EditTables | AddKey | WithdrawKey | Restore):
         result = state.find_result(command.edit_id)
         accepted = (
             result is not None
@@ -123,10 +133,10 @@
 
 def _describe_edit(
     state: FleetState,
-    command: EditTables | AddKey | WithdrawKey,
+    command: EditTables | AddKey | WithdrawKey | Restore,
 ) -> FollowEvent:
     tables = None
-    if isinstance(command, EditTables):
+    if isinstance(command, EditTables | Restore):
         kind, tables = FollowKind.TABLES, command.tables
         text = f"{len(tables.routes)} routes, {len(tables.pools)} pools"
     elif isinstance(command, AddKey):
@@ -144,6 +154,33 @@
     )
 
 
+def describe_replica(
+    now: datetime,
+    status: GroupStatus,
+    replica: ReplicaId,
+) -> ReplicaStatus:
+    """Return a replica's row as its leader sees it."""
+    heard: timedelta | None = timedelta(0)
+    match = status.last_index
+    if replica == status.replica:
+        role = status.role.value
+    else:
+        voters = status.membership.voters if status.membership else ()
+        role = "voter" if replica in voters else "learner"
+        match = dict(status.matches).get(replica.host, 0)
+        acked = dict(status.acked).get(replica.host)
+        heard = now - acked if acked is not None else None
+        if heard is None or heard > LOST_AFTER:
+            role = "lost"
+    return ReplicaStatus(
+        replica.host,
+        replica.identity,
+        role,
+        match,
+        heard,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class OperationHooks:
     """What operations need of their control host."""
@@ -213,7 +250,7 @@
 
     async def _edit(
         self,
-        command: EditTables | AddKey | WithdrawKey,
+        command: EditTables | AddKey | WithdrawKey | Restore,
     ) -> EditAnswer:
         """Commit an edit; a resend gets the first answer."""
         try:
@@ -293,25 +330,11 @@
         status = self._host.replica.status()
         if status.membership is None:
             return ()
-        matches = dict(status.matches)
-        rows = []
-        for replica in status.membership.replicas:
-            voter = replica in status.membership.voters
-            role = "voter" if voter else "learner"
-            if replica == status.replica:
-                role, match = status.role.value, status.last_index
-            else:
-                match = matches.get(replica.host, 0)
-            rows.append(
-                ReplicaStatus(
-                    replica.host,
-                    replica.identity,
-                    role,
-                    match,
-                    timedelta(0),
-                ),
-            )
-        return tuple(rows)
+        now = self._clock.now()
+        return tuple(
+            describe_replica(now, status, replica)
+            for replica in status.membership.replicas
+        )
 
     @_handle.register
     async def _(self, request: DrainRequest) -> object:
@@ -328,6 +351,15 @@
 
     @_handle.register
     async def _(self, request: ReplaceRequest) -> object:
+        if request.new:
+            endpoint = parse_endpoint(request.new)
+            await self._host.propose(
+                ControlAddressSet(
+                    request.new_name,
+                    endpoint.host,
+                    endpoint.port,
+                ),
+            )
         await self._host.replace(request.old, request.new_name)
         return EditAnswer(
             request.edit_id,
@@ -341,6 +373,19 @@
         state = self._get_state()
         return BackupAnswer(state.index, state.revision, state.dump())
 
+    @_handle.register
+    async def _(self, request: RestoreRequest) -> object:
+        state = FleetState.load(request.data)
+        return await self._edit(
+            Restore(
+                request.edit_id,
+                request.operator,
+                state.revision,
+                state.tables,
+                tuple(state.keys.values()),
+            ),
+        )
+
     @_handle.register
     async def _(self, request: InForceRequest) -> object:
         leadership = self._require_leadership()
--- a/src/sequoiaseam/_operator.py
+++ b/src/sequoiaseam/_operator.py
@@ -159,14 +159,14 @@
     """A control host as the leader sees it.
 
     ``role`` is leader, voter, learner or lost; ``heard`` is how long
-    ago the leader last heard from it.
+    ago the leader last heard from it, None if it never did.
     """
 
     name: str
     identity: str
     role: str
     match_index: int
-    heard: timedelta
+    heard: timedelta | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +220,15 @@
     data: bytes = field(repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreRequest:
+    """Take over tables and keys of a backup in an empty group."""
+
+    edit_id: str
+    operator: str
+    data: bytes = field(repr=False)
+
+
 @dataclass(frozen=True, slots=True)
 class InForceRequest:
     """Ask whether all nodes have applied a revision."""
@@ -284,6 +293,10 @@
         """Return a snapshot."""
         ...
 
+    async def restore(self, request: RestoreRequest) -> EditAnswer:
+        """Take over a backup."""
+        ...
+
     async def in_force(self, request: InForceRequest) -> InForceAnswer:
         """Return whether a revision is in force everywhere."""
         ...
@@ -310,6 +323,7 @@
     ReplaceRequest,
     BackupRequest,
     BackupAnswer,
+    RestoreRequest,
     InForceRequest,
     InForceAnswer,
 )
--- a/src/sequoiaseam/_operator_client.py
+++ b/src/sequoiaseam/_operator_client.py
@@ -34,6 +34,7 @@
     ReplaceRequest,
     ReportAnswer,
     ReportRequest,
+    RestoreRequest,
     ShowAnswer,
     ShowRequest,
     StatusAnswer,
@@ -225,6 +226,10 @@
         """Return a snapshot."""
         return await self._ask(request, BackupAnswer)
 
+    async def restore(self, request: RestoreRequest) -> EditAnswer:
+        """Take over a backup."""
+        return await self._ask(request, EditAnswer)
+
     async def in_force(self, request: InForceRequest) -> InForceAnswer:
         """Return whether a revision is in force everywhere."""
         return await self._ask(request, InForceAnswer)
--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -218,6 +218,7 @@
             snapshot_index=self._snapshot.index if self._snapshot else 0,
             membership=self._log.membership,
             matches=tuple((one.replica.host, one.match) for one in progress),
+            acked=tuple((one.replica.host, one.acked) for one in progress),
             waiting=self._list_waiting(),
         )
 
--- a/src/sequoiaseam/_replica_messages.py
+++ b/src/sequoiaseam/_replica_messages.py
@@ -412,7 +412,9 @@
 class ReplicaStatus:
     """State of a replica for operators.
 
-    ``matches`` has the last index that each other replica is known to
+    ``acked`` has when the newest message was sent that each other
+    replica has answered, None before the first answer; ``matches`` has
+    the last index that each other replica is known to
     have synced and is empty except on the leader; ``waiting`` has the
     empty replicas that asked to join.
     """
@@ -427,4 +429,5 @@
     snapshot_index: int
     membership: Membership | None
     matches: tuple[tuple[str, int], ...]
+    acked: tuple[tuple[str, datetime | None], ...]
     waiting: tuple[ReplicaId, ...]
--- a/src/sequoiaseam/_state.py
+++ b/src/sequoiaseam/_state.py
@@ -18,15 +18,18 @@
 from sequoiaseam._commands import (
     AddKey,
     Command,
+    ControlAddressSet,
     CrashReported,
     EditTables,
     Member,
     MembersChanged,
+    Restore,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
 )
 from sequoiaseam._tables import KeyRecord, Tables, validate_tables
+from sequoiaseam.const import WITNESS_SHARDS
 from sequoiaseam.errors import ErrorCode, SeamError
 
 FORMAT_VERSION: Final = 1
@@ -63,7 +66,7 @@
     message: str = ""
 
 
-Edit = EditTables | AddKey | WithdrawKey
+Edit = EditTables | AddKey | WithdrawKey | Restore
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,7 @@
     groups: Mapping[int, WitnessGroup]
     quarantine: tuple[CrashReported, ...]
     results: tuple[EditResult, ...]
+    controls: Mapping[str, ControlAddressSet]
 
 
 def keep_recent(
@@ -127,6 +131,7 @@
         self.members: Mapping[str, Member] = MappingProxyType({})
         self.groups: Mapping[int, WitnessGroup] = MappingProxyType({})
         self.quarantine: tuple[CrashReported, ...] = ()
+        self.controls: Mapping[str, ControlAddressSet] = MappingProxyType({})
         self._results: dict[str, EditResult] = {}
 
     def apply(self, index: int, command: Command) -> EditResult | None:
@@ -158,6 +163,7 @@
             dict(self.groups),
             self.quarantine,
             tuple(self._results.values()),
+            dict(self.controls),
         )
         return msgspec.msgpack.encode((FORMAT_VERSION, snapshot))
 
@@ -192,6 +198,7 @@
         state.members = MappingProxyType(dict(snapshot.members))
         state.groups = MappingProxyType(dict(snapshot.groups))
         state.quarantine = snapshot.quarantine
+        state.controls = MappingProxyType(dict(snapshot.controls))
         state._results = {r.edit_id: r for r in snapshot.results}
         return state
 
@@ -200,7 +207,7 @@
         kept = self._results.get(edit.edit_id)
         if kept is not None:
             return kept
-        base = edit.base_revision
+        base = None if isinstance(edit, Restore) else edit.base_revision
         if base is not None and base != self.revision:
             status = EditStatus.CONFLICT
             message = f"the revision is {self.revision}, not {base}"
@@ -273,6 +280,34 @@
         self.keys = MappingProxyType(kept)
         return EditStatus.ACCEPTED, ""
 
+    @_decide.register
+    def _decide_restore(self, edit: Restore) -> tuple[EditStatus, str]:
+        if self.revision:
+            return (
+                EditStatus.CONFLICT,
+                f"the group is in use, its revision is {self.revision}",
+            )
+        try:
+            validate_tables(edit.tables)
+        except SeamError as error:
+            return EditStatus.INVALID, error.message
+        self.tables = edit.tables
+        self.keys = MappingProxyType({key.key_id: key for key in edit.keys})
+        self.revision = max(0, edit.revision - 1)
+        # Requests may have run before the loss, so that no witness may
+        # count as the first one of its shard.
+        self.groups = MappingProxyType(
+            {
+                shard: WitnessGroup(self._get_epoch(shard) + 1, ())
+                for shard in range(WITNESS_SHARDS)
+            },
+        )
+        return EditStatus.ACCEPTED, ""
+
+    def _get_epoch(self, shard: int) -> int:
+        group = self.groups.get(shard)
+        return 0 if group is None else group.epoch
+
     @singledispatchmethod
     def _apply(self, command: Command) -> None:
         """Apply a command that is not an edit; Noop changes nothing."""
@@ -293,6 +328,12 @@
                 changed[shard] = group
         self.groups = MappingProxyType(changed)
 
+    @_apply.register
+    def _apply_address(self, command: ControlAddressSet) -> None:
+        self.controls = MappingProxyType(
+            {**self.controls, command.name: command},
+        )
+
     @_apply.register
     def _apply_crash(self, command: CrashReported) -> None:
         self.quarantine = keep_recent(self.quarantine, command)
--- a/src/sequoiaseam/_views.py
+++ b/src/sequoiaseam/_views.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from datetime import timedelta
 
 from rich.console import Console
 
@@ -89,6 +90,11 @@
     }
 
 
+def format_heard(heard: timedelta | None) -> str:
+    """Return how long ago a replica was heard from."""
+    return "never" if heard is None else format_age(heard)
+
+
 def build_replicas_table(replicas: Iterable[ReplicaStatus]) -> Grid:
     """Return the control hosts as a table."""
     return Grid(
@@ -99,7 +105,7 @@
                 replica.name,
                 replica.role,
                 str(replica.match_index),
-                format_age(replica.heard),
+                format_heard(replica.heard),
                 replica.identity,
             )
             for replica in sorted(replicas, key=lambda r: r.name)
--- a/src/sequoiaseam/_witness.py
+++ b/src/sequoiaseam/_witness.py
@@ -50,6 +50,7 @@
 )
 UNIX_EPOCH: Final = datetime(1970, 1, 1, tzinfo=UTC)
 BUCKET: Final = timedelta(seconds=10)
+FIRST_EPOCH: Final = 1
 
 
 class Decision(enum.Enum):
@@ -275,8 +276,14 @@
 class Witness:
     """Votes of one node for the shards assigned to it; memory only."""
 
-    def __init__(self, name: str, now: datetime) -> None:
+    def __init__(
+        self,
+        name: str,
+        now: datetime,
+        incarnation: int = 0,
+    ) -> None:
         self._name = name
+        self._incarnation = incarnation
         self._started = now
         self._shards: dict[int, _Assignment] = {}
         self._records: dict[bytes, _Record] = {}
@@ -305,10 +312,25 @@
             old = self._shards.get(shard)
             if old is not None and _is_successor(old.group, group):
                 shards[shard] = _Assignment(group, old.eligible)
+            elif self._is_first(group):
+                shards[shard] = _Assignment(group, UNIX_EPOCH)
             else:
                 shards[shard] = _Assignment(group, now + ELIGIBILITY_DELAY)
         self._shards = shards
 
+    def _is_first(self, group: WitnessGroup) -> bool:
+        """Tell whether this run was chosen for a shard's first group.
+
+        No attempt was granted before the first group, and this run has
+        forgotten nothing since.
+        """
+        place = group.witnesses.index(self._name)
+        return (
+            group.epoch == FIRST_EPOCH
+            and place < len(group.incarnations)
+            and group.incarnations[place] == self._incarnation != 0
+        )
+
     def receive(
         self,
         now: datetime,
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -15,6 +15,7 @@
     EditTables,
     MembersChanged,
     Noop,
+    Restore,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
@@ -116,6 +117,35 @@
             self.assertIs(caught.exception.code, ErrorCode.JOURNAL_DAMAGED)
 
 
+class RestoreTest(unittest.TestCase):
+    """Guards against a backup that overwrites a group in use."""
+
+    def test_takes_over_a_backup_when_empty_only(self) -> None:
+        old = build_state()
+        old.apply(old.index + 1, AddKey("k", "ana", None, build_key()))
+        command = Restore(
+            "r1",
+            "ana",
+            old.revision,
+            old.tables,
+            tuple(old.keys.values()),
+        )
+        new = FleetState()
+        groups = {3: WitnessGroup(1, ("a",), (1,))}
+        new.apply(1, WitnessesAssigned(groups))
+        result = new.apply(2, command)
+        self.assertEqual(new.revision, old.revision)
+        self.assertEqual((new.tables, new.keys), (old.tables, old.keys))
+        # No witness may count as the first one of its shard any more.
+        self.assertEqual(new.groups[3], WitnessGroup(2, ()))
+        self.assertEqual(new.groups[4], WitnessGroup(1, ()))
+        self.assertEqual(new.apply(3, command), result)
+        again = new.apply(4, replace(command, edit_id="r2"))
+        self.assertIsNotNone(again)
+        if again is not None:
+            self.assertIs(again.status, EditStatus.CONFLICT)
+
+
 class KeyringTest(unittest.TestCase):
     """Guards against a key that names the wrong workspace."""
 
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -199,6 +199,37 @@
             self.assertEqual(len(self.witness), count)
 
 
+class FirstGroupTest(unittest.TestCase):
+    """Guards against votes by a run that may have forgotten a grant."""
+
+    def test_only_the_run_chosen_first_votes_at_once(self) -> None:
+        chosen = WitnessGroup(1, ("w1", "w2", "w3"), (7, 8, 9))
+        cases = {
+            "chosen run": (chosen, 7, Decision.GRANTED),
+            "restarted": (chosen, 70, Decision.ABSTAIN),
+            "later group": (replace(chosen, epoch=2), 7, Decision.ABSTAIN),
+            "no incarnations": (GROUP, 7, Decision.ABSTAIN),
+        }
+        for name, (group, incarnation, decision) in cases.items():
+            with self.subTest(name):
+                witness = Witness("w1", EPOCH, incarnation)
+                witness.assign(
+                    EPOCH,
+                    dict.fromkeys(range(WITNESS_SHARDS), group),
+                )
+                vote = witness.receive(
+                    EPOCH,
+                    fresh=True,
+                    message=build_intent(
+                        key=build_key(minted=EPOCH),
+                        epoch=group.epoch,
+                    ),
+                )
+                self.assertIsNotNone(vote)
+                if vote is not None:
+                    self.assertIs(vote.decision, decision)
+
+
 class RequestIdTest(unittest.TestCase):
     """Guards against ids that the records can't cover."""
 
