Bound connections and first requests at the edge, cancel queued calls

Cause: connections without a request were kept for ever and their number had no bound; a caller that waits for "100 Continue" waited in vain; a call that still waited in a queue went on after its caller had gone. Change: a limit of connections, a limit for the first request, the interim response, and cancellation of every call whose caller is gone; the guard itself lets a started non-idempotent run end.

--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -17,6 +17,7 @@
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
     HEADER_HANDLE,
+    HEADER_REQUEST_ID,
     HEADER_TIMEOUT,
     HEADER_VERDICT,
 )
@@ -54,6 +55,7 @@
     headers: Headers
     body: bytes
     handle: str
+    request_id: str
     remaining: timedelta
 
 
@@ -102,6 +104,7 @@
     async def _exchange(self, request: BackendRequest) -> Answer:
         headers = CIMultiDict(request.headers)
         headers[HEADER_HANDLE] = request.handle
+        headers[HEADER_REQUEST_ID] = request.request_id
         headers[HEADER_TIMEOUT] = str(
             request.remaining // timedelta(milliseconds=1),
         )
--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -36,6 +36,10 @@
 # The parser's own limit; the check of the whole header block, which
 # gives a refusal with a request id, comes before it.
 PARSER_LIMIT: Final = 2 * HEADER_LIMIT
+# Further connections are closed at once.
+CONNECTION_LIMIT: Final = 5_000
+# A connection without a whole request head by then is closed.
+FIRST_REQUEST_SECONDS: Final = 10.0
 
 
 def create_refusal(
@@ -85,7 +89,34 @@
 class EdgeProtocol(RequestHandler):
     """Answer malformed HTTP with the documented refusal."""
 
-    __slots__ = ()
+    __slots__ = ("_server", "served")
+
+    def __init__(self, server: "EdgeServer", **options: Any) -> None:
+        super().__init__(server, **options)
+        self._server = server
+        # Whether a request has come on this connection.
+        self.served = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the connections, and the wait for a first request."""
+        super().connection_made(transport)
+        self._server.open_connections += 1
+        if self._server.open_connections > CONNECTION_LIMIT:
+            self.force_close()
+            return
+        asyncio.get_running_loop().call_later(
+            FIRST_REQUEST_SECONDS,
+            self._check_served,
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Count the connection as closed."""
+        self._server.open_connections -= 1
+        super().connection_lost(exc)
+
+    def _check_served(self) -> None:
+        if not self.served:
+            self.force_close()
 
     def handle_error(
         self,
@@ -139,6 +170,7 @@
     ) -> None:
         # With handler_cancellation a request ends when its caller goes.
         super().__init__(handler, handler_cancellation=True)
+        self.open_connections = 0
 
     def __call__(self) -> RequestHandler:
         return EdgeProtocol(
@@ -171,6 +203,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self._active += 1
+        if isinstance(request.protocol, EdgeProtocol):
+            request.protocol.served = True
         try:
             response = await self._run(request)
         finally:
@@ -220,6 +254,7 @@
     )
     if (request.content_length or 0) > limit:
         raise too_large
+    await _invite_body(request)
     chunks: list[bytes] = []
     size = 0
     try:
@@ -236,6 +271,17 @@
     return b"".join(chunks)
 
 
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Answer "100 Continue" to a caller that waits for it.
+
+    A refusal before this point spares the caller the upload.
+    """
+    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+        writer = request.writer
+        await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.output_size = 0
+
+
 async def start_listener(
     handler: Any,
     host: str,
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -255,7 +255,7 @@
         return socket
 
     async def _serve(self, socket: web.WebSocketResponse) -> None:
-        running: dict[int, tuple[CallFrame, asyncio.Task[Any]]] = {}
+        running: dict[int, asyncio.Task[Any]] = {}
         try:
             async for message in socket:
                 if message.type is aiohttp.WSMsgType.BINARY:
@@ -268,24 +268,25 @@
                 code=error.code.value,
             )
         finally:
-            for call, task in running.values():
-                _cancel_call(call, task)
+            # The guard keeps a non-idempotent run going for its outcome.
+            for task in running.values():
+                task.cancel()
 
     def _dispatch(
         self,
         socket: web.WebSocketResponse,
-        running: dict[int, tuple[CallFrame, asyncio.Task[Any]]],
+        running: dict[int, asyncio.Task[Any]],
         frame: Any,
     ) -> None:
         if isinstance(frame, CallFrame):
             task = self._tasks.start(self._answer(socket, frame))
-            running[frame.call_id] = (frame, task)
+            running[frame.call_id] = task
             task.add_done_callback(
                 lambda _: running.pop(frame.call_id, None),
             )
         elif isinstance(frame, CancelFrame):
             if frame.call_id in running:
-                _cancel_call(*running[frame.call_id])
+                running[frame.call_id].cancel()
         else:
             self._on_message(frame)
 
@@ -337,9 +338,3 @@
         (),
         0,
     )
-
-
-def _cancel_call(call: CallFrame, task: asyncio.Task[Any]) -> None:
-    """Cancel a call, unless its outcome must be kept for a resend."""
-    if call.idempotent or call.attempt is None:
-        task.cancel()
