--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -124,6 +124,10 @@
 
     def enter(self, root: Root, respond: Respond) -> None:
         """Check the pressure, then forward with a whole budget."""
+        quota = self.fleet.quota
+        if quota and not quota.spend(self.sim.time, root.workspace.name):
+            respond(Reply(Outcome.QUOTA))
+            return
         route = root.route
         wait = self.pressure.decide(
             self.sim.now,
@@ -322,8 +326,9 @@
 
     def _crash(self) -> None:
         running = {c.root.number for c in self.calls.values() if c.running}
-        report = partial(quarantine(self.fleet).report, running)
-        self.sim.after(REPORT_DELAY / 2, report)
+        if self.name not in self.fleet.network.dead:
+            report = partial(quarantine(self.fleet).report, running)
+            self.sim.after(REPORT_DELAY / 2, report)
         for number, call in list(self.calls.items()):
             if not call.running:
                 del self.calls[number]
--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -226,12 +226,16 @@
         return actions
 
     def _choose(self, now: datetime) -> Ticket | None:
-        if self._alone or not self._has_room():
+        if self._alone:
+            self._gauge.note_blocked()
+            return None
+        if not self._has_room():
             return None
         ticket = self._queue.peek(newest=self._is_late(now))
         if ticket is not None and ticket.alone and self._runs:
             # Nothing of its rank or below starts until the server is
             # idle, so the ticket doesn't starve.
+            self._gauge.note_blocked()
             return None
         return ticket
 
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -107,6 +107,10 @@
         if not any(queued[int(self.level) :]):
             self._emptied = True
 
+    def note_blocked(self) -> None:
+        """Note that the queue waits for a ticket that runs alone."""
+        self._emptied = True
+
     def roll(
         self,
         now: datetime,
