Check quarantine at the guarding node, count floods out

Cause: retries within the budget passed the emulated quarantine, and requests over their rate were counted as served but not as due.

--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -40,6 +40,7 @@
     Outcome.FAILED: CallResult.FAILED,
     Outcome.LOST: CallResult.LOST,
     Outcome.EXPIRED: CallResult.TIMEOUT,
+    Outcome.QUARANTINED: CallResult.REFUSED,
 }
 COMPLETIONS: Final = {
     Outcome.OK: Completion.OK,
@@ -48,6 +49,7 @@
     Outcome.FAILED: Completion.FAILED,
     Outcome.LOST: Completion.FAILED,
     Outcome.EXPIRED: Completion.TIMEOUT,
+    Outcome.QUARANTINED: Completion.FAILED,
 }
 
 
@@ -136,7 +138,7 @@
             root.workspace.name,
             root.workspace.share,
         )
-        if wait is not None or quarantine(self.fleet).is_refused(root.number):
+        if wait is not None:
             respond(Reply(Outcome.REFUSED))
             return
         budget = RetryBudget(RETRIES)
@@ -154,6 +156,9 @@
         if not self.server.alive:
             respond(Reply(Outcome.REFUSED, unused=budget))
             return
+        if quarantine(self.fleet).is_refused(root.number):
+            respond(Reply(Outcome.QUARANTINED, unused=budget))
+            return
         number = next(self.numbers)
         self.calls[number] = _Call(root, plan, budget, respond)
         root.stops.append(partial(self._stop, number))
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -44,6 +44,7 @@
     LOST = "lost"
     EXPIRED = "expired"
     QUOTA = "quota"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True)
