--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -40,6 +40,7 @@
     Outcome.FAILED: CallResult.FAILED,
     Outcome.LOST: CallResult.LOST,
     Outcome.EXPIRED: CallResult.TIMEOUT,
+    Outcome.QUARANTINED: CallResult.REFUSED,
 }
 COMPLETIONS: Final = {
     Outcome.OK: Completion.OK,
@@ -48,6 +49,7 @@
     Outcome.FAILED: Completion.FAILED,
     Outcome.LOST: Completion.FAILED,
     Outcome.EXPIRED: Completion.TIMEOUT,
+    Outcome.QUARANTINED: Completion.FAILED,
 }
 
 
@@ -124,6 +126,10 @@
 
     def enter(self, root: Root, respond: Respond) -> None:
         """Check the pressure, then forward with a whole budget."""
+        quota = self.fleet.quota
+        if quota and not quota.spend(self.sim.time, root.workspace.name):
+            respond(Reply(Outcome.QUOTA))
+            return
         route = root.route
         wait = self.pressure.decide(
             self.sim.now,
@@ -132,7 +138,7 @@
             root.workspace.name,
             root.workspace.share,
         )
-        if wait is not None or quarantine(self.fleet).is_refused(root.number):
+        if wait is not None:
             respond(Reply(Outcome.REFUSED))
             return
         budget = RetryBudget(RETRIES)
@@ -150,6 +156,9 @@
         if not self.server.alive:
             respond(Reply(Outcome.REFUSED, unused=budget))
             return
+        if quarantine(self.fleet).is_refused(root.number):
+            respond(Reply(Outcome.QUARANTINED, unused=budget))
+            return
         number = next(self.numbers)
         self.calls[number] = _Call(root, plan, budget, respond)
         root.stops.append(partial(self._stop, number))
@@ -322,8 +331,9 @@
 
     def _crash(self) -> None:
         running = {c.root.number for c in self.calls.values() if c.running}
-        report = partial(quarantine(self.fleet).report, running)
-        self.sim.after(REPORT_DELAY / 2, report)
+        if self.name not in self.fleet.network.dead:
+            report = partial(quarantine(self.fleet).report, running)
+            self.sim.after(REPORT_DELAY / 2, report)
         for number, call in list(self.calls.items()):
             if not call.running:
                 del self.calls[number]
