--- a/src/sequoiaseam/_attempt.py
+++ b/src/sequoiaseam/_attempt.py
@@ -254,11 +254,15 @@
         if entry.granted:
             return ()
         group = entry.plan.group
-        attempt = entry.plan.intent.attempt
-        if group is None or _is_granted(entry.votes, group):
+        intent = entry.plan.intent
+        if group is None:
+            entry.granted = True
+            return (Granted(intent.attempt),)
+        grants = _count_grants(entry.votes, intent)
+        if grants >= count_majority(group):
             entry.granted = True
-            return (Granted(attempt),)
-        if _is_open(entry.votes, group):
+            return (Granted(intent.attempt),)
+        if _is_open(entry.votes, grants, group):
             return ()
         return (self._deny_entry(now, entry),)
 
@@ -324,30 +328,33 @@
     return intent.entered + CALL_LIFETIME + CLOCK_SKEW
 
 
-def _count_slots(votes: dict[str, Vote]) -> Counter[int]:
-    """Return how many witnesses granted each slot."""
-    return Counter(
-        vote.attempts
+def _count_grants(votes: dict[str, Vote], intent: Intent) -> int:
+    """Return the grants that add up to a majority.
+
+    Grants of an idempotent request add up only for the same slot, or
+    more attempts than its limit could start.
+    """
+    slots = Counter(
+        vote.attempts if intent.idempotent else 0
         for vote in votes.values()
         if vote.decision is Decision.GRANTED
     )
+    return max(slots.values(), default=0)
 
 
-def _is_granted(votes: dict[str, Vote], group: WitnessGroup) -> bool:
-    """Tell whether a majority granted the same slot.
+def _is_open(
+    votes: dict[str, Vote],
+    grants: int,
+    group: WitnessGroup,
+) -> bool:
+    """Tell whether to wait for more votes.
 
-    Grants of different slots don't add up, or the attempts of an id
-    could outnumber its limit.
+    A majority is heard in any case, so that a denial tells of enough
+    fences for the next attempt to pass them all.
     """
-    slots = _count_slots(votes)
-    return max(slots.values(), default=0) >= count_majority(group)
-
-
-def _is_open(votes: dict[str, Vote], group: WitnessGroup) -> bool:
-    """Tell whether votes to come may still give a majority."""
+    majority = count_majority(group)
     missing = len(group.witnesses) - len(votes)
-    best = max(_count_slots(votes).values(), default=0)
-    return best + missing >= count_majority(group)
+    return grants + missing >= majority or len(votes) < majority
 
 
 def _choose_code(decisions: set[Decision]) -> ErrorCode:
