Test requests on a fleet of real processes

The whole path had been run by the quickstart alone, without failures.

The stand-in backend server can break off an answer, crash, hang, shed, answer late, call nested paths and count the runs of an idempotency key in a file that outlives it; it drains as docs/backend-servers.md says.

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -1,26 +1,70 @@
-"""A stand-in backend server: slots, a service time, nested calls."""
+"""A stand-in backend server: slots, a service time, nested calls.
+
+The header ``X-Act`` makes it misbehave: pairs ``name=value`` separated
+by ``;``. ``server`` limits the rest to one server; ``do`` is an
+``Action``; ``delay`` is in milliseconds; ``nested`` is a path to call
+through the node, by the method ``method``, with the header
+``Authorization`` set to ``key`` and the handle to ``handle`` if given.
+"""
 
 import asyncio
 import contextlib
+import enum
+import os
 import signal
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
+from pathlib import Path
+from typing import Any, Final
+from urllib.parse import parse_qsl
 
 import aiohttp
 import cyclopts
 from aiohttp import web
 
 ECHO_HEADER: Final = "X-Echo"
+ACT_HEADER: Final = "X-Act"
 HANDLE_HEADER: Final = "Sequoiaseam-Handle"
+VERDICT_HEADER: Final = "Sequoiaseam-Verdict"
+ID_HEADER: Final = "Idempotency-Key"
+CODE_HEADER: Final = "Sequoiaseam-Code"
 ANNOUNCE_SECONDS: Final = 1.0
+IDLE_POLL_SECONDS: Final = 0.02
 PAD: Final = "x" * 400
+CUT_LENGTH: Final = 1000
+CUT_PART: Final = b"x" * 100
+UNFRAMED: Final = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + CUT_PART
+EXIT_CRASH: Final = 70
 
 app = cyclopts.App(help="Serve as a small backend server.")
 
 
+class Action(enum.Enum):
+    """How the stand-in misbehaves on a request."""
+
+    NONE = ""
+    # Break off the answer, framed in each of the ways of HTTP/1.1.
+    CUT_LENGTH = "cut-length"
+    CUT_CHUNKED = "cut-chunked"
+    CUT_UNFRAMED = "cut-unframed"
+    # End the process before or in the middle of the answer.
+    CRASH = "crash"
+    CRASH_ANSWERING = "crash-answering"
+    # Close the connection without an answer.
+    DROP = "drop"
+    HANG = "hang"
+    SHED = "shed"
+    FAIL = "fail"
+
+
 @dataclass(frozen=True, slots=True)
 class BackendOptions:
-    """Options of the stand-in; ``nested`` is a path it calls."""
+    """Options of the stand-in; ``nested`` is a path it calls.
+
+    ``runs`` is a file with a line for each run of a request that had an
+    idempotency key; it outlives the process.
+    """
 
     name: str
     pool: str
@@ -29,6 +73,29 @@
     slots: int
     delay: float
     nested: str
+    runs: Path | None = None
+
+
+class RunCounter:
+    """Count the runs of each idempotency key, also across crashes."""
+
+    def __init__(self, path: Path | None) -> None:
+        self._counts: Counter[str] = Counter()
+        self._file = -1
+        if path is not None:
+            if path.exists():
+                self._counts.update(path.read_text().split())
+            flags = os.O_CREAT | os.O_APPEND | os.O_WRONLY
+            self._file = os.open(path, flags, 0o600)
+
+    def add(self, key: str) -> int:
+        """Count a run; return how many there were of the key."""
+        if not key:
+            return 0
+        self._counts[key] += 1
+        if self._file >= 0:
+            os.write(self._file, f"{key}\n".encode())
+        return self._counts[key]
 
 
 class Backend:
@@ -37,6 +104,7 @@
     def __init__(self, options: BackendOptions) -> None:
         self._options = options
         self._slots = asyncio.Semaphore(options.slots)
+        self._runs = RunCounter(options.runs)
         self._running = 0
         self._session: aiohttp.ClientSession | None = None
         self._state = "serving"
@@ -49,49 +117,102 @@
             )
         return self._session
 
-    async def handle(self, request: web.Request) -> web.Response:
+    async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serve one request in a slot."""
+        act = self._read_act(request)
+        action = Action(act.get("do", ""))
+        if action is Action.SHED:
+            return web.Response(
+                status=503,
+                headers={VERDICT_HEADER: "not run"},
+            )
         self._running += 1
         try:
             async with self._slots:
-                await asyncio.sleep(self._options.delay)
-                nested = await self._call_nested(request)
+                return await self._serve(request, act, action)
         finally:
             self._running -= 1
+
+    def _read_act(self, request: web.Request) -> Mapping[str, str]:
+        act = dict(
+            parse_qsl(request.headers.get(ACT_HEADER, ""), separator=";"),
+        )
+        if act.get("server", self._options.name) != self._options.name:
+            return {}
+        return act
+
+    async def _serve(
+        self,
+        request: web.Request,
+        act: Mapping[str, str],
+        action: Action,
+    ) -> web.StreamResponse:
+        runs = self._runs.add(request.headers.get(ID_HEADER, ""))
+        body = await request.read()
+        delay = self._options.delay
+        if "delay" in act:
+            delay = float(act["delay"]) / 1000
+        await asyncio.sleep(delay)
+        if action is Action.HANG:
+            await asyncio.Event().wait()
+        if action is Action.CRASH:
+            os._exit(EXIT_CRASH)
+        if action not in (Action.NONE, Action.FAIL):
+            return await _break_off(request, action)
+        nested, answer = await self._call_nested(request, act)
         return web.json_response(
             {
                 "echo": request.headers.get(ECHO_HEADER, ""),
                 "server": self._options.name,
                 "saw_key": "Authorization" in request.headers,
                 "nested": nested,
+                "nested_answer": answer,
+                "runs": runs,
+                "path": request.raw_path,
+                "body_size": len(body),
+                "headers": [
+                    [name.decode("latin-1"), value.decode("latin-1")]
+                    for name, value in request.raw_headers
+                ],
                 "pad": PAD,
             },
+            status=500 if action is Action.FAIL else 200,
         )
 
-    async def _call_nested(self, request: web.Request) -> int:
-        """Return the status of the nested call, 0 without one."""
-        if not self._options.nested:
-            return 0
+    async def _call_nested(
+        self,
+        request: web.Request,
+        act: Mapping[str, str],
+    ) -> tuple[int, Any]:
+        """Return the nested call's status and answer, 0 without one."""
+        path = act.get("nested", self._options.nested)
+        if not path:
+            return 0, None
         headers = {
-            HANDLE_HEADER: request.headers.get(HANDLE_HEADER, ""),
+            HANDLE_HEADER: act.get(
+                "handle",
+                request.headers.get(HANDLE_HEADER, ""),
+            ),
             ECHO_HEADER: request.headers.get(ECHO_HEADER, ""),
         }
-        async with self._get_session().get(
-            self._options.nested,
+        if "key" in act:
+            headers["Authorization"] = f"Bearer {act['key']}"
+        async with self._get_session().request(
+            act.get("method", "GET"),
+            path,
             headers=headers,
         ) as response:
-            await response.read()
-            return response.status
+            return response.status, await response.json(content_type=None)
 
     async def announce(self) -> None:
         """Announce the server to its node, forever."""
-        options = self._options
         while True:
             with contextlib.suppress(aiohttp.ClientError):
-                await self._put(options)
+                await self._put()
             await asyncio.sleep(ANNOUNCE_SECONDS)
 
-    async def _put(self, options: BackendOptions) -> None:
+    async def _put(self) -> None:
+        options = self._options
         async with self._get_session().put(
             "/v1/backend",
             json={
@@ -100,16 +221,50 @@
                 "slots": options.slots,
                 "load": min(1.0, self._running / options.slots),
                 "state": self._state,
+                "instance": str(os.getpid()),
             },
         ) as response:
             await response.read()
 
-    async def close(self) -> None:
-        """Withdraw the server and close the connections."""
+    async def leave(self) -> None:
+        """Drain as docs/backend-servers.md says, then withdraw."""
+        self._state = "draining"
+        with contextlib.suppress(aiohttp.ClientError):
+            await self._put()
+        while self._running:  # noqa: ASYNC110
+            await asyncio.sleep(IDLE_POLL_SECONDS)
         session = self._get_session()
         with contextlib.suppress(aiohttp.ClientError):
             await session.delete("/v1/backend")
-        await session.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._get_session().close()
+
+
+async def _break_off(
+    request: web.Request,
+    action: Action,
+) -> web.StreamResponse:
+    """Send a part of an answer, or nothing, and close."""
+    response = web.StreamResponse()
+    if action is Action.CUT_UNFRAMED and request.transport is not None:
+        # Without a length only the end of the connection ends a body.
+        request.transport.write(UNFRAMED)
+    elif action is not Action.DROP:
+        if action is Action.CUT_CHUNKED:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = CUT_LENGTH
+        await response.prepare(request)
+        await response.write(CUT_PART)
+        # Leaves the part time to arrive ahead of the end.
+        await asyncio.sleep(IDLE_POLL_SECONDS)
+    if action is Action.CRASH_ANSWERING:
+        os._exit(EXIT_CRASH)
+    if request.transport is not None:
+        request.transport.close()
+    return response
 
 
 async def serve(options: BackendOptions) -> None:
@@ -126,8 +281,9 @@
     announcing = asyncio.create_task(backend.announce())
     await stop.wait()
     announcing.cancel()
-    await backend.close()
+    await backend.leave()
     await runner.cleanup()
+    await backend.close()
 
 
 @app.default
@@ -140,6 +296,7 @@
     slots: int = 40,
     delay_ms: float = 5.0,
     nested: str = "",
+    runs: Path | None = None,
 ) -> None:
     """Start the stand-in."""
     asyncio.run(
@@ -152,6 +309,7 @@
                 slots,
                 delay_ms / 1000.0,
                 nested,
+                runs,
             ),
         ),
     )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -11,6 +11,7 @@
 from types import TracebackType
 from typing import Final, Self
 
+from bench.relay import Relay
 from sequoiaseam._operator import OperatorClient
 from sequoiaseam._operator_client import connect
 from sequoiaseam._settings import Endpoint
@@ -56,13 +57,26 @@
     process: asyncio.subprocess.Process
     backend: asyncio.subprocess.Process | None = None
 
+    @property
+    def url(self) -> str:
+        """Return where callers send requests."""
+        return f"http://{LOOPBACK}:{self.callers}"
+
 
 @dataclass(slots=True)
 class Fleet:
-    """Control hosts, nodes and stand-ins in a temporary folder."""
+    """Control hosts, nodes and stand-ins in a temporary folder.
+
+    With ``relayed`` each connection between control hosts, from nodes
+    to control hosts and between nodes passes through a relay of
+    ``relays``. Its key is the source and the target; the source of
+    connections between nodes is "", because they share an address.
+    """
 
     nodes: tuple[NodePlan, ...]
     controls: int = 3
+    relayed: bool = False
+    relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
     running: dict[str, RunningNode] = field(default_factory=dict)
     control_processes: dict[str, asyncio.subprocess.Process] = field(
         default_factory=dict,
@@ -108,6 +122,8 @@
             if node.backend is not None:
                 processes.append(node.backend)
         await asyncio.gather(*(stop_process(one) for one in processes))
+        for relay in self.relays.values():
+            await relay.close()
         if self._folder is not None:
             self._folder.cleanup()
 
@@ -123,11 +139,30 @@
             f"[operators]\ncurrent = {secrets.token_hex(SECRET_BYTES)}\n",
         )
 
+    async def _route(self, source: str, target: str) -> Endpoint:
+        """Return where ``source`` reaches a control host."""
+        endpoint = self.endpoints[target]
+        if not self.relayed or source == target:
+            return endpoint
+        relay = await self._relay(source, target, endpoint.port)
+        return Endpoint(LOOPBACK, relay.port)
+
+    async def _relay(self, source: str, target: str, port: int) -> Relay:
+        relay = self.relays.get((source, target))
+        if relay is None:
+            relay = self.relays[source, target] = Relay(port)
+            await relay.start()
+        relay.target = port
+        return relay
+
     async def start_control(self, name: str) -> None:
         """Start a control host on its data folder."""
         endpoint = self.endpoints[name]
+        routes = {
+            peer: await self._route(name, peer) for peer in self.endpoints
+        }
         replicas = "\n".join(
-            f"{peer} = {address}" for peer, address in self.endpoints.items()
+            f"{peer} = {address}" for peer, address in routes.items()
         )
         path = self.folder / f"{name}.ini"
         path.write_text(
@@ -144,9 +179,13 @@
 
     async def start_node(self, plan: NodePlan) -> None:
         """Start a node and its backend server."""
-        callers, peers, local, backend = find_ports(4)
+        ports = find_ports(4)
+        callers, peers, local, backend = ports
+        routes = {
+            peer: await self._route(plan.name, peer) for peer in self.endpoints
+        }
         hosts = "\n".join(
-            f"    {peer} {address}" for peer, address in self.endpoints.items()
+            f"    {peer} {address}" for peer, address in routes.items()
         )
         path = self.folder / f"{plan.name}.ini"
         path.write_text(
@@ -157,16 +196,41 @@
             f"[control]\nhosts =\n{hosts}\n"
             f"[access]\nsecrets = {self.secrets_path}\n",
         )
-        process = await self._spawn(
-            plan.name,
-            "sequoiaseam._node_main",
-            str(path),
-        )
+        process = await self._start_node_process(plan, path, peers)
         node = RunningNode(plan, callers, peers, local, backend, process)
         self.running[plan.name] = node
         if plan.backend:
             await self.start_backend(node)
 
+    async def _start_node_process(
+        self,
+        plan: NodePlan,
+        path: Path,
+        peers: int,
+    ) -> asyncio.subprocess.Process:
+        if not self.relayed:
+            return await self._spawn(
+                plan.name,
+                "sequoiaseam._node_main",
+                str(path),
+            )
+        relay = await self._relay("", plan.name, peers)
+        return await self._spawn(
+            plan.name,
+            "bench.relayed_node",
+            str(path),
+            str(relay.port),
+        )
+
+    async def restart_node(self, name: str) -> None:
+        """Start a node's ended process on the same settings."""
+        node = self.running[name]
+        node.process = await self._start_node_process(
+            node.plan,
+            self.folder / f"{name}.ini",
+            node.peers,
+        )
+
     async def start_backend(self, node: RunningNode) -> None:
         """Start the stand-in backend server beside a node."""
         plan = node.plan
@@ -187,6 +251,15 @@
             str(plan.delay_ms),
             "--nested",
             plan.nested,
+            "--runs",
+            str(self.folder / f"{plan.name}.runs"),
+        )
+
+    def count_runs(self, request_id: str) -> int:
+        """Return how often the stand-ins ran an idempotency key."""
+        return sum(
+            path.read_text().split().count(request_id)
+            for path in self.folder.glob("*.runs")
         )
 
     async def _spawn(
