Clear suspects over the fleet once they have run whole

Cause: a request that merely ran beside a crashing one stayed a suspect for ten minutes and ran alone each time. Change: the guarding node reports suspects that completed; the report is a log entry of the same kind as a crash, so all nodes agree. Conclusion: concurrent requests are spared after their next whole run.

--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -3,11 +3,11 @@
 import asyncio
 import functools
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from sequoiaseam._admission import Admission
 from sequoiaseam._attempt import (
@@ -68,7 +68,10 @@
 
     post: Callable[[str, object], None]
     quarantine: QuarantineList
-    report_crash: Callable[[CrashReported], Awaitable[None]]
+    report_crash: Callable[
+        [CrashReported],
+        Coroutine[Any, Any, None],
+    ]
     get_pool: Callable[[str], Pool | None]
 
 
@@ -234,6 +237,7 @@
     def tick(self, now: datetime) -> None:
         """Expire what is overdue; call every 50 ms."""
         self._settle(self._tracker.tick(now))
+        self._report_cleared(now)
         session = self._session
         if session is None:
             return
@@ -519,6 +523,16 @@
             )
             await self._hooks.report_crash(report)
 
+    def _report_cleared(self, now: datetime) -> None:
+        """Tell the fleet of suspects that ran whole here."""
+        report = self._watch.report_cleared(
+            now,
+            f"{self._name}-cleared-{now.timestamp():.6f}",
+            self._hooks.quarantine,
+        )
+        if report is not None:
+            self._tasks.start(self._hooks.report_crash(report))
+
     def _detach(self) -> None:
         session, self._session = self._session, None
         if session is None:
--- a/src/sequoiaseam/_quarantine.py
+++ b/src/sequoiaseam/_quarantine.py
@@ -47,14 +47,6 @@
     QUARANTINED = "quarantined"
 
 
-@dataclass(frozen=True, slots=True)
-class SuspicionCleared:
-    """Suspect fingerprints that a server completed without a crash."""
-
-    fingerprints: tuple[int, ...]
-    at: datetime
-
-
 @dataclass(frozen=True, slots=True)
 class QuarantineEntry:
     """Crashes of one fingerprint.
@@ -105,21 +97,24 @@
         self._crash_ids: dict[str, None] = {}
 
     def apply(self, report: CrashReported) -> None:
-        """Count a crash; a copy of a report changes nothing."""
+        """Count a crash or clear suspects; a copy changes nothing."""
         if report.crash_id in self._crash_ids:
             return
         self._crash_ids[report.crash_id] = None
         while len(self._crash_ids) > CRASH_IDS_MAX:
             del self._crash_ids[next(iter(self._crash_ids))]
+        if report.cleared:
+            self._clear(report.fingerprints)
+            return
         fingerprints = dict.fromkeys(report.fingerprints)
         for fingerprint in fingerprints:
             self._add(fingerprint, report.at, alone=len(fingerprints) == 1)
         while len(self._entries) > ENTRIES_MAX:
             del self._entries[next(iter(self._entries))]
 
-    def clear(self, cleared: SuspicionCleared) -> None:
+    def _clear(self, fingerprints: tuple[int, ...]) -> None:
         """Forget fingerprints that ran whole and never crashed alone."""
-        for fingerprint in cleared.fingerprints:
+        for fingerprint in fingerprints:
             entry = self._entries.get(fingerprint)
             if entry is not None and not entry.alone:
                 del self._entries[fingerprint]
@@ -247,8 +242,9 @@
     def report_cleared(
         self,
         now: datetime,
+        report_id: str,
         shared: QuarantineList,
-    ) -> SuspicionCleared | None:
+    ) -> CrashReported | None:
         """Return the suspects completed since the last call, if any."""
         whole, self._whole = self._whole, {}
         suspects = tuple(
@@ -258,8 +254,8 @@
         )
         if not suspects:
             return None
-        cleared = SuspicionCleared(suspects, now)
-        self._own.clear(cleared)
+        cleared = CrashReported(report_id, suspects, now, cleared=True)
+        self._own.apply(cleared)
         return cleared
 
     def count_running(self, fingerprint: int) -> int:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,7 +13,6 @@
     CrashWatch,
     QuarantineList,
     Standing,
-    SuspicionCleared,
     choose_trial,
     compute_fingerprint,
 )
@@ -55,7 +54,7 @@
         self.crash("c1", 1, 2)
         self.crash("c2", 1, 2)
         self.crash("c3", 1)
-        self.list.clear(SuspicionCleared((1, 2), EPOCH))
+        self.list.apply(CrashReported("r", (1, 2), EPOCH, cleared=True))
         self.assertIs(self.check(1), Standing.QUARANTINED)
         self.assertIs(self.check(2), Standing.CLEAR)
 
@@ -126,9 +125,11 @@
             self.watch.finish(run_id)
         self.watch.start(2, 9)
         self.watch.finish(9, whole=False)
-        cleared = self.watch.report_cleared(EPOCH, self.shared)
-        self.assertEqual(cleared, SuspicionCleared((1,), EPOCH))
-        self.assertIsNone(self.watch.report_cleared(EPOCH, self.shared))
+        cleared = self.watch.report_cleared(EPOCH, "r", self.shared)
+        self.assertEqual(
+            cleared, CrashReported("r", (1,), EPOCH, cleared=True)
+        )
+        self.assertIsNone(self.watch.report_cleared(EPOCH, "r", self.shared))
 
 
 class ChooseTrialTest(unittest.TestCase):
