Index a request's headers once

Cause: the checks of headers folded and scanned every name several times, 12% of a local call's processor time in a profile. Change: one index by folded name, one search for the key over all headers, constant sets made once.

--- a/src/sequoiaseam/_headers.py
+++ b/src/sequoiaseam/_headers.py
@@ -6,7 +6,6 @@
 
 import binascii
 import re
-from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -25,6 +24,14 @@
 from sequoiaseam.errors import ErrorCode, RefusalError
 
 Headers = tuple[tuple[str, str], ...]
+HeaderIndex = dict[str, list[str]]
+
+PREFIX: Final = HEADER_PREFIX.lower()
+TIMEOUT: Final = HEADER_TIMEOUT.lower()
+HANDLE: Final = HEADER_HANDLE.lower()
+IDEMPOTENCY: Final = HEADER_IDEMPOTENCY.lower()
+CALLER_ALLOWED: Final = frozenset((TIMEOUT,))
+NESTED_ALLOWED: Final = frozenset((TIMEOUT, HANDLE))
 
 # RFC 9110, 7.6.1, and the ones that older proxies treat alike.
 HOP_BY_HOP: Final = frozenset(
@@ -45,6 +52,9 @@
 # Framing is made anew at each hop; Expect is answered by the entry node.
 FRAMING: Final = frozenset(("content-length", "expect"))
 
+# The key stays on the entry node.
+DROPPED: Final = HOP_BY_HOP | FRAMING | {"authorization"}
+
 # Headers that a Connection header must not remove.
 END_TO_END: Final = frozenset(
     (
@@ -66,6 +76,7 @@
 TIMEOUT_MAX_MS: Final = 300_000
 TOKEN_NAME: Final = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 BEARER: Final = re.compile(r"bearer +([A-Za-z0-9._~+/-]+=*)", re.IGNORECASE)
+BREAK: Final = re.compile(r"[\r\n\0]")
 DIGITS: Final = re.compile(r"[0-9]{1,18}", re.ASCII)
 ESCAPE: Final = re.compile(rb"\\u00([0-7][0-9a-fA-F])")
 
@@ -103,16 +114,17 @@
     Raise RefusalError BAD_REQUEST, HEADERS_TOO_LARGE, FORGED_HEADER or
     KEY_EXPOSED; its verdict is about this request only.
     """
-    _check_common(headers, raw_path)
-    _check_forged(headers, allowed=frozenset((HEADER_TIMEOUT.lower(),)))
-    token = _extract_token(headers)
+    index = _index(headers)
+    _check_common(headers, index, raw_path)
+    _check_forged(headers, CALLER_ALLOWED)
+    token = _extract_token(index)
     if token is not None:
         _check_exposure(token, headers, raw_path)
     return CallerHeaders(
         token=token,
-        timeout=_read_timeout(headers),
-        request_id=_find(headers, HEADER_IDEMPOTENCY),
-        forward=tuple(_strip(headers)),
+        timeout=_read_timeout(index),
+        request_id=_find(index, IDEMPOTENCY),
+        forward=tuple(_strip(headers, index)),
     )
 
 
@@ -125,26 +137,24 @@
     Raise RefusalError as ``check_request`` does, and HANDLE_UNKNOWN
     unless there is exactly one handle.
     """
-    _check_common(headers, raw_path)
-    names = frozenset((HEADER_TIMEOUT.lower(), HEADER_HANDLE.lower()))
-    _check_forged(headers, allowed=names)
-    handles = _find_all(headers, HEADER_HANDLE)
+    index = _index(headers)
+    _check_common(headers, index, raw_path)
+    _check_forged(headers, NESTED_ALLOWED)
+    handles = index.get(HANDLE, [])
     if len(handles) != 1 or not handles[0]:
         raise _refuse(
             ErrorCode.HANDLE_UNKNOWN,
             f"exactly one {HEADER_HANDLE} header is needed",
         )
     others = [
-        (name, value)
-        for name, value in headers
-        if _fold(name) != HEADER_HANDLE.lower()
+        (name, value) for name, value in headers if _fold(name) != HANDLE
     ]
     _check_exposure(handles[0], others, raw_path)
     return NestedHeaders(
         handle=handles[0],
-        timeout=_read_timeout(headers),
-        request_id=_find(headers, HEADER_IDEMPOTENCY),
-        forward=tuple(_strip(headers)),
+        timeout=_read_timeout(index),
+        request_id=_find(index, IDEMPOTENCY),
+        forward=tuple(_strip(headers, index)),
     )
 
 
@@ -159,7 +169,7 @@
 
 def clean_response(headers: Sequence[tuple[str, str]]) -> Headers:
     """Return a backend server's headers without hop-by-hop and forged."""
-    return tuple(_strip(headers))
+    return tuple(_strip(headers, _index(headers)))
 
 
 def _refuse(code: ErrorCode, message: str) -> RefusalError:
@@ -174,20 +184,27 @@
     return name.strip().lower().replace("_", "-")
 
 
-def _find_all(
-    headers: Sequence[tuple[str, str]],
-    name: str,
-) -> list[str]:
-    folded = name.lower()
-    return [value.strip() for key, value in headers if _fold(key) == folded]
+@lru_cache(maxsize=1024)
+def _is_name(name: str) -> bool:
+    return TOKEN_NAME.fullmatch(name) is not None
 
 
-def _find(headers: Sequence[tuple[str, str]], name: str) -> str | None:
-    return next(iter(_find_all(headers, name)), None)
+def _index(headers: Sequence[tuple[str, str]]) -> HeaderIndex:
+    """Return the values by folded name, in their order."""
+    index: HeaderIndex = {}
+    for name, value in headers:
+        index.setdefault(_fold(name), []).append(value.strip())
+    return index
+
+
+def _find(index: HeaderIndex, name: str) -> str | None:
+    values = index.get(name)
+    return values[0] if values else None
 
 
 def _check_common(
     headers: Sequence[tuple[str, str]],
+    index: HeaderIndex,
     raw_path: str,
 ) -> None:
     """Check size, names, values, framing and duplicates."""
@@ -198,16 +215,15 @@
             f"the headers exceed {HEADER_LIMIT} bytes",
         )
     for name, value in headers:
-        if not TOKEN_NAME.fullmatch(name):
+        if not _is_name(name):
             raise _refuse(ErrorCode.BAD_REQUEST, "malformed header name")
-        if any(c in value for c in "\r\n\0"):
+        if BREAK.search(value):
             raise _refuse(ErrorCode.BAD_REQUEST, "malformed header value")
-    counts = Counter(_fold(name) for name, _ in headers)
-    for name in sorted(SINGLE):
-        if counts[name] > 1:
+    for name in SINGLE:
+        if len(index.get(name, ())) > 1:
             raise _refuse(ErrorCode.BAD_REQUEST, f"more than one {name}")
-    _check_framing(headers)
-    nominated = _list_nominated(headers) & END_TO_END
+    _check_framing(index)
+    nominated = _list_nominated(index) & END_TO_END
     if nominated:
         raise _refuse(
             ErrorCode.BAD_REQUEST,
@@ -215,10 +231,10 @@
         )
 
 
-def _check_framing(headers: Sequence[tuple[str, str]]) -> None:
+def _check_framing(index: HeaderIndex) -> None:
     """Refuse what two servers could read as different lengths."""
-    length = _find(headers, "content-length")
-    encoding = _find(headers, "transfer-encoding")
+    length = _find(index, "content-length")
+    encoding = _find(index, "transfer-encoding")
     if length is not None and encoding is not None:
         raise _refuse(
             ErrorCode.BAD_REQUEST,
@@ -237,10 +253,9 @@
     headers: Sequence[tuple[str, str]],
     allowed: frozenset[str],
 ) -> None:
-    prefix = HEADER_PREFIX.lower()
     for name, _ in headers:
         folded = _fold(name)
-        if folded.startswith(prefix) and (
+        if folded.startswith(PREFIX) and (
             folded not in allowed or "_" in name
         ):
             raise _refuse(
@@ -249,18 +264,14 @@
             )
 
 
-def _extract_token(headers: Sequence[tuple[str, str]]) -> str | None:
+def _extract_token(index: HeaderIndex) -> str | None:
     """Return the key of the only Authorization header, if there is one."""
-    if _find_all(headers, "proxy-authorization"):
+    if "proxy-authorization" in index:
         raise _refuse(
             ErrorCode.KEY_EXPOSED,
             "Proxy-Authorization is not accepted",
         )
-    given = [
-        (name, value)
-        for name, value in headers
-        if _fold(name) == "authorization"
-    ]
+    given = index.get("authorization")
     if not given:
         return None
     if len(given) > 1:
@@ -268,7 +279,7 @@
             ErrorCode.KEY_EXPOSED,
             "more than one Authorization header",
         )
-    match = BEARER.fullmatch(given[0][1].strip())
+    match = BEARER.fullmatch(given[0])
     if match is None:
         raise _refuse(
             ErrorCode.BAD_REQUEST,
@@ -289,13 +300,17 @@
             ErrorCode.KEY_EXPOSED,
             "the key is also in the path or query",
         )
-    for name, value in headers:
-        text = name if _fold(name) == "authorization" else f"{name}:{value}"
-        if _contains(text.encode("utf-8", "surrogateescape"), wanted):
-            raise _refuse(
-                ErrorCode.KEY_EXPOSED,
-                "the key is also in another header",
-            )
+    # One search over all headers; no secret has a line feed, so none is
+    # found across two of them.
+    text = "\n".join(
+        name if _fold(name) == "authorization" else f"{name}:{value}"
+        for name, value in headers
+    )
+    if _contains(text.encode("utf-8", "surrogateescape"), wanted):
+        raise _refuse(
+            ErrorCode.KEY_EXPOSED,
+            "the key is also in another header",
+        )
 
 
 def _contains(text: bytes, secret: bytes) -> bool:
@@ -322,10 +337,8 @@
     return folded in text.lower()
 
 
-def _read_timeout(
-    headers: Sequence[tuple[str, str]],
-) -> timedelta | None:
-    values = _find_all(headers, HEADER_TIMEOUT)
+def _read_timeout(index: HeaderIndex) -> timedelta | None:
+    values = index.get(TIMEOUT)
     if not values:
         return None
     if len(values) > 1 or not DIGITS.fullmatch(values[0]):
@@ -342,25 +355,25 @@
     return timedelta(milliseconds=milliseconds)
 
 
-def _list_nominated(headers: Sequence[tuple[str, str]]) -> frozenset[str]:
+def _list_nominated(index: HeaderIndex) -> frozenset[str]:
     """Return the names that Connection headers list."""
     return frozenset(
         _fold(name)
-        for value in _find_all(headers, "connection")
+        for value in index.get("connection", ())
         for name in value.split(",")
     )
 
 
 def _strip(
     headers: Sequence[tuple[str, str]],
+    index: HeaderIndex,
 ) -> Iterator[tuple[str, str]]:
     """Yield the headers that pass on to the next hop."""
-    dropped = HOP_BY_HOP | FRAMING | _list_nominated(headers)
-    prefix = HEADER_PREFIX.lower()
+    nominated = _list_nominated(index)
     for name, value in headers:
         folded = _fold(name)
-        if folded in dropped or folded.startswith(prefix):
+        if folded in DROPPED or folded in nominated:
             continue
-        if folded == "authorization":
+        if folded.startswith(PREFIX):
             continue
         yield name, value
