--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -24,7 +24,8 @@
 # Part of the excess that one interval removes; less than 1 because the
 # effect shows only after a round trip.
 RAISE_GAIN: Final = 0.5
-# A standing queue is removed over this many intervals.
+# A standing queue is removed over this many intervals; as much as one
+# interval serves is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
 LOWER_GAIN: Final = 0.4
 # While slots stay free, each interval lowers the level by this much
@@ -172,7 +173,8 @@
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
         excess = self._expect(int(self.level)) - self._start_rate
-        excess = RAISE_GAIN * (excess + queued / DRAIN_INTERVALS)
+        standing = max(0.0, queued - self._start_rate)
+        excess = RAISE_GAIN * (excess + standing / DRAIN_INTERVALS)
         if excess <= 0:
             # The queue drains by itself.
             return
