--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -24,7 +24,8 @@
 # Part of the excess that one interval removes; less than 1 because the
 # effect shows only after a round trip.
 RAISE_GAIN: Final = 0.5
-# A standing queue is removed over this many intervals.
+# A standing queue is removed over this many intervals; as much as one
+# interval serves is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
 LOWER_GAIN: Final = 0.4
 # While slots stay free, each interval lowers the level by this much
@@ -35,6 +36,8 @@
 # Free slots below this part are kept, so that the level doesn't
 # oscillate around full load.
 SPARE_MIN: Final = 0.05
+# Classes with fewer requests an interval are let in at once.
+LOAD_MIN: Final = 0.01
 LOWER_STEP_MIN: Final = 0.005
 LOWER_STEP_MAX: Final = 0.25
 # Estimates average over about this many tickets, so that servers with
@@ -172,7 +175,8 @@
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
         excess = self._expect(int(self.level)) - self._start_rate
-        excess = RAISE_GAIN * (excess + queued / DRAIN_INTERVALS)
+        standing = max(0.0, queued - self._start_rate)
+        excess = RAISE_GAIN * (excess + standing / DRAIN_INTERVALS)
         if excess <= 0:
             # The queue drains by itself.
             return
@@ -194,6 +198,9 @@
             return
         capacity = self._start_rate / max(1 - spare, SPARE_MIN)
         rank = max(0, math.ceil(self.level) - 1)
+        while rank and self._loads[rank] < LOAD_MIN:
+            self.level = float(rank)
+            rank -= 1
         load = self._loads[rank]
         room = LOWER_GAIN * spare * capacity
         step = room / load if load > 0 else LOWER_STEP_MAX
