Never send a request to a backend server twice

aiohttp's client sends a request of an idempotent method (GET, PUT, DELETE and others) again when a kept connection ends before the answer. So a PUT on a route that is not idempotent ran twice where the server closed the connection, and a server that had died during the request accepted no connection at the second try, which was refused as NO_SERVER, "not run", though it may have run.

The resend is switched off in the node's client.

--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -71,6 +71,11 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
+        # aiohttp sends a request of an idempotent method again when a
+        # kept connection ends before the answer. The first one may have
+        # run, and the route may not be idempotent. There is no public
+        # switch; aiohttp's own test client uses this one.
+        self._session._retry_connection = False
 
     async def send(self, request: BackendRequest) -> Answer:
         """Return the whole answer; raise RefusalError otherwise.
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -398,6 +398,25 @@
             await self.wait_serving(node, "/records/1")
         await self._restart_dead_servers()
 
+    @on_fleet
+    async def test_b05_node_resends_nothing_by_itself(self) -> None:
+        # The HTTP client library resends requests of idempotent methods
+        # on a new connection when a kept one is closed.
+        for number in range(4):
+            request_id = mint()
+            await self.send("store-1", "/records/1")
+            reply = await self.send(
+                "store-1",
+                f"/orders/{number}",
+                "PUT",
+                request_id=request_id,
+                act="do=drop",
+            )
+            runs = self.fleet.count_runs(request_id)
+            self.assertLessEqual(runs, 1)
+            if reply.verdict == "not run":
+                self.assertEqual(runs, 0, reply)
+
     @on_fleet
     async def test_c02_at_most_once(self) -> None:
         await self.wait_witnesses()
