Refuse answers that have neither length nor chunks

The body of such an answer ends with its connection, so a server that dies in the middle looks like one that is done: the cut part reached the caller as a whole answer with status 200.

The test of cut answers has the case, which failed on both nodes before.

--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -128,6 +128,7 @@
             ),
         ) as response:
             body = await response.read()
+            _check_framing(response)
             _check_shed(response)
             return Answer(
                 response.status,
@@ -163,6 +164,26 @@
     )
 
 
+def _check_framing(response: aiohttp.ClientResponse) -> None:
+    """Raise INCOMPLETE when the answer's end can't be told from a cut.
+
+    Without a length or chunks, a body ends with its connection, also
+    when the backend server died in the middle (RFC 9112, 6.3).
+    """
+    framed = (
+        hdrs.CONTENT_LENGTH in response.headers
+        or "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "")
+        or response.method == hdrs.METH_HEAD
+        or response.status in (204, 304)
+    )
+    if not framed:
+        raise RefusalError(
+            ErrorCode.INCOMPLETE,
+            "the backend server's answer has no length",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+
 def _check_shed(response: aiohttp.ClientResponse) -> None:
     """Raise SHED when the backend server says that it did not run it."""
     shed = (
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -19,7 +19,7 @@
     on_fleet,
 )
 
-CUTS = ("cut-length", "cut-chunked", "drop")
+CUTS = ("cut-length", "cut-chunked", "cut-unframed", "drop")
 
 
 def write_request(line: str, *headers: str, body: str = "") -> bytes:
