Give backend servers the request id that the page promises

docs/backend-servers.md lists Sequoiaseam-Request-Id among the headers that a backend server gets; the node never set it.

It is set to the id of the root request, so that log lines of a whole call tree have the same one, and the page says so. The new test looks for the three documented headers; the id was missing before.

--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -17,6 +17,7 @@
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
     HEADER_HANDLE,
+    HEADER_REQUEST_ID,
     HEADER_TIMEOUT,
     HEADER_VERDICT,
 )
@@ -47,13 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendRequest:
-    """A request as the backend server gets it."""
+    """A request as the backend server gets it.
+
+    ``root_id`` is the id of the root request, for log lines.
+    """
 
     method: str
     path: str
     headers: Headers
     body: bytes
     handle: str
+    root_id: str
     remaining: timedelta
 
 
@@ -107,6 +112,7 @@
     async def _exchange(self, request: BackendRequest) -> Answer:
         headers = CIMultiDict(request.headers)
         headers[HEADER_HANDLE] = request.handle
+        headers[HEADER_REQUEST_ID] = request.root_id
         headers[HEADER_TIMEOUT] = str(
             request.remaining // timedelta(milliseconds=1),
         )
@@ -128,8 +134,8 @@
             ),
         ) as response:
             body = await response.read()
-            _check_framing(response)
             _check_shed(response)
+            _check_framing(response)
             return Answer(
                 response.status,
                 clean_response(_convert_headers(response)),
@@ -172,7 +178,7 @@
     """
     framed = (
         hdrs.CONTENT_LENGTH in response.headers
-        or "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "")
+        or hdrs.TRANSFER_ENCODING in response.headers
         or response.method == hdrs.METH_HEAD
         or response.status in (204, 304)
     )
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -451,6 +451,7 @@
                     call.headers,
                     call.body,
                     handle,
+                    call.root_id,
                     max(
                         admitted.deadline - self._clock.now(),
                         MICROSECOND,
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -247,6 +247,13 @@
                 self.assertTrue(reply.whole, reply)
                 self.assertNotIn(token, str(reply.body))
 
+    @on_fleet
+    async def test_a06_documented_headers_reach_backend_server(self) -> None:
+        reply = await self.send("front-1", "/records/1")
+        names = {name.lower() for name, _ in reply.body["headers"]}
+        for header in ("handle", "timeout-ms", "request-id"):
+            self.assertIn(f"sequoiaseam-{header}", names)
+
     @on_fleet
     async def test_a07_nested_call_runs_for_the_roots_workspace(self) -> None:
         other = self.tokens["farm"]
