Answer Expect: 100-continue before the body is read

Clients that send large bodies wait for 100 (Continue). aiohttp answers the expectation in applications only, not in the plain server that the node uses, so such a caller waited until its own limit, or for good.

The node sends 100 once it begins to read the body, so a request that is refused by its head gets the refusal in place of 100. The new test waited 5 s in vain before.

--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -10,12 +10,13 @@
 from datetime import timedelta
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from aiohttp.http_exceptions import (
     BadHttpMessage,
     HttpProcessingError,
     LineTooLong,
 )
+from aiohttp.http_writer import HttpVersion11
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
@@ -217,6 +218,7 @@
     )
     if (request.content_length or 0) > limit:
         raise too_large
+    await _continue(request)
     chunks: list[bytes] = []
     size = 0
     try:
@@ -233,6 +235,21 @@
     return b"".join(chunks)
 
 
+async def _continue(request: web.BaseRequest) -> None:
+    """Tell a caller that asked first to send the body.
+
+    Here and not ahead of the checks, so that the body of a refused
+    request need not be sent. aiohttp does it for applications only.
+    """
+    expect = request.headers.get(hdrs.EXPECT, "")
+    if request.version < HttpVersion11 or expect.lower() != "100-continue":
+        return
+    writer = request.writer
+    await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Only the answer's own bytes count.
+    writer.output_size = 0
+
+
 async def start_listener(
     handler: Any,
     host: str,
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -203,6 +203,24 @@
         self.assertEqual(data.count(b"Content-Length: "), 1, data)
         self.assertEqual(self.fleet.count_runs(request_id), 0)
 
+    @on_fleet
+    async def test_a04_expectation_is_answered(self) -> None:
+        # Clients wait for 100 (Continue) before they send a body.
+        port = self.get_node("front-1").callers
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            "POST /records HTTP/1.1\r\nHost: a\r\n"
+            f"Authorization: Bearer {self.tokens['coop']}\r\n"
+            "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n".encode(),
+        )
+        async with asyncio.timeout(5.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b" 100 ", head)
+            writer.write(b"body")
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        self.assertIn(b" 200 ", head)
+
     @on_fleet
     async def test_a05_key_never_reaches_a_backend_server(self) -> None:
         token = self.tokens["coop"]
