Refuse a request whose body does not arrive in time

The deadline bounded everything but the read of the body: a caller that stopped in the middle of it held its request for good, and held up the drain of the node.

The body is read within the deadline; after it the refusal is DEADLINE, "not run". The new test sends half a body with a limit of 300 ms and got no answer within 10 s before.

--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -1,5 +1,6 @@
 """Filters of the request path on the entry node."""
 
+import asyncio
 from datetime import timedelta
 from typing import Final
 
@@ -272,13 +273,24 @@
 
 
 class BodyFilter:
-    """Read the body within the route's limit."""
+    """Read the body within the route's limit and the deadline."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
 
     async def run(self, exchange: Exchange, proceed: Next) -> Answer:
         """Refuse a body over the limit or one that shows the key."""
         if exchange.read_body is not None:
             limit = exchange.get_route().body_limit
-            exchange.body = await exchange.read_body(limit)
+            left = exchange.get_deadline() - self._clock.now()
+            try:
+                async with asyncio.timeout(left.total_seconds()):
+                    exchange.body = await exchange.read_body(limit)
+            except TimeoutError as error:
+                raise RefusalError(
+                    ErrorCode.DEADLINE,
+                    "the body did not arrive in time",
+                ) from error
         check_body(exchange.token, exchange.body)
         exchange.token = None
         return await proceed(exchange)
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -203,6 +203,19 @@
         self.assertEqual(data.count(b"Content-Length: "), 1, data)
         self.assertEqual(self.fleet.count_runs(request_id), 0)
 
+    @on_fleet
+    async def test_a03_body_that_never_ends_is_refused(self) -> None:
+        # A caller that stops sending must not hold a request for ever.
+        port = self.get_node("front-1").callers
+        text = (
+            "POST /records HTTP/1.1\r\nHost: a\r\n"
+            f"Authorization: Bearer {self.tokens['coop']}\r\n"
+            "Sequoiaseam-Timeout-Ms: 300\r\nContent-Length: 50\r\n\r\nhalf"
+        )
+        reply = await exchange_raw(port, text.encode(), limit=10.0)
+        self.check_refusal(reply, "DEADLINE", 504)
+        self.assertEqual(reply.verdict, "not run")
+
     @on_fleet
     async def test_a04_expectation_is_answered(self) -> None:
         # Clients wait for 100 (Continue) before they send a body.
