--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -48,7 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendRequest:
-    """A request as the backend server gets it."""
+    """A request as the backend server gets it.
+
+    ``root_id`` is the id of the root request, for log lines.
+    """
 
     method: str
     path: str
@@ -73,6 +76,11 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
+        # aiohttp sends a request of an idempotent method again when a
+        # kept connection ends before the answer. The first one may have
+        # run, and the route may not be idempotent. There is no public
+        # switch; aiohttp's own test client uses this one.
+        self._session._retry_connection = False
 
     async def send(self, request: BackendRequest) -> Answer:
         """Return the whole answer; raise RefusalError otherwise.
@@ -127,6 +135,7 @@
         ) as response:
             body = await response.read()
             _check_shed(response)
+            _check_framing(response)
             return Answer(
                 response.status,
                 clean_response(_convert_headers(response)),
@@ -161,6 +170,26 @@
     )
 
 
+def _check_framing(response: aiohttp.ClientResponse) -> None:
+    """Raise INCOMPLETE when the answer's end can't be told from a cut.
+
+    Without a length or chunks, a body ends with its connection, also
+    when the backend server died in the middle (RFC 9112, 6.3).
+    """
+    framed = (
+        hdrs.CONTENT_LENGTH in response.headers
+        or hdrs.TRANSFER_ENCODING in response.headers
+        or response.method == hdrs.METH_HEAD
+        or response.status in (204, 304)
+    )
+    if not framed:
+        raise RefusalError(
+            ErrorCode.INCOMPLETE,
+            "the backend server's answer has no length",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+
 def _check_shed(response: aiohttp.ClientResponse) -> None:
     """Raise SHED when the backend server says that it did not run it."""
     shed = (
--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -16,6 +16,7 @@
     HttpProcessingError,
     LineTooLong,
 )
+from aiohttp.http_writer import HttpVersion11
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
@@ -254,7 +255,7 @@
     )
     if (request.content_length or 0) > limit:
         raise too_large
-    await _invite_body(request)
+    await _continue(request)
     chunks: list[bytes] = []
     size = 0
     try:
@@ -271,15 +272,19 @@
     return b"".join(chunks)
 
 
-async def _invite_body(request: web.BaseRequest) -> None:
-    """Answer "100 Continue" to a caller that waits for it.
+async def _continue(request: web.BaseRequest) -> None:
+    """Tell a caller that asked first to send the body.
 
-    A refusal before this point spares the caller the upload.
+    Here and not ahead of the checks, so that the body of a refused
+    request need not be sent. aiohttp does it for applications only.
     """
-    if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
-        writer = request.writer
-        await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        writer.output_size = 0
+    expect = request.headers.get(hdrs.EXPECT, "")
+    if request.version < HttpVersion11 or expect.lower() != "100-continue":
+        return
+    writer = request.writer
+    await writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Only the answer's own bytes count.
+    writer.output_size = 0
 
 
 async def start_listener(
--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -282,7 +282,7 @@
 
 
 class BodyFilter:
-    """Read the body within the route's limit."""
+    """Read the body within the route's limit and the deadline."""
 
     def __init__(self, clock: Clock, body_limit: int) -> None:
         self._clock = clock
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -118,7 +118,7 @@
 
     def test_takes_over_a_backup_when_empty_only(self) -> None:
         old = build_state()
-        old.apply(old.index + 1, AddKey("k", "ana", None, build_key()))
+        old.apply(old.index + 1, AddKey("k", "ana", None, make_key(1)))
         command = Restore(
             "r1",
             "ana",
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -19,7 +19,7 @@
     on_fleet,
 )
 
-CUTS = ("cut-length", "cut-chunked", "drop")
+CUTS = ("cut-length", "cut-chunked", "cut-unframed", "drop")
 
 
 def write_request(line: str, *headers: str, body: str = "") -> bytes:
@@ -203,6 +203,37 @@
         self.assertEqual(data.count(b"Content-Length: "), 1, data)
         self.assertEqual(self.fleet.count_runs(request_id), 0)
 
+    @on_fleet
+    async def test_a03_body_that_never_ends_is_refused(self) -> None:
+        # A caller that stops sending must not hold a request for ever.
+        port = self.get_node("front-1").callers
+        text = (
+            "POST /records HTTP/1.1\r\nHost: a\r\n"
+            f"Authorization: Bearer {self.tokens['coop']}\r\n"
+            "Sequoiaseam-Timeout-Ms: 300\r\nContent-Length: 50\r\n\r\nhalf"
+        )
+        reply = await exchange_raw(port, text.encode(), limit=10.0)
+        self.check_refusal(reply, "DEADLINE", 504)
+        self.assertEqual(reply.verdict, "not run")
+
+    @on_fleet
+    async def test_a04_expectation_is_answered(self) -> None:
+        # Clients wait for 100 (Continue) before they send a body.
+        port = self.get_node("front-1").callers
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            "POST /records HTTP/1.1\r\nHost: a\r\n"
+            f"Authorization: Bearer {self.tokens['coop']}\r\n"
+            "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n".encode(),
+        )
+        async with asyncio.timeout(5.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b" 100 ", head)
+            writer.write(b"body")
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        self.assertIn(b" 200 ", head)
+
     @on_fleet
     async def test_a05_key_never_reaches_a_backend_server(self) -> None:
         token = self.tokens["coop"]
@@ -247,6 +278,13 @@
                 self.assertTrue(reply.whole, reply)
                 self.assertNotIn(token, str(reply.body))
 
+    @on_fleet
+    async def test_a06_documented_headers_reach_backend_server(self) -> None:
+        reply = await self.send("front-1", "/records/1")
+        names = {name.lower() for name, _ in reply.body["headers"]}
+        for header in ("handle", "timeout-ms", "request-id"):
+            self.assertIn(f"sequoiaseam-{header}", names)
+
     @on_fleet
     async def test_a07_nested_call_runs_for_the_roots_workspace(self) -> None:
         other = self.tokens["farm"]
@@ -398,6 +436,25 @@
             await self.wait_serving(node, "/records/1")
         await self._restart_dead_servers()
 
+    @on_fleet
+    async def test_b05_node_resends_nothing_by_itself(self) -> None:
+        # The HTTP client library resends requests of idempotent methods
+        # on a new connection when a kept one is closed.
+        for number in range(4):
+            request_id = mint()
+            await self.send("store-1", "/records/1")
+            reply = await self.send(
+                "store-1",
+                f"/orders/{number}",
+                "PUT",
+                request_id=request_id,
+                act="do=drop",
+            )
+            runs = self.fleet.count_runs(request_id)
+            self.assertLessEqual(runs, 1)
+            if reply.verdict == "not run":
+                self.assertEqual(runs, 0, reply)
+
     @on_fleet
     async def test_c02_at_most_once(self) -> None:
         await self.wait_witnesses()
@@ -551,6 +608,30 @@
         await self.fleet.start_backend(node)
         await self.wait_server("store-1")
 
+    @on_fleet
+    async def test_a02_stopped_node_cuts_no_request(self) -> None:
+        stop = asyncio.Event()
+        leaving: set[str] = set()
+        replies: list[tuple[str, Reply]] = []
+        failures: list[str] = []
+        load = asyncio.create_task(
+            self._load(stop, leaving, replies, failures),
+        )
+        await asyncio.sleep(1.0)
+        node = self.get_node("store-1")
+        leaving.add("store-1")
+        node.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_LIMIT):
+            await node.process.wait()
+        await asyncio.sleep(0.5)
+        stop.set()
+        await load
+        self._check_load(replies, failures)
+        self.assertEqual(node.process.returncode, 0)
+        await self.fleet.restart_node("store-1")
+        await self.wait_serving("store-1", "/records/1")
+        await self.wait_server("store-1")
+
 
 if __name__ == "__main__":
     unittest.main()
