--- a/bench/quota.py
+++ b/bench/quota.py
@@ -97,6 +97,14 @@
 CASES: Final = (
     Case("small, 100 nodes", SMALL, 5.0, 100, 4000),
     Case("large, shifting entry", LARGE, 2000.0, 10, 10, pick_shifting),
+    Case(
+        "large, burst of 0.1 s, shifting entry",
+        _build_row(2000.0, 200),
+        1900.0,
+        10,
+        10,
+        pick_shifting,
+    ),
     Case("large, 100 nodes", LARGE, 1900.0, 100, 4),
     Case("small at 8x", SMALL, 40.0, 100, 200, strict=False),
     Case(
--- a/src/sequoiaseam/_quota.py
+++ b/src/sequoiaseam/_quota.py
@@ -264,9 +264,11 @@
             return
         by_rate = self.refill * (PACE_SLOT // _MICROSECOND) // TOKEN
         most = min(max(by_rate, ASKS_PER_SLOT_MIN), ASKS_PER_SLOT_MAX)
-        share = self.asks * PACE_SLOT / (now - self.slot) / most
-        # At most twice as fast or eight times as slow at once.
-        pace = self.pace * min(8.0, max(0.5, share))
+        slots = (now - self.slot) / PACE_SLOT
+        share = self.asks / slots / most
+        # At most twice as fast for each slot, or eight times as slow.
+        fastest = 0.5 ** min(slots, 10.0)
+        pace = self.pace * min(8.0, max(fastest, share))
         self.pace = min(max(pace, PACE_MIN), PACE_MAX)
         self.slot = now
         self.asks = 0
