Don't expire members for a leader's own standstill

Cause: a single control process that is suspended for longer than the member timeout (a stalled disk or virtual machine) would expel the whole fleet at its first tick, before it reads the reports that arrived meanwhile. Found by review. Change: time beyond TICK_MAX between two ticks does not count against leases; a report of an incarnation older than the committed one is ignored even without a lease. Figures: no measurement; a test covers a standstill of 10 s. Conclusion: tick must be called at least once a second.

--- a/src/sequoiaseam/_members.py
+++ b/src/sequoiaseam/_members.py
@@ -26,6 +26,9 @@
 # A change that was proposed but isn't committed after this long was
 # lost with a leader or a full log, and is proposed again.
 PROPOSAL_TIMEOUT: Final = timedelta(seconds=1)
+# With more time than this between two ticks the leader itself stood
+# still, so that nothing is known about its members meanwhile.
+TICK_MAX: Final = timedelta(seconds=1)
 # Late reports of a node that said goodbye must not bring it back.
 GONE_RETENTION: Final = timedelta(minutes=1)
 # A new witness votes only on ids minted this long after its assignment;
@@ -70,7 +73,7 @@
     """Who is alive, at the leader only."""
 
     def __init__(self, now: datetime) -> None:
-        self._now = now
+        self._ticked = now
         self._leases: dict[str, _Lease] = {}
         self._members: Mapping[str, Member] = {}
         self._gone: dict[str, tuple[int, datetime]] = {}
@@ -82,6 +85,7 @@
 
     def lead(self, now: datetime, members: Mapping[str, Member]) -> None:
         """Begin to lead: every member gets a full lease."""
+        self._ticked = now
         self._members = members
         self._leases = {
             name: _Lease(now, MemberReport(member, -1))
@@ -116,8 +120,15 @@
         now: datetime,
         members: Mapping[str, Member],
     ) -> tuple[Command, ...]:
-        """Return a command for what expired or still isn't committed."""
+        """Return a command for what expired or still isn't committed.
+
+        Call at least every ``TICK_MAX``, about every 100 ms.
+        """
         self._members = members
+        if now - self._ticked > TICK_MAX:
+            for lease in self._leases.values():
+                lease.heard = min(now, lease.heard + (now - self._ticked))
+        self._ticked = now
         for name, member in members.items():
             known = self._starts.get(name)
             if known is None or known[0] != member.incarnation:
@@ -182,6 +193,9 @@
         gone = self._gone.get(member.name)
         if gone is not None and member.incarnation <= gone[0]:
             return
+        present = self._members.get(member.name)
+        if present is not None and member.incarnation < present.incarnation:
+            return
         lease = self._leases.get(member.name)
         if lease is None:
             self._leases[member.name] = _Lease(now, report)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -38,27 +38,41 @@
         }
         self.registry.lead(EPOCH, self.members)
 
+        self.tenths = 0
+
     def hear(self, seconds: float, *members: Member) -> tuple[Command, ...]:
         reports = tuple(MemberReport(member) for member in members)
         return self.registry.heard(tell_time(seconds), reports)
 
+    def tick_until(self, seconds: float) -> tuple[Command, ...]:
+        commands: tuple[Command, ...] = ()
+        while self.tenths < round(seconds * 10):
+            self.tenths += 1
+            now = tell_time(self.tenths / 10)
+            commands += self.registry.tick(now, self.members)
+        return commands
+
     def test_expired_members_leave_in_one_command(self) -> None:
+        self.assertEqual(self.tick_until(3.0), ())
         self.assertEqual(self.hear(3.0, self.members["c"]), ())
-        self.assertEqual(self.registry.tick(tell_time(3.4), self.members), ())
+        self.assertEqual(self.tick_until(3.4), ())
         expected = MembersChanged((), {"a": 5, "b": 5})
-        commands = self.registry.tick(tell_time(3.5), self.members)
-        self.assertEqual(commands, (expected,))
+        self.assertEqual(self.tick_until(3.5), (expected,))
         # Not again while it commits, but again when it was lost.
-        self.assertEqual(self.registry.tick(tell_time(3.6), self.members), ())
-        commands = self.registry.tick(tell_time(4.6), self.members)
-        self.assertEqual(commands, (expected,))
+        self.assertEqual(self.tick_until(4.4), ())
+        self.assertEqual(self.tick_until(4.6), (expected,))
 
     def test_new_leader_grants_full_leases(self) -> None:
+        self.tick_until(3.0)
         self.registry.lead(tell_time(3.0), self.members)
-        self.assertEqual(self.registry.tick(tell_time(6.4), self.members), ())
-        self.assertNotEqual(
-            self.registry.tick(tell_time(6.5), self.members), ()
-        )
+        self.assertEqual(self.tick_until(6.4), ())
+        self.assertNotEqual(self.tick_until(6.5), ())
+
+    def test_time_in_which_the_leader_stood_still_does_not_count(self) -> None:
+        self.tick_until(2.0)
+        self.tenths += 100
+        self.assertEqual(self.tick_until(13.4), ())
+        self.assertNotEqual(self.tick_until(13.6), ())
 
     def test_draining_passes_at_once_and_is_not_undone(self) -> None:
         draining = replace(self.members["a"], state=MemberState.DRAINING)
@@ -74,7 +88,7 @@
         gone = (MemberGone("a", 4),)
         self.assertEqual(self.registry.heard(tell_time(3.0), gone), ())
         # It doesn't renew the lease either.
-        commands = self.registry.tick(tell_time(3.5), self.members)
+        commands = self.tick_until(3.5)
         assert isinstance(commands[0], MembersChanged)
         self.assertIn("a", commands[0].left or {})
 
