Let others run between tickets that run alone

Cause: the suspects of one crash ran one after the other and kept a server from all others for over a second. Change: after each, others go first for as long as it took.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -65,6 +65,10 @@
         self._gauge = PressureGauge(now)
         self._runs: dict[int, _Run] = {}
         self._alone = False
+        # Since when the server is kept for a ticket that runs alone,
+        # and until when others go first.
+        self._blocked_since: datetime | None = None
+        self._open_until = now
         self._draining = False
         self._area = 0.0
         self._area_from = now
@@ -123,7 +127,8 @@
             self._resume(now, run)
         self._integrate(now)
         del self._runs[ticket_id]
-        self._alone = self._alone and not run.alone
+        if run.alone:
+            self._end_alone(now)
         self._limiter.finish(now, run.started, completion, run.nested)
         return tuple(self._pump(now))
 
@@ -231,13 +236,26 @@
             return None
         if not self._has_room():
             return None
-        ticket = self._queue.peek(newest=self._is_late(now))
-        if ticket is not None and ticket.alone and self._runs:
-            # Nothing of its rank or below starts until the server is
-            # idle, so the ticket doesn't starve.
-            self._gauge.note_blocked()
-            return None
-        return ticket
+        alone = not self._runs or now >= self._open_until
+        newest = self._is_late(now)
+        ticket = self._queue.peek(newest=newest, alone=alone)
+        if ticket is None or not ticket.alone:
+            self._blocked_since = None
+            return ticket
+        self._blocked_since = self._blocked_since or now
+        if not self._runs:
+            return ticket
+        # Nothing of its rank or below starts until the server is idle,
+        # so the ticket doesn't starve.
+        self._gauge.note_blocked()
+        return None
+
+    def _end_alone(self, now: datetime) -> None:
+        """Give the others as much time as the lone ticket took."""
+        self._alone = False
+        if self._blocked_since is not None:
+            self._open_until = now + (now - self._blocked_since)
+            self._blocked_since = None
 
     def _resume(self, now: datetime, run: _Run) -> None:
         run.calls -= 1
--- a/src/sequoiaseam/_queue.py
+++ b/src/sequoiaseam/_queue.py
@@ -68,17 +68,19 @@
         flow.weight = ticket.weight
         flow.tickets.append(ticket)
 
-    def choose(self) -> _FlowKey | None:
-        """Return the flow to serve next; one that is alone stays."""
-        if self._pinned in self.flows:
+    def choose(self, *, alone: bool) -> _FlowKey | None:
+        """Return the flow to serve next; one that is alone stays.
+
+        Without ``alone``, flows of tickets that run alone are left out.
+        """
+        if alone and self._pinned in self.flows:
             return self._pinned
-        if not self.flows:
+        keys = [key for key in self.flows if alone or not key[1]]
+        if not keys:
             return None
-        if len(self.flows) == 1:
-            key = next(iter(self.flows))
-        else:
-            key = min(self.flows, key=lambda k: (self.flows[k].served, k))
-        self._pinned = key if key[1] else None
+        key = min(keys, key=lambda k: (self.flows[k].served, k))
+        if alone:
+            self._pinned = key if key[1] else None
         return key
 
     def charge(self, key: _FlowKey, weight: float) -> None:
@@ -135,17 +137,23 @@
         heapq.heappush(self._deadlines, (ticket.deadline, ticket.ticket_id))
         self._arrivals.append(ticket)
 
-    def peek(self, *, newest: bool = False) -> Ticket | None:
+    def peek(
+        self,
+        *,
+        newest: bool = False,
+        alone: bool = True,
+    ) -> Ticket | None:
         """Return the ticket to start next.
 
         ``newest`` takes the last one of the workspace instead of the
         first: under lasting overload it alone still has time left.
+        Without ``alone``, tickets that run alone are passed over.
         """
         for rank in range(LEVELS - 1, -1, -1):
             if not self._counts[rank]:
                 continue
             level = self._levels[rank]
-            key = level.choose()
+            key = level.choose(alone=alone)
             if key is None:
                 continue
             last = newest and not key[1]
