--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -102,14 +102,10 @@
         self._gauge.arrive(ticket.importance)
         self._queue.push(ticket)
         actions = self._pump(now)
-        while len(self._queue) > self._pool.queue:
-            victim = self._queue.find_victim(newest=self._is_late(now))
-            if victim is None:
-                break
-            self._queue.remove(victim.ticket_id)
-            self._gauge.refuse(victim.importance)
-            code = ErrorCode.QUEUE_FULL
-            actions.append(self._refuse(victim.ticket_id, code))
+        if len(self._queue) > self._pool.queue:
+            actions += self._evict(now)
+            # The victim may have kept others from starting.
+            actions += self._pump(now)
         return tuple(actions)
 
     def finish(
@@ -212,6 +208,19 @@
         self._roll(now)
         return PoolPressure(self._pool.name, self._gauge.level)
 
+    def _evict(self, now: datetime) -> list[AdmissionAction]:
+        """Refuse the least important tickets over the queue's bound."""
+        actions: list[AdmissionAction] = []
+        while len(self._queue) > self._pool.queue:
+            victim = self._queue.find_victim(newest=self._is_late(now))
+            if victim is None:
+                break
+            self._queue.remove(victim.ticket_id)
+            self._gauge.refuse(victim.importance)
+            code = ErrorCode.QUEUE_FULL
+            actions.append(self._refuse(victim.ticket_id, code))
+        return actions
+
     def _pump(self, now: datetime) -> list[AdmissionAction]:
         """Start what may start, after dropping what is too late."""
         actions: list[AdmissionAction] = []
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -172,6 +172,47 @@
         self.assertEqual(list_started(started), [2])
 
 
+class SuspendTest(unittest.TestCase):
+    """Guards against a limit used up by waiting for nested calls."""
+
+    def build(self) -> Admission:
+        """Return an admission whose limit is 2 of 4 slots."""
+        admission = build_admission(slots=4)
+        for n in range(1, 5):
+            admission.offer(EPOCH, build_ticket(n))
+        admission.finish(EPOCH, 4, Completion.SHED)
+        admission.finish(EPOCH, 3, Completion.OK)
+        self.assertEqual((admission.limit, admission.running), (2, 2))
+        return admission
+
+    def test_waiting_ones_free_the_limit_but_keep_their_slots(self) -> None:
+        admission = self.build()
+        for n in range(5, 10):
+            self.assertEqual(admission.offer(EPOCH, build_ticket(n)), ())
+        self.assertEqual(list_started(admission.suspend(EPOCH, 1)), [5])
+        self.assertEqual(list_started(admission.suspend(EPOCH, 2)), [6])
+        # All slots are taken.
+        self.assertEqual(admission.suspend(EPOCH, 5), ())
+        done = admission.finish(EPOCH, 1, Completion.OK)
+        self.assertEqual(list_started(done), [7])
+
+    def test_resumed_ones_count_again(self) -> None:
+        admission = self.build()
+        for _ in range(2):
+            admission.suspend(EPOCH, 1)
+        admission.resume(EPOCH, 1)
+        self.assertEqual(
+            list_started(admission.offer(EPOCH, build_ticket(5))),
+            [5],
+        )
+        admission.resume(EPOCH, 1)
+        admission.resume(EPOCH, 1)
+        self.assertEqual(admission.offer(EPOCH, build_ticket(6)), ())
+        self.assertEqual(admission.finish(EPOCH, 5, Completion.OK), ())
+        done = admission.finish(EPOCH, 1, Completion.OK)
+        self.assertEqual(list_started(done), [6])
+
+
 class AloneTest(unittest.TestCase):
     """Guards against a suspect that takes others with it, or starves."""
 
@@ -301,6 +342,7 @@
         self.admission = Admission(pool, 0, EPOCH, random.Random(seed))
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
+        self.suspended: set[int] = set()
         self.count = 0
 
     def run(self, steps: int) -> None:
@@ -314,6 +356,8 @@
                 self.finish()
             elif step < 0.92:
                 self.cancel()
+            elif step < 0.97:
+                self.wait()
             else:
                 self.apply(self.admission.tick(self.now))
         for _ in range(1000):
@@ -344,6 +388,7 @@
         if self.running:
             ticket_id = self.rng.choice(list(self.running))
             del self.running[ticket_id]
+            self.suspended.discard(ticket_id)
             end = self.rng.choice(list(Completion))
             self.apply(self.admission.finish(self.now, ticket_id, end))
 
@@ -353,8 +398,20 @@
             ticket_id = self.rng.choice(known)
             self.waiting.pop(ticket_id, None)
             self.running.pop(ticket_id, None)
+            self.suspended.discard(ticket_id)
             self.apply(self.admission.cancel(self.now, ticket_id))
 
+    def wait(self) -> None:
+        if not self.running:
+            return
+        ticket_id = self.rng.choice(list(self.running))
+        if ticket_id in self.suspended:
+            self.suspended.remove(ticket_id)
+            self.admission.resume(self.now, ticket_id)
+        else:
+            self.suspended.add(ticket_id)
+            self.apply(self.admission.suspend(self.now, ticket_id))
+
     def apply(self, actions: tuple[AdmissionAction, ...]) -> None:
         for action in actions:
             # A second action for a ticket fails here.
@@ -383,7 +440,9 @@
 
     def check_progress(self) -> None:
         busy = any(t.alone for t in self.running.values())
-        free = len(self.running) < self.admission.limit and not busy
+        working = len(self.running) - len(self.suspended)
+        free = working < self.admission.limit and not busy
+        free = free and len(self.running) < self.slots
         if free and self.waiting:
             assert self.running, "an idle server leaves tickets waiting"
             top = max(t.level for t in self.waiting.values())
