Count earlier attempts in the verdict of the last refusal

An idempotent request is tried again elsewhere when its answer breaks off. When the next attempt was refused, the caller got that refusal's "not run", though the first attempt had run: a stand-in counted one run of a request refused as SHED, "not run".

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -1,10 +1,12 @@
 """A stand-in backend server: slots, a service time, nested calls.
 
 The header ``X-Act`` makes it misbehave: pairs ``name=value`` separated
-by ``;``. ``server`` limits the rest to one server; ``do`` is an
-``Action``; ``delay`` is in milliseconds; ``nested`` is a path to call
-through the node, by the method ``method``, with the header
-``Authorization`` set to ``key`` and the handle to ``handle`` if given.
+by ``;``. ``server`` limits the rest to one server and ``other`` is what
+the others do; ``do`` is an ``Action``; ``delay`` is in milliseconds;
+``nested`` is a path to call through the node, by the method ``method``,
+with the header ``Authorization`` set to ``key`` and the handle to
+``handle`` if given. Runs are counted by idempotency key or, on requests
+without one, by the header ``X-Run``.
 """
 
 import asyncio
@@ -28,7 +30,7 @@
 HANDLE_HEADER: Final = "Sequoiaseam-Handle"
 VERDICT_HEADER: Final = "Sequoiaseam-Verdict"
 ID_HEADER: Final = "Idempotency-Key"
-CODE_HEADER: Final = "Sequoiaseam-Code"
+RUN_HEADER: Final = "X-Run"
 ANNOUNCE_SECONDS: Final = 1.0
 IDLE_POLL_SECONDS: Final = 0.02
 PAD: Final = "x" * 400
@@ -77,7 +79,7 @@
 
 
 class RunCounter:
-    """Count the runs of each idempotency key, also across crashes."""
+    """Count the runs of each request's id, also across crashes."""
 
     def __init__(self, path: Path | None) -> None:
         self._counts: Counter[str] = Counter()
@@ -138,7 +140,7 @@
             parse_qsl(request.headers.get(ACT_HEADER, ""), separator=";"),
         )
         if act.get("server", self._options.name) != self._options.name:
-            return {}
+            return {"do": act.get("other", "")}
         return act
 
     async def _serve(
@@ -147,7 +149,8 @@
         act: Mapping[str, str],
         action: Action,
     ) -> web.StreamResponse:
-        runs = self._runs.add(request.headers.get(ID_HEADER, ""))
+        run_id = request.headers.get(RUN_HEADER, "")
+        runs = self._runs.add(request.headers.get(ID_HEADER, run_id))
         body = await request.read()
         delay = self._options.delay
         if "delay" in act:
--- a/src/sequoiaseam/_dispatch.py
+++ b/src/sequoiaseam/_dispatch.py
@@ -74,7 +74,25 @@
         self._shares: dict[str, tuple[float, RetryShare]] = {}
 
     async def run(self, exchange: Exchange) -> Answer:
-        """Return the whole answer; raise the last refusal otherwise."""
+        """Return the whole answer; raise the last refusal otherwise.
+
+        Its verdict covers the attempts before it as well.
+        """
+        ran: list[Verdict] = []
+        try:
+            return await self._run(exchange, ran)
+        except RefusalError as error:
+            if error.verdict is Verdict.NOT_RUN and ran:
+                raise RefusalError(
+                    error.code,
+                    error.message,
+                    verdict=Verdict.MAY_HAVE_RUN,
+                    retry_after=error.retry_after,
+                ) from error
+            raise
+
+    async def _run(self, exchange: Exchange, ran: list[Verdict]) -> Answer:
+        """Try until done; note the verdicts of attempts that may run."""
         pool = exchange.get_route().pool
         share = self._get_share(pool)
         share.record(self._clock.now())
@@ -85,6 +103,8 @@
                 return await self._attempt(exchange, name)
             except RefusalError as error:
                 tried |= {name}
+                if error.verdict is not Verdict.NOT_RUN:
+                    ran.append(error.verdict)
                 if not self._may_retry(exchange, error, share):
                     raise
                 exchange.retries += 1
--- a/tests/system.py
+++ b/tests/system.py
@@ -75,7 +75,7 @@
     },
     pools={
         "front": Pool("front", slots=40, warmup=WARMUP),
-        "store": Pool("store", slots=40, warmup=WARMUP),
+        "store": Pool("store", slots=40, warmup=WARMUP, retry_share=1.0),
     },
     workspaces={
         "coop": Workspace("coop", rate=5000.0, burst=5000),
--- a/tests/test_system_requests.py
+++ b/tests/test_system_requests.py
@@ -6,7 +6,7 @@
 import unittest
 
 import aiohttp
-from bench.backend import ECHO_HEADER
+from bench.backend import ECHO_HEADER, RUN_HEADER
 
 from sequoiaseam._operator import ReportRequest
 from tests.system import (
@@ -455,6 +455,24 @@
             if reply.verdict == "not run":
                 self.assertEqual(runs, 0, reply)
 
+    @on_fleet
+    async def test_b06_verdict_covers_earlier_attempts(self) -> None:
+        # The first attempt breaks off, the retry elsewhere is shed.
+        verdicts: set[tuple[str, str]] = set()
+        for number in range(12):
+            request_id = mint()
+            reply = await self.send(
+                "front-1",
+                f"/records/{number}",
+                "POST",
+                headers={RUN_HEADER: request_id},
+                act="do=drop;server=store-1;other=shed",
+            )
+            verdicts.add((reply.code, reply.verdict))
+            if reply.verdict == "not run":
+                self.assertEqual(self.fleet.count_runs(request_id), 0, reply)
+        self.assertIn(("SHED", "may have run"), verdicts)
+
     @on_fleet
     async def test_c02_at_most_once(self) -> None:
         await self.wait_witnesses()
