--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,7 +1,8 @@
 """Start and stop a small fleet of real processes on loopback."""
 
 import asyncio
-import contextlib
+import itertools
+import os
 import secrets
 import socket
 import sys
@@ -19,17 +20,34 @@
 LOOPBACK: Final = "127.0.0.1"
 STOP_SECONDS: Final = 10.0
 SECRET_BYTES: Final = 32
+PORTS: Final = range(12_000, 32_000)
+# Runs at the same time start at different places.
+CANDIDATES: Final = itertools.islice(
+    itertools.cycle(PORTS),
+    os.getpid() * 131 % len(PORTS),
+    None,
+)
+
+
+def is_free(port: int) -> bool:
+    """Tell whether a port can be bound on loopback."""
+    with socket.socket() as one:
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            one.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports; they are taken again right after."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            one = stack.enter_context(socket.socket())
-            one.bind((LOOPBACK, 0))
-            ports.append(int(one.getsockname()[1]))
-        return ports
+    """Return free ports, each only once in this process.
+
+    They lie below those that the system gives to outgoing connections,
+    so that none is taken before its listener opens.
+    """
+    free = filter(is_free, CANDIDATES)
+    return list(itertools.islice(free, count))
 
 
 @dataclass(frozen=True, slots=True)
