Show the fleet's own report in the quickstart

Cause: the quickstart printed only what its callers saw. Change: it prints the overload report by route as operators get it.

--- a/bench/quickstart.py
+++ b/bench/quickstart.py
@@ -24,9 +24,11 @@
     EditOutcome,
     InForceRequest,
     OperatorClient,
+    ReportRequest,
     ShowRequest,
     WithdrawKeyRequest,
 )
+from sequoiaseam._report import Grouping, merge_reports, render_report
 from sequoiaseam._tables import (
     Importance,
     Pool,
@@ -275,13 +277,13 @@
     return False, time.monotonic() - started
 
 
-def print_report(
+def print_tally(
+    console: Console,
     tally: Tally,
     withdrawn: float,
     edit: tuple[bool, float],
 ) -> None:
-    """Print what happened."""
-    console = Console(width=79)
+    """Print what the callers saw."""
     table = Table(title="Requests")
     for title in ("route", "sent", "whole", "p50 ms", "p99 ms"):
         table.add_column(title, justify="right")
@@ -312,10 +314,18 @@
         console.print(f"broken answer: {text}")
 
 
+async def print_report(console: Console, client: OperatorClient) -> None:
+    """Print the fleet's own report by route, as operators see it."""
+    answer = await client.report(ReportRequest())
+    report = merge_reports(answer, Grouping.ROUTE)
+    console.print(render_report(report, console))
+
+
 async def run() -> int:
     """Run the quickstart; return the exit code."""
     rng = Random(1)
     tally = Tally()
+    console = Console(width=79)
     async with (
         Fleet(NODES) as fleet,
         aiohttp.ClientSession(
@@ -336,6 +346,7 @@
                 withdraw_key(caller, client, fleet, tokens["b"]),
                 edit_tables(client),
             )
+            await print_report(console, client)
         except (SeamError, SystemExit) as error:
             print(f"failed: {error}", file=sys.stderr)
             for path in sorted(fleet.folder.glob("*.log")):
@@ -344,7 +355,7 @@
             return 1
         finally:
             await client.close()
-    print_report(tally, withdrawn, edit)
+    print_tally(console, tally, withdrawn, edit)
     good = (
         not tally.broken
         and bool(tally.whole["accept"])
