--- a/src/sequoiaseam/_attempt.py
+++ b/src/sequoiaseam/_attempt.py
@@ -7,7 +7,6 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
@@ -98,6 +97,9 @@
 
 AttemptAction = Granted | Denied
 
+# Besides WITNESS_MESSAGES; they go with the call and with its refusal.
+ATTEMPT_MESSAGES: Final = (AttemptPlan, Denied)
+
 
 def count_majority(group: WitnessGroup) -> int:
     """Return how many witnesses of a group are a majority."""
@@ -144,9 +146,11 @@
             self._name,
             self._incarnation,
         )
-        if elsewhere or now >= _forget_time(intent):
+        early = intent.entered > now + CLOCK_SKEW
+        if elsewhere or early or now >= _forget_time(intent):
             # Another run of this node may have started the attempt, or
-            # this one may have forgotten that it did.
+            # this one may have forgotten that it did, or would have to
+            # remember it for too long.
             return (
                 self._deny(
                     attempt,
@@ -237,14 +241,21 @@
         denied = tuple(
             self._deny_entry(now, entry) for entry in late if not entry.granted
         )
-        for attempt in [a for a, t in self._ended.items() if now >= t]:
+        self._forget(now)
+        return denied
+
+    def _forget(self, now: datetime) -> None:
+        """Drop the oldest ended attempts and votes without a call."""
+        while self._ended:
+            attempt, until = next(iter(self._ended.items()))
+            if now < until:
+                break
             del self._ended[attempt]
-        horizon = now - CALL_LIFETIME
-        for attempt in [
-            a for a, t in self._early_since.items() if t < horizon
-        ]:
+        while self._early_since:
+            attempt, since = next(iter(self._early_since.items()))
+            if now < since + CALL_LIFETIME:
+                break
             self._take_early(attempt)
-        return denied
 
     def _decide(
         self,
@@ -469,13 +480,14 @@
     idempotent: bool
     named: bool
     _count: int = 0
+    _fenced: bool = False
     _open: set[str] = field(default_factory=set)
     _unstarted: tuple[str, ...] = ()
     _marks: dict[str, FenceMark] = field(default_factory=dict)
 
     def can_retry(self) -> bool:
         """Tell whether another attempt is allowed."""
-        if self._open and not self.idempotent:
+        if self._fenced or (self._open and not self.idempotent):
             return False
         return self._count < self.limit
 
@@ -547,7 +559,7 @@
 
         No attempt may be planned after it.
         """
-        self.limit = 0
+        self._fenced = True
         return Fence(
             key=self.key,
             fence_id=f"{self.prefix}.f",
@@ -556,10 +568,6 @@
             unstarted=self._unstarted,
         )
 
-    def list_open(self) -> Iterator[str]:
-        """Yield the attempts that may have started."""
-        yield from sorted(self._open)
-
 
 class EntryAttempts:
     """Open the attempts of the requests that enter at one node."""
--- a/src/sequoiaseam/_headers.py
+++ b/src/sequoiaseam/_headers.py
@@ -307,6 +307,7 @@
         plain = text
         if b"%" in text:
             plain = unquote_to_bytes(text)
+        plain = plain.replace(b"\\/", b"/")
         if b"\\u00" in plain:
             plain = ESCAPE.sub(
                 lambda match: bytes((int(match[1], 16),)),
--- a/src/sequoiaseam/_witness.py
+++ b/src/sequoiaseam/_witness.py
@@ -67,12 +67,29 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordKey:
-    """Identity of a request: ids of two workspaces never meet."""
+    """Identity of a request: ids of two workspaces never meet.
+
+    ``workspace`` has a route appended for nested calls (``make_key``).
+    """
 
     workspace: str
     request_id: str
 
 
+def make_key(
+    workspace: str,
+    request_id: str,
+    nested_route: str = "",
+) -> RecordKey:
+    """Return the identity of a root request or of a nested call.
+
+    A backend server may pass its request's id on to several services,
+    so the ids of nested calls are kept apart by route.
+    """
+    scope = f"{workspace}/{nested_route}" if nested_route else workspace
+    return RecordKey(scope, request_id)
+
+
 @dataclass(frozen=True, slots=True)
 class FenceMark:
     """A fence that was proved older than the request at its entry."""
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from sequoiaseam._attempt import (
+    ATTEMPT_MESSAGES,
     CALL_LIFETIME,
     FENCE_TIMEOUT,
     AttemptAction,
@@ -19,8 +20,9 @@
     Granted,
     RequestAttempts,
 )
+from sequoiaseam._codec import Codec
 from sequoiaseam._verdict import Verdict
-from sequoiaseam._witness import Decision, Fence, Vote
+from sequoiaseam._witness import WITNESS_MESSAGES, Decision, Fence, Vote
 from sequoiaseam.const import CLOCK_SKEW, OUTCOME_BODY_LIMIT
 from sequoiaseam.errors import ErrorCode
 from tests.test_witness import (
@@ -145,7 +147,12 @@
         self.tracker.tick(LATE - timedelta(seconds=1))
         self.assertEqual(self.expect(), ())
         self.tracker.tick(LATE)
-        for plan, now in ((AttemptPlan(old, GROUP), READY), (None, LATE)):
+        before = READY - CLOCK_SKEW - timedelta(seconds=1)
+        for plan, now in (
+            (AttemptPlan(old, GROUP), READY),
+            (self.plan, LATE),
+            (AttemptPlan(build_intent("b"), GROUP), before),
+        ):
             (denied,) = self.expect(plan, now)
             assert isinstance(denied, Denied)
             self.assertFalse(denied.unstarted)
@@ -169,6 +176,26 @@
             self.assertEqual(record.body is not None, kept)
 
 
+class AttemptMessageTest(unittest.TestCase):
+    """Guards against messages that don't survive the wire."""
+
+    def test_round_trip(self) -> None:
+        codec = Codec((*WITNESS_MESSAGES, *ATTEMPT_MESSAGES))
+        seen = FenceSeen("w1", "f", timedelta(seconds=1.5))
+        for message in (
+            AttemptPlan(build_intent(), GROUP),
+            build_vote("w1", outcome=build_outcome()),
+            Denied(
+                "a",
+                ErrorCode.DUPLICATE,
+                Verdict.RAN,
+                build_outcome(),
+                fences=(seen,),
+            ),
+        ):
+            self.assertEqual(codec.decode(codec.encode(message)), message)
+
+
 class FenceTrackerTest(unittest.TestCase):
     """Guards against "not run" being told without a proof."""
 
--- a/tests/test_handles.py
+++ b/tests/test_handles.py
@@ -1,31 +1,13 @@
 """Tests of handles for nested calls."""
 
 import unittest
-from dataclasses import dataclass
+from typing import cast
 
 from sequoiaseam._clock import EPOCH
-from sequoiaseam._handles import CallContext, HandleTable
+from sequoiaseam._handles import Budget, CallContext, HandleTable
 from sequoiaseam._tables import Importance
 
 
-@dataclass
-class FakeBudget:
-    """A budget that never gives anything."""
-
-    remaining: int = 0
-
-    def take(self) -> bool:
-        """Refuse."""
-        return False
-
-    def split(self) -> int:
-        """Give nothing."""
-        return 0
-
-    def give_back(self, count: int) -> None:
-        """Ignore what is returned."""
-
-
 def build_context(root_id: str = "r1") -> CallContext:
     """Return the context of a root request."""
     return CallContext(
@@ -35,7 +17,7 @@
         importance=Importance.HIGH,
         weight=1.0,
         deadline=EPOCH,
-        budget=FakeBudget(),
+        budget=cast("Budget", None),
     )
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,9 @@
 """Tests of the quarantine of requests that crash servers."""
 
+import random
 import unittest
+from collections import defaultdict
+from collections.abc import Sequence
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -131,6 +134,66 @@
         self.assertIsNone(self.watch.report_cleared(EPOCH, self.shared))
 
 
+class FleetTest(unittest.TestCase):
+    """Guards against a third crash, and against refused bystanders."""
+
+    def run_server(
+        self,
+        now: datetime,
+        watch: CrashWatch,
+        shared: QuarantineList,
+        running: Sequence[int],
+    ) -> int:
+        """Run requests together; return 1 if request 0 crashed them."""
+        for run_id, fingerprint in enumerate(running):
+            watch.start(fingerprint, run_id)
+        if 0 in running:
+            report = watch.crash(now, now.isoformat())
+            assert report is not None
+            shared.apply(report)
+            return 1
+        for run_id in range(len(running)):
+            watch.finish(run_id)
+        cleared = watch.report_cleared(now, shared)
+        if cleared is not None:
+            shared.clear(cleared)
+        return 0
+
+    def run_fleet(self, rng: random.Random) -> tuple[int, set[int]]:
+        """Resend request 0 among others; return crashes and refused."""
+        names = [f"n{number}" for number in range(4)]
+        watches = {name: CrashWatch() for name in names}
+        shared = QuarantineList()
+        crashes, refused = 0, set()
+        for step in range(30):
+            now = EPOCH + step * SECOND
+            together: dict[str, list[int]] = defaultdict(list)
+            alone = []
+            for fingerprint in (0, *rng.choices(range(1, 9), k=12)):
+                standing = shared.check(now, fingerprint)
+                if standing is Standing.QUARANTINED:
+                    refused.add(fingerprint)
+                elif standing is Standing.SUSPECT:
+                    alone.append(fingerprint)
+                else:
+                    together[rng.choice(names)].append(fingerprint)
+            runs = list(together.items())
+            runs += [(choose_trial(f, names) or "", [f]) for f in alone]
+            for name, running in runs:
+                crashes += self.run_server(
+                    now,
+                    watches[name],
+                    shared,
+                    running,
+                )
+        return crashes, refused
+
+    def test_two_crashes_and_no_bystander_refused(self) -> None:
+        for seed in range(50):
+            crashes, refused = self.run_fleet(random.Random(seed))
+            self.assertEqual((crashes, refused), (2, {0}))
+
+
 class ChooseTrialTest(unittest.TestCase):
     """Guards against copies of a suspect crashing several servers."""
 
