--- a/src/sequoiaseam/_once.py
+++ b/src/sequoiaseam/_once.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
+from typing import Final
 
 from sequoiaseam._attempt import (
     FENCE_RETRY_AFTER,
@@ -28,11 +29,13 @@
     Witness,
     compute_body_digest,
     compute_shard,
+    make_key,
     parse_request_id,
 )
-from sequoiaseam.errors import RefusalError
+from sequoiaseam.errors import ErrorCode, RefusalError
 
-NO_GROUP = WitnessGroup(0, ())
+# Witnesses are assigned within seconds of the nodes' start.
+NO_WITNESSES_RETRY_AFTER: Final = timedelta(seconds=2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +108,11 @@
             return
         exchange.attempts = self._entries.open(
             exchange.arrived,
-            RecordKey(exchange.workspace, exchange.request_id),
+            make_key(
+                exchange.workspace,
+                exchange.request_id,
+                route.name if exchange.nested else "",
+            ),
             compute_body_digest(
                 exchange.method,
                 exchange.path,
@@ -121,17 +128,24 @@
         attempts = exchange.attempts
         if attempts is None:
             return None
+        group = self._find_group(attempts.key)
+        if attempts.named and (group is None or not group.witnesses):
+            raise RefusalError(
+                ErrorCode.NO_WITNESSES,
+                "no witnesses are assigned yet",
+                retry_after=NO_WITNESSES_RETRY_AFTER,
+            )
         plan = attempts.plan(
             guard,
             self._hooks.find_incarnation(guard),
-            self._find_group(attempts.key),
+            group,
         )
         if plan.group is not None:
             self._post_all(plan.group.witnesses, plan.intent)
         return plan
 
-    def _find_group(self, key: RecordKey) -> WitnessGroup:
-        return self._view.groups.get(compute_shard(key), NO_GROUP)
+    def _find_group(self, key: RecordKey) -> WitnessGroup | None:
+        return self._view.groups.get(compute_shard(key))
 
     def _post_all(self, names: Iterable[str], message: object) -> None:
         for name in names:
@@ -161,7 +175,7 @@
         exchange: Exchange,
     ) -> Verdict:
         group = self._find_group(attempts.key)
-        if not group.witnesses:
+        if group is None or not group.witnesses:
             return Verdict.MAY_HAVE_RUN
         now = self._clock.now()
         fence = attempts.fence(group)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -149,9 +149,10 @@
             return 1
         for run_id in range(len(running)):
             watch.finish(run_id)
-        cleared = watch.report_cleared(now, shared)
+        report_id = f"cleared {now.isoformat()}"
+        cleared = watch.report_cleared(now, report_id, shared)
         if cleared is not None:
-            shared.clear(cleared)
+            shared.apply(cleared)
         return 0
 
     def run_fleet(self, rng: random.Random) -> tuple[int, set[int]]:
