Forget replicas that no longer wait to join

A wiped host's old identity always leaves before the new one votes. Joining and elections move to modules of their own.

--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -14,7 +14,8 @@
 from typing import Final
 
 from sequoiaseam._replica_core import ReplicaConfig as ReplicaConfig
-from sequoiaseam._replica_leader import Read, ReplicaLeader
+from sequoiaseam._replica_election import ReplicaElection
+from sequoiaseam._replica_leader import Read
 from sequoiaseam._replica_messages import (
     Actions,
     Append,
@@ -25,7 +26,6 @@
     ConfirmRequest,
     Entry,
     GroupMessage,
-    HardState,
     Hello,
     HelloReply,
     Membership,
@@ -34,24 +34,16 @@
     ReplicaStatus,
     Restored,
     Role,
-    Send,
     Snapshot,
     SnapshotChunk,
     SnapshotReply,
     Token,
-    compute_group,
-)
-from sequoiaseam.const import (
-    ELECTION_TIMEOUT_MAX,
-    ELECTION_TIMEOUT_MIN,
-    HEARTBEAT_INTERVAL,
 )
+from sequoiaseam.const import ELECTION_TIMEOUT_MAX
 from sequoiaseam.errors import ErrorCode
 
 # Proposals that may wait for their commit before others are refused.
 PROPOSALS_LIMIT: Final = 4096
-# Empty replicas that are remembered as candidates for a replacement.
-WAITING_LIMIT: Final = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,8 +54,8 @@
     deadline: datetime
 
 
-class Replica(ReplicaLeader):
-    """A replica: elections, first start and the calls of the adapter."""
+class Replica(ReplicaElection):
+    """A replica: the calls of the adapter and the messages."""
 
     def __init__(
         self,
@@ -73,13 +65,7 @@
         now: datetime,
     ) -> None:
         super().__init__(config, restored, rng, now)
-        self._votes: set[ReplicaId] = set()
         self._asked: dict[int, Asked] = {}
-        self._empty: dict[str, ReplicaId] = {}
-        self._greeted = set(config.hosts)
-        self._found_group = False
-        self._waiting: dict[str, ReplicaId] = {}
-        self._hello_due = now
 
     # Calls of the adapter.
 
@@ -94,6 +80,7 @@
         elif now >= self._deadline or self._is_alone():
             self._start_election(now)
         self._expire_confirms(now)
+        self._expire_waiting(now)
         return self._finish()
 
     def receive(
@@ -106,7 +93,7 @@
         if self._failed:
             return ()
         if isinstance(message, Hello):
-            self._on_hello(sender, message)
+            self._on_hello(now, sender, message)
         elif isinstance(message, HelloReply):
             self._on_hello_reply(sender, message)
         elif self._accept_message(sender, message):
@@ -184,24 +171,32 @@
         new: str,
         token: Token,
     ) -> Actions:
-        """Replace the replica on host ``old`` by the empty one on ``new``.
+        """Replace the replica on ``old`` by the one that waits on ``new``.
 
-        Proposed follows when the new one is a learner; ``status`` shows
-        the remaining steps.
+        Without ``old``, the new one joins the others. Proposed follows
+        when it is a learner; ``status`` shows the remaining steps.
+        Rejected with NOT_FOUND if there are no such replicas, or with
+        REPLICA_CHANGE while another change is under way; but a learner
+        that was lost may be the old one.
         """
         if self._refuse_unless_leading(token):
             return self._finish()
         waiting = {one.host: one for one in self._list_waiting()}
-        membership = self._plan_replacement(old, waiting.get(new))
-        if isinstance(membership, ErrorCode):
-            self._reject(token, membership)
+        planned = self._plan_replacement(old, waiting.get(new))
+        return self._change_membership(now, planned, token)
+
+    def cancel_replacement(self, now: datetime, token: Token) -> Actions:
+        """Let go of a learner that doesn't catch up.
+
+        The old replica stays if it hasn't left yet.
+        """
+        if self._refuse_unless_leading(token):
             return self._finish()
-        index = self._append_membership(membership)
-        self._proposals[index] = token
-        self._waiting.pop(new, None)
-        self._pump_all(now)
-        self._beat(now)
-        return self._finish()
+        planned: Membership | ErrorCode = ErrorCode.REPLICA_CHANGE
+        membership = self._membership()
+        if membership.incoming is not None and self._may_change():
+            planned = Membership(membership.voters)
+        return self._change_membership(now, planned, token)
 
     def status(self) -> ReplicaStatus:
         """Return the state for operators."""
@@ -284,207 +279,6 @@
     def _(self, message: Ballot, now: datetime) -> None:
         self._on_ballot(now, message)
 
-    def _yield_to_term(self, now: datetime, term: int) -> bool:
-        """Step down when ``term`` is newer; return whether it is."""
-        if term <= self.term:
-            return False
-        self._become_follower(now, term, None)
-        return True
-
-    # Elections.
-
-    def _is_alone(self) -> bool:
-        """Return whether there is no one to wait for."""
-        return (
-            self._config.hosts == (self._id.host,)
-            and self._membership().voters == (self._id,)
-            and self._leader is None
-        )
-
-    def _start_election(self, now: datetime) -> None:
-        """Ask whether an election could be won, without a new term."""
-        self._deadline = self._draw_deadline(now)
-        if self._id not in self._membership().voters:
-            # The entry that made it a learner may have been truncated
-            # by another leader, which then doesn't know of it.
-            self._greet()
-        if not self._may_lead() or self._hard != self._hard_synced:
-            return
-        self._role = Role.PRE_CANDIDATE
-        self._leader = None
-        self._announce()
-        self._votes = {self._id}
-        self._request_votes(trial=True)
-        self._count_votes(now)
-
-    def _may_lead(self) -> bool:
-        """Return whether this replica may stand for election.
-
-        A voter whose removal isn't known to be committed must, since
-        the others may lack an entry that only it has.
-        """
-        if self._id in self._membership().voters:
-            return True
-        index = self._log.membership_index
-        before = self._log.find_membership(index - 1)
-        return (
-            index > self._commit
-            and before is not None
-            and self._id in before.voters
-        )
-
-    def _request_votes(self, *, trial: bool) -> None:
-        term = self.term + 1 if trial else self.term
-        for voter in self._membership().voters:
-            if voter != self._id:
-                self._send(
-                    Ballot(
-                        self._header(voter, term),
-                        trial,
-                        self._log.last_index,
-                        self._log.last_term,
-                    ),
-                )
-
-    def _campaign(self, now: datetime) -> None:
-        hard = HardState(self.term + 1, self._id, self._hard.group)
-        self._set_hard(hard)
-        self._role = Role.CANDIDATE
-        self._deadline = self._draw_deadline(now)
-        self._announce()
-        # The own vote counts once it is synced.
-        self._votes = set()
-        self._request_votes(trial=False)
-
-    def _count_votes(self, now: datetime) -> None:
-        membership = self._membership()
-        votes = self._votes.intersection(membership.voters)
-        if len(votes) < membership.majority:
-            return
-        if self._role is Role.PRE_CANDIDATE:
-            self._campaign(now)
-        elif self._role is Role.CANDIDATE:
-            self._start_leading(now)
-
-    def _on_ballot(self, now: datetime, ballot: Ballot) -> None:
-        header = ballot.header
-        granted = (
-            header.term >= self.term
-            and not self._is_promised(now)
-            and self._is_current(ballot)
-        )
-        if ballot.trial:
-            granted = granted and header.term > self.term
-        elif not self._is_promised(now):
-            self._yield_to_term(now, header.term)
-            granted = granted and self._hard.vote in (None, header.sender)
-            if granted:
-                self._vote_for(header.sender)
-                self._deadline = self._draw_deadline(now)
-        self._send(
-            BallotReply(self._header(header.sender), ballot.trial, granted),
-        )
-
-    def _is_promised(self, now: datetime) -> bool:
-        """Return whether a leader may count on this replica's vote.
-
-        A replica that was cut off can't depose a leader that the others
-        still hear from, and a leader's lease stays valid.
-        """
-        if self._role is Role.LEADER:
-            return self.lease_valid(now)
-        return now - self._heard < ELECTION_TIMEOUT_MIN
-
-    def _is_current(self, ballot: Ballot) -> bool:
-        own = (self._log.last_term, self._log.last_index)
-        return (ballot.last_term, ballot.last_index) >= own
-
-    def _on_ballot_reply(self, now: datetime, reply: BallotReply) -> None:
-        expected = Role.PRE_CANDIDATE if reply.trial else Role.CANDIDATE
-        current = reply.trial or reply.header.term == self.term
-        if reply.granted and current and self._role is expected:
-            self._votes.add(reply.header.sender)
-            self._count_votes(now)
-
-    def _after_sync(self, now: datetime) -> None:
-        if self._role is Role.LEADER:
-            self._advance(now)
-            self._answer_reads(now)
-        elif self._role is Role.FOLLOWER:
-            self._acknowledge()
-        elif self._role is Role.CANDIDATE and self._hard == self._hard_synced:
-            self._votes.add(self._id)
-            self._count_votes(now)
-
-    # First start.
-
-    def _tick_empty(self, now: datetime) -> None:
-        if now < self._hello_due:
-            return
-        # Once there is a group, only an operator can let this one in.
-        self._hello_due = now + (
-            ELECTION_TIMEOUT_MAX if self._found_group else HEARTBEAT_INTERVAL
-        )
-        if self._config.hosts == (self._id.host,):
-            self._adopt()
-            return
-        self._greet()
-
-    def _greet(self) -> None:
-        """Ask all known hosts, so that a leader may add this replica."""
-        members = {one.host for one in self._membership().replicas}
-        for host in sorted((self._greeted | members) - {self._id.host}):
-            self._out.append(Send(host, Hello(self._id)))
-
-    def _on_hello(self, sender: str, message: Hello) -> None:
-        if message.asker.host != sender:
-            return
-        known = message.asker in self._membership().replicas
-        room = len(self._waiting) < WAITING_LIMIT or sender in self._waiting
-        if self._hard.group and not known and room:
-            self._waiting[sender] = message.asker
-        hosts = self._config.hosts
-        if self._hard.group:
-            hosts = tuple(one.host for one in self._membership().replicas)
-        reply = HelloReply(message.asker, self._id, self._hard.group, hosts)
-        self._out.append(Send(sender, reply))
-
-    def _on_hello_reply(self, sender: str, message: HelloReply) -> None:
-        """Form the group once every listed host has said it is empty.
-
-        They must list the same hosts, or they would form two groups. A
-        member of a group names the others, so that its leader learns of
-        this replica whatever its settings list.
-        """
-        if message.asker != self._id:
-            return
-        if message.group:
-            self._found_group = True
-            self._greeted.update(message.hosts)
-        same = set(message.hosts) == set(self._config.hosts)
-        if self._hard.group or message.group or not same:
-            self._empty.pop(sender, None)
-            return
-        if message.replica.host == sender:
-            self._empty[sender] = message.replica
-        others = set(self._config.hosts) - {self._id.host}
-        if others <= self._empty.keys():
-            self._adopt()
-
-    def _adopt(self) -> None:
-        """Start a group of the listed hosts.
-
-        Each host appends the same first entry on its own, so it needs
-        no quorum.
-        """
-        hosts = set(self._config.hosts) - {self._id.host}
-        voters = tuple(
-            sorted({self._id, *(self._empty[host] for host in hosts)}),
-        )
-        self._set_hard(HardState(group=compute_group(voters)))
-        self._append_entry(Entry(1, 0, b"", Membership(voters)))
-        self._commit_to(1)
-
     # Confirmations and replacement.
 
     def _refuse_unless_leading(self, token: Token) -> bool:
@@ -510,11 +304,20 @@
             self._reject(asked.token, ErrorCode.DISK_FAILED)
         self._asked.clear()
 
-    def _list_waiting(self) -> tuple[ReplicaId, ...]:
-        members = self._membership().replicas
-        return tuple(
-            one for one in self._waiting.values() if one not in members
-        )
+    def _change_membership(
+        self,
+        now: datetime,
+        planned: Membership | ErrorCode,
+        token: Token,
+    ) -> Actions:
+        if isinstance(planned, ErrorCode):
+            self._reject(token, planned)
+            return self._finish()
+        index = self._append_membership(planned)
+        self._proposals[index] = token
+        self._pump_all(now)
+        self._beat(now)
+        return self._finish()
 
     def _plan_replacement(
         self,
@@ -524,10 +327,7 @@
         membership = self._membership()
         if new is None:
             return ErrorCode.NOT_FOUND
-        if (
-            not self._has_committed()
-            or self._log.membership_index > self._commit
-        ):
+        if not self._may_change():
             return ErrorCode.REPLICA_CHANGE
         if membership.incoming is not None:
             # A learner that was lost itself may be exchanged.
@@ -536,6 +336,8 @@
             return replace(membership, incoming=new)
         if membership.outgoing is not None:
             return ErrorCode.REPLICA_CHANGE
+        if not old:
+            return replace(membership, incoming=new)
         for voter in membership.voters:
             if voter.host == old:
                 return replace(membership, incoming=new, outgoing=voter)
--- /dev/null
+++ b/src/sequoiaseam/_replica_election.py
@@ -0,0 +1,160 @@
+"""Elections: pre-vote, votes and the promise to a leader."""
+
+import random
+from datetime import datetime
+
+from sequoiaseam._replica_core import ReplicaConfig
+from sequoiaseam._replica_joining import ReplicaJoining
+from sequoiaseam._replica_messages import (
+    Ballot,
+    BallotReply,
+    HardState,
+    ReplicaId,
+    Restored,
+    Role,
+)
+from sequoiaseam.const import ELECTION_TIMEOUT_MIN
+
+
+class ReplicaElection(ReplicaJoining):
+    """Stand for election and vote."""
+
+    def __init__(
+        self,
+        config: ReplicaConfig,
+        restored: Restored,
+        rng: random.Random,
+        now: datetime,
+    ) -> None:
+        super().__init__(config, restored, rng, now)
+        self._votes: set[ReplicaId] = set()
+
+    def _yield_to_term(self, now: datetime, term: int) -> bool:
+        """Step down when ``term`` is newer; return whether it is."""
+        if term <= self.term:
+            return False
+        self._become_follower(now, term, None)
+        return True
+
+    def _is_alone(self) -> bool:
+        """Return whether there is no one to wait for."""
+        return (
+            self._config.hosts == (self._id.host,)
+            and self._membership().voters == (self._id,)
+            and self._leader is None
+        )
+
+    def _start_election(self, now: datetime) -> None:
+        """Ask whether an election could be won, without a new term."""
+        self._deadline = self._draw_deadline(now)
+        if self._id not in self._membership().voters:
+            # The entry that made it a learner may have been truncated
+            # by another leader, which then doesn't know of it.
+            self._greet()
+        if not self._may_lead() or self._hard != self._hard_synced:
+            return
+        self._role = Role.PRE_CANDIDATE
+        self._leader = None
+        self._announce()
+        self._votes = {self._id}
+        self._request_votes(trial=True)
+        self._count_votes(now)
+
+    def _may_lead(self) -> bool:
+        """Return whether this replica may stand for election.
+
+        A voter whose removal isn't known to be committed must, since
+        the others may lack an entry that only it has.
+        """
+        if self._id in self._membership().voters:
+            return True
+        index = self._log.membership_index
+        before = self._log.find_membership(index - 1)
+        return (
+            index > self._commit
+            and before is not None
+            and self._id in before.voters
+        )
+
+    def _request_votes(self, *, trial: bool) -> None:
+        term = self.term + 1 if trial else self.term
+        for voter in self._membership().voters:
+            if voter != self._id:
+                self._send(
+                    Ballot(
+                        self._header(voter, term),
+                        trial,
+                        self._log.last_index,
+                        self._log.last_term,
+                    ),
+                )
+
+    def _campaign(self, now: datetime) -> None:
+        hard = HardState(self.term + 1, self._id, self._hard.group)
+        self._set_hard(hard)
+        self._role = Role.CANDIDATE
+        self._deadline = self._draw_deadline(now)
+        self._announce()
+        # The own vote counts once it is synced.
+        self._votes = set()
+        self._request_votes(trial=False)
+
+    def _count_votes(self, now: datetime) -> None:
+        membership = self._membership()
+        votes = self._votes.intersection(membership.voters)
+        if len(votes) < membership.majority:
+            return
+        if self._role is Role.PRE_CANDIDATE:
+            self._campaign(now)
+        elif self._role is Role.CANDIDATE:
+            self._start_leading(now)
+
+    def _on_ballot(self, now: datetime, ballot: Ballot) -> None:
+        header = ballot.header
+        granted = (
+            header.term >= self.term
+            and not self._is_promised(now)
+            and self._is_current(ballot)
+        )
+        if ballot.trial:
+            granted = granted and header.term > self.term
+        elif not self._is_promised(now):
+            self._yield_to_term(now, header.term)
+            granted = granted and self._hard.vote in (None, header.sender)
+            if granted:
+                self._vote_for(header.sender)
+                self._deadline = self._draw_deadline(now)
+        self._send(
+            BallotReply(self._header(header.sender), ballot.trial, granted),
+        )
+
+    def _is_promised(self, now: datetime) -> bool:
+        """Return whether a leader may count on this replica's vote.
+
+        A replica that was cut off can't depose a leader that the others
+        still hear from, and a leader's lease stays valid.
+        """
+        if self._role is Role.LEADER:
+            return self.lease_valid(now)
+        return now - self._heard < ELECTION_TIMEOUT_MIN
+
+    def _is_current(self, ballot: Ballot) -> bool:
+        own = (self._log.last_term, self._log.last_index)
+        return (ballot.last_term, ballot.last_index) >= own
+
+    def _on_ballot_reply(self, now: datetime, reply: BallotReply) -> None:
+        expected = Role.PRE_CANDIDATE if reply.trial else Role.CANDIDATE
+        current = reply.trial or reply.header.term == self.term
+        if reply.granted and current and self._role is expected:
+            self._votes.add(reply.header.sender)
+            self._count_votes(now)
+
+    def _after_sync(self, now: datetime) -> None:
+        if self._role is Role.LEADER:
+            self._advance(now)
+            self._answer_reads(now)
+        elif self._role is Role.FOLLOWER:
+            self._acknowledge()
+        elif self._role is Role.CANDIDATE and self._hard == self._hard_synced:
+            self._votes.add(self._id)
+            self._count_votes(now)
--- a/src/sequoiaseam/_replica_leader.py
+++ b/src/sequoiaseam/_replica_leader.py
@@ -326,13 +326,17 @@
         self._match_progress()
         return index
 
+    def _may_change(self) -> bool:
+        """Return whether the last change of the membership committed."""
+        return (
+            self._has_committed()
+            and self._log.membership_index <= self._commit
+        )
+
     def _move_membership(self, now: datetime) -> None:
         """Take the next step of a replacement once the last committed."""
         membership = self._membership()
-        if (
-            not self._has_committed()
-            or self._log.membership_index > self._commit
-        ):
+        if not self._may_change():
             return
         if self._id not in membership.voters:
             self._step_down(now)
@@ -371,15 +375,16 @@
     def _is_lost(self, now: datetime, membership: Membership) -> bool:
         """Return whether the outgoing replica should leave first.
 
-        A replica that doesn't answer only raises the quorum when the
-        learner becomes a voter beside it: of four voters with one lost,
-        all three others would be needed.
+        One that was wiped or doesn't answer would only raise the quorum
+        if the learner became a voter beside it: of four voters with one
+        lost, all three others would be needed.
         """
-        outgoing = membership.outgoing
+        incoming, outgoing = membership.incoming, membership.outgoing
         if outgoing is None or outgoing == self._id:
             return False
+        wiped = incoming is not None and incoming.host == outgoing.host
         progress = self._progress.get(outgoing)
         acked = (progress.acked if progress else None) or NEVER
         contact = max(acked, self._led_since)
         silent = now - contact > ELECTION_TIMEOUT_MAX
-        return silent and len(membership.voters) > 2
+        return (wiped or silent) and len(membership.voters) > 2
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -200,6 +200,32 @@
         self.finish(fleet)
         self.assertIn(fleet.hosts["h3"], fleet.members())
 
+    def test_learner_that_is_lost_can_be_let_go(self) -> None:
+        """Guard against a lost learner that blocks later replacements."""
+        fleet = start_fleet(3, spares=1)
+        fleet.run(1.0)
+        leader, spare = fleet.require_leader(), fleet.hosts["h3"]
+        fleet.isolate("h3")
+        old = next(h.name for h in fleet.live() if h is not leader)
+        fleet.replace(old, "h3")
+        fleet.run(1.0)
+        membership = fleet.membership()
+        assert membership is not None
+        self.assertEqual(spare.identity, membership.incoming)
+        leader.run(leader.replica.cancel_replacement(leader.now, b""))
+        fleet.run(5.0)
+        membership = fleet.membership()
+        assert membership is not None
+        self.assertEqual(
+            (None, None), (membership.incoming, membership.outgoing)
+        )
+        self.assertEqual((), leader.replica.status().waiting)
+        fleet.cut.clear()
+        fleet.run(3.0)
+        fleet.replace("", "h3")
+        self.assertTrue(fleet.run_until(lambda: len(fleet.members()) == 4))
+        self.finish(fleet)
+
     def test_replacement_needs_an_empty_replica(self) -> None:
         """Guard against adding a host that never asked to join."""
         fleet = start_fleet(3)
--- a/tests/test_replica_fuzz.py
+++ b/tests/test_replica_fuzz.py
@@ -196,10 +196,15 @@
             self.wiped.start()
 
     def use_spare(self) -> None:
-        """Replace a live replica by the spare host."""
-        members = self.fleet.members()
+        """Replace a live replica by the spare host, or give that up."""
+        leader = self.fleet.leader()
         spare = list(self.fleet.hosts.values())[-1]
-        if members and spare.up and spare not in members:
+        members = self.fleet.members()
+        if leader is None:
+            return
+        if self.rng.random() < 0.2:
+            leader.run(leader.replica.cancel_replacement(leader.now, b""))
+        elif spare.up and spare not in members:
             self.fleet.replace(self.rng.choice(members).name, spare.name)
 
 
