Avoid members that have gone silent before the pings tell

Cause: for 2.5 s calls went on to lost hosts and over silent connections. Change: a member's expected latency is at least the time since its last answer while calls are in flight. The test of the ramp started calls that never ended and now makes overlapping calls.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -55,6 +55,8 @@
     member: Member
     since: datetime
     in_flight: int = 0
+    # Last answer, or start of the first call in flight.
+    heard: datetime | None = None
     latency: float | None = None
     latency_at: datetime | None = None
     refusals: float = 0.0
@@ -163,10 +165,12 @@
                     best, least = peer, score
         return best.member.name if best else None
 
-    def start(self, now: datetime, name: str) -> None:  # noqa: ARG002
+    def start(self, now: datetime, name: str) -> None:
         """Count a call to a member."""
         peer = self._peers.get(name)
         if peer is not None:
+            if not peer.in_flight:
+                peer.heard = now
             peer.in_flight += 1
 
     def finish(
@@ -181,6 +185,7 @@
         if peer is None:
             return
         peer.in_flight = max(0, peer.in_flight - 1)
+        peer.heard = now
         refused = result is CallResult.REFUSED
         peer.refusals += SMOOTHING * (refused - peer.refusals)
         if refused:
@@ -241,7 +246,12 @@
 
     def _score(self, now: datetime, group: _Group, peer: _Peer) -> float:
         """Return the expected wait of one more call; less is better."""
-        score = (peer.in_flight + 1) * self._expect(now, group, peer)
+        latency = self._expect(now, group, peer)
+        if peer.in_flight and peer.heard is not None:
+            # A member that has gone silent is avoided before the pings
+            # tell: its answers take at least as long as the silence.
+            latency = max(latency, (now - peer.heard).total_seconds())
+        score = (peer.in_flight + 1) * latency
         score *= 1 + REFUSAL_PENALTY * peer.refusals
         if peer.load_at and now - peer.load_at < HINT_LIFETIME:
             score *= 1 + HINT_WEIGHT * peer.load
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -3,7 +3,7 @@
 import os
 import random
 import unittest
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import replace
 from datetime import timedelta
 from itertools import pairwise
@@ -65,6 +65,28 @@
         """Make calls and count them by member."""
         return Counter(self.call() for _ in range(calls))
 
+    def count_overlapping(self, calls: int) -> Counter[str]:
+        """Make calls of which six are in flight at a time."""
+        counts: Counter[str] = Counter()
+        flying: deque[str] = deque()
+        for _ in range(calls):
+            name = self.balancer.choose(self.now, "history")
+            assert name is not None
+            counts[name] += 1
+            self.balancer.start(self.now, name)
+            flying.append(name)
+            self.now += 2 * MS
+            if len(flying) == 6:
+                self.end(flying.popleft())
+        while flying:
+            self.end(flying.popleft())
+        return counts
+
+    def end(self, name: str) -> None:
+        """End a call well."""
+        latency = self.latency[name]
+        self.balancer.finish(self.now, name, CallResult.OK, latency)
+
 
 class ChoiceTest(unittest.TestCase):
     """Guards against load on members that are worse than others."""
@@ -89,6 +111,13 @@
         late = fixture.count()
         self.assertGreater(late["far0"] + late["far1"], 200)
 
+    def test_silent_member_is_avoided_before_pings_tell(self) -> None:
+        fixture = Fixture(build_members(2))
+        fixture.count(20)
+        fixture.balancer.start(fixture.now, "m0")
+        fixture.now += 300 * MS
+        self.assertEqual(fixture.count(20)["m0"], 0)
+
     def test_reported_load_is_only_a_hint(self) -> None:
         fixture = Fixture(build_members(2))
         for name, load in (("m0", 0.0), ("m1", 1.0)):
@@ -99,13 +128,11 @@
 
     def test_new_member_ramps_up(self) -> None:
         fixture = Fixture(build_members(2))
-        new = build_members(3)
-        fixture.balancer.update(fixture.now, new)
-        for name in ("m0", "m0", "m1", "m1"):
-            fixture.balancer.start(fixture.now, name)
+        fixture.balancer.update(fixture.now, build_members(3))
         fixture.latency["m2"] = 10 * MS
-        counts = fixture.count(50)
-        self.assertLess(counts["m2"], 10)
+        self.assertLess(fixture.count_overlapping(100)["m2"], 10)
+        fixture.now += 10 * SECOND
+        self.assertGreater(fixture.count_overlapping(100)["m2"], 20)
 
     def test_draining_joining_lost_and_excluded_get_nothing(self) -> None:
         members = build_members(4)
