--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -27,7 +27,7 @@
 # A standing queue is removed over this many intervals; as much as one
 # interval serves is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
-LOWER_GAIN: Final = 0.4
+LOWER_GAIN: Final = 0.7
 # While slots stay free, each interval lowers the level by this much
 # more, so that an old estimate of the demand doesn't delay recovery.
 LOWER_GROWTH: Final = 1.5
@@ -47,7 +47,7 @@
 SMOOTHING_MAX: Final = 0.5
 # A class that is shed isn't seen; its last known load fades by half in
 # 2.3 s.
-MEMORY_FADE: Final = 0.97
+MEMORY_FADE: Final = 0.9
 
 # A class of which less than this part is let in can't be measured.
 HIDDEN: Final = 0.05
