Avoid members at once that refuse or fail fast

Cause: a server that was down answered fast, calls kept going there and the retry share was used up. Change: errors count like refusals in the score, three in a row eject; a server that is down is an error of the member.

--- a/bench/_controlled.py
+++ b/bench/_controlled.py
@@ -38,6 +38,7 @@
     Outcome.OK: CallResult.OK,
     Outcome.REFUSED: CallResult.REFUSED,
     Outcome.DEEP: CallResult.REFUSED,
+    Outcome.DOWN: CallResult.FAILED,
     Outcome.FAILED: CallResult.FAILED,
     Outcome.LOST: CallResult.LOST,
     Outcome.EXPIRED: CallResult.TIMEOUT,
@@ -47,6 +48,7 @@
     Outcome.OK: Completion.OK,
     Outcome.REFUSED: Completion.SHED,
     Outcome.DEEP: Completion.FAILED,
+    Outcome.DOWN: Completion.FAILED,
     Outcome.FAILED: Completion.FAILED,
     Outcome.LOST: Completion.FAILED,
     Outcome.EXPIRED: Completion.TIMEOUT,
@@ -157,7 +159,7 @@
     ) -> None:
         """Offer a call to the own server's admission."""
         if not self.server.alive:
-            respond(Reply(Outcome.REFUSED, unused=budget))
+            respond(Reply(Outcome.DOWN, unused=budget))
             return
         if quarantine(self.fleet).is_refused(root.number):
             respond(Reply(Outcome.QUARANTINED, unused=budget))
@@ -250,7 +252,7 @@
         budget: RetryBudget,
         share: RetryShare,
     ) -> bool:
-        safe = reply.outcome is Outcome.REFUSED or (
+        safe = reply.outcome in (Outcome.REFUSED, Outcome.DOWN) or (
             reply.outcome in (Outcome.FAILED, Outcome.LOST)
             and root.route.idempotent
         )
@@ -338,7 +340,8 @@
             if not call.running:
                 del self.calls[number]
                 self.admission.cancel(self.sim.now, number)
-                call.respond(Reply(Outcome.REFUSED))
+                unused = call.budget.remaining
+                call.respond(Reply(Outcome.DOWN, unused=unused))
 
     def _restart(self) -> None:
         self.admission = Admission(self.pool, 0, self.sim.now, self.rng)
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -43,6 +43,8 @@
     FAILED = "failed"
     LOST = "lost"
     EXPIRED = "expired"
+    # Not run, because the server is down.
+    DOWN = "down"
     QUOTA = "quota"
     QUARANTINED = "quarantined"
 
@@ -437,7 +439,7 @@
                 return
             if reply.outcome is not Outcome.OK:
                 self.server.release(job)
-                refused = reply.outcome is Outcome.REFUSED
+                refused = reply.outcome in (Outcome.REFUSED, Outcome.DOWN)
                 fail(Outcome.DEEP if refused else reply.outcome)
             elif position < len(plan.children):
                 forward(plan.children[position], partial(step, position + 1))
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -149,7 +149,12 @@
         self.sim.after(time - self.sim.time, action)
 
 
-REFUSALS: Final = (Outcome.REFUSED, Outcome.DEEP, Outcome.QUOTA)
+REFUSALS: Final = (
+    Outcome.REFUSED,
+    Outcome.DEEP,
+    Outcome.DOWN,
+    Outcome.QUOTA,
+)
 PROCESSES: Final = 2
 VARIANTS: Final = ("none", "static", "sequoiaseam")
 
--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -22,13 +22,12 @@
 LATENCY_DEFAULT: Final = 0.01
 # A member without a latency is tried early, even in another domain.
 UNKNOWN_PART: Final = 0.5
-# A member that refuses is loaded; its fast refusals must not attract
-# more calls.
-REFUSAL_PENALTY: Final = 4.0
+# Fast refusals and errors must not attract more calls.
+TROUBLE_PENALTY: Final = 8.0
 # A reported load may at most halve a member's share: it may be false.
 HINT_WEIGHT: Final = 1.0
 HINT_LIFETIME: Final = timedelta(seconds=2)
-FAILURES_TO_EJECT: Final = 5
+FAILURES_TO_EJECT: Final = 3
 FAILURE_SHARE: Final = 0.5
 FAILURE_SAMPLES: Final = 20
 EJECTION_BASE: Final = timedelta(seconds=1)
@@ -59,7 +58,8 @@
     heard: datetime | None = None
     latency: float | None = None
     latency_at: datetime | None = None
-    refusals: float = 0.0
+    # Recent share of calls that were refused or failed.
+    trouble: float = 0.0
     failures: float = 0.0
     samples: int = 0
     consecutive: int = 0
@@ -186,9 +186,9 @@
             return
         peer.in_flight = max(0, peer.in_flight - 1)
         peer.heard = now
-        refused = result is CallResult.REFUSED
-        peer.refusals += SMOOTHING * (refused - peer.refusals)
-        if refused:
+        trouble = result is not CallResult.OK
+        peer.trouble += SMOOTHING * (trouble - peer.trouble)
+        if result is CallResult.REFUSED:
             # Says nothing of the server's errors.
             peer.trial_at = None
             return
@@ -252,7 +252,7 @@
             # tell: its answers take at least as long as the silence.
             latency = max(latency, (now - peer.heard).total_seconds())
         score = (peer.in_flight + 1) * latency
-        score *= 1 + REFUSAL_PENALTY * peer.refusals
+        score *= 1 + TROUBLE_PENALTY * peer.trouble
         if peer.load_at and now - peer.load_at < HINT_LIFETIME:
             score *= 1 + HINT_WEIGHT * peer.load
         return score / peer.measure_ramp(now)
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -84,6 +84,7 @@
         self._started = 0
         self._refused = 0
         self._emptied = False
+        self._blocked = False
         self._start_rate = 0.0
         self._loads = [0.0] * CLASSES
         self._lowered = 0
@@ -111,8 +112,11 @@
             self._emptied = True
 
     def note_blocked(self) -> None:
-        """Note that the queue waits for a ticket that runs alone."""
-        self._emptied = True
+        """Note that the queue waits for a ticket that runs alone.
+
+        Its delays and refusals then say nothing of the load.
+        """
+        self._blocked = True
 
     def roll(
         self,
@@ -133,7 +137,9 @@
         self._smooth(count)
         waiting = sum(queued[int(self.level) :])
         standing = waiting and not self._emptied and age > DELAY_TARGET
-        if standing or self._refused:
+        if self._blocked:
+            self._blocked = False
+        elif standing or self._refused:
             self._lowered = 0
             self._raise(waiting)
         elif busy < 1 - SPARE_MIN:
