--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -22,13 +22,12 @@
 LATENCY_DEFAULT: Final = 0.01
 # A member without a latency is tried early, even in another domain.
 UNKNOWN_PART: Final = 0.5
-# A member that refuses is loaded; its fast refusals must not attract
-# more calls.
-REFUSAL_PENALTY: Final = 4.0
+# Fast refusals and errors must not attract more calls.
+TROUBLE_PENALTY: Final = 8.0
 # A reported load may at most halve a member's share: it may be false.
 HINT_WEIGHT: Final = 1.0
 HINT_LIFETIME: Final = timedelta(seconds=2)
-FAILURES_TO_EJECT: Final = 5
+FAILURES_TO_EJECT: Final = 3
 FAILURE_SHARE: Final = 0.5
 FAILURE_SAMPLES: Final = 20
 EJECTION_BASE: Final = timedelta(seconds=1)
@@ -55,9 +54,12 @@
     member: Member
     since: datetime
     in_flight: int = 0
+    # Last answer, or start of the first call in flight.
+    heard: datetime | None = None
     latency: float | None = None
     latency_at: datetime | None = None
-    refusals: float = 0.0
+    # Recent share of calls that were refused or failed.
+    trouble: float = 0.0
     failures: float = 0.0
     samples: int = 0
     consecutive: int = 0
@@ -163,10 +165,12 @@
                     best, least = peer, score
         return best.member.name if best else None
 
-    def start(self, now: datetime, name: str) -> None:  # noqa: ARG002
+    def start(self, now: datetime, name: str) -> None:
         """Count a call to a member."""
         peer = self._peers.get(name)
         if peer is not None:
+            if not peer.in_flight:
+                peer.heard = now
             peer.in_flight += 1
 
     def finish(
@@ -181,9 +185,10 @@
         if peer is None:
             return
         peer.in_flight = max(0, peer.in_flight - 1)
-        refused = result is CallResult.REFUSED
-        peer.refusals += SMOOTHING * (refused - peer.refusals)
-        if refused:
+        peer.heard = now
+        trouble = result is not CallResult.OK
+        peer.trouble += SMOOTHING * (trouble - peer.trouble)
+        if result is CallResult.REFUSED:
             # Says nothing of the server's errors.
             peer.trial_at = None
             return
@@ -241,8 +246,13 @@
 
     def _score(self, now: datetime, group: _Group, peer: _Peer) -> float:
         """Return the expected wait of one more call; less is better."""
-        score = (peer.in_flight + 1) * self._expect(now, group, peer)
-        score *= 1 + REFUSAL_PENALTY * peer.refusals
+        latency = self._expect(now, group, peer)
+        if peer.in_flight and peer.heard is not None:
+            # A member that has gone silent is avoided before the pings
+            # tell: its answers take at least as long as the silence.
+            latency = max(latency, (now - peer.heard).total_seconds())
+        score = (peer.in_flight + 1) * latency
+        score *= 1 + TROUBLE_PENALTY * peer.trouble
         if peer.load_at and now - peer.load_at < HINT_LIFETIME:
             score *= 1 + HINT_WEIGHT * peer.load
         return score / peer.measure_ramp(now)
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -27,7 +27,7 @@
 # A standing queue is removed over this many intervals; as much as one
 # interval serves is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
-LOWER_GAIN: Final = 0.4
+LOWER_GAIN: Final = 0.7
 # While slots stay free, each interval lowers the level by this much
 # more, so that an old estimate of the demand doesn't delay recovery.
 LOWER_GROWTH: Final = 1.5
@@ -47,7 +47,7 @@
 SMOOTHING_MAX: Final = 0.5
 # A class that is shed isn't seen; its last known load fades by half in
 # 2.3 s.
-MEMORY_FADE: Final = 0.97
+MEMORY_FADE: Final = 0.9
 
 # A class of which less than this part is let in can't be measured.
 HIDDEN: Final = 0.05
@@ -84,6 +84,7 @@
         self._started = 0
         self._refused = 0
         self._emptied = False
+        self._blocked = False
         self._start_rate = 0.0
         self._loads = [0.0] * CLASSES
         self._lowered = 0
@@ -111,8 +112,11 @@
             self._emptied = True
 
     def note_blocked(self) -> None:
-        """Note that the queue waits for a ticket that runs alone."""
-        self._emptied = True
+        """Note that the queue waits for a ticket that runs alone.
+
+        Its delays and refusals then say nothing of the load.
+        """
+        self._blocked = True
 
     def roll(
         self,
@@ -133,7 +137,9 @@
         self._smooth(count)
         waiting = sum(queued[int(self.level) :])
         standing = waiting and not self._emptied and age > DELAY_TARGET
-        if standing or self._refused:
+        if self._blocked:
+            self._blocked = False
+        elif standing or self._refused:
             self._lowered = 0
             self._raise(waiting)
         elif busy < 1 - SPARE_MIN:
