--- /dev/null
+++ b/bench/_capacity_code.py
@@ -0,0 +1,670 @@
+"""Slopes of the decision code, measured without transport."""
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from random import Random
+from statistics import fmean
+from typing import Final
+
+from bench._control_plane import (
+    CODEC,
+    FRAMING_BYTES,
+    ControlPlane,
+    Loop,
+    MemoryFiles,
+)
+from bench._slopes import Series, measure_memory, time_call
+from sequoiaseam._balancer import Balancer
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._codec import Codec
+from sequoiaseam._commands import (
+    COMMAND_TYPES,
+    EditTables,
+    Member,
+    MembersChanged,
+    MemberState,
+    WitnessGroup,
+)
+from sequoiaseam._control_messages import AliveBatch, NodeState, Relay
+from sequoiaseam._feed import (
+    FeedMessage,
+    FeedSource,
+    NodeView,
+    Ping,
+    Pong,
+)
+from sequoiaseam._journal import Journal
+from sequoiaseam._leadership import Leadership
+from sequoiaseam._members import MemberReport, plan_witnesses
+from sequoiaseam._quota import (
+    GRANT_TTL,
+    QuotaAction,
+    QuotaAsk,
+    QuotaGrant,
+    QuotaOwner,
+    QuotaSettle,
+    QuotaSpender,
+    SendAsk,
+    SendSettle,
+)
+from sequoiaseam._replica_messages import (
+    Entries,
+    Entry,
+    Membership,
+    ReplicaId,
+    Snapshot,
+)
+from sequoiaseam._state import FleetState
+from sequoiaseam._tables import Pool, Route, Tables, Workspace, match_route
+from sequoiaseam._witness import (
+    Intent,
+    OutcomeRecord,
+    RecordKey,
+    Witness,
+    mint_request_id,
+)
+
+COMMANDS: Final = Codec(COMMAND_TYPES)
+SERVICES: Final = 35
+DOMAINS: Final = 7
+ROUTES: Final = 70
+WORKSPACES: Final = 80
+MEMBER_SIZES: Final = (100, 400, 800, 1200)
+CHANGE_SIZES: Final = (1, 57, 171)
+ROUTE_SIZES: Final = (35, 70, 140, 280)
+WORKSPACE_SIZES: Final = (8, 80, 400)
+NODE_SIZES: Final = (90, 180, 360)
+EDIT_SIZES: Final = (50, 100, 200)
+RECORD_SIZES: Final = (1000, 2000, 4000)
+# Below and above what a node prefetches tokens for.
+SPREAD_RATES: Final = (0.1, 0.2, 0.4, 0.8)
+BUSY_RATES: Final = (20.0, 50.0, 100.0, 200.0)
+OUTCOME_BYTES: Final = 200
+QUOTA_SECONDS: Final = 200
+# Node to control host to leader.
+OWNER_DELAY: Final = timedelta(milliseconds=3)
+NODE_TICK: Final = timedelta(milliseconds=50)
+SETTLE_SECONDS: Final = 90
+QUIET_SECONDS: Final = 11
+WINDOWS: Final = 8
+WINDOW_SECONDS: Final = 1.0
+
+
+def build_member(number: int) -> Member:
+    """Return a serving member of the design's fleet."""
+    return Member(
+        name=f"node-{number:04}",
+        incarnation=1_800_000_000_000_000_000 + number,
+        host=f"10.0.{number // 250}.{number % 250}",
+        port=7001,
+        pool=f"service-{number % SERVICES}",
+        domain=f"domain-{number % DOMAINS}",
+        region=f"region-{number % DOMAINS % 3}",
+        state=MemberState.SERVING,
+        slots=160,
+    )
+
+
+def build_tables(
+    routes: int = ROUTES,
+    workspaces: int = WORKSPACES,
+    worth: float = 1.0,
+) -> Tables:
+    """Return tables with a pool for each service."""
+    return Tables(
+        {
+            f"route-{n}": Route(
+                f"route-{n}",
+                f"/service-{n % SERVICES}/resource-{n}",
+                f"service-{n % SERVICES}",
+                methods=("GET", "POST"),
+                worth=worth,
+            )
+            for n in range(routes)
+        },
+        {f"service-{n}": Pool(f"service-{n}") for n in range(SERVICES)},
+        {
+            f"workspace-{n}": Workspace(f"workspace-{n}", 500.0, 1000)
+            for n in range(workspaces)
+        },
+    )
+
+
+def build_groups(members: dict[str, Member]) -> dict[int, WitnessGroup]:
+    """Return the planned witness groups."""
+    plan = plan_witnesses(members, {}, Random(1))
+    return dict(plan.groups) if plan is not None else {}
+
+
+def build_state(members: int) -> FleetState:
+    """Return the state of a fleet with the design's tables."""
+    state = FleetState()
+    rows = {
+        member.name: member for member in map(build_member, range(members))
+    }
+    state.apply(1, EditTables("first", "bench", 0, build_tables()))
+    state.apply(2, MembersChanged(tuple(rows.values())))
+    plan = plan_witnesses(rows, {}, Random(1))
+    if plan is not None:
+        state.apply(3, plan)
+    return state
+
+
+def take_snapshot(state: FleetState) -> bytes:
+    """Return the encoded feed snapshot of a state."""
+    return CODEC.encode(FeedSource(state).subscribe("node", 0, None))
+
+
+def build_view(data: bytes) -> tuple[NodeView, Balancer]:
+    """Return what a node keeps of a snapshot."""
+    message: FeedMessage = CODEC.decode(data)
+    view = NodeView()
+    view.apply(EPOCH, message)
+    balancer = Balancer("node-0000", "domain-0", "region-0", Random(1))
+    balancer.update(EPOCH, view.members)
+    return view, balancer
+
+
+def publish_change(state: FleetState, command: MembersChanged) -> bytes:
+    """Return the encoded delta of a change."""
+    feed = FeedSource(state)
+    feed.subscribe("node", state.index, None)
+    index = state.index + 1
+    state.apply(index, command)
+    (_, message), *_ = feed.publish(index, command)
+    return CODEC.encode(message)
+
+
+def measure_members() -> Iterator[Series]:
+    """Yield what grows with the members of the fleet."""
+    snapshots, memory, ticks, merges = [], [], [], []
+    for size in MEMBER_SIZES:
+        state = build_state(size)
+        data = take_snapshot(state)
+        snapshots.append((size, float(len(data))))
+        kept = measure_memory(lambda d=data: build_view(d))  # type: ignore[misc]
+        memory.append((size, float(kept)))
+        ticks.append((size, time_leadership(state)))
+        merges.append((size, time_merge(state, data)))
+    yield Series("feed snapshot", "bytes", "members", tuple(snapshots))
+    yield Series("node's view and balancer", "bytes", "members", tuple(memory))
+    yield Series("leader's membership", "ms/s", "members", tuple(ticks))
+    yield Series("node's handling of a delta", "ms", "members", tuple(merges))
+    deltas = []
+    for count in CHANGE_SIZES:
+        state = build_state(MEMBER_SIZES[-1])
+        left = {m.name: m.incarnation for m in map(build_member, range(count))}
+        data = publish_change(state, MembersChanged((), left))
+        deltas.append((count, float(len(data))))
+    yield Series("delta of lost members", "bytes", "changes", tuple(deltas))
+    deltas = []
+    for count in CHANGE_SIZES:
+        state = build_state(MEMBER_SIZES[-1])
+        new = tuple(build_member(5000 + number) for number in range(count))
+        data = publish_change(state, MembersChanged(new))
+        deltas.append((count, float(len(data))))
+    yield Series("delta of new members", "bytes", "changes", tuple(deltas))
+
+
+def time_leadership(state: FleetState) -> float:
+    """Return the leader's ms a second for leases and plans.
+
+    A second has ten ticks, two plans and two batches of reports.
+    """
+    rng = Random(1)
+    leader = Leadership(EPOCH, 1, lambda: state, rng, lambda _: None)
+    nodes = tuple(
+        NodeState(MemberReport(member, 1), state.index)
+        for member in state.members.values()
+    )
+    batch = AliveBatch(nodes)
+    now = EPOCH + timedelta(seconds=20)
+    leader.hear(now, batch)
+    leader.tick(now)
+
+    def run_second() -> None:
+        nonlocal now
+        for tick in range(10):
+            now += timedelta(milliseconds=100)
+            if tick % 5 == 0:
+                leader.hear(now, batch)
+            leader.tick(now)
+
+    return time_call(run_second, 2) * 1000
+
+
+def time_merge(state: FleetState, snapshot: bytes) -> float:
+    """Return a node's ms to decode and apply a delta of one member."""
+    view, balancer = build_view(snapshot)
+    feed = FeedSource(state)
+    feed.subscribe("node", state.index, None)
+    encoded = []
+    for number in range(20):
+        change = MembersChanged((build_member(6000 + number),))
+        index = state.index + 1
+        state.apply(index, change)
+        (_, message), *_ = feed.publish(index, change)
+        encoded.append(CODEC.encode(message))
+    started = time.process_time()
+    for data in encoded:
+        view.apply(EPOCH, CODEC.decode(data))
+        balancer.update(EPOCH, view.members)
+    return (time.process_time() - started) / len(encoded) * 1000
+
+
+def measure_routes() -> Iterator[Series]:
+    """Yield what grows with the table of routes."""
+    matches, sizes = [], []
+    for size in ROUTE_SIZES:
+        tables = build_tables(size)
+        last = size - 1
+        path = f"/service-{last % SERVICES}/resource-{last}/1"
+        call = _bind(match_route, tables, "GET", path)
+        matches.append((size, time_call(call, 200) * 1e6))
+        edit = EditTables("edit", "bench", 1, tables)
+        sizes.append((size, float(len(COMMANDS.encode(edit)))))
+    yield Series("match of a route", "us", "routes", tuple(matches))
+    yield Series("edit of the tables", "bytes", "routes", tuple(sizes))
+
+
+def _bind(
+    call: Callable[..., object],
+    *arguments: object,
+) -> Callable[[], object]:
+    return lambda: call(*arguments)
+
+
+def build_ask(workspace: int, ask_id: int) -> QuotaAsk:
+    """Return an ask that gets a token."""
+    return QuotaAsk(
+        node=f"node-{ask_id % 1200:04}",
+        incarnation=1,
+        workspace=f"workspace-{workspace}",
+        ask_id=ask_id,
+        waiting=1,
+        want=2,
+        arrived=1,
+        abandoned=0,
+    )
+
+
+def measure_workspaces() -> Iterator[Series]:
+    """Yield what grows with the workspaces at the quota's owner."""
+    asks, memory, ticks = [], [], []
+    for size in WORKSPACE_SIZES:
+        rows = build_tables(1, size).workspaces
+        owner = QuotaOwner(EPOCH, 1, rows)
+        now = EPOCH + timedelta(seconds=5)
+        asks.append((size, time_asks(owner, size)))
+        ticks.append((size, time_call(_bind(owner.tick, now), 5) * 1000))
+        memory.append(
+            (
+                size,
+                float(measure_memory(_bind(build_owner, rows))),
+            ),
+        )
+    yield Series("owner's handling of an ask", "us", "workspaces", tuple(asks))
+    yield Series("owner's tick", "ms", "workspaces", tuple(ticks))
+    yield Series("owner's buckets", "bytes", "workspaces", tuple(memory))
+
+
+def build_owner(rows: dict[str, Workspace]) -> QuotaOwner:
+    """Return an owner that each of 50 nodes has asked for each row."""
+    owner = QuotaOwner(EPOCH, 1, rows)
+    now = EPOCH + timedelta(seconds=5)
+    for number in range(len(rows)):
+        for node in range(50):
+            owner.ask(now, build_ask(number, node + 1))
+    return owner
+
+
+def time_asks(owner: QuotaOwner, workspaces: int) -> float:
+    """Return the owner's us for an ask, relayed both ways."""
+    count = 2000
+    relays = [
+        CODEC.encode(
+            Relay(
+                "node",
+                CODEC.encode(build_ask(number % workspaces, number + 1)),
+            ),
+        )
+        for number in range(count)
+    ]
+    now = EPOCH + timedelta(seconds=5)
+    started = time.process_time()
+    for data in relays:
+        now += timedelta(milliseconds=1)
+        ask = CODEC.decode(CODEC.decode(data).payload)
+        grant = owner.ask(now, ask)
+        CODEC.encode(Relay("node", CODEC.encode(grant), answer=True))
+        if grant.tokens:
+            settle = QuotaSettle(
+                ask.node,
+                1,
+                ask.workspace,
+                1,
+                grant.grant_id,
+                grant.tokens,
+                0,
+            )
+            owner.settle(now, settle)
+    return (time.process_time() - started) / count * 1e6
+
+
+class QuotaNode:
+    """One node that spends a workspace's tokens at a steady rate."""
+
+    def __init__(self, seed: int, rate: float) -> None:
+        self.loop = Loop()
+        self.messages = 0
+        self.bytes = 0
+        self.asks = 0
+        self._rng = Random(seed)
+        self._rate = rate
+        self._spender = QuotaSpender("node-0001", 1)
+        rows = {"workspace-1": Workspace("workspace-1", 10_000.0, 10_000)}
+        self._owner = QuotaOwner(EPOCH - 3 * GRANT_TTL, 1, rows)
+        self._number = 0
+
+    def run(self, seconds: int) -> None:
+        """Let requests arrive for some seconds."""
+        self._arrive()
+        self._tick()
+        self.loop.run(timedelta(seconds=seconds))
+
+    def _arrive(self) -> None:
+        self._number += 1
+        now = self.loop.now()
+        self._perform(self._spender.request(now, "workspace-1", self._number))
+        pause = timedelta(seconds=self._rng.expovariate(self._rate))
+        self.loop.after(pause, self._arrive)
+
+    def _tick(self) -> None:
+        self._perform(self._spender.tick(self.loop.now()))
+        self.loop.after(NODE_TICK, self._tick)
+
+    def _perform(self, actions: tuple[QuotaAction, ...]) -> None:
+        for action in actions:
+            if isinstance(action, SendAsk):
+                self.asks += 1
+                self._count(action.ask)
+                self.loop.after(OWNER_DELAY, _bind_none(self._ask, action.ask))
+            elif isinstance(action, SendSettle):
+                self._count(action.settle)
+                settle = action.settle
+                self.loop.after(OWNER_DELAY, _bind_none(self._settle, settle))
+
+    def _count(self, message: object) -> None:
+        self.messages += 1
+        self.bytes += len(CODEC.encode(message)) + FRAMING_BYTES
+
+    def _ask(self, ask: QuotaAsk) -> None:
+        grant = self._owner.ask(self.loop.now(), ask)
+        self._count(grant)
+        self.loop.after(OWNER_DELAY, _bind_none(self._receive, grant))
+
+    def _settle(self, settle: QuotaSettle) -> None:
+        self._owner.settle(self.loop.now(), settle)
+
+    def _receive(self, grant: QuotaGrant) -> None:
+        self._perform(self._spender.receive(self.loop.now(), grant))
+
+
+def _bind_none(
+    call: Callable[..., None],
+    *arguments: object,
+) -> Callable[[], None]:
+    return lambda: call(*arguments)
+
+
+def measure_quota(seed: int) -> Iterator[Series]:
+    """Yield a node's quota traffic for one workspace's root requests."""
+    rates = {"rare roots": SPREAD_RATES, "frequent roots": BUSY_RATES}
+    for kind, sizes in rates.items():
+        nodes = []
+        for rate in sizes:
+            node = QuotaNode(seed, rate)
+            node.run(QUOTA_SECONDS)
+            nodes.append(node)
+        for name, unit, counts in (
+            ("messages", "1/s", [n.messages for n in nodes]),
+            ("bytes", "bytes/s", [n.bytes for n in nodes]),
+            ("asks", "1/s", [n.asks for n in nodes]),
+        ):
+            yield Series(
+                f"node's quota {name} for {kind}",
+                unit,
+                "roots/s",
+                tuple(
+                    (rate, count / QUOTA_SECONDS)
+                    for rate, count in zip(sizes, counts, strict=True)
+                ),
+            )
+
+
+def settle(plane: ControlPlane) -> None:
+    """Run until nothing was committed for a while.
+
+    Witness groups are spread over the members in small steps.
+    """
+    index, quiet = -1, 0
+    for _ in range(SETTLE_SECONDS):
+        plane.run(1.0)
+        newest = max(h.replica.commit_index for h in plane.hosts.values())
+        quiet = quiet + 1 if newest == index else 0
+        index = newest
+        if quiet > QUIET_SECONDS:
+            return
+
+
+def spread_nodes(plane: ControlPlane) -> None:
+    """Attach equally many nodes to each control host."""
+    names = plane.host_names
+    for number, node in enumerate(plane.nodes.values()):
+        first = number % len(names)
+        node.order = [*names[first:], *names[:first]]
+
+
+@dataclass(frozen=True, slots=True)
+class HostCost:
+    """A control host's cost a second while all is quiet."""
+
+    leads: bool
+    attached: int
+    spent_ms: float
+    bytes: float
+    messages: float
+
+
+def measure_plane(seed: int, count: int) -> list[HostCost]:
+    """Return the costs of three control hosts.
+
+    Of several windows the least processor time counts, as others share
+    the machine.
+    """
+    members = tuple(map(build_member, range(count)))
+    plane = ControlPlane(seed, 3, members)
+    spread_nodes(plane)
+    plane.start()
+    settle(plane)
+    leader = plane.find_leader()
+    rows: dict[str, list[HostCost]] = {}
+    for _ in range(WINDOWS):
+        hosts = list(plane.hosts.values())
+        before = [(h.spent_s, h.sent + h.received, h.messages) for h in hosts]
+        plane.run(WINDOW_SECONDS)
+        for host, (spent, size, messages) in zip(hosts, before, strict=True):
+            total = host.sent + host.received
+            rows.setdefault(host.name, []).append(
+                HostCost(
+                    host is leader,
+                    len(host.sessions),
+                    (host.spent_s - spent) / WINDOW_SECONDS * 1000,
+                    (total - size) / WINDOW_SECONDS,
+                    (host.messages - messages) / WINDOW_SECONDS,
+                ),
+            )
+    return [
+        replace(
+            costs[0],
+            spent_ms=min(cost.spent_ms for cost in costs),
+            bytes=fmean(cost.bytes for cost in costs),
+            messages=fmean(cost.messages for cost in costs),
+        )
+        for costs in rows.values()
+    ]
+
+
+def measure_hosts(seed: int) -> Iterator[Series]:
+    """Yield what attached nodes cost a control host when all is quiet."""
+    followers: list[HostCost] = []
+    leaders = []
+    for count in NODE_SIZES:
+        for cost in measure_plane(seed, count):
+            if cost.leads:
+                leaders.append((float(count), cost.spent_ms))
+            else:
+                followers.append(cost)
+    for name, unit, points in (
+        ("code", "ms/s", [(c.attached, c.spent_ms) for c in followers]),
+        ("bytes", "bytes/s", [(c.attached, c.bytes) for c in followers]),
+        ("messages", "1/s", [(c.attached, c.messages) for c in followers]),
+    ):
+        yield Series(
+            f"follower's {name}",
+            unit,
+            "attached nodes",
+            tuple(points),
+        )
+    yield Series("leader's code", "ms/s", "nodes of the fleet", tuple(leaders))
+
+
+def measure_edits() -> Iterator[Series]:
+    """Yield what edits of the tables leave in the log, and its replay."""
+    logs, dumps, replays = [], [], []
+    for count in EDIT_SIZES:
+        files = MemoryFiles()
+        journal = Journal("data", files)
+        journal.open(lambda: "identity")
+        start = build_state(MEMBER_SIZES[-1])
+        replicas = (ReplicaId("control-1", "identity"),)
+        journal.save_snapshot(
+            Snapshot(3, 1, Membership(replicas), start.dump()),
+        )
+        empty = files.measure_size("log-")
+        for number in range(count):
+            tables = build_tables(worth=1.0 + number)
+            edit = EditTables(f"edit-{number}", "bench", 1 + number, tables)
+            entry = Entry(4 + number, 1, COMMANDS.encode(edit))
+            journal.append((Entries((entry,)),))
+        logs.append((count, float(files.measure_size("log-") - empty)))
+        started = time.process_time()
+        state = replay(files)
+        replays.append((count, time.process_time() - started))
+        dumps.append((count, float(len(state.dump()))))
+    yield Series("log", "bytes", "edits", tuple(logs))
+    yield Series("snapshot on disk", "bytes", "edits", tuple(dumps))
+    yield Series("replay", "s", "edits", tuple(replays))
+
+
+def replay(files: MemoryFiles) -> FleetState:
+    """Return the state as a starting control host restores it."""
+    restored = Journal("data", files).open(lambda: "identity")
+    if restored.snapshot is None:
+        raise SystemExit("the journal lost its snapshot")
+    state = FleetState.load(restored.snapshot.data)
+    for entry in restored.entries:
+        state.apply(entry.index, COMMANDS.decode(entry.command))
+    if state.revision != 1 + len(restored.entries):
+        raise SystemExit("an edit was refused in replay")
+    return state
+
+
+def measure_witnesses(seed: int) -> Iterator[Series]:
+    """Yield the memory of a witness's records with small outcomes."""
+    points = []
+    for count in RECORD_SIZES:
+        size = measure_memory(_bind(build_witness, seed, count))
+        points.append((count, float(size)))
+    yield Series("witness's records", "bytes", "records", tuple(points))
+
+
+def build_witness(seed: int, count: int) -> Witness:
+    """Return a witness that has granted requests and has outcomes."""
+    rng = Random(seed)
+    witness = Witness("node-0001", EPOCH)
+    group = WitnessGroup(1, ("node-0001", "node-0002", "node-0003"))
+    witness.assign(EPOCH, dict.fromkeys(range(64), group))
+    now = EPOCH + timedelta(minutes=1)
+    for number in range(count):
+        key = RecordKey("workspace-1", mint_request_id(now, rng))
+        digest = rng.randbytes(16)
+        intent = Intent(
+            key,
+            f"node-0002:{number}",
+            digest,
+            "node-0003",
+            1,
+            "node-0002",
+            now,
+            1,
+            3,
+        )
+        outcome = OutcomeRecord(
+            key,
+            intent.attempt,
+            digest,
+            200,
+            (("Content-Type", "application/json"),),
+            rng.randbytes(OUTCOME_BYTES),
+        )
+        witness.receive(now, fresh=True, message=intent)
+        witness.receive(now, fresh=True, message=outcome)
+    if len(witness) != count:
+        raise SystemExit("the witness did not keep every record")
+    return witness
+
+
+def measure_domain_loss() -> tuple[int, int]:
+    """Return the bytes of the deltas when a failure domain is lost.
+
+    The first has the members that left, the second the first plan of
+    new witness groups.
+    """
+    state = build_state(MEMBER_SIZES[-1])
+    lost = {
+        member.name: member.incarnation
+        for member in state.members.values()
+        if member.domain == "domain-0"
+    }
+    first = publish_change(state, MembersChanged((), lost))
+    plan = plan_witnesses(state.members, state.groups, Random(1))
+    feed = FeedSource(state)
+    feed.subscribe("node", state.index, None)
+    if plan is None:
+        raise SystemExit("a lost domain left the witness groups whole")
+    index = state.index + 1
+    state.apply(index, plan)
+    (_, message), *_ = feed.publish(index, plan)
+    return len(first), len(CODEC.encode(message))
+
+
+def measure_table_delta() -> int:
+    """Return the bytes of the delta of an edit of the tables."""
+    state = build_state(1)
+    feed = FeedSource(state)
+    feed.subscribe("node", state.index, None)
+    edit = EditTables("edit", "bench", state.revision, build_tables(worth=2.0))
+    index = state.index + 1
+    state.apply(index, edit)
+    (_, message), *_ = feed.publish(index, edit)
+    return len(CODEC.encode(message))
+
+
+def measure_ping() -> int:
+    """Return the bytes of a ping and its pong with framing."""
+    ping = Ping(EPOCH + timedelta(microseconds=1), 100_000)
+    pong = Pong(ping.sent, ping.index, timedelta(microseconds=123_456))
+    return len(CODEC.encode(ping) + CODEC.encode(pong)) + 2 * FRAMING_BYTES
--- a/bench/_control_plane.py
+++ b/bench/_control_plane.py
@@ -628,8 +628,9 @@
         self._reported: Member | None = None
         self._sequence = 0
         self.view = NodeView()
-        self._order = list(plane.host_names)
-        rng.shuffle(self._order)
+        # Names of the control hosts in the order of attaching.
+        self.order = list(plane.host_names)
+        rng.shuffle(self.order)
         self._next = 0
         self._stream = 0
         self.host: ControlHost | None = None
@@ -662,7 +663,7 @@
     # What Uplink does.
 
     def _connect(self) -> None:
-        name = self._order[self._next % len(self._order)]
+        name = self.order[self._next % len(self.order)]
         self._next += 1
         self._stream += 1
         host, stream = self._plane.hosts[name], self._stream
--- a/bench/control.py
+++ b/bench/control.py
@@ -28,6 +28,7 @@
 NODES: Final = 100
 DOMAINS: Final = 4
 POOLS: Final = 10
+LOST_DOMAIN: Final = "domain-1"
 WORKSPACES: Final = 8
 GROUP_SIZES: Final = (3, 5)
 
@@ -455,6 +456,38 @@
         killed,
         DEAD_TARGET,
     )
+    yield from measure_domain_loss(variant, trial)
+
+
+def measure_domain_loss(variant: str, trial: Trial) -> Iterator[Figure]:
+    """Kill all nodes of a failure domain at once."""
+    nodes = trial.plane.list_alive()
+    lost = [n for n in nodes if n.member.domain == LOST_DOMAIN]
+    kept = [n for n in nodes if n.member.domain != LOST_DOMAIN]
+    before = sum(n.received for n in kept)
+    for node in lost:
+        node.kill()
+    names = [node.name for node in lost]
+    seconds = trial.run_until(
+        lambda: all(is_out(trial, name) for name in names),
+        30,
+    )
+    trial.plane.run(RECOVERY_SECONDS)
+    received = sum(n.received for n in kept) - before
+    name = f"failure domain of {len(lost)} nodes killed"
+    rows = (
+        ("out on every node", "s", seconds, DEAD_TARGET),
+        (
+            "bytes received by a node meanwhile",
+            "bytes/s",
+            received / len(kept) / (seconds + RECOVERY_SECONDS),
+            BYTES_TARGET,
+        ),
+    )
+    for figure, unit, value, target in rows:
+        yield Figure(
+            MEASURE, variant, f"{name}, {figure}", unit, value, target
+        )
 
 
 def measure_commits(variant: str, trial: Trial) -> Iterator[Figure]:
