Run the trials of suspects on few servers of a pool

Cause: after a crash, all requests that ran on the server are suspects. Spread over all servers of the pool, their trials would empty each server in turn. Change: choose_trial() takes the pool, and chooses one server in eight.

--- a/src/sequoiaseam/_quarantine.py
+++ b/src/sequoiaseam/_quarantine.py
@@ -8,7 +8,7 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from typing import Final
@@ -39,6 +39,11 @@
 REPORT_MAX: Final = 1_000
 
 
+# A crash makes all requests that ran on the server suspects, and each of
+# their trials needs an empty server: one server in eight runs them.
+TRIAL_SHARE: Final = 8
+
+
 class Standing(enum.Enum):
     """How a fingerprint may run."""
 
@@ -81,16 +86,22 @@
     return xxhash.xxh3_64_intdigest(head.encode() + body)
 
 
-def choose_trial(fingerprint: int, names: Iterable[str]) -> str | None:
+def choose_trial(
+    pool: str,
+    fingerprint: int,
+    names: Collection[str],
+) -> str | None:
     """Return the server on which a suspect runs, or None without any.
 
     All nodes choose the same one (by highest hash), so that copies of a
-    suspect don't crash several servers at a time.
+    suspect don't crash several servers at a time. One server of each
+    TRIAL_SHARE runs trials, so that the others need not be empty for it.
     """
+    place = f"{pool}/{fingerprint % (1 + len(names) // TRIAL_SHARE)}"
     return max(
         names,
         key=lambda name: (
-            xxhash.xxh3_64_intdigest(f"{fingerprint:x}/{name}".encode()),
+            xxhash.xxh3_64_intdigest(f"{place}/{name}".encode()),
             name,
         ),
         default=None,
