Keep one request from crashing three servers

Of the requests that ran during a crash only the first to notice waited for the report at all.

Open: copies of the request that run at the same time on more than two servers are not held back.

--- a/src/sequoiaseam/_dispatch.py
+++ b/src/sequoiaseam/_dispatch.py
@@ -27,6 +27,9 @@
 
 MICROSECOND: Final = timedelta(microseconds=1)
 QUARANTINE_RETRY_AFTER: Final = timedelta(minutes=1)
+# A request that broke off twice may be what crashes the servers; they
+# may crash twice (docs/design.md, 1.8).
+BROKEN_MAX: Final = 2
 # Time for the refusal to travel when the deadline passes on the way.
 GRACE: Final = timedelta(milliseconds=50)
 RESULTS: Final = {
@@ -105,7 +108,8 @@
                 tried |= {name}
                 if error.verdict is not Verdict.NOT_RUN:
                     ran.append(error.verdict)
-                if not self._may_retry(exchange, error, share):
+                broken = len(ran) >= BROKEN_MAX
+                if broken or not self._may_retry(exchange, error, share):
                     raise
                 exchange.retries += 1
 
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -78,6 +78,8 @@
     client: BackendClient
     gate: AdmissionGate
     heard: datetime
+    # Set once the server is known to have crashed.
+    report: "asyncio.Task[None] | None" = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -475,10 +477,19 @@
                 self._watch.finish(run_id)
 
     async def _check_crash(self, session: BackendSession) -> None:
+        """Wait for the crash report if the backend server is gone.
+
+        Every request that ran waits for the same report: whichever of
+        them is tried again first may be the one that crashed it.
+        """
         reachable = await session.client.is_reachable()
         if not reachable and self._session is session:
             self._detach()
-            await self._report_crash(self._clock.now())
+            session.report = self._tasks.start(
+                self._report_crash(self._clock.now()),
+            )
+        if session.report is not None:
+            await asyncio.shield(session.report)
 
     async def _report_crash(self, now: datetime) -> None:
         crash_id = f"{self._name}-{now.timestamp():.6f}"
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -67,6 +67,7 @@
     Witness,
     mint_request_id,
 )
+from sequoiaseam.const import HEARTBEAT_INTERVAL
 
 TICK: Final = timedelta(milliseconds=50)
 # Other nodes learn of a drain within this time, so callers may still
@@ -75,6 +76,9 @@
 # How long the answer to a request that ran during a crash waits for the
 # report to be in force, so that a resend meets it.
 CRASH_REPORT_WAIT: Final = timedelta(seconds=1)
+# After it is in force here, other nodes have it by the next heartbeat
+# of the control hosts and its delivery.
+CRASH_REPORT_SPREAD: Final = HEARTBEAT_INTERVAL + timedelta(milliseconds=50)
 HANDLE_BYTES: Final = 24
 INCARNATION_BITS: Final = 10
 
@@ -471,7 +475,7 @@
             )
 
     async def _report_crash(self, report: CrashReported) -> None:
-        """Report a crash and wait until the report is in force here."""
+        """Report a crash and wait until nodes act on the report."""
         in_force = self._crash_waiters.expect(report.crash_id)
         self._uplink.post(report)
         await asyncio.wait(
@@ -479,6 +483,7 @@
             timeout=CRASH_REPORT_WAIT.total_seconds(),
         )
         self._crash_waiters.forget(report.crash_id)
+        await asyncio.sleep(CRASH_REPORT_SPREAD.total_seconds())
 
     # Lookups in the view.
 
