--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -22,8 +22,10 @@
 LATENCY_DEFAULT: Final = 0.01
 # A member without a latency is tried early, even in another domain.
 UNKNOWN_PART: Final = 0.5
-# Fast refusals and errors must not attract more calls.
+# Fast refusals and errors must not attract more calls. The memory of
+# them fades by half in this time, as nothing else brings calls back.
 TROUBLE_PENALTY: Final = 8.0
+TROUBLE_FADE: Final = timedelta(seconds=1)
 # A reported load may at most halve a member's share: it may be false.
 HINT_WEIGHT: Final = 1.0
 HINT_LIFETIME: Final = timedelta(seconds=2)
@@ -60,6 +62,7 @@
     latency_at: datetime | None = None
     # Recent share of calls that were refused or failed.
     trouble: float = 0.0
+    trouble_at: datetime | None = None
     failures: float = 0.0
     samples: int = 0
     consecutive: int = 0
@@ -77,6 +80,13 @@
         serves = state in (MemberState.WARMING, MemberState.SERVING)
         return serves and not self.lost
 
+    def fade_trouble(self, now: datetime) -> float:
+        """Return the recent share of calls refused or failed."""
+        if self.trouble_at is None:
+            return 0.0
+        age = (now - self.trouble_at) / TROUBLE_FADE
+        return self.trouble * math.exp2(-min(age, 60.0))
+
     def measure_ramp(self, now: datetime) -> float:
         """Return the part of a full share that the member may take."""
         return min(1.0, max(RAMP_START, (now - self.since) / RAMP))
@@ -187,7 +197,9 @@
         peer.in_flight = max(0, peer.in_flight - 1)
         peer.heard = now
         trouble = result is not CallResult.OK
+        peer.trouble = peer.fade_trouble(now)
         peer.trouble += SMOOTHING * (trouble - peer.trouble)
+        peer.trouble_at = now
         if result is CallResult.REFUSED:
             # Says nothing of the server's errors.
             peer.trial_at = None
@@ -252,7 +264,7 @@
             # tell: its answers take at least as long as the silence.
             latency = max(latency, (now - peer.heard).total_seconds())
         score = (peer.in_flight + 1) * latency
-        score *= 1 + TROUBLE_PENALTY * peer.trouble
+        score *= 1 + TROUBLE_PENALTY * peer.fade_trouble(now)
         if peer.load_at and now - peer.load_at < HINT_LIFETIME:
             score *= 1 + HINT_WEIGHT * peer.load
         return score / peer.measure_ramp(now)
