--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -25,7 +25,7 @@
 # Fast refusals and errors must not attract more calls. The memory of
 # them fades by half in this time, as nothing else brings calls back.
 TROUBLE_PENALTY: Final = 8.0
-TROUBLE_FADE: Final = timedelta(seconds=1)
+TROUBLE_FADE: Final = timedelta(seconds=4)
 # A reported load may at most halve a member's share: it may be false.
 HINT_WEIGHT: Final = 1.0
 HINT_LIFETIME: Final = timedelta(seconds=2)
