--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -13,6 +13,8 @@
 from sequoiaseam.errors import ErrorCode
 
 TICK: Final = timedelta(milliseconds=50)
+# Others get this many times the time that a lone ticket took.
+ALONE_PAUSE: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,10 +262,11 @@
         return None
 
     def _end_alone(self, now: datetime) -> None:
-        """Give the others as much time as the lone ticket took."""
+        """Give the others time in proportion to the ticket's."""
         self._alone = False
         if self._blocked_since is not None:
-            self._open_until = now + (now - self._blocked_since)
+            taken = now - self._blocked_since
+            self._open_until = now + ALONE_PAUSE * taken
             self._blocked_since = None
 
     def _resume(self, now: datetime, run: _Run) -> None:
--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -23,8 +23,9 @@
 # A member without a latency is tried early, even in another domain.
 UNKNOWN_PART: Final = 0.5
 # Fast refusals and errors must not attract more calls. The memory of
-# them fades by half in this time, as nothing else brings calls back.
+# them fades by half in 4 s, as nothing else brings calls back.
 TROUBLE_PENALTY: Final = 8.0
+TROUBLE_MIN: Final = 0.02
 TROUBLE_FADE: Final = timedelta(seconds=4)
 # A reported load may at most halve a member's share: it may be false.
 HINT_WEIGHT: Final = 1.0
@@ -85,7 +86,9 @@
         if self.trouble_at is None:
             return 0.0
         age = (now - self.trouble_at) / TROUBLE_FADE
-        return self.trouble * math.exp2(-min(age, 60.0))
+        trouble = self.trouble * math.exp2(-min(age, 60.0))
+        # Without load the least difference would decide.
+        return trouble if trouble > TROUBLE_MIN else 0.0
 
     def measure_ramp(self, now: datetime) -> float:
         """Return the part of a full share that the member may take."""
@@ -94,6 +97,7 @@
     def reset_failures(self) -> None:
         """Forget results from before an ejection or its end."""
         self.failures = 0.0
+        self.trouble = 0.0
         self.samples = 0
         self.consecutive = 0
 
