Prefetch for the round trip to the owner

Cause: with the owner 60 ms away each way, prefetched tokens ran out before the next grant came. Change: tokens cover 100 ms and twice the last round trip; a case with a distant owner joins the measurement. Conclusion: after each shift of the entry point, requests wait for one or two round trips; more would need tokens on nodes without demand.

--- a/bench/quota.py
+++ b/bench/quota.py
@@ -62,6 +62,7 @@
     target: str | None = "<= 0.001"
     # Largest error of any clock, in ppm.
     drift: int = 0
+    delay: int = ONE_WAY_US
 
 
 def _build_row(rate: float, burst: int) -> Workspace:
@@ -105,6 +106,15 @@
         10,
         pick_shifting,
     ),
+    Case(
+        "large, shifting entry, owner 60 ms away",
+        LARGE,
+        2000.0,
+        10,
+        6,
+        pick_shifting,
+        delay=60_000,
+    ),
     Case("large, 100 nodes", LARGE, 1900.0, 100, 4),
     Case("small at 8x", SMALL, 40.0, 100, 200, strict=False),
     Case(
@@ -160,7 +170,7 @@
         f"n{i}": SkewedClock(rng.randint(-case.drift, case.drift))
         for i in range(case.nodes)
     }
-    network = Network(delay=ONE_WAY_US)
+    network = Network(delay=case.delay)
     fleet = QuotaFleet(rng, case.row, network, clocks)
     start = SETTLE
     for at, event in case.events:
--- a/src/sequoiaseam/_quota.py
+++ b/src/sequoiaseam/_quota.py
@@ -35,10 +35,11 @@
     1 + 4 * CLOCK_DRIFT
 )
 
-# Prefetched tokens cover a quarter of the demand of a horizon, which is
-# counted in two slots, or all of it up to a few tokens.
+# Demand is counted over a horizon of two slots. Prefetched tokens cover
+# the demand of this time and twice the last round trip, or that of the
+# whole horizon up to a few tokens.
 HORIZON: Final = timedelta(milliseconds=400)
-TARGET_SHARE: Final = 4
+TARGET_TIME: Final = timedelta(milliseconds=100)
 TARGET_FEW: Final = 8  # tokens
 _SLOT: Final = HORIZON / 2
 # Pause between asks that no request waits for.
@@ -545,6 +546,7 @@
     asked: datetime | None = None
     asked_arrived: int = 0
     timeout: timedelta = ASK_TIMEOUT
+    round_trip: timedelta = timedelta(0)
     abandoned: int = 0
     # Earliest times for the next ask with and without waiting requests.
     next_ask: datetime | None = None
@@ -622,7 +624,8 @@
                 _Held(grant.owner_term, grant.grant_id, grant.tokens, end),
             )
         # Owners in another region may take longer than ASK_TIMEOUT.
-        timeout = max(ASK_TIMEOUT, 2 * (now - account.asked))
+        account.round_trip = now - account.asked
+        timeout = max(ASK_TIMEOUT, 2 * account.round_trip)
         account.timeout = min(timeout, ASK_TIMEOUT_MAX)
         account.asked = None
         account.abandoned = 0
@@ -786,7 +789,8 @@
     if demand < PREFETCH_MIN:
         account.target = 0
         return waiting
-    needed = max(demand // TARGET_SHARE, min(demand, TARGET_FEW))
+    cover = min(1.0, (TARGET_TIME + 2 * account.round_trip) / HORIZON)
+    needed = max(int(demand * cover), min(demand, TARGET_FEW))
     # When requests wait, demand outran what was prefetched; then the
     # target grows faster than the count of arrivals does.
     floor = 2 * account.target if waiting else account.target * 3 // 4
