--- a/bench/overload.py
+++ b/bench/overload.py
@@ -121,7 +121,7 @@
 
 START: Final = 2.0
 END: Final = 9.0
-STOP: Final = 16.5
+STOP: Final = 19.0
 # Estimates need a moment at the start.
 WARM: Final = 0.5
 BUCKET: Final = 0.5
