Aim a schedule at intents of an older epoch

Change: in the profile of a group that shrinks and grows, the entry nodes lose control between the two changes, with fast clocks, and the new members have slow ones.

--- a/tests/test_once_fuzz.py
+++ b/tests/test_once_fuzz.py
@@ -41,8 +41,9 @@
 
     ``spread`` is the time in seconds over which an id is sent again, and
     ``window`` when most ids are made, in seconds after a group change.
-    ``groups`` are committed at fixed times while the first members are
-    cut off from control, with their clocks ahead of the others'.
+    ``groups`` are committed at fixed times, with the clocks of the first
+    members ahead of the others'; ``cut_off`` loses control before the
+    change of that number.
     """
 
     faults: Faults
@@ -55,6 +56,7 @@
     window: tuple[float, float] = (-1.0, 8.0)
     groups: Sequence[tuple[float, Sequence[str]]] = ()
     cut_off: Sequence[str] = ()
+    cut_before: int = 0
 
 
 PROFILES: Final = (
@@ -85,8 +87,9 @@
         Faults(0.05, 0.3, failed=0.3),
         spread=(1.0, 10.0),
         window=(-1.0, 12.0),
-        groups=((24.0, ("n1",)), (36.0, ("n1", "n2", "n3"))),
-        cut_off=SLOW,
+        groups=((24.0, ("n1",)), (36.0, ("n1", *SLOW))),
+        cut_off=("n2", "n3"),
+        cut_before=1,
     ),
     # Copies of calls and votes reach nodes that have restarted since.
     Profile(
@@ -159,7 +162,8 @@
         for at, group in profile.groups:
             world.at(at, partial(world.commit, group))
         if profile.groups:
-            world.at(profile.groups[0][0] - rng.choice((0.05, 1.0)), isolate)
+            changed, _ = profile.groups[profile.cut_before]
+            world.at(changed - rng.choice((0.05, 1.0)), isolate)
         fixed = [at for at, _ in profile.groups]
         return fixed + self.plan(profile.changes, world.change_group)
 
