--- a/bench/_capacity_code.py
+++ b/bench/_capacity_code.py
@@ -3,9 +3,9 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
-from statistics import fmean
+from statistics import fmean, quantiles
 from typing import Final
 
 from bench._control_plane import (
@@ -27,7 +27,12 @@
     MemberState,
     WitnessGroup,
 )
-from sequoiaseam._control_messages import AliveBatch, NodeState, Relay
+from sequoiaseam._control_messages import (
+    AliveBatch,
+    NodeState,
+    Relay,
+    ReportPush,
+)
 from sequoiaseam._feed import (
     FeedMessage,
     FeedSource,
@@ -38,8 +43,10 @@
 from sequoiaseam._journal import Journal
 from sequoiaseam._leadership import Leadership
 from sequoiaseam._members import MemberReport, plan_witnesses
+from sequoiaseam._metrics import NodeMetrics, RequestSample
 from sequoiaseam._quota import (
     GRANT_TTL,
+    Admit,
     QuotaAction,
     QuotaAsk,
     QuotaGrant,
@@ -57,7 +64,15 @@
     Snapshot,
 )
 from sequoiaseam._state import FleetState
-from sequoiaseam._tables import Pool, Route, Tables, Workspace, match_route
+from sequoiaseam._tables import (
+    Importance,
+    Pool,
+    Route,
+    Tables,
+    Workspace,
+    match_route,
+)
+from sequoiaseam._verdict import Verdict
 from sequoiaseam._witness import (
     Intent,
     OutcomeRecord,
@@ -81,6 +96,8 @@
 # Below and above what a node prefetches tokens for.
 SPREAD_RATES: Final = (0.1, 0.2, 0.4, 0.8)
 BUSY_RATES: Final = (20.0, 50.0, 100.0, 200.0)
+REPORT_ROWS: Final = (10, 50, 200)
+SAMPLES_PER_ROW: Final = 200
 OUTCOME_BYTES: Final = 200
 QUOTA_SECONDS: Final = 200
 # Node to control host to leader.
@@ -361,6 +378,9 @@
         self.messages = 0
         self.bytes = 0
         self.asks = 0
+        # Seconds that admitted requests waited for their tokens.
+        self.waits: list[float] = []
+        self._arrived: dict[int, datetime] = {}
         self._rng = Random(seed)
         self._rate = rate
         self._spender = QuotaSpender("node-0001", 1)
@@ -377,6 +397,7 @@
     def _arrive(self) -> None:
         self._number += 1
         now = self.loop.now()
+        self._arrived[self._number] = now
         self._perform(self._spender.request(now, "workspace-1", self._number))
         pause = timedelta(seconds=self._rng.expovariate(self._rate))
         self.loop.after(pause, self._arrive)
@@ -395,6 +416,10 @@
                 self._count(action.settle)
                 settle = action.settle
                 self.loop.after(OWNER_DELAY, _bind_none(self._settle, settle))
+            elif isinstance(action, Admit):
+                arrived = self._arrived.pop(action.request_id)
+                waited = self.loop.now() - arrived
+                self.waits.append(waited.total_seconds())
 
     def _count(self, message: object) -> None:
         self.messages += 1
@@ -428,6 +453,15 @@
             node = QuotaNode(seed, rate)
             node.run(QUOTA_SECONDS)
             nodes.append(node)
+        yield Series(
+            f"p99 wait for a token for {kind}",
+            "ms",
+            "roots/s",
+            tuple(
+                (rate, quantiles(node.waits, n=100)[-1] * 1000)
+                for rate, node in zip(sizes, nodes, strict=True)
+            ),
+        )
         for name, unit, counts in (
             ("messages", "1/s", [n.messages for n in nodes]),
             ("bytes", "bytes/s", [n.bytes for n in nodes]),
@@ -627,6 +661,40 @@
     return witness
 
 
+def measure_reports(seed: int) -> Iterator[Series]:
+    """Yield the size of a node's report for operators by its rows."""
+    points = []
+    for rows in REPORT_ROWS:
+        rng = Random(seed)
+        metrics = NodeMetrics("node-0001", EPOCH)
+        for number in range(rows):
+            for _ in range(SAMPLES_PER_ROW):
+                metrics.record(EPOCH, build_sample(rng, number))
+        push = ReportPush(1, metrics.snapshot(EPOCH))
+        points.append((rows, float(len(CODEC.encode(push)))))
+    yield Series("node's report", "bytes", "rows", tuple(points))
+
+
+def build_sample(rng: Random, number: int) -> RequestSample:
+    """Return a whole answer of one row, with a random service time."""
+    service = timedelta(milliseconds=rng.lognormvariate(3.0, 0.7))
+    return RequestSample(
+        route=f"route-{number % ROUTES}",
+        pool=f"service-{number % SERVICES}",
+        workspace=f"workspace-{number // ROUTES}",
+        importance=Importance.NORMAL,
+        code=None,
+        verdict=Verdict.RAN,
+        inside_rate=True,
+        worth=1.0,
+        retries=0,
+        queue_time=service / 10,
+        service_time=service,
+        total_time=service,
+        root=True,
+    )
+
+
 def measure_domain_loss() -> tuple[int, int]:
     """Return the bytes of the deltas when a failure domain is lost.
 
--- a/bench/_projection.py
+++ b/bench/_projection.py
@@ -20,6 +20,8 @@
 DAY_SECONDS: Final = 86_400
 HOST_COUNTS: Final = (5, 7)
 HOSTS_MAX: Final = 8
+# A node keeps at most this many rows.
+REPORT_ROWS: Final = 200
 WORKSPACES: Final = 80
 ROUTES: Final = 70
 WITNESS_NODES: Final = 64 * 3
@@ -51,6 +53,7 @@
 LINK_MEMORY: Final = "memory of idle links' two ends"
 LINK_TIME: Final = "time of idle links' two ends"
 RECORDS: Final = "witness's records"
+REPORT: Final = "node's report"
 ENTRY: Final = "process of the entry node"
 GUARD: Final = "process of the guarding node"
 MATCH: Final = "match of a route"
@@ -302,7 +305,9 @@
 
 
 def project_log(fits: Mapping[str, Fit]) -> Iterator[Figure]:
-    """Yield what the log of a day takes, and a restart's replay."""
+    """Yield what reports, the log of a day and a replay take."""
+    report = fits[REPORT].predict(REPORT_ROWS) * NODES / MEGABYTE
+    yield create_figure("reports of all nodes for one command", "MB", report)
     written = fits[LOG].slope * EDITS_A_DAY / MEGABYTE
     yield create_figure("log written a day", "MB", written)
     yield create_figure(
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -26,6 +26,7 @@
         code.measure_hosts(seed),
         code.measure_edits(),
         code.measure_witnesses(seed),
+        code.measure_reports(seed),
     )
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -33,6 +33,7 @@
     projection.LINK_MEMORY,
     projection.LINK_TIME,
     projection.RECORDS,
+    projection.REPORT,
     projection.ENTRY,
     projection.GUARD,
     projection.MATCH,
