Make nodes fresh again after a change of the control leader

A new leader's own log entry has an index, which a confirmation covers, but was not passed to the state and the feed. Until the next command every node waited for an index that never came and refused all keyed requests as STALE: 8 s and more after all control hosts had been killed and restarted, and for as long as one watched.

Such entries are applied as commands without effect, so the index of the feed follows the log.

Ports of the test fleets are random, because two fleets that started at the same time took each other's.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -8,6 +8,7 @@
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 from types import TracebackType
 from typing import Final, Self
 
@@ -19,16 +20,24 @@
 LOOPBACK: Final = "127.0.0.1"
 STOP_SECONDS: Final = 10.0
 SECRET_BYTES: Final = 32
+PORTS: Final = (15_000, 32_000)
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports; they are taken again right after."""
+    """Return free ports; they are taken again right after.
+
+    They are below those that systems give to outgoing connections, and
+    random, so that fleets that start at the same time rarely meet.
+    """
+    rng = SystemRandom()
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
+            port = rng.randrange(*PORTS)
             one = stack.enter_context(socket.socket())
-            one.bind((LOOPBACK, 0))
-            ports.append(int(one.getsockname()[1]))
+            with contextlib.suppress(OSError):
+                one.bind((LOOPBACK, port))
+                ports.append(port)
         return ports
 
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -66,12 +66,14 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        if self.arrival is Arrival.REFUSE:
-            writer.transport.abort()
-        elif self.arrival is Arrival.SILENT:
-            await asyncio.Event().wait()
-        else:
-            await self._forward(reader, writer)
+        # asyncio reports a cancelled connection handler as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            if self.arrival is Arrival.REFUSE:
+                writer.transport.abort()
+            elif self.arrival is Arrival.SILENT:
+                await asyncio.Event().wait()
+            else:
+                await self._forward(reader, writer)
 
     async def _forward(
         self,
--- a/src/sequoiaseam/_replica_host.py
+++ b/src/sequoiaseam/_replica_host.py
@@ -12,7 +12,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
-from sequoiaseam._commands import COMMAND_TYPES, Command
+from sequoiaseam._commands import COMMAND_TYPES, Command, Noop
 from sequoiaseam._gates import Waiters
 from sequoiaseam._journal import Journal
 from sequoiaseam._logs import Level, log_event
@@ -234,8 +234,11 @@
     def _(self, action: Apply) -> None:
         # Set first, so that whoever the hook wakes sees it.
         self.applied_index = action.index
-        if action.command:
-            self._hooks.apply(action.index, COMMANDS.decode(action.command))
+        # An entry of the replicas' own counts as a command without
+        # effect: nodes must reach its index, too, before a confirmation
+        # that covers it makes them fresh.
+        command = COMMANDS.decode(action.command) if action.command else Noop()
+        self._hooks.apply(action.index, command)
 
     @_act.register
     def _(self, action: Proposed) -> None:
