Open a lost connection between nodes again

A member whose connection was lost was marked as lost until the next connection succeeded, but only a call opened one, and a lost member got no calls. So after connections had gone silent a node never used that member again; the tests of silent connections, idle and under load, saw one server of two for 30 s.

A link opens its connection again every 0.5 s, as long as the member is listed at that address. That a member which is not lost any more when an older connection ends stays in use is corrected along with it.

--- a/bench/transports.py
+++ b/bench/transports.py
@@ -162,6 +162,7 @@
             lambda _: None,
             lambda: None,
             lambda: None,
+            lambda: False,
         )
 
         async def send() -> str:
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -89,6 +89,11 @@
     return micros << INCARNATION_BITS | rng.getrandbits(INCARNATION_BITS)
 
 
+def locate_peer(member: Member) -> str:
+    """Return the URL at which other nodes reach a member."""
+    return f"http://{member.host}:{member.port}{PEER_PATH}"
+
+
 class Node:
     """Everything of one ``sequoiaseam-node`` process."""
 
@@ -360,8 +365,7 @@
             self._get_link(name).post(message)
 
     def _get_link(self, name: str) -> PeerLink:
-        member = self.view.members[name]
-        url = f"http://{member.host}:{member.port}{PEER_PATH}"
+        url = locate_peer(self.view.members[name])
         link = self._links.get(name)
         if link is not None and link.url == url:
             return link
@@ -377,10 +381,15 @@
             self._receive_peer,
             lambda: self._balancer.mark_lost(self._clock.now(), name),
             lambda: self._balancer.mark_found(self._clock.now(), name),
+            lambda: self._is_member_at(name, url),
         )
         self._links[name] = link
         return link
 
+    def _is_member_at(self, name: str, url: str) -> bool:
+        member = self.view.members.get(name)
+        return member is not None and locate_peer(member) == url
+
     def _receive_peer(self, message: Any) -> None:
         if isinstance(message, Intent | Fence | OutcomeRecord):
             self._witness.receive(message)
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -37,6 +37,9 @@
 # so a silent one is found within 1.5 times this time.
 HEARTBEAT_SECONDS: Final = CONNECTION_TIMEOUT.total_seconds() / 1.5
 
+# Time between attempts to reach a node again.
+RESTORE_SECONDS: Final = 0.5
+
 CallHandler = Callable[[CallFrame], Awaitable[AnswerFrame | RefusalFrame]]
 MessageHandler = Callable[[Any], None]
 
@@ -61,6 +64,7 @@
         on_message: MessageHandler,
         on_lost: Callable[[], None],
         on_found: Callable[[], None],
+        is_wanted: Callable[[], bool],
     ) -> None:
         self._url = url
         self._session = session
@@ -69,6 +73,8 @@
         self._on_message = on_message
         self._on_lost = on_lost
         self._on_found = on_found
+        self._is_wanted = is_wanted
+        self._restoring: asyncio.Task[None] | None = None
         self._socket: aiohttp.ClientWebSocketResponse | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._pending: dict[int, asyncio.Future[Any]] = {}
@@ -151,6 +157,7 @@
                 error=type(error).__name__,
             )
             self._on_lost()
+            self._restore()
             return
         self._on_found()
         self._tasks.start(self._read(self._socket))
@@ -178,7 +185,25 @@
         for future in pending.values():
             if not future.done():
                 future.set_exception(_create_lost(sent=True))
-        self._on_lost()
+        if self._socket is None:
+            self._on_lost()
+            self._restore()
+
+    def _restore(self) -> None:
+        """Open the connection again in the background.
+
+        A member whose connection is lost gets no calls, so no call
+        would ever open it.
+        """
+        if self._restoring is None or self._restoring.done():
+            self._restoring = self._tasks.start(self._keep_opening())
+
+    async def _keep_opening(self) -> None:
+        while self._is_wanted():
+            await asyncio.sleep(RESTORE_SECONDS)
+            with contextlib.suppress(RefusalError):
+                await self._connect()
+                return
 
     def _receive(self, message: Any) -> None:
         if isinstance(message, AnswerFrame | RefusalFrame):
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -37,6 +37,7 @@
     WAIT_LIMIT,
     FleetTestCase,
     Reply,
+    create_echo,
     mint,
     on_fleet,
     wait_for,
@@ -103,6 +104,49 @@
 
         return await wait_for(reaches_all, WAIT_LIMIT, "all servers used")
 
+    @on_fleet
+    async def test_a01_silent_node_connections_when_idle(self) -> None:
+        await self._wait_all_servers()
+        self._silence(lambda source, _: not source)
+        await asyncio.sleep(4.0)
+        taken = await self._wait_all_servers()
+        self.assertLess(taken, REPLACED_LIMIT)
+
+    @on_fleet
+    async def test_a02_silent_node_connections_under_load(self) -> None:
+        stop = asyncio.Event()
+        replies: list[tuple[float, Reply]] = []
+
+        async def call() -> None:
+            echo = create_echo()
+            reply = await self.send("front-1", "/records/1", headers=echo)
+            replies.append((time.monotonic(), reply))
+            if reply.whole:
+                self.assertEqual(reply.body["echo"], *echo.values())
+
+        async def load() -> None:
+            async with asyncio.TaskGroup() as group:
+                while not stop.is_set():
+                    group.create_task(call())
+                    await asyncio.sleep(0.02)
+
+        loading = asyncio.create_task(load())
+        await asyncio.sleep(0.5)
+        self._silence(lambda source, _: not source)
+        silent = time.monotonic()
+        try:
+            taken = await self._wait_all_servers()
+        finally:
+            stop.set()
+            await loading
+        self.assertLess(taken, REPLACED_LIMIT)
+        late = [
+            reply.code
+            for at, reply in replies
+            if at > silent + REPLACED_LIMIT and not reply.whole
+        ]
+        self.assertEqual(late, [])
+
     @on_fleet
     async def test_a03_silent_control_connections(self) -> None:
         # New connections work, so nodes and control hosts reconnect.
@@ -211,9 +255,9 @@
             self.fleet.secrets_path,
             ("fleet", "operators"),
         )
-        wrong = (b"x" * 32,)
+        wrong, other = (b"x" * 32,), (b"y" * 32,)
         cases = {
-            "wrong secret": Credentials(wrong, wrong),
+            "wrong secret": Credentials(wrong, other),
             "a node's secret": Credentials(wrong, secrets.fleet),
         }
         before = await self.client.show(ShowRequest())
@@ -251,7 +295,7 @@
         proofs = {
             "none": "",
             "used before": proof,
-            "wrong secret": Credentials(wrong, wrong).sign(
+            "wrong secret": Credentials(wrong, other).sign(
                 clock.now(),
                 Role.FLEET,
                 "other",
