Ask another control host when a read times out

A control host that was cut off silently ended a read with TIMEOUT, which the operators' client took for the final answer, though the other hosts could have given one: "show" failed while an edit succeeded.

Such a read ends with NOT_LEADER, as the adapter's own limit did, and the client goes on to the next host. The new test silences the leader among the control hosts and failed at its first read before.

--- a/src/sequoiaseam/_operations.py
+++ b/src/sequoiaseam/_operations.py
@@ -60,6 +60,14 @@
 }
 
 
+def create_unconfirmed() -> SeamError:
+    """Return the error of a read that another host may well answer."""
+    return SeamError(
+        ErrorCode.NOT_LEADER,
+        "no majority has answered in time",
+    )
+
+
 class EventLog:
     """The newest committed changes, for those who follow them."""
 
@@ -257,10 +265,11 @@
                 index = await self._host.read_barrier()
                 await self._hooks.wait_applied(index)
         except TimeoutError as error:
-            raise SeamError(
-                ErrorCode.NOT_LEADER,
-                "no majority has answered in time",
-            ) from error
+            raise create_unconfirmed() from error
+        except SeamError as error:
+            if error.code is ErrorCode.TIMEOUT:
+                raise create_unconfirmed() from error
+            raise
 
     @_handle.register
     async def _(self, _: ReportRequest) -> object:
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -223,6 +223,37 @@
         for session in connections.values():
             await session.close()
 
+    @on_fleet
+    async def test_b02_silent_control_leader_is_replaced(self) -> None:
+        status = await self.client.status(StatusRequest())
+        leader = status.leader
+        self._silence(
+            lambda source, target: leader in (source, target),
+            Arrival.SILENT,
+        )
+        shown = await self.client.show(ShowRequest())
+        answer = await self.client.apply(
+            ApplyRequest(
+                uuid.uuid4().hex,
+                "test",
+                shown.revision,
+                change_worth(shown.tables, 3.5),
+            ),
+        )
+        self.assertIs(answer.outcome, EditOutcome.ACCEPTED)
+        for node in self.fleet.running:
+            await self.wait_serving(node, "/records/1")
+        self._restore()
+
+        async def agrees() -> bool:
+            status = await self.client.status(StatusRequest())
+            matches = [row.match_index for row in status.replicas]
+            return len(matches) == 3 and min(matches) >= status.commit_index
+
+        await wait_for(ignore_refusals(agrees), WAIT_LIMIT, "hosts agree")
+        after = await self.client.show(ShowRequest())
+        self.assertEqual(after.revision, answer.revision)
+
 
 def ignore_refusals(
     condition: Callable[[], Awaitable[bool]],
