Leave a silent control connection whose buffers are full

Ending a stream waits in grpclib until the reset can be sent. On a connection that went silent under load, with full buffers, that is never, so the node's or control host's link hung for good in place of connecting again.

The wait is bounded to 0.1 s.

--- a/src/sequoiaseam/_control_links.py
+++ b/src/sequoiaseam/_control_links.py
@@ -17,7 +17,7 @@
 from sequoiaseam._codec import Codec
 from sequoiaseam._control_messages import PEER_PATH, PeerHello, PeerPing
 from sequoiaseam._logs import Level, log_event
-from sequoiaseam._rpc import create_channel, open_stream
+from sequoiaseam._rpc import cancel_stream, create_channel, open_stream
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
@@ -106,8 +106,7 @@
                 await self._watch(reader, sender)
             finally:
                 await tasks.cancel()
-                with contextlib.suppress(Exception):
-                    await stream.cancel()
+                await cancel_stream(stream)
 
     async def _read(self, stream: Any) -> None:
         async for _ in stream:
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -4,6 +4,8 @@
 data classes of the decision code travel as they are.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
 
@@ -22,6 +24,7 @@
 PROOF_KEY: Final = "x-sequoiaseam-proof"
 KEEPALIVE_SECONDS: Final = 2.0
 KEEPALIVE_TIMEOUT_SECONDS: Final = 1.0
+CANCEL_SECONDS: Final = 0.1
 
 # HTTP/2 keepalive finds connections that a middlebox has dropped
 # silently, also while no message is due.
@@ -118,6 +121,17 @@
     return method.open(metadata={PROOF_KEY: proof})
 
 
+async def cancel_stream(stream: Any) -> None:
+    """Cancel a stream, also on a connection that takes no more bytes.
+
+    grpclib waits until it can send the reset, which on a silent
+    connection with full buffers is never.
+    """
+    with contextlib.suppress(Exception):
+        async with asyncio.timeout(CANCEL_SECONDS):
+            await stream.cancel()
+
+
 async def call_unary(
     channel: Channel,
     path: str,
--- a/src/sequoiaseam/_uplink.py
+++ b/src/sequoiaseam/_uplink.py
@@ -1,7 +1,6 @@
 """A node's stream to one control host at a time."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
@@ -16,7 +15,7 @@
 from sequoiaseam._control_messages import ATTACH_PATH, NodeHello
 from sequoiaseam._feed import Ping, Pong
 from sequoiaseam._logs import Level, log_event
-from sequoiaseam._rpc import create_channel, open_stream
+from sequoiaseam._rpc import cancel_stream, create_channel, open_stream
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import CONNECTION_TIMEOUT, LEASE, NODE_PING_INTERVAL
@@ -130,8 +129,7 @@
                 await self._watch(reader, sender)
             finally:
                 await tasks.cancel()
-                with contextlib.suppress(Exception):
-                    await stream.cancel()
+                await cancel_stream(stream)
 
     async def _read(self, stream: Any) -> None:
         async for message in stream:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,98 @@
+"""The control hosts' links on real sockets."""
+
+import asyncio
+import os
+import unittest
+from collections import Counter
+from random import Random
+from typing import Any
+
+from bench.processes import find_ports
+from bench.relay import Relay
+from grpclib.const import Cardinality
+
+from sequoiaseam._access import Credentials, Identity, Role, Verifier
+from sequoiaseam._clock import ProcessClock
+from sequoiaseam._control_links import ControlLink
+from sequoiaseam._control_messages import (
+    PEER_PATH,
+    PeerHello,
+    PeerPing,
+    create_control_codec,
+)
+from sequoiaseam._control_messages import (
+    Relay as RelayedMessage,
+)
+from sequoiaseam._rpc import Service, create_server
+from sequoiaseam._settings import Endpoint
+from sequoiaseam._tasks import TaskGroup
+
+SECRETS = Credentials((b"x" * 32,), (b"y" * 32,))
+LIMIT = 15.0
+PAYLOAD = b"x" * 1024 * 1024
+
+
+class ControlLinkTest(unittest.IsolatedAsyncioTestCase):
+    """A link between two control hosts through a relay."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ProcessClock()
+        self.received: Counter[str] = Counter()
+        (port,) = find_ports(1)
+        codec = create_control_codec()
+        service = Service(
+            Verifier(SECRETS),
+            self.clock,
+            {PEER_PATH: (Cardinality.STREAM_STREAM, self._serve)},
+        )
+        self.server = create_server(service, codec)
+        await self.server.start("127.0.0.1", port)
+        self.relay = Relay(port)
+        await self.relay.start()
+        self.link = ControlLink(
+            "one",
+            "two",
+            Endpoint("127.0.0.1", self.relay.port),
+            codec,
+            Random(1),
+            self._create_proof,
+        )
+        self.tasks = TaskGroup()
+        self.tasks.start(self.link.run())
+
+    async def asyncTearDown(self) -> None:
+        await self.tasks.cancel()
+        await self.relay.close()
+        self.server.close()
+
+    def _create_proof(self) -> str:
+        return SECRETS.sign(
+            self.clock.now(),
+            Role.FLEET,
+            "one",
+            os.urandom(16).hex(),
+        )
+
+    async def _serve(self, stream: Any, _: Identity) -> None:
+        async for message in stream:
+            self.received[type(message).__name__] += 1
+            if isinstance(message, PeerPing):
+                await stream.send_message(message)
+
+    async def _wait_received(self, name: str, count: int) -> None:
+        async with asyncio.timeout(LIMIT):
+            while self.received[name] < count:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    async def test_silent_link_with_full_buffers_is_replaced(self) -> None:
+        # The reset of a stream can't be sent on such a connection.
+        await self._wait_received(PeerHello.__name__, 1)
+        self.relay.silence()
+        for number in range(32):
+            self.link.post(RelayedMessage(str(number), PAYLOAD))
+        await self._wait_received(PeerHello.__name__, 2)
+        self.assertEqual(self.relay.accepted, 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
