Tell a backend server's changes from its restarts

A backend server that announced another number of slots counted as crashed: the requests that were running became suspects, a second time quarantined, and waiting ones were refused. One that had announced that it drains, ended without withdrawing itself and served again was refused as DRAINING for good.

A change of slots is applied to the running session; a server that serves after it drained is a new one. Both new tests failed before.

--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -171,7 +171,10 @@
             self._replace(now, announcement)
             return
         session.heard = now
+        slots = session.announcement.slots
         session.announcement = announcement
+        if announcement.slots != slots:
+            self.configure()
         session.gate.admission.hint(now, announcement.load)
         if announcement.state == "draining":
             session.gate.admission.drain(now)
@@ -597,10 +600,14 @@
 
 
 def _is_other(old: Announcement, new: Announcement) -> bool:
-    """Tell whether two announcements are of different server starts."""
-    return (old.pool, old.url, old.instance, old.slots) != (
+    """Tell whether two announcements are of different server starts.
+
+    A server that drained and serves again has started anew.
+    """
+    if old.state == "draining" and new.state != "draining":
+        return True
+    return (old.pool, old.url, old.instance) != (
         new.pool,
         new.url,
         new.instance,
-        new.slots,
     )
