Start waiting requests when an edit adds slots

The admission starts what may start when its pool or slots change, but the guard dropped these actions: the requests held their slots and were never sent, until they timed out as "may have run".

The gate carries the actions out.

--- a/src/sequoiaseam/_gates.py
+++ b/src/sequoiaseam/_gates.py
@@ -18,6 +18,7 @@
 from sequoiaseam._clock import Clock
 from sequoiaseam._limiter import Completion
 from sequoiaseam._queue import Ticket
+from sequoiaseam._tables import Pool
 from sequoiaseam.errors import ErrorCode, RefusalError
 
 Key = TypeVar("Key", bound=Hashable)
@@ -110,6 +111,12 @@
             )
             self.admission.cancel(self._clock.now(), ticket_id)
 
+    def configure(self, pool: Pool, slots: int) -> None:
+        """Take over an edited pool; start what may start now."""
+        self._perform(
+            self.admission.configure(self._clock.now(), pool, slots),
+        )
+
     def tick(self, now: datetime) -> None:
         """Refuse what can no longer be served in time."""
         self._perform(self.admission.tick(now))
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -210,11 +210,7 @@
             return
         pool = self._hooks.get_pool(session.announcement.pool)
         if pool is not None:
-            session.gate.admission.configure(
-                self._clock.now(),
-                pool,
-                session.announcement.slots,
-            )
+            session.gate.configure(pool, session.announcement.slots)
 
     def drain(self) -> None:
         """Refuse new calls; those admitted run to their end."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from datetime import timedelta
 from random import Random
 
 from bench.processes import find_ports
@@ -53,7 +54,11 @@
                 post=lambda _name, _message: None,
                 quarantine=QuarantineList(),
                 report_crash=self._report_crash,
-                get_pool=lambda name: Pool(name, slots=50),
+                get_pool=lambda name: Pool(
+                    name,
+                    slots=50,
+                    warmup=timedelta(0),
+                ),
             ),
         )
         self.addAsyncCleanup(self.guard.close)
@@ -78,6 +83,41 @@
         # It was sent; nothing listens there.
         self.assertIs(answer.code, ErrorCode.NO_SERVER)
 
+    async def test_added_slots_start_waiting_requests(self) -> None:
+        # Requests that a larger number of slots lets start must not
+        # wait for their deadline.
+        arrived = 0
+        finish = asyncio.Event()
+
+        async def serve(
+            _: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            nonlocal arrived
+            arrived += 1
+            await finish.wait()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        announced = Announcement("store", f"http://127.0.0.1:{port}", 1)
+        self.guard.announce(announced)
+        runs = [
+            asyncio.create_task(
+                self.guard.run(replace(CALL, path=f"/records/{number}")),
+            )
+            for number in range(2)
+        ]
+        async with asyncio.timeout(5.0):
+            while arrived < 1:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            self.guard.announce(replace(announced, slots=50))
+            while arrived < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        finish.set()
+        await asyncio.gather(*runs)
+        server.close()
+
     async def test_changed_slots_are_no_crash(self) -> None:
         # Running requests must not become suspects, nor waiting ones
         # be refused, when a server announces another number of slots.
