--- a/bench/_capacity_processes.py
+++ b/bench/_capacity_processes.py
@@ -184,6 +184,7 @@
                     lambda _: None,
                     lambda: None,
                     lambda: None,
+                    lambda: False,
                 )
                 for _ in range(count)
             ]
--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -220,11 +220,7 @@
             return
         pool = self._hooks.get_pool(session.announcement.pool)
         if pool is not None:
-            session.gate.admission.configure(
-                self._clock.now(),
-                pool,
-                session.announcement.slots,
-            )
+            session.gate.configure(pool, session.announcement.slots)
 
     def drain(self) -> None:
         """Refuse new calls; those admitted run to their end."""
@@ -638,7 +634,12 @@
 
 
 def _is_other(old: Announcement, new: Announcement) -> bool:
-    """Tell whether two announcements are of different server starts."""
+    """Tell whether two announcements are of different server starts.
+
+    A server that drained and serves again has started anew.
+    """
+    if old.state == "draining" and new.state != "draining":
+        return True
     return (old.pool, old.url, old.instance) != (
         new.pool,
         new.url,
