--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -24,9 +24,10 @@
 # Part of the excess that one interval removes; less than 1 because the
 # effect shows only after a round trip.
 RAISE_GAIN: Final = 0.5
-# A standing queue is removed over this many intervals; as much as one
-# interval serves is a burst, which is left to drain by itself.
+# A standing queue is removed over this many intervals; as much as two
+# intervals serve is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
+BURST_INTERVALS: Final = 2
 LOWER_GAIN: Final = 0.7
 # While slots stay free, each interval lowers the level by this much
 # more, so that an old estimate of the demand doesn't delay recovery.
@@ -142,9 +143,9 @@
         elif standing or self._refused:
             self._lowered = 0
             self._raise(waiting)
-        elif busy < 1 - SPARE_MIN:
+        elif busy < 1 - SPARE_MIN or self._emptied:
             for _ in range(min(count, 100)):
-                self._lower(1 - busy)
+                self._lower(max(1 - busy, SPARE_MIN))
         self._levels.append(self.level)
         self._arrived = [0] * CLASSES
         self._started = 0
@@ -181,7 +182,7 @@
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
         excess = self._expect(int(self.level)) - self._start_rate
-        standing = max(0.0, queued - self._start_rate)
+        standing = max(0.0, queued - BURST_INTERVALS * self._start_rate)
         excess = RAISE_GAIN * (excess + standing / DRAIN_INTERVALS)
         if excess <= 0:
             # The queue drains by itself.
