--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -29,9 +29,9 @@
 DRAIN_INTERVALS: Final = 10
 BURST_INTERVALS: Final = 2
 LOWER_GAIN: Final = 0.7
-# While slots stay free, each interval lowers the level by this much
-# more, so that an old estimate of the demand doesn't delay recovery.
-LOWER_GROWTH: Final = 1.5
+# While slots stay free, the step down grows by this factor with each
+# interval, so that an old estimate of the demand doesn't delay recovery.
+LOWER_GROWTH: Final = 1.8
 # Intervals until a level shows in the arrivals.
 LAG: Final = 3
 # Free slots below this part are kept, so that the level doesn't
@@ -40,7 +40,7 @@
 # Classes with fewer requests an interval are let in at once.
 LOAD_MIN: Final = 0.01
 LOWER_STEP_MIN: Final = 0.005
-LOWER_STEP_MAX: Final = 0.25
+LOWER_STEP_MAX: Final = 0.5
 # Estimates average over about this many tickets, so that servers with
 # few requests a second don't follow noise.
 SMOOTHING_COUNT: Final = 20
