--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -334,7 +334,7 @@
         """Keep the trial cut only when it lowered the latency."""
         self._trial = None
         cut = 1 - load / trial.load
-        gain = 1 - latency / trial.latency
+        gain = 1 - latency / max(trial.latency, 1e-9)
         if enough and cut > 0.1 and gain >= TRIAL_GAIN * cut:
             # The latency may still include waiting in the server.
             self._trial_due = now
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -265,15 +265,15 @@
 
     def record(self, now: datetime, workspace: str, weight: float) -> None:
         """Count an arrival."""
+        count = (now - self.at) // INTERVAL
+        if count > 0:
+            self._roll(count)
+            self.at += count * INTERVAL
         demand = self.demands.get(workspace)
         if demand is None:
             demand = self.demands[workspace] = _Demand(weight)
         demand.weight = weight
         demand.count += 1
-        count = (now - self.at) // INTERVAL
-        if count > 0:
-            self._roll(count)
-            self.at += count * INTERVAL
 
     def decide(self, workspace: str, fraction: float) -> bool:
         """Return whether to refuse this arrival of the workspace."""
--- a/src/sequoiaseam/_queue.py
+++ b/src/sequoiaseam/_queue.py
@@ -15,9 +15,10 @@
 class Ticket:
     """A request that asks for a slot.
 
-    ``begun`` marks nested calls, whose call tree has used capacity.
-    ``alone`` marks a request that may crash the server; it runs only
-    while nothing else does.
+    ``arrived`` is the time of the offer at this server; the queue's age
+    is measured from it. ``begun`` marks nested calls, whose call tree
+    has used capacity. ``alone`` marks a request that may crash
+    the server; it runs only while nothing else does.
     """
 
     ticket_id: int
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -55,6 +55,14 @@
         collected = self.map.collect(later, frozenset({"billing", "new"}))
         self.assertEqual([p.level for p in collected], [0.0, 0.0])
 
+    def test_first_request_after_a_long_pause(self) -> None:
+        # The pool may be under pressure from other routes meanwhile.
+        self.observe(EPOCH, 1.5)
+        self.assertFalse(self.decide(EPOCH, NORMAL))
+        later = EPOCH + 200 * SECOND
+        self.observe(later, 1.5)
+        self.assertFalse(self.decide(later, NORMAL))
+
     def test_workspace_over_its_share_is_refused_first(self) -> None:
         now = EPOCH
         refused: Counter[str] = Counter()
