--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -421,6 +421,8 @@
                 self.running[ticket.ticket_id] = ticket
         assert len(self.running) <= self.slots
         assert len(self.waiting) <= self.room
+        assert 1 <= self.admission.limit <= self.slots
+        assert 0 <= self.admission.measure_pressure(self.now).level < 4
         assert self.admission.running == len(self.running)
         assert self.admission.queued == len(self.waiting)
         self.check_progress()
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -81,6 +81,44 @@
         self.assertEqual(refused["w8"] + refused["w9"], 0)
 
 
+class MapFuzzTest(unittest.TestCase):
+    """Guards against a class refused before a lower one."""
+
+    def test_schedules(self) -> None:
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                self.run_schedule(random.Random(seed))
+
+    def run_schedule(self, rng: random.Random) -> None:
+        pressures = PressureMap(rng)
+        now = EPOCH
+        for _ in range(80):
+            now += rng.choice((0, 1, 30, 400, 20_000, 300_000)) * MS
+            route = rng.choice(("accept", "browse"))
+            if rng.random() < 0.4:
+                level = rng.choice((0.0, 0.5, 1.0, 2.7, 3.95))
+                pool = PoolPressure(rng.choice("pq"), level)
+                pressures.observe(now, route, (pool,))
+                continue
+            (p, q) = pressures.collect(now, frozenset("pq"))
+            top = max(p.level, q.level)
+            importance = rng.choice(list(Importance))
+            name = rng.choice("abc")
+            wait = pressures.decide(now, route, importance, name, 1.0)
+            if importance >= top:
+                self.assertIsNone(wait)
+            if wait is not None:
+                self.assertGreater(wait, timedelta(0))
+
+    def test_lower_classes_are_refused_entirely(self) -> None:
+        pressures = PressureMap(random.Random(1))
+        for n in range(200):
+            now = EPOCH + n * 20 * MS
+            pressures.observe(now, "r", (PoolPressure("p", 2.5),))
+            self.assertIsNotNone(pressures.decide(now, "r", LOW, "a", 1.0))
+            self.assertIsNone(pressures.decide(now, "r", CRITICAL, "a", 1.0))
+
+
 class CapTest(unittest.TestCase):
     """Guards against shares that refuse too much or too little."""
 
