--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -24,13 +24,14 @@
 # Part of the excess that one interval removes; less than 1 because the
 # effect shows only after a round trip.
 RAISE_GAIN: Final = 0.5
-# A standing queue is removed over this many intervals; as much as one
-# interval serves is a burst, which is left to drain by itself.
+# A standing queue is removed over this many intervals; as much as two
+# intervals serve is a burst, which is left to drain by itself.
 DRAIN_INTERVALS: Final = 10
+BURST_INTERVALS: Final = 2
 LOWER_GAIN: Final = 0.7
-# While slots stay free, each interval lowers the level by this much
-# more, so that an old estimate of the demand doesn't delay recovery.
-LOWER_GROWTH: Final = 1.5
+# While slots stay free, the step down grows by this factor with each
+# interval, so that an old estimate of the demand doesn't delay recovery.
+LOWER_GROWTH: Final = 1.8
 # Intervals until a level shows in the arrivals.
 LAG: Final = 3
 # Free slots below this part are kept, so that the level doesn't
@@ -39,7 +40,7 @@
 # Classes with fewer requests an interval are let in at once.
 LOAD_MIN: Final = 0.01
 LOWER_STEP_MIN: Final = 0.005
-LOWER_STEP_MAX: Final = 0.25
+LOWER_STEP_MAX: Final = 0.5
 # Estimates average over about this many tickets, so that servers with
 # few requests a second don't follow noise.
 SMOOTHING_COUNT: Final = 20
@@ -142,9 +143,9 @@
         elif standing or self._refused:
             self._lowered = 0
             self._raise(waiting)
-        elif busy < 1 - SPARE_MIN:
+        elif busy < 1 - SPARE_MIN or self._emptied:
             for _ in range(min(count, 100)):
-                self._lower(1 - busy)
+                self._lower(max(1 - busy, SPARE_MIN))
         self._levels.append(self.level)
         self._arrived = [0] * CLASSES
         self._started = 0
@@ -181,7 +182,7 @@
     def _raise(self, queued: int) -> None:
         """Shed the excess of arrivals over starts, lowest class first."""
         excess = self._expect(int(self.level)) - self._start_rate
-        standing = max(0.0, queued - self._start_rate)
+        standing = max(0.0, queued - BURST_INTERVALS * self._start_rate)
         excess = RAISE_GAIN * (excess + standing / DRAIN_INTERVALS)
         if excess <= 0:
             # The queue drains by itself.
@@ -264,15 +265,15 @@
 
     def record(self, now: datetime, workspace: str, weight: float) -> None:
         """Count an arrival."""
+        count = (now - self.at) // INTERVAL
+        if count > 0:
+            self._roll(count)
+            self.at += count * INTERVAL
         demand = self.demands.get(workspace)
         if demand is None:
             demand = self.demands[workspace] = _Demand(weight)
         demand.weight = weight
         demand.count += 1
-        count = (now - self.at) // INTERVAL
-        if count > 0:
-            self._roll(count)
-            self.at += count * INTERVAL
 
     def decide(self, workspace: str, fraction: float) -> bool:
         """Return whether to refuse this arrival of the workspace."""
