--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,7 @@
 from typing import Final
 from unittest import mock
 
+from sequoiaseam import core
 from sequoiaseam._cli import build_app
 from sequoiaseam._cli_environment import Environment
 from sequoiaseam._cli_views import check_file
@@ -26,7 +27,8 @@
 COMMANDS: Final = (
     *("apply", "show", "follow", "check", "key add", "key withdraw"),
     *("key list", "report", "histogram", "status", "drain"),
-    *("control replace", "control status", "control backup", "completion"),
+    *("control replace", "control status", "control backup"),
+    *("control restore", "completion"),
 )
 ENVIRONMENT: Final = {
     "SEQUOIASEAM_CONTROL": "127.0.0.1:1",
@@ -143,6 +145,12 @@
                     kinds.add(check_file(example))
         self.assertEqual(len(kinds), 3)
 
+    def test_design_lists_each_public_name(self) -> None:
+        text = read_page("design.md").partition("## 14.")[2]
+        for name in core.__all__:
+            with self.subTest(name=name):
+                self.assertRegex(text, rf"\b{name}\b")
+
     def test_exit_codes_are_documented(self) -> None:
         text = read_page("operators.md")
         for code in ExitCode:
