--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -149,7 +149,7 @@
         text = read_page("design.md").partition("## 14.")[2]
         for name in core.__all__:
             with self.subTest(name=name):
-                self.assertRegex(text, rf"\b{name}\b")
+                self.assertTrue(re.search(rf"\b{name}\b", text))
 
     def test_exit_codes_are_documented(self) -> None:
         text = read_page("operators.md")
