--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -163,7 +163,8 @@
         self.backlog_max = spec.connections
         # What the load endpoint shows instead of the truth.
         self.false_load: float | None = None
-        self.jobs: set[Job] = set()
+        # Ordered, unlike a set, so that runs repeat exactly.
+        self.jobs: dict[Job, None] = {}
         self.backlog: deque[Job] = deque()
         self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], None] = lambda: None
@@ -201,7 +202,7 @@
             return
         job.ended = True
         if job in self.jobs:
-            self.jobs.remove(job)
+            del self.jobs[job]
             if job.active:
                 self._deactivate(job)
                 self._plan()
@@ -243,7 +244,7 @@
             )
 
     def _begin(self, job: Job) -> None:
-        self.jobs.add(job)
+        self.jobs[job] = None
         self._advance()
         job.active = True
         self._count += 1
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -242,18 +242,18 @@
 
     def fall() -> None:
         fleet.network.dead |= lost
-        for name in lost:
+        for name in sorted(lost):
             fleet.nodes[name].server.crash(END - START, 2.0)
 
     def rise() -> None:
         fleet.network.dead.clear()
         set_members(fleet, frozenset())
-        for name in lost:
+        for name in sorted(lost):
             reconnect(fleet, name)
 
     timeout = MEMBER_TIMEOUT
     if world.variant == "sequoiaseam":
-        for name in lost:
+        for name in sorted(lost):
             notice = partial(disconnect, fleet, name)
             world.at(START + PING_TIMEOUT, notice)
     else:
