Start and end the fleets of the tests faster

The tests of leaving and lost processes share a fleet, a stand-in whose first announcement failed repeats it after 0.1 s, and the processes of a finished class are killed, not drained.

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -32,6 +32,7 @@
 ID_HEADER: Final = "Idempotency-Key"
 RUN_HEADER: Final = "X-Run"
 ANNOUNCE_SECONDS: Final = 1.0
+RETRY_SECONDS: Final = 0.1
 IDLE_POLL_SECONDS: Final = 0.02
 PAD: Final = "x" * 400
 CUT_LENGTH: Final = 1000
@@ -210,9 +211,11 @@
     async def announce(self) -> None:
         """Announce the server to its node, forever."""
         while True:
+            wait = RETRY_SECONDS
             with contextlib.suppress(aiohttp.ClientError):
                 await self._put()
-            await asyncio.sleep(ANNOUNCE_SECONDS)
+                wait = ANNOUNCE_SECONDS
+            await asyncio.sleep(wait)
 
     async def _put(self) -> None:
         options = self._options
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -125,16 +125,28 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        await asyncio.gather(
+            *(stop_process(one) for one in self._list_processes()),
+        )
+        for relay in self.relays.values():
+            await relay.close()
+        if self._folder is not None:
+            self._folder.cleanup()
+
+    def _list_processes(self) -> list[asyncio.subprocess.Process]:
         processes = list(self.control_processes.values())
         for node in self.running.values():
             processes.append(node.process)
             if node.backend is not None:
                 processes.append(node.backend)
-        await asyncio.gather(*(stop_process(one) for one in processes))
-        for relay in self.relays.values():
-            await relay.close()
-        if self._folder is not None:
-            self._folder.cleanup()
+        return processes
+
+    async def kill(self) -> None:
+        """End all processes at once, without their drain."""
+        for process in self._list_processes():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
 
     def connect(self) -> OperatorClient:
         """Return a client for operators."""
--- a/tests/system.py
+++ b/tests/system.py
@@ -158,6 +158,7 @@
         await cls.session.close()
         if hasattr(cls, "client"):
             await cls.client.close()
+        await cls.fleet.kill()
         await cls.fleet.__aexit__(None, None, None)
 
     @classmethod
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import signal
 import time
 import unittest
 import uuid
@@ -270,7 +271,7 @@
 
 
 class LossTest(FleetTestCase):
-    """Processes that are killed."""
+    """Processes that are killed or stopped."""
 
     async def _find_leader(self) -> str:
         return (await self.client.status(StatusRequest())).leader
@@ -425,6 +426,99 @@
         self.assertEqual(after.tables, before.tables)
         self.assertEqual(after.keys, before.keys)
 
+    async def _load(
+        self,
+        stop: asyncio.Event,
+        leaving: set[str],
+        replies: list[tuple[str, Reply]],
+        failures: list[str],
+    ) -> None:
+        """Send requests through all nodes but those that leave."""
+
+        async def call(node: str) -> None:
+            try:
+                reply = await self.send(
+                    node,
+                    "/records/1",
+                    act="delay=150",
+                    headers=create_echo(),
+                )
+            except aiohttp.ClientConnectorError:
+                if node not in leaving:
+                    failures.append(f"{node} accepts no connection")
+            except aiohttp.ClientError as error:
+                failures.append(f"{node}: {type(error).__name__}")
+            else:
+                replies.append((node, reply))
+
+        async with asyncio.TaskGroup() as group:
+            while not stop.is_set():
+                for node in self.fleet.running:
+                    group.create_task(call(node))
+                await asyncio.sleep(0.05)
+
+    def _check_load(
+        self,
+        replies: list[tuple[str, Reply]],
+        failures: list[str],
+    ) -> None:
+        self.assertEqual(failures, [])
+        self.assertGreater(len(replies), 20)
+        cut = [
+            (node, reply.code, reply.verdict)
+            for node, reply in replies
+            if not reply.whole and reply.verdict != "not run"
+        ]
+        self.assertEqual(cut, [])
+
+    @on_fleet
+    async def test_a04_stopped_server_cuts_no_request(self) -> None:
+        stop = asyncio.Event()
+        replies: list[tuple[str, Reply]] = []
+        failures: list[str] = []
+        load = asyncio.create_task(
+            self._load(stop, set(), replies, failures),
+        )
+        await asyncio.sleep(1.0)
+        node = self.get_node("store-1")
+        assert node.backend is not None
+        node.backend.send_signal(signal.SIGTERM)
+        await node.backend.wait()
+        await asyncio.sleep(0.5)
+        count = len(replies)
+        await asyncio.sleep(0.5)
+        stop.set()
+        await load
+        self._check_load(replies, failures)
+        late = {reply.body.get("server") for _, reply in replies[count:]}
+        self.assertNotIn("store-1", late)
+        await self.fleet.start_backend(node)
+        await self.wait_server("store-1")
+
+    @on_fleet
+    async def test_a05_stopped_node_cuts_no_request(self) -> None:
+        stop = asyncio.Event()
+        leaving: set[str] = set()
+        replies: list[tuple[str, Reply]] = []
+        failures: list[str] = []
+        load = asyncio.create_task(
+            self._load(stop, leaving, replies, failures),
+        )
+        await asyncio.sleep(1.0)
+        node = self.get_node("store-1")
+        leaving.add("store-1")
+        node.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(WAIT_LIMIT):
+            await node.process.wait()
+        await asyncio.sleep(0.5)
+        stop.set()
+        await load
+        self._check_load(replies, failures)
+        self.assertEqual(node.process.returncode, 0)
+        await self.fleet.restart_node("store-1")
+        await self.wait_serving("store-1", "/records/1")
+        await self.wait_server("store-1")
+
     @on_fleet
     async def test_b01_drained_server_gets_no_work(self) -> None:
         answer = await self.client.drain(
