Accept a drain once the fleet has it on record

A control host answered an operator's drain as soon as the order was in the queue of the node's stream. In 1 of 8 runs of its test the node did not get it and served on (last request 3.48 s after the answer, at the end of the test); what lost it was not found, a node that was moving to another control host would.

The order is repeated every 0.5 s until the member is recorded as draining, at most 2.5 s, else the outcome is unknown. The test checks the member's state right after the answer, which was "serving" before.

--- a/src/sequoiaseam/_operations.py
+++ b/src/sequoiaseam/_operations.py
@@ -15,6 +15,7 @@
     CrashReported,
     EditTables,
     MembersChanged,
+    MemberState,
     WithdrawKey,
     WitnessesAssigned,
 )
@@ -52,6 +53,11 @@
 EVENTS_KEPT: Final = 1000
 # Shorter than the client's own limit, so that an answer can say so.
 EDIT_TIMEOUT: Final = timedelta(seconds=3)
+# Orders to drain, and looks at the member's state after each; together
+# shorter than the client's limit.
+DRAIN_ATTEMPTS: Final = 5
+DRAIN_POLLS: Final = 10
+DRAIN_POLL_SECONDS: Final = 0.05
 OUTCOMES: Final = {
     EditStatus.ACCEPTED: EditOutcome.ACCEPTED,
     EditStatus.CONFLICT: EditOutcome.CONFLICT,
@@ -324,17 +330,34 @@
 
     @_handle.register
     async def _(self, request: DrainRequest) -> object:
-        if not self._sessions.drain(request.host):
-            raise SeamError(
-                ErrorCode.NOT_FOUND,
-                f"no host {request.host!r} is attached here",
-            )
-        return EditAnswer(
-            request.edit_id,
-            EditOutcome.ACCEPTED,
-            self._get_state().revision,
+        """Order the drain until the fleet has it on record.
+
+        The node may be leaving this host for another one, where the
+        operator's client asks next.
+        """
+        for _attempt in range(DRAIN_ATTEMPTS):
+            if not self._sessions.drain(request.host):
+                raise SeamError(
+                    ErrorCode.NOT_FOUND,
+                    f"no host {request.host!r} is attached here",
+                )
+            for _poll in range(DRAIN_POLLS):
+                await asyncio.sleep(DRAIN_POLL_SECONDS)
+                if self._is_draining(request.host):
+                    return EditAnswer(
+                        request.edit_id,
+                        EditOutcome.ACCEPTED,
+                        self._get_state().revision,
+                    )
+        raise SeamError(
+            ErrorCode.OUTCOME_UNKNOWN,
+            "the host has not said that it drains",
         )
 
+    def _is_draining(self, host: str) -> bool:
+        member = self._get_state().members.get(host)
+        return member is not None and member.state is MemberState.DRAINING
+
     @_handle.register
     async def _(self, request: ReplaceRequest) -> object:
         await self._host.replace(request.old, request.new_name)
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -17,6 +17,7 @@
 
 from sequoiaseam._access import Credentials, Role
 from sequoiaseam._clock import ProcessClock
+from sequoiaseam._commands import MemberState
 from sequoiaseam._operator import (
     AddKeyRequest,
     ApplyRequest,
@@ -526,6 +527,10 @@
         )
         self.assertIs(answer.outcome, EditOutcome.ACCEPTED)
         drained = time.monotonic()
+        # An order that the node never got must not count as accepted.
+        shown = await self.client.show(ShowRequest())
+        states = {member.name: member.state for member in shown.members}
+        self.assertIs(states["store-3"], MemberState.DRAINING)
         last_use = drained
         while time.monotonic() < drained + LEAVING_LIMIT + 0.5:
             sent = time.monotonic()
