--- a/src/sequoiaseam/_members.py
+++ b/src/sequoiaseam/_members.py
@@ -15,9 +15,8 @@
     WitnessesAssigned,
     WitnessGroup,
 )
+from sequoiaseam._witness import ELIGIBILITY_DELAY
 from sequoiaseam.const import (
-    CLOCK_SKEW,
-    LEASE,
     MEMBER_TIMEOUT,
     WITNESS_SHARDS,
     WITNESSES_PER_SHARD,
@@ -33,7 +32,7 @@
 GONE_RETENTION: Final = timedelta(minutes=1)
 # A new witness votes only on ids minted this long after its assignment;
 # until then a second change of its shard could leave no majority.
-WITNESS_SETTLE: Final = LEASE + CLOCK_SKEW + timedelta(seconds=1)
+WITNESS_SETTLE: Final = ELIGIBILITY_DELAY + timedelta(seconds=1)
 # Moves for balance alone in one plan; they are never urgent.
 MOVES_PER_PLAN: Final = WITNESS_SHARDS // 16
 
