Take no shift of the mix of requests for a saturated server

Cause: a trial cut of the limit was kept when shorter requests came meanwhile, and further cuts followed; the wait for the witnesses counted as a wait for capacity. Change: a trial after which throughput rose by over half is void; a ticket arrives when it is offered.

--- a/src/sequoiaseam/_guard.py
+++ b/src/sequoiaseam/_guard.py
@@ -341,7 +341,8 @@
             call.importance,
             call.workspace,
             call.weight,
-            arrived,
+            # The wait for the witnesses is not one for capacity.
+            self._clock.now(),
             admitted.deadline,
             call.begun,
             standing is Standing.SUSPECT,
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -23,6 +23,9 @@
 # A wrong cut loses throughput, a limit too high only time, so that a
 # cut needs most of the gain that a saturated server would show.
 TRIAL_GAIN: Final = 0.6
+# A trial after which throughput rises by more than this compares two
+# mixes of requests and proves nothing.
+THROUGHPUT_RISE_MAX: Final = 1.5
 # The limit grows only while requests use most of it.
 BINDING: Final = 0.75
 # A server that was saturated from the first request on shows only in
@@ -335,6 +338,11 @@
         self._trial = None
         cut = 1 - load / trial.load
         gain = 1 - latency / max(trial.latency, 1e-9)
+        # Fewer requests at a time can't finish many more a second, unless
+        # others came that are shorter by nature.
+        shifted = (1 - cut) > THROUGHPUT_RISE_MAX * (1 - gain)
+        if shifted:
+            enough = False
         if enough and cut > 0.1 and gain >= TRIAL_GAIN * cut:
             # The latency may still include waiting in the server.
             self._trial_due = now
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -459,3 +459,24 @@
         for seed in range(SCHEDULES):
             with self.subTest(seed=seed):
                 AdmissionFuzz(seed).run(120)
+
+
+class MixedWorkTest(unittest.TestCase):
+    """Guards against a limit that follows the mix of requests."""
+
+    def test_shorter_requests_during_a_trial_prove_nothing(self) -> None:
+        now = EPOCH
+        limiter = Limiter(40, timedelta(0), now)
+        lowest = limiter.limit
+        for milliseconds, rounds in ((5, 40), (50, 2), (5, 60)):
+            latency = timedelta(milliseconds=milliseconds)
+            for _ in range(rounds):
+                count = limiter.limit
+                for _ in range(count):
+                    limiter.start(now)
+                started, now = now, now + latency
+                for _ in range(count):
+                    limiter.finish(now, started, Completion.OK)
+                lowest = min(lowest, limiter.limit)
+        # One trial cut, which is taken back, and none upon it.
+        self.assertGreaterEqual(lowest, 28)
