Test a replaced control host and a restored backup on real processes

Cause: both had been tried on the decision code only. Change: a fleet of three control hosts loses one disk, takes the host in again under its new identity, and a new group takes over the backup once.

--- /dev/null
+++ b/tests/test_system_control.py
@@ -0,0 +1,85 @@
+"""Tests of replacing and restoring real control hosts."""
+
+import shutil
+import unittest
+import uuid
+
+from bench.processes import Fleet, stop_process
+
+from sequoiaseam._operator import (
+    ApplyRequest,
+    BackupRequest,
+    EditOutcome,
+    OperatorClient,
+    ReplaceRequest,
+    RestoreRequest,
+    ShowRequest,
+    StatusRequest,
+)
+from sequoiaseam.errors import SeamError
+from tests.builders import build_tables
+from tests.system import WAIT_LIMIT, wait_for
+
+WIPED = "control-2"
+
+
+async def replace_wiped(client: OperatorClient) -> bool:
+    """Ask for the replacement; False while it is not possible yet."""
+    request = ReplaceRequest(uuid.uuid4().hex, "test", WIPED, WIPED, "")
+    try:
+        answer = await client.replace(request)
+    except SeamError:
+        return False
+    return answer.outcome is EditOutcome.ACCEPTED
+
+
+async def has_three_voters(client: OperatorClient) -> bool:
+    """Tell whether every control host votes and answers."""
+    status = await client.status(StatusRequest())
+    roles = sorted(replica.role for replica in status.replicas)
+    return roles == ["leader", "voter", "voter"]
+
+
+class ControlHostsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a lost disk or group that can't be made good."""
+
+    async def test_wiped_host_is_replaced_and_backup_restored(self) -> None:
+        async with Fleet(()) as fleet:
+            client = fleet.connect()
+            answer = await client.apply(
+                ApplyRequest(uuid.uuid4().hex, "test", 0, build_tables()),
+            )
+            self.assertIs(answer.outcome, EditOutcome.ACCEPTED)
+            backup = await client.backup(BackupRequest())
+            await stop_process(fleet.control_processes[WIPED])
+            shutil.rmtree(fleet.folder / f"{WIPED}-data")
+            await fleet.start_control(WIPED)
+            await wait_for(
+                lambda: replace_wiped(client),
+                WAIT_LIMIT,
+                "the wiped host is taken in",
+            )
+            await wait_for(
+                lambda: has_three_voters(client),
+                WAIT_LIMIT,
+                "the wiped host votes",
+            )
+            await client.close()
+        async with Fleet(()) as fleet:
+            client = fleet.connect()
+            outcomes = [
+                (
+                    await client.restore(
+                        RestoreRequest(uuid.uuid4().hex, "test", backup.data),
+                    )
+                ).outcome
+                for _ in range(2)
+            ]
+            self.assertEqual(
+                outcomes,
+                [EditOutcome.ACCEPTED, EditOutcome.CONFLICT],
+            )
+            shown = await client.show(ShowRequest())
+            self.assertEqual(shown.tables, build_tables())
+            self.assertEqual(shown.revision, backup.revision)
+            await client.close()
