Leave the bodies of protocol methods to their doc comments

Cause: 32 lines of dots stood after doc comments that are bodies enough and read like unfinished code. Change: the dots are gone. Conclusion: no behaviour changes.

--- a/src/sequoiaseam/_clock.py
+++ b/src/sequoiaseam/_clock.py
@@ -12,7 +12,6 @@
 
     def now(self) -> datetime:
         """Return the current time."""
-        ...
 
 
 class ProcessClock:
--- a/src/sequoiaseam/_exchange.py
+++ b/src/sequoiaseam/_exchange.py
@@ -82,7 +82,6 @@
 
     async def run(self, exchange: Exchange, proceed: Next) -> Answer:
         """Handle the exchange; raise RefusalError to refuse it."""
-        ...
 
 
 def chain_filters(filters: Sequence[Filter], terminal: Next) -> Next:
--- a/src/sequoiaseam/_files.py
+++ b/src/sequoiaseam/_files.py
@@ -14,35 +14,27 @@
 
     def make_folder(self, folder: str) -> None:
         """Create the folder unless it exists."""
-        ...
 
     def list_names(self, folder: str) -> tuple[str, ...]:
         """Return the names of the files in the folder."""
-        ...
 
     def read(self, path: str) -> bytes:
         """Return the whole file."""
-        ...
 
     def append(self, path: str, data: bytes) -> None:
         """Write at the end of the file, creating it if necessary."""
-        ...
 
     def sync(self, path: str) -> None:
         """Make the contents of the file durable."""
-        ...
 
     def rename(self, old: str, new: str) -> None:
         """Rename a file, replacing an existing one."""
-        ...
 
     def remove(self, path: str) -> None:
         """Remove a file."""
-        ...
 
     def sync_folder(self, folder: str) -> None:
         """Make the names in the folder durable."""
-        ...
 
 
 class DiskFileSystem:
--- a/src/sequoiaseam/_handles.py
+++ b/src/sequoiaseam/_handles.py
@@ -14,19 +14,15 @@
     @property
     def remaining(self) -> int:
         """Return how many retries are left."""
-        ...
 
     def take(self) -> bool:
         """Use one retry; return False if none is left."""
-        ...
 
     def split(self) -> int:
         """Give a part of what is left to a nested call."""
-        ...
 
     def give_back(self, count: int) -> None:
         """Return retries that a nested call did not use."""
-        ...
 
 
 def _ignore() -> None:
--- a/src/sequoiaseam/_operator.py
+++ b/src/sequoiaseam/_operator.py
@@ -255,55 +255,42 @@
 
     async def apply(self, request: ApplyRequest) -> EditAnswer:
         """Replace the tables."""
-        ...
 
     async def add_key(self, request: AddKeyRequest) -> EditAnswer:
         """Add a key."""
-        ...
 
     async def withdraw_key(self, request: WithdrawKeyRequest) -> EditAnswer:
         """Withdraw a key."""
-        ...
 
     async def drain(self, request: DrainRequest) -> EditAnswer:
         """Drain a node's backend server."""
-        ...
 
     async def replace(self, request: ReplaceRequest) -> EditAnswer:
         """Replace a control host."""
-        ...
 
     async def show(self, request: ShowRequest) -> ShowAnswer:
         """Return the committed configuration."""
-        ...
 
     def follow(self, request: FollowRequest) -> AsyncIterator[FollowEvent]:
         """Yield committed changes until the stream is closed."""
-        ...
 
     async def report(self, request: ReportRequest) -> ReportAnswer:
         """Return the reports of all nodes."""
-        ...
 
     async def status(self, request: StatusRequest) -> StatusAnswer:
         """Return the state of the fleet."""
-        ...
 
     async def backup(self, request: BackupRequest) -> BackupAnswer:
         """Return a snapshot."""
-        ...
 
     async def restore(self, request: RestoreRequest) -> EditAnswer:
         """Take over a backup."""
-        ...
 
     async def in_force(self, request: InForceRequest) -> InForceAnswer:
         """Return whether a revision is in force everywhere."""
-        ...
 
     async def close(self) -> None:
         """Close the connections."""
-        ...
 
 
 OPERATOR_TYPES: Final[tuple[type[Any], ...]] = (
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -21,15 +21,12 @@
 
     async def start(self) -> None:
         """Begin to serve."""
-        ...
 
     async def drain(self) -> None:
         """Finish what is in progress."""
-        ...
 
     async def close(self) -> None:
         """End everything."""
-        ...
 
 
 class Settings(Protocol):
@@ -38,12 +35,10 @@
     @property
     def name(self) -> str:
         """Return the host's name."""
-        ...
 
     @property
     def log_level(self) -> str:
         """Return the least level that is logged."""
-        ...
 
 
 S = TypeVar("S", bound=Settings)
