Bound retries by the calls that they repeat below; retry failures

Cause: a retry repeats the nested calls of the run before it, and the budget that binds counts those at the pool called, against the root requests for that pool only. Failures of a server (500) were not tried again at all.

Change: answers now tell how many calls a run of the route makes in each pool (counted by the lineage, which also counts calls that fit several runs). RetryLedger charges a root's retry to every pool that it reaches, within the pool's share of root requests seen by the node. The node beside a server keeps repeated runs, nested ones included, within the share of the roots that it gets, as nodes that make nested calls see few roots. Within that, idempotent requests that a server failed are tried on another one; the failure stays the answer otherwise.

Tests: retried failures and the bound beside the server failed before (two cases of test_host_node); the ledger and the estimate are new.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -25,7 +25,7 @@
 from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._quota import RefuseQuota
 from sequoiaseam._quota_gate import QuotaGate
-from sequoiaseam._retry import RetryShare
+from sequoiaseam._retry import RetryLedger, RetryShare
 from sequoiaseam._tables import (
     Importance,
     Route,
@@ -55,6 +55,10 @@
         ErrorCode.QUEUE_FULL,
     ),
 )
+# A server's own failures that another server may not have.
+PASSING_FAILURES: Final = frozenset((500, 502, 503, 504))
+# Retries in 10 s that a node makes however few requests enter there.
+RETRIES_MIN: Final = 1.0
 RESULTS: Final = {
     ErrorCode.CONNECTION_LOST: CallResult.LOST,
     ErrorCode.INCOMPLETE: CallResult.FAILED,
@@ -76,6 +80,8 @@
     # the workspace of the request that it serves, where it is known.
     account: str = OPEN_WORKSPACE
     begun: bool = False
+    # Whether it is a call of a run that was itself sent again.
+    repeat: bool = False
     route: Route | None = None
     pool: str = ""
     deadline: datetime | None = None
@@ -83,6 +89,8 @@
     moves: int = 0
     may_have_run: bool = False
     tried: frozenset[str] = EMPTY
+    # A server's own failure, the answer unless a later send has a better.
+    failure: RunAnswer | None = None
     asked: int | None = None
     timer: asyncio.TimerHandle | None = None
     # Gives up the call in progress.
@@ -131,6 +139,7 @@
         self._index = RouteIndex(view.tables)
         self._usual = find_usual(view.tables)
         self._shares: dict[str, tuple[float, RetryShare]] = {}
+        self._retries = RetryLedger(RETRIES_MIN)
         self.passages = 0
 
     def follow_view(self) -> None:
@@ -171,6 +180,7 @@
             passage.importance = Importance(parent.importance)
             passage.account = parent.account
             passage.weight = parent.weight
+            passage.repeat = parent.repeat
 
     def _find_route(self, passage: Passage) -> ErrorCode | None:
         if not self._view.revision:
@@ -260,7 +270,9 @@
         if route is None:
             return
         now = self._clock.now()
+        passage.pool = self._choose_pool(route)
         if not passage.begun:
+            self._retries.record(now, passage.pool)
             wait = self._pressure.decide(
                 now,
                 route.name,
@@ -271,7 +283,6 @@
             if wait is not None:
                 self._refuse(passage, ErrorCode.OVERLOAD, wait)
                 return
-        passage.pool = self._choose_pool(route)
         self._get_share(passage.pool).record(now)
         self._forward(passage, now)
 
@@ -334,7 +345,7 @@
             max(0, left // MILLISECOND),
             passage.begun,
             route.idempotent if route else False,
-            passage.sends,
+            passage.repeat or passage.sends > 0,
         )
 
     def _end_attempt(
@@ -352,11 +363,11 @@
             self._observe(passage, name, now, result)
         if passage.ended:
             return
-        if isinstance(result, RunAnswer):
-            self._answer(passage, result)
-            return
         passage.tried |= {name}
-        self._retry_or_refuse(passage, result)
+        if isinstance(result, RunAnswer):
+            self._answer_or_retry(passage, result)
+        else:
+            self._retry_or_refuse(passage, result)
 
     @staticmethod
     def _classify(result: RunResult | None) -> CallResult:
@@ -377,9 +388,23 @@
         self._balancer.hint(now, name, result.load)
         route = passage.route
         if route is not None:
-            pressures = tuple(PoolPressure(p, v) for p, v in result.pressures)
+            pressures = tuple(PoolPressure(*one) for one in result.pressures)
             self._pressure.observe(now, route.name, pressures)
 
+    def _answer_or_retry(self, passage: Passage, result: RunAnswer) -> None:
+        """Answer, or try a failure once more where that is safe."""
+        if result.status in PASSING_FAILURES:
+            passage.may_have_run = True
+            passage.failure = result
+            if self._may_send_again(
+                passage,
+                ErrorCode.SERVER_FAILED,
+                may_have_run=True,
+            ):
+                self._forward(passage, self._clock.now())
+                return
+        self._answer(passage, result)
+
     def _retry_or_refuse(
         self,
         passage: Passage,
@@ -419,12 +444,43 @@
             return False
         if passage.sends >= route.retries:
             return False
+        if not self._may_spend_retry(passage, route):
+            return False
         passage.sends += 1
-        return self._get_share(passage.pool).allow(self._clock.now())
+        self._log.log(
+            Level.INFO,
+            "request sent again",
+            request_id=passage.request_id,
+            code=code,
+            route=route.name,
+            may_have_run=may_have_run,
+            sends=passage.sends,
+            tried=sorted(passage.tried),
+            age=self._clock.now() - passage.request.arrived,
+        )
+        return True
 
-    def _get_share(self, pool: str) -> RetryShare:
+    def _may_spend_retry(self, passage: Passage, route: Route) -> bool:
+        """Keep retries within the bounds of the pools that they reach.
+
+        For a server's own call, the hosts of its pool keep the bound, as
+        few root requests for that pool enter here.
+        """
+        now = self._clock.now()
+        if not self._get_share(passage.pool).allow(now):
+            return False
+        if passage.begun:
+            return True
+        reach = self._pressure.find_reach(route.name)
+        costs = {**reach, passage.pool: reach.get(passage.pool, 1.0)}
+        return self._retries.allow(now, costs, self._find_limit)
+
+    def _find_limit(self, pool: str) -> float:
         row = self._view.tables.pools.get(pool)
-        limit = row.retry_share if row else 0.0
+        return row.retry_share if row else 0.0
+
+    def _get_share(self, pool: str) -> RetryShare:
+        limit = self._find_limit(pool)
         kept = self._shares.get(pool)
         if kept is None or kept[0] != limit:
             kept = (limit, RetryShare(limit))
@@ -477,7 +533,13 @@
         wait: timedelta = RETRY_AFTER,
         **details: object,
     ) -> None:
-        """Answer with a refusal; ``details`` are logged."""
+        """Answer with a refusal; ``details`` are logged.
+
+        A failure that a server gave goes before one of this node.
+        """
+        if passage.failure is not None:
+            self._answer(passage, passage.failure)
+            return
         self._end(passage)
         status = choose_status(code, may_have_run=passage.may_have_run)
         head = b"Content-Type: application/json\r\n"
--- a/src/sequoiaseam/_lineage.py
+++ b/src/sequoiaseam/_lineage.py
@@ -37,6 +37,8 @@
     importance: int
     account: str
     weight: float
+    # Whether it repeats a run, itself or as a call of one that does.
+    repeat: bool = False
 
 
 @dataclass(slots=True)
@@ -48,10 +50,21 @@
 
 @dataclass(slots=True)
 class _Calls:
-    """Runs of a route and the calls that fit them, by called route."""
+    """Runs of a route and the calls that fit them, by called route.
+
+    ``calls`` are those that fit runs of this route only, ``nearest``
+    those that fit one of its runs best.
+    """
 
     runs: float = 0.0
     calls: dict[str, float] = field(default_factory=dict)
+    nearest: dict[str, float] = field(default_factory=dict)
+
+    def halve(self) -> None:
+        """Give what is older half of the weight."""
+        self.runs /= 2
+        self.calls = {k: v / 2 for k, v in self.calls.items()}
+        self.nearest = {k: v / 2 for k, v in self.nearest.items()}
 
 
 class Lineage:
@@ -71,8 +84,7 @@
         counted = self._routes.setdefault(run.route, _Calls())
         counted.runs += 1
         if counted.runs > RUNS_KEPT:
-            counted.runs /= 2
-            counted.calls = {k: v / 2 for k, v in counted.calls.items()}
+            counted.halve()
 
     def end(self, run_id: int) -> None:
         """Forget a run."""
@@ -102,7 +114,10 @@
             calls = self._routes[parents[0].route].calls
             calls[route] = calls.get(route, 0.0) + 1
         gaps = [abs(gap - TYPICAL) for gap, _ in fits]
-        return parents[gaps.index(min(gaps))]
+        best = parents[gaps.index(min(gaps))]
+        nearest = self._routes[best.route].nearest
+        nearest[route] = nearest.get(route, 0.0) + 1
+        return best
 
     def list_calls(self, route: str) -> frozenset[str]:
         """Return the routes that runs of a route call."""
@@ -123,6 +138,17 @@
             return 0.0
         return counted.calls.get(called, 0.0) / counted.runs
 
+    def estimate_calls(self, route: str, called: str) -> float:
+        """Return about how many calls a run of a route makes.
+
+        Unlike ``count_calls``, no call is left out, but some may be
+        another route's.
+        """
+        counted = self._routes.get(route)
+        if counted is None or not counted.runs:
+            return 0.0
+        return counted.nearest.get(called, 0.0) / counted.runs
+
     def _find_most(self, called: str) -> float:
         return max(self.count_calls(route, called) for route in self._routes)
 
--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -16,7 +16,7 @@
     left when the frame was sent, so that no two clocks are compared.
     ``patience_ms`` is how long it may wait for a slot.
     ``account`` is the workspace whose share of the queue it takes.
-    ``retry`` counts the sends before this one.
+    ``repeat`` tells that it, or the run that makes it, was sent before.
     """
 
     call_id: int
@@ -35,14 +35,15 @@
     remaining_ms: int
     begun: bool
     idempotent: bool
-    retry: int
+    repeat: bool
 
 
 class RunAnswer(msgspec.Struct, frozen=True, array_like=True, tag=2):
     """The backend server's whole answer.
 
-    ``pressures`` are levels by pool, ``load`` the share of the server
-    in use, 1.0 or more while requests wait.
+    ``pressures`` are the level of each pool that a run of the route
+    reaches and the calls that it makes there. ``load`` is the share of
+    the server in use, 1.0 or more while requests wait.
     """
 
     call_id: int
@@ -51,7 +52,7 @@
     body: bytes
     length: int
     load: float
-    pressures: list[tuple[str, float]]
+    pressures: list[tuple[str, float, float]]
 
 
 class RunRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -62,7 +63,7 @@
     may_have_run: bool
     retry_after_ms: int
     load: float
-    pressures: list[tuple[str, float]]
+    pressures: list[tuple[str, float, float]]
 
 
 class RunCancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
@@ -61,6 +61,8 @@
 # Rounding must not leave a shed class a little open.
 SNAP: Final = 0.005
 ROUTE_MEMORY: Final = timedelta(seconds=60)
+# Hosts count the calls of a route each for itself.
+REACH_SMOOTHING: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,10 +71,13 @@
 
     All classes below the whole part are shed, and of the class equal to
     it the fraction, from the workspaces most over their fair share.
+    ``calls`` is how many calls to the pool a run of a route makes; 1 for
+    the pool that runs it.
     """
 
     pool: str
     level: float
+    calls: float = 1.0
 
 
 class PressureGauge:
@@ -247,6 +252,19 @@
         self.at = now
 
 
+@dataclass(slots=True)
+class _Reach:
+    """A pool that runs of a route reach."""
+
+    seen: datetime
+    calls: float
+
+    def merge(self, now: datetime, calls: float) -> None:
+        """Follow a new count of calls."""
+        self.seen = now
+        self.calls += REACH_SMOOTHING * (calls - self.calls)
+
+
 @dataclass(slots=True)
 class _Demand:
     """Arrivals of one workspace and what is refused of them."""
@@ -340,7 +358,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._levels: dict[str, _Known] = {}
-        self._routes: dict[str, dict[str, datetime]] = {}
+        self._routes: dict[str, dict[str, _Reach]] = {}
         self._splits: dict[tuple[str, Importance], _Split] = {}
 
     def observe(
@@ -352,7 +370,11 @@
         """Learn from a response which pools a route reaches."""
         pools = self._routes.setdefault(route, {})
         for pressure in pressures:
-            pools[pressure.pool] = now
+            reach = pools.get(pressure.pool)
+            if reach is None:
+                pools[pressure.pool] = _Reach(now, pressure.calls)
+            else:
+                reach.merge(now, pressure.calls)
             known = self._levels.get(pressure.pool)
             if known is None:
                 known = _Known(0.0, now - FADE_END)
@@ -374,8 +396,8 @@
         """
         top = 0.0
         split: _Split | None = None
-        for pool, seen in list(self._routes.get(route, {}).items()):
-            if now - seen > ROUTE_MEMORY:
+        for pool, reach in list(self._routes.get(route, {}).items()):
+            if now - reach.seen > ROUTE_MEMORY:
                 del self._routes[route][pool]
                 continue
             key = (pool, importance)
@@ -393,16 +415,15 @@
             return None
         return compute_retry_after(self._rng, top - importance)
 
-    def list_pools(self, routes: frozenset[str]) -> frozenset[str]:
-        """Return the pools that requests on some routes reach."""
-        return frozenset(
-            pool for route in routes for pool in self._routes.get(route, ())
-        )
+    def find_reach(self, route: str) -> Mapping[str, float]:
+        """Return the calls that a run of a route makes, by pool."""
+        reached = self._routes.get(route, {})
+        return {pool: reach.calls for pool, reach in reached.items()}
 
     def collect(
         self,
         now: datetime,
-        pools: frozenset[str],
+        pools: Iterable[str],
     ) -> tuple[PoolPressure, ...]:
         """Return the levels of pools to send on with a response."""
         return tuple(
--- a/src/sequoiaseam/_retry.py
+++ b/src/sequoiaseam/_retry.py
@@ -1,8 +1,9 @@
-"""Retry budget of a call tree and retry share of a pool."""
+"""Bounds on retries: of a call tree, to a pool, through all its pools."""
 
 import math
 import random
 from collections import deque
+from collections.abc import Callable, Mapping
 from datetime import datetime, timedelta
 from typing import Final
 
@@ -56,6 +57,42 @@
         self._remaining += count
 
 
+class SlidingSum:
+    """Sum of amounts over the last 10 s, to a tenth of that."""
+
+    def __init__(self) -> None:
+        # Number of the bucket and its sum.
+        self._buckets: deque[tuple[int, float]] = deque()
+        self._origin: datetime | None = None
+        self._total = 0.0
+
+    def add(self, now: datetime, amount: float) -> None:
+        """Count an amount."""
+        number = self._forget(now)
+        if self._buckets and self._buckets[-1][0] == number:
+            amount_before = self._buckets.pop()[1]
+        else:
+            amount_before = 0.0
+        self._buckets.append((number, amount_before + amount))
+        self._total += amount
+
+    def measure(self, now: datetime) -> float:
+        """Return the sum."""
+        self._forget(now)
+        return self._total
+
+    def _forget(self, now: datetime) -> int:
+        """Drop old buckets; return the number of the present one."""
+        if self._origin is None:
+            self._origin = now
+        number = (now - self._origin) // (SHARE_WINDOW / BUCKETS)
+        while self._buckets and self._buckets[0][0] <= number - BUCKETS:
+            self._total -= self._buckets.popleft()[1]
+        if not self._buckets:
+            self._total = 0.0
+        return number
+
+
 class RetryShare:
     """Bound on the share of the traffic to a pool that is retries.
 
@@ -65,39 +102,74 @@
 
     def __init__(self, share: float) -> None:
         self._share = share
-        # Start of the bucket, first attempts, retries.
-        self._buckets: deque[list[float]] = deque()
-        self._origin: datetime | None = None
-        self._calls = 0.0
-        self._retries = 0.0
+        self._calls = SlidingSum()
+        self._retries = SlidingSum()
 
     def record(self, now: datetime) -> None:
         """Count a first attempt."""
-        self._find_bucket(now)[1] += 1
-        self._calls += 1
+        self._calls.add(now, 1)
 
     def allow(self, now: datetime) -> bool:
         """Count a retry and return True, or False if it is too many."""
-        bucket = self._find_bucket(now)
-        total = self._calls + self._retries + 1
+        retries = self._retries.measure(now)
+        total = self._calls.measure(now) + retries + 1
         allowed = max(float(self._share > 0), self._share * total)
-        if self._retries + 1 > allowed:
+        if retries + 1 > allowed:
             return False
-        bucket[2] += 1
-        self._retries += 1
+        self._retries.add(now, 1)
         return True
 
-    def _find_bucket(self, now: datetime) -> list[float]:
-        if self._origin is None:
-            self._origin = now
-        number = (now - self._origin) // (SHARE_WINDOW / BUCKETS)
-        while self._buckets and self._buckets[0][0] <= number - BUCKETS:
-            _, calls, retries = self._buckets.popleft()
-            self._calls -= calls
-            self._retries -= retries
-        if not self._buckets or self._buckets[-1][0] != number:
-            self._buckets.append([number, 0.0, 0.0])
-        return self._buckets[-1]
+
+class RetryLedger:
+    """Bound on the retries of whole call trees, by pool.
+
+    A retry repeats the nested calls of the run before it, so it is
+    charged to each pool that it reaches, by the calls expected there.
+    Over the last 10 s, a pool is charged at most ``share`` of the root
+    requests for it, or ``least`` where that is more. Each node keeps to
+    it for what it sees, so their sum does too.
+    """
+
+    def __init__(self, least: float) -> None:
+        self._least = least
+        self._roots: dict[str, SlidingSum] = {}
+        self._spent: dict[str, SlidingSum] = {}
+
+    def record(self, now: datetime, pool: str) -> None:
+        """Count a root request for a pool, answered or not."""
+        self._roots.setdefault(pool, SlidingSum()).add(now, 1)
+
+    def allow(
+        self,
+        now: datetime,
+        costs: Mapping[str, float],
+        shares: Callable[[str], float],
+    ) -> bool:
+        """Charge a retry and return True, or False if it is too much.
+
+        ``costs`` are the calls that it makes by pool, its own included.
+        """
+        if not all(
+            self._has_room(now, pool, cost, shares(pool))
+            for pool, cost in costs.items()
+        ):
+            return False
+        for pool, cost in costs.items():
+            self._spent.setdefault(pool, SlidingSum()).add(now, cost)
+        return True
+
+    def _has_room(
+        self,
+        now: datetime,
+        pool: str,
+        cost: float,
+        share: float,
+    ) -> bool:
+        roots = self._roots.get(pool)
+        spent = self._spent.get(pool)
+        allowed = share * (roots.measure(now) if roots else 0.0)
+        total = cost + (spent.measure(now) if spent else 0.0)
+        return share > 0 and total <= max(self._least, allowed)
 
 
 def compute_retry_after(rng: random.Random, level: float) -> timedelta:
--- a/src/sequoiaseam/_server_guard.py
+++ b/src/sequoiaseam/_server_guard.py
@@ -31,6 +31,7 @@
 )
 from sequoiaseam._pressure import PressureMap
 from sequoiaseam._queue import Ticket
+from sequoiaseam._retry import RetryLedger
 from sequoiaseam._tables import Importance, Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import ErrorCode
@@ -43,6 +44,8 @@
 SILENCE: Final = timedelta(seconds=6)
 LENGTHLESS: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 HINT_PARTS: Final = 3
+# Repeated runs in 10 s that a server takes however few requests it gets.
+REPEATS_MIN: Final = 2.0
 WRONG_SERVER: Final = 421
 
 
@@ -62,7 +65,7 @@
     """Levels of the pools that a route's runs call, for a short time."""
 
     at: datetime
-    levels: list[tuple[str, float]]
+    levels: list[tuple[str, float, float]]
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +102,7 @@
         self.lineage = Lineage()
         self._pressure = pressure
         self._passed_on: dict[str, _PassedOn] = {}
+        self._repeats = RetryLedger(REPEATS_MIN)
         self._get_pool: Callable[[str], Pool | None] = lambda _: None
         self.closing = False
 
@@ -204,6 +208,8 @@
             self._refuse(run, ErrorCode.NO_SERVER)
         elif not self.is_serving(now):
             self._refuse(run, ErrorCode.DRAINING)
+        elif not self._may_repeat(now, call):
+            self._refuse(run, ErrorCode.RETRIES_EXHAUSTED)
         else:
             patience = call.patience_ms * MILLISECOND
             wait_until = now + patience + session.admission.estimate(now)
@@ -220,6 +226,18 @@
             self._perform(now, session, session.admission.offer(now, ticket))
         return lambda: self._cancel(run)
 
+    def _may_repeat(self, now: datetime, call: RunCall) -> bool:
+        """Keep repeated runs within the pool's share of retries."""
+        if call.repeat:
+            return self._repeats.allow(now, {call.pool: 1.0}, self._get_share)
+        if not call.begun:
+            self._repeats.record(now, call.pool)
+        return True
+
+    def _get_share(self, name: str) -> float:
+        pool = self._get_pool(name)
+        return pool.retry_share if pool else 0.0
+
     def _cancel(self, run: _Run) -> None:
         if self._runs.pop(run.ticket_id, None) is None:
             return
@@ -256,6 +274,7 @@
             call.importance,
             call.account,
             call.weight,
+            call.repeat,
         )
         self.lineage.start(now, run.deadline, parent)
         echo = None
@@ -442,7 +461,7 @@
         self,
         now: datetime,
         route: str,
-    ) -> list[tuple[str, float]]:
+    ) -> list[tuple[str, float, float]]:
         """Return the levels of this pool and of those that it calls."""
         session = self._session
         if session is None:
@@ -452,16 +471,21 @@
         if passed_on is None or now - passed_on.at >= PASS_ON:
             passed_on = _PassedOn(now, self._collect_below(now, route))
             self._passed_on[route] = passed_on
-        return [(own.pool, own.level), *passed_on.levels]
+        return [(own.pool, own.level, 1.0), *passed_on.levels]
 
     def _collect_below(
         self,
         now: datetime,
         route: str,
-    ) -> list[tuple[str, float]]:
-        pools = self._pressure.list_pools(self.lineage.list_calls(route))
+    ) -> list[tuple[str, float, float]]:
+        reach: dict[str, float] = {}
+        for called in self.lineage.list_calls(route):
+            count = self.lineage.estimate_calls(route, called)
+            for pool, calls in self._pressure.find_reach(called).items():
+                reach[pool] = reach.get(pool, 0.0) + count * calls
         return [
-            (one.pool, one.level) for one in self._pressure.collect(now, pools)
+            (one.pool, one.level, reach[one.pool])
+            for one in self._pressure.collect(now, reach)
         ]
 
     async def _tick(self) -> None:
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from sequoiaseam._ingress import choose_status
+from sequoiaseam._server_guard import REPEATS_MIN
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
     LOCALHOST,
@@ -178,6 +179,40 @@
                 self.assertLessEqual(runs, most)
                 self.assertGreaterEqual(runs, min(most, 2))
 
+    async def test_a_failure_is_tried_elsewhere_if_idempotent(self) -> None:
+        for path, statuses, most in (
+            ("/read/1", {200}, 2),
+            ("/order/1", {200, 500}, 1),
+        ):
+            with self.subTest(path=path):
+                hosts = await self.start((fail, answer_whole))
+                replies = [await hosts.ask(path) for _ in range(4)]
+                self.assertLessEqual({r.status for r in replies}, statuses)
+                runs = sum(len(site.arrivals) for site in hosts.servers)
+                self.assertLessEqual(runs, most * len(replies))
+
+    async def test_a_failure_stays_the_answer_without_a_better_one(
+        self,
+    ) -> None:
+        cases = (("fails too", fail), ("sheds", shed), ("is late", hold))
+        for name, script in cases:
+            with self.subTest(name=name):
+                hosts = await self.start((fail, script))
+                hosts.announce(1, 2, leaving=True)
+                await hosts.ask("/read/1")
+                hosts.announce(1, 3)
+                hosts.servers[1].arrivals.clear()
+                reply = await hosts.ask("/read/1", "X-Left-Ms: 500")
+                self.assertEqual((reply.status, reply.body), (500, b"broken"))
+
+    async def test_hosts_bound_the_runs_that_repeat_others(self) -> None:
+        """Nodes that servers call see too few root requests for a bound."""
+        hosts = await self.start((shed, shed))
+        for _ in range(12):
+            await hosts.ask("/open/1", key=None)
+        runs = sum(len(site.arrivals) for site in hosts.servers)
+        self.assertLessEqual(runs - 12, REPEATS_MIN * len(hosts.servers))
+
     async def test_a_late_server_ends_at_the_timeout(self) -> None:
         hosts = await self.start((hold,))
         reply = await hosts.ask("/order/1", "X-Left-Ms: 100")
--- a/tests/test_lineage.py
+++ b/tests/test_lineage.py
@@ -51,6 +51,30 @@
         self.assertIsNone(found)
 
 
+class EstimateTest(unittest.TestCase):
+    """Guards against repeats that cost more below than was expected."""
+
+    def test_counts_calls_that_fit_several_runs(self) -> None:
+        lineage = Lineage()
+        for run_id in range(1, 41):
+            route = ("quotes", "orders")[run_id % 2]
+            began = EPOCH + run_id * 10 * MS
+            ends = began + 800 * MS
+            lineage.start(began, ends, build_parent(run_id, route))
+            other = build_parent(-run_id, "uploads")
+            lineage.start(began, ends + 0.4 * MS, other)
+            if route == "quotes":
+                for _ in range(2):
+                    lineage.find_parent(ends + 0.6 * MS, "prices", LIMIT)
+            lineage.end(run_id)
+            lineage.end(-run_id)
+        self.assertEqual(lineage.count_calls("quotes", "prices"), 0.0)
+        self.assertAlmostEqual(
+            lineage.estimate_calls("quotes", "prices"),
+            2.0,
+        )
+
+
 class ReachTest(unittest.TestCase):
     """Guards against shedding requests that don't reach a pool."""
 
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -6,7 +6,12 @@
 from datetime import timedelta
 
 from sequoiaseam._clock import EPOCH
-from sequoiaseam._retry import RetryBudget, RetryShare, compute_retry_after
+from sequoiaseam._retry import (
+    RetryBudget,
+    RetryLedger,
+    RetryShare,
+    compute_retry_after,
+)
 
 SCHEDULES = int(os.environ.get("SEQUOIASEAM_SCHEDULES", "500"))
 
@@ -112,6 +117,49 @@
         self.assertFalse(limit.allow(later))
 
 
+class RetryLedgerTest(unittest.TestCase):
+    """Guards against retries that multiply in the pools below."""
+
+    def test_schedules(self) -> None:
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                self.check_schedule(random.Random(seed))
+
+    def check_schedule(self, rng: random.Random) -> None:
+        share, least = rng.choice((0.0, 0.1, 0.3)), rng.choice((1.0, 2.0))
+        ledger = RetryLedger(least)
+        roots = {"quotes": 0, "prices": 0}
+        spent = {"quotes": 0.0, "prices": 0.0}
+        now = EPOCH
+        for _ in range(rng.randrange(300)):
+            now += timedelta(milliseconds=rng.choice((0, 1, 20)))
+            if rng.random() < 0.5:
+                pool = rng.choice(("quotes", "prices"))
+                ledger.record(now, pool)
+                roots[pool] += 1
+                continue
+            costs = {"quotes": 1.0, "prices": rng.choice((0.5, 8.0))}
+            if ledger.allow(now, costs, lambda _: share):
+                for pool, cost in costs.items():
+                    spent[pool] += cost
+            # The schedule is shorter than one window.
+            for pool, count in roots.items():
+                bound = max(least, share * count) if share else 0.0
+                self.assertLessEqual(spent[pool], bound + 1e-9)
+
+    def test_one_full_pool_refuses_the_whole_tree(self) -> None:
+        ledger = RetryLedger(1.0)
+        for _ in range(100):
+            ledger.record(EPOCH, "quotes")
+        costs = {"quotes": 1.0, "prices": 8.0}
+        self.assertFalse(ledger.allow(EPOCH, costs, lambda _: 0.1))
+        allowed = [
+            ledger.allow(EPOCH, {"quotes": 1.0}, lambda _: 0.1)
+            for _ in range(20)
+        ]
+        self.assertEqual(sum(allowed), 10)
+
+
 class RetryAfterTest(unittest.TestCase):
     """Guards against callers that all come back at once."""
 
