Judge a cut after a shed by the throughput that it costs

Change: a cut after a shed is judged by the completions in a second. A full server does as much with fewer requests; one that does less was not full, so that the limit returns and sheds don't cut it for 5 s.

Test: sheds at any concurrency (10, 30, 55%) left 24 of 1500 requests a second before, over 1200 now.

--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -3,7 +3,8 @@
 import enum
 import math
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
 
@@ -49,6 +50,10 @@
 SHED_PROBE: Final = 0.005
 # Part of the level at which the server shed that the limit is cut to.
 SHED_CUT: Final = 0.65
+# Completions over which throughput is measured before and after a cut.
+SHED_SAMPLES: Final = 100
+# A cut with fewer completions until then is kept.
+SHED_TRIAL_MAX: Final = timedelta(seconds=1)
 HINT_LIFETIME: Final = timedelta(seconds=1)
 HINT_FULL: Final = 0.95
 MEDIAN_SAMPLES: Final = 65
@@ -77,6 +82,21 @@
     latency: float
 
 
+@dataclass(slots=True)
+class _ShedTrial:
+    """A cut after a shed, until the throughput under it is known.
+
+    ``rate`` is the requests done in a second before, ``part`` the part
+    of the running requests that the cut took.
+    """
+
+    began: datetime
+    limit: float
+    rate: float
+    part: float
+    done: list[datetime] = field(default_factory=list)
+
+
 class MedianLatency:
     """Running median of service times."""
 
@@ -187,6 +207,10 @@
         self._trial_due = now + WINDOW_MAX
         self._shed_load = 0.0
         self._shed_at: datetime | None = None
+        self._shed_trial: _ShedTrial | None = None
+        # Until then sheds are known not to follow the running requests.
+        self._shed_known = now
+        self._done: deque[datetime] = deque(maxlen=SHED_SAMPLES)
         self._hint = 0.0
         self._hint_at = now
         self._running = 0
@@ -248,6 +272,7 @@
         elif completion in (Completion.OK, Completion.TIMEOUT):
             latency = (now - started).total_seconds()
             self.median.record(now, latency)
+            self._note_done(now, started)
             own = max(0.0, latency - nested.total_seconds())
             self._sample(started, own, completion, kind)
         self.tick(now)
@@ -312,8 +337,38 @@
             self._count += 1
             self._total += value
 
+    def _note_done(self, now: datetime, started: datetime) -> None:
+        """Count a completion; judge a cut after a shed by them."""
+        self._done.append(now)
+        trial = self._shed_trial
+        if trial is None or started < trial.began:
+            return
+        trial.done.append(now)
+        if len(trial.done) >= SHED_SAMPLES:
+            self._judge_shed(now, trial)
+
+    def _judge_shed(self, now: datetime, trial: _ShedTrial) -> None:
+        """Take the cut back if it cost throughput.
+
+        A server that was full does as much with fewer requests. One that
+        sheds for another reason does less, and sheds no smaller share.
+        """
+        self._shed_trial = None
+        lost = 1 - _measure_rate(trial.done) / trial.rate
+        if lost < TRIAL_GAIN * trial.part:
+            return
+        self._shed_known = now + TRIAL_INTERVAL
+        self._shed_at = None
+        self._limit = min(float(self._slots), trial.limit)
+        self._reset(now)
+
     def _shed(self, now: datetime, load: int) -> None:
         """Cut, once for the requests that were running together."""
+        if now < self._shed_known:
+            return
+        trial = self._shed_trial
+        if trial is not None and now - trial.began < SHED_TRIAL_MAX:
+            return
         usual = self.median.estimate(now).total_seconds()
         pause = max(SHED_PAUSE_MIN, 2 * usual)
         last = self._shed_at
@@ -324,7 +379,13 @@
         self._shed_load = float(load)
         self._trial = None
         self._settling = False
-        self._limit = max(1.0, min(self._limit, load) * SHED_CUT)
+        limit = self._limit
+        self._limit = max(1.0, min(limit, load) * SHED_CUT)
+        self._shed_trial = None
+        if len(self._done) == SHED_SAMPLES and load > 1:
+            part = 1 - self._limit / load
+            rate = _measure_rate(self._done)
+            self._shed_trial = _ShedTrial(now, limit, rate, part)
         self._reset(now)
 
     def _measure_load(self, now: datetime) -> float:
@@ -449,3 +510,9 @@
 
     def _is_cold(self, now: datetime) -> bool:
         return now - self._born < self._warmup
+
+
+def _measure_rate(times: Sequence[datetime]) -> float:
+    """Return the completions in a second over a run of them."""
+    span = (times[-1] - times[0]).total_seconds()
+    return (len(times) - 1) / max(span, 1e-6)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -245,6 +245,7 @@
         self.cores = cores
         self.speed = 1.0
         self.sheds_over = 10_000
+        self.sheds_part = 0.0
         self.rng = random.Random(seed)
         self.now = EPOCH
         self.requests: list[tuple[float, datetime]] = []
@@ -257,7 +258,7 @@
         for _ in range(round(seconds * 500)):
             self.now += step
             self._fill()
-            active = len(self.requests)
+            active = max(1, len(self.requests))
             part = self.speed * min(1.0, self.cores / active) * 0.002
             self.requests = [(w - part, s) for w, s in self.requests]
             for work, started in list(self.requests):
@@ -273,6 +274,9 @@
             if len(self.requests) >= self.sheds_over:
                 self.limiter.finish(self.now, self.now, Completion.SHED)
                 return
+            if self.sheds_part and self.rng.random() < self.sheds_part:
+                self.limiter.finish(self.now, self.now, Completion.SHED)
+                continue
             work = self.rng.uniform(0.02, 0.06)
             self.requests.append((work, self.now))
 
@@ -305,6 +309,19 @@
         server.run(2)
         self.assertGreater(server.run(6), 0.85 * 500)
 
+    def test_sheds_at_any_concurrency_do_not_cut_the_limit(self) -> None:
+        """Guards against one request at a time on a server with 60 slots."""
+        for part in (0.1, 0.3, 0.55):
+            with self.subTest(part=part):
+                server = self.build(cores=60)
+                server.run(2)
+                server.sheds_part = part
+                server.run(2)
+                self.assertGreater(server.run(6), 0.8 * 1500)
+                server.sheds_part = 0.0
+                server.run(1)
+                self.assertGreater(server.run(2), 0.9 * 1500)
+
     def test_cold_server_starts_small(self) -> None:
         limiter = Limiter(60, timedelta(seconds=4), EPOCH)
         server = EmulatedServer(limiter, 60, seed=3)
