Let a server's own calls wait for half of their objective

Cause: nested calls were refused after an eighth of their objective (37 ms) in a queue, and with one of eight refused the whole tree failed after its work was done. Its root is not what sheds load: that is refused at the entry, by the pressure of the pools.

Change: calls of a run in progress wait for half of their objective.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -43,6 +43,9 @@
 MILLISECOND: Final = timedelta(milliseconds=1)
 # Part of the objective that a request may wait for a slot.
 PATIENCE_PART: Final = 1 / 8
+# The same for a server's own call: a refusal loses the work of the run
+# that makes it, and nobody comes back with it.
+BEGUN_PATIENCE_PART: Final = 1 / 2
 PATIENCE_MIN: Final = timedelta(milliseconds=15)
 RETRY_AFTER: Final = timedelta(milliseconds=300)
 # Refusals that show nothing but a stale view: the server wasn't asked.
@@ -341,7 +344,7 @@
             passage.account,
             int(passage.importance),
             passage.weight,
-            _find_patience(route, left) // MILLISECOND,
+            find_patience(route, left, begun=passage.begun) // MILLISECOND,
             max(0, left // MILLISECOND),
             passage.begun,
             route.idempotent if route else False,
@@ -580,11 +583,17 @@
     return status
 
 
-def _find_patience(route: Route | None, left: timedelta) -> timedelta:
+def find_patience(
+    route: Route | None,
+    left: timedelta,
+    *,
+    begun: bool,
+) -> timedelta:
     """Return how long a request may wait for a slot.
 
     A refusal after a small part of the objective leaves the caller time
     to come back.
     """
     objective = route.objective if route else None
-    return max(PATIENCE_MIN, PATIENCE_PART * min(objective or left, left))
+    part = BEGUN_PATIENCE_PART if begun else PATIENCE_PART
+    return max(PATIENCE_MIN, part * min(objective or left, left))
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -3,12 +3,15 @@
 import asyncio
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
+from datetime import timedelta
 
-from sequoiaseam._ingress import choose_status
+from sequoiaseam._ingress import choose_status, find_patience
 from sequoiaseam._server_guard import REPEATS_MIN
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
     LOCALHOST,
+    ROUTES,
     Arrival,
     Hosts,
     Script,
@@ -244,6 +247,27 @@
                 self.assertEqual(status, expected)
 
 
+class PatienceTest(unittest.TestCase):
+    """Guards against calls refused while their tree's work is wasted."""
+
+    def test_a_servers_own_call_waits_longer(self) -> None:
+        route = replace(ROUTES[0], objective=timedelta(milliseconds=400))
+        cases = (
+            ("root", 1000, False, 50),
+            ("own call", 1000, True, 200),
+            ("own call, little time left", 100, True, 50),
+            ("root, little time left", 40, False, 15),
+        )
+        for name, left, begun, expected in cases:
+            with self.subTest(name=name):
+                patience = find_patience(
+                    route,
+                    timedelta(milliseconds=left),
+                    begun=begun,
+                )
+                self.assertEqual(patience, timedelta(milliseconds=expected))
+
+
 class EndTest(HostsTest):
     """Guards against work for callers that left and servers that leave."""
 
