Ask the pressure of pools before the quota

Cause: each request of a limited workspace spent a token before it was refused for overload, so that the workspace lost quota that it was owed, and two messages went to the owner for nothing.

Change: the pressure comes first. The pool of a split route is drawn before it as well.

Test: with a full pool, a request of a limited workspace waited for a token (TIMEOUT) before; it is refused OVERLOAD at once now.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -165,7 +165,7 @@
         self._set_deadline(passage)
         if passage.begun:
             self._inherit(passage)
-        self._spend_quota(passage)
+        self._check_pressure(passage)
 
     def _inherit(self, passage: Passage) -> None:
         """Give a server's own call the rank of the request it serves."""
@@ -246,10 +246,35 @@
             passage,
         )
 
+    def _check_pressure(self, passage: Passage) -> None:
+        """Refuse what the pools that the route reaches have no room for.
+
+        This comes before the quota: a token of a request that is refused
+        here would be lost to its workspace.
+        """
+        route = passage.route
+        if route is None:
+            return
+        now = self._clock.now()
+        passage.pool = self._choose_pool(route)
+        if not passage.begun:
+            self._retries.record(now, passage.pool)
+            wait = self._pressure.decide(
+                now,
+                route.name,
+                passage.importance,
+                passage.workspace,
+                passage.weight,
+            )
+            if wait is not None:
+                self._refuse(passage, ErrorCode.OVERLOAD, wait)
+                return
+        self._spend_quota(passage)
+
     def _spend_quota(self, passage: Passage) -> None:
         row = self._view.tables.workspaces.get(passage.workspace)
         if row is None or not row.limited:
-            self._check_pressure(passage)
+            self._start(passage)
             return
 
         def decide(refused: RefuseQuota | None) -> None:
@@ -257,7 +282,7 @@
             if passage.ended:
                 return
             if refused is None:
-                self._check_pressure(passage)
+                self._start(passage)
             else:
                 self._refuse(
                     passage,
@@ -268,24 +293,8 @@
 
         passage.asked = self._quota.request(passage.workspace, decide)
 
-    def _check_pressure(self, passage: Passage) -> None:
-        route = passage.route
-        if route is None:
-            return
+    def _start(self, passage: Passage) -> None:
         now = self._clock.now()
-        passage.pool = self._choose_pool(route)
-        if not passage.begun:
-            self._retries.record(now, passage.pool)
-            wait = self._pressure.decide(
-                now,
-                route.name,
-                passage.importance,
-                passage.workspace,
-                passage.weight,
-            )
-            if wait is not None:
-                self._refuse(passage, ErrorCode.OVERLOAD, wait)
-                return
         self._get_share(passage.pool).record(now)
         self._forward(passage, now)
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -172,7 +172,12 @@
 class Hosts:
     """Two hosts, both with a server of the pool "store"."""
 
-    def __init__(self, scripts: Sequence[Script]) -> None:
+    def __init__(
+        self,
+        scripts: Sequence[Script],
+        tables: Tables = TABLES,
+    ) -> None:
+        self.tables = tables
         self.servers = [ServerSite(script) for script in scripts]
         self.nodes: list[HostNode] = []
         self.ports: list[int] = []
@@ -202,7 +207,7 @@
         keys = (KeyRecord("k", compute_digest(KEY), "coop"),)
         for i, node in enumerate(self.nodes):
             node._apply_feed(
-                FeedSnapshot(1, 1, None, TABLES, keys, members, {}, ()),
+                FeedSnapshot(1, 1, None, self.tables, keys, members, {}, ()),
             )
             self.set_fresh(i, fresh=True)
             self.announce(i)
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -7,11 +7,14 @@
 from datetime import timedelta
 
 from sequoiaseam._ingress import choose_status, find_patience
+from sequoiaseam._pressure import LEVEL_MAX, PoolPressure
 from sequoiaseam._server_guard import REPEATS_MIN
+from sequoiaseam._tables import Workspace
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
     LOCALHOST,
     ROUTES,
+    TABLES,
     Arrival,
     Hosts,
     Script,
@@ -247,6 +250,27 @@
                 self.assertEqual(status, expected)
 
 
+class PressureTest(HostsTest):
+    """Guards against quota spent on requests that are not let in."""
+
+    async def test_pressure_is_asked_before_the_quota(self) -> None:
+        metered = Workspace("coop", 100.0, 10)
+        tables = replace(TABLES, workspaces={"coop": metered})
+        hosts = Hosts((answer_whole,), tables)
+        await hosts.start()
+        self.addAsyncCleanup(hosts.close)
+        node = hosts.nodes[0]
+        full = (PoolPressure("store", LEVEL_MAX),)
+        node._ingress._pressure.observe(node._clock.now(), "read", full)
+        for _ in range(50):
+            later = node._clock.now() + timedelta(milliseconds=100)
+            node._ingress._pressure.observe(later, "read", full)
+        reply = await hosts.ask("/read/1")
+        self.assertEqual(reply.status, 503)
+        self.assertIn(b"OVERLOAD", reply.body)
+        self.assertFalse(node._quota._waiting)
+
+
 class PatienceTest(unittest.TestCase):
     """Guards against calls refused while their tree's work is wasted."""
 
