Let in fewer requests on routes whose call trees fail

Cause: a pool that refuses or fails part of its requests whatever its load makes trees of four and eight calls fail nearly always.

Change: RouteBrake measures the success of a route's last ten answers at each entry node. Below 30%, requests are let in in proportion, one in ten at least; the others are refused as not run.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sequoiaseam._balancer import Balancer, CallResult
+from sequoiaseam._brake import RouteBrake
 from sequoiaseam._clock import Clock
 from sequoiaseam._dialect import HOP_FIELDS, Dialect
 from sequoiaseam._feed import NodeView
@@ -48,6 +49,8 @@
 BEGUN_PATIENCE_PART: Final = 1 / 2
 PATIENCE_MIN: Final = timedelta(milliseconds=15)
 RETRY_AFTER: Final = timedelta(milliseconds=300)
+# Servers that fail recover later than queues.
+FAILING_WAIT: Final = timedelta(seconds=1)
 # Refusals that show nothing but a stale view: the server wasn't asked.
 MOVES_MAX: Final = 2
 MOVABLE: Final = frozenset(
@@ -143,6 +146,7 @@
         self._usual = find_usual(view.tables)
         self._shares: dict[str, tuple[float, RetryShare]] = {}
         self._retries = RetryLedger(RETRIES_MIN)
+        self._brake = RouteBrake(rng)
         self.passages = 0
 
     def follow_view(self) -> None:
@@ -269,6 +273,10 @@
             if wait is not None:
                 self._refuse(passage, ErrorCode.OVERLOAD, wait)
                 return
+            if not self._brake.allow(now, route.name):
+                wait = FAILING_WAIT * self._rng.uniform(0.5, 1.5)
+                self._refuse(passage, ErrorCode.OVERLOAD, wait, failing=True)
+                return
         self._spend_quota(passage)
 
     def _spend_quota(self, passage: Passage) -> None:
@@ -400,6 +408,9 @@
         self._balancer.hint(now, name, result.load)
         route = passage.route
         if route is not None:
+            if not passage.begun and isinstance(result, RunAnswer):
+                failed = result.status in PASSING_FAILURES
+                self._brake.record(now, route.name, failed=failed)
             pressures = tuple(PoolPressure(*one) for one in result.pressures)
             self._pressure.observe(now, route.name, pressures)
 
