Give up responses that never end, and connections with ambiguous copies

Cause: the client of backend servers kept header fields and bodies of any size until the deadline of the request, so that one faulty server could fill its node's memory. A response is matched by the id that it echoes, which can't tell a late second copy if the next request has the same id or none. Change: bytes outside of bodies are bounded by request (128 KiB and 8 for each byte of the bodies, since chunks of one byte take six), bodies of incomplete responses by server (64 MiB, the largest is given up). The request counts as one that may have run, the connection is closed, its slot is free again. A request without an id, or with that of the last one, takes a new connection. Result: EndlessResponseTest (ten kinds; head, chunk extension, trailers and bodies), a test over the whole node: 502 long before its timeout, the next request is served.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -26,6 +26,14 @@
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
 ANNOUNCED_IDLE_FRACTION: Final = 0.6
+# Bytes outside of bodies, such as header fields, that a server may send for
+# a request, and the further ones for each byte of the bodies: a chunk of a
+# single byte takes five more bytes.
+OVERHEAD_MAX_BYTES: Final = 128 * 1024
+OVERHEAD_PER_BODY_BYTE: Final = 8
+# Bodies of incomplete responses that are held for one server. Memory is
+# finite, and a faulty server may send without end.
+INCOMPLETE_BODIES_MAX_BYTES: Final = 64 * 1024 * 1024
 KEEP_ALIVE_TIMEOUT_PATTERN: Final = re.compile(rb"timeout=(\d{1,6})")
 
 
@@ -35,6 +43,7 @@
     UNREACHABLE = "unreachable"  # No connection, so nothing was sent.
     BROKEN = "broken"  # Sent; closed before a whole response.
     GARBLED = "garbled"  # Sent; received no valid response to it.
+    OVERSIZED = "oversized"  # Sent; the response exceeded a size limit.
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +101,15 @@
         # Serves as the current time, precise enough for idle times.
         self.last_sweep = clock.now()
         self._idle: list[BackendConnection] = []
+        # Connections on which a part of a body has been received.
+        self._receiving: dict[BackendConnection, int] = {}
+        self._incomplete_bodies_size = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self.opened_count = 0
 
     def send(self, request: PendingRequest) -> None:
         """Send a request on an idle connection or a new one."""
-        connection = self._acquire_idle(idempotent=request.idempotent)
+        connection = self._acquire_idle(request)
         if connection is not None:
             connection.send(request)
             return
@@ -105,7 +117,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _acquire_idle(self, *, idempotent: bool) -> "BackendConnection | None":
+    def _acquire_idle(
+        self, request: PendingRequest
+    ) -> "BackendConnection | None":
+        """Return an idle connection that suits the request, if any."""
+        if request.correlation_field is None:
+            # A late response to an earlier request could not be told apart.
+            return None
         now = self.last_sweep
         while self._idle:
             connection = self._idle[-1]
@@ -113,8 +131,11 @@
                 self._idle.pop()
                 connection.abort()
                 continue
+            if connection.last_correlation_field == request.correlation_field:
+                # So could a second copy of the last response.
+                return None
             if (
-                not idempotent
+                not request.idempotent
                 and now - connection.idle_since > NON_IDEMPOTENT_IDLE_MAX
             ):
                 return None
@@ -143,6 +164,20 @@
         """Return a connection to the pool for the next request."""
         self._idle.append(connection)
 
+    def record_body(self, connection: "BackendConnection", size: int) -> None:
+        """Record how much of a body is held, 0 once it is complete.
+
+        If all of them exceed the limit, the largest one is given up.
+        """
+        self._incomplete_bodies_size += size - self._receiving.pop(
+            connection, 0
+        )
+        if size:
+            self._receiving[connection] = size
+        if self._incomplete_bodies_size > INCOMPLETE_BODIES_MAX_BYTES:
+            largest = max(self._receiving, key=self._receiving.__getitem__)
+            largest.reject_oversized()
+
     def remove(self, connection: "BackendConnection") -> None:
         """Remove a closed connection from the pool."""
         if connection in self._idle:
@@ -175,6 +210,11 @@
         self._closed = False
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.idle_since = pool.last_sweep
+        # Names the last request that was sent on this connection.
+        self.last_correlation_field: tuple[bytes, bytes] | None = None
+        # Bytes received since that request was sent.
+        self._received_size = 0
+        self._received_body_size = 0
         self._create_parser()
 
     def _create_parser(self) -> None:
@@ -184,6 +224,7 @@
     def _reset_response(self) -> None:
         self._fields: HeaderFields = []
         self._body_chunks: list[bytes] = []
+        self._body_size = 0
         self._response: BackendResponse | None = None
         self._reads_until_close = False
 
@@ -195,12 +236,15 @@
         """Send a request; the connection must be idle."""
         self._request = request
         request.connection = self
+        self.last_correlation_field = request.correlation_field
+        self._received_size = self._received_body_size = 0
         self._reset_response()
         self._transport.write(request.message)
 
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         self._closed = True
+        self._pool.record_body(self, 0)
         if self._transport is not None:
             self._transport.abort()
 
@@ -239,6 +283,7 @@
         if self._request is None:
             self.abort()
             return
+        self._received_size += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -248,6 +293,28 @@
             return
         if self._response is not None:
             self._finish_request(Failure.GARBLED)
+        elif self._request is not None:
+            self._check_size()
+
+    def _check_size(self) -> None:
+        """Give up an incomplete response that exceeds a size limit."""
+        if self._exceeds_overhead():
+            self.reject_oversized()
+        elif self._body_size:
+            self._pool.record_body(self, self._body_size)
+
+    def _exceeds_overhead(self) -> bool:
+        """Return whether too little of the received data is a body."""
+        body_size = self._received_body_size
+        return (
+            self._received_size - body_size
+            > OVERHEAD_MAX_BYTES + OVERHEAD_PER_BODY_BYTE * body_size
+        )
+
+    def reject_oversized(self) -> None:
+        """Give up a response that exceeds a size limit."""
+        self._closed = True
+        self._finish_request(Failure.OVERSIZED)
 
     # Callbacks of the parser.
 
@@ -279,7 +346,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
+        self._received_body_size += len(body)
         if self._response is None:
+            self._body_size += len(body)
             self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -320,6 +389,7 @@
         if self._response is None:
             self.abort()
         else:
+            self._pool.record_body(self, 0)
             self._release_or_close()
         if request is not None:
             request.finish(self._response or failure)
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -49,6 +49,14 @@
         idempotent=False,
         timeout=SECOND,
     ),
+    Route(
+        "slow",
+        "/slow/",
+        "store",
+        METHODS,
+        idempotent=False,
+        timeout=timedelta(minutes=1),
+    ),
 )
 TABLES: Final = Tables(
     routes={route.name: route for route in ROUTES},
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -45,6 +45,21 @@
     request.respond(500, b"broken", "X-Stamp: s")
 
 
+def send_endless_body(request: ReceivedRequest) -> None:
+    """Send a body without end until the connection is closed."""
+    transport = request.transport
+    transport.write(b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n")
+
+    def send_more() -> None:
+        if transport.is_closing():
+            return
+        if not transport.get_write_buffer_size():
+            transport.write(b"a" * 1024 * 1024)
+        asyncio.get_running_loop().call_later(0, send_more)
+
+    send_more()
+
+
 class HostTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that run hosts with scripted backend servers."""
 
@@ -242,6 +257,20 @@
                     (response.status, response.body), (500, b"broken")
                 )
 
+    async def test_an_endless_response_is_refused_before_the_deadline(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster((send_endless_body,))
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await cluster.send_request(
+                "/slow/1", method="POST", body=b"x"
+            )
+        self.assertEqual(response.status, 502)
+        self.assertIn(b"INCOMPLETE", response.body)
+        self.assertFalse(cluster.nodes[0]._executor.busy)
+        cluster.servers[0].handler = echo_body
+        self.assertEqual((await cluster.send_request("/read/1")).status, 200)
+
     async def test_hosts_limit_retries_of_their_servers(self) -> None:
         """Limit retries at the hosts of the servers that run them.
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,11 +1,14 @@
 """Tests of the HTTP/1.1 client for the backend server."""
 
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, cast
 
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._http_client import (
+    INCOMPLETE_BODIES_MAX_BYTES,
+    OVERHEAD_MAX_BYTES,
     BackendConnection,
     BackendPool,
     BackendResponse,
@@ -36,17 +39,34 @@
         self.closed = True
 
 
+def build_request(
+    correlation_field: tuple[bytes, bytes] | None,
+    *,
+    idempotent: bool = True,
+) -> PendingRequest:
+    """Return a request whose outcome is ignored."""
+    return PendingRequest(
+        b"request",
+        correlation_field,
+        head_only=False,
+        idempotent=idempotent,
+        on_outcome=lambda _: None,
+    )
+
+
 class ConnectionHarness:
     """A pool with one connection, on which a request was sent."""
 
-    def __init__(self, *, head_only: bool = False) -> None:
+    def __init__(
+        self, *, head_only: bool = False, pool: BackendPool | None = None
+    ) -> None:
         self.clock = ManualClock()
-        self.pool = BackendPool("127.0.0.1", 1, self.clock)
+        self.pool = pool or BackendPool("127.0.0.1", 1, self.clock)
         self.connection = BackendConnection(self.pool)
         self.transport = FakeTransport()
         self.connection.connection_made(cast("Any", self.transport))
         self.outcomes: list[Outcome] = []
-        self.send(head_only=head_only)
+        self.request = self.send(head_only=head_only)
 
     def send(self, *, head_only: bool = False) -> PendingRequest:
         """Send a request on the connection."""
@@ -66,7 +86,8 @@
 
     def is_reusable(self) -> bool:
         """Return whether the pool would reuse the connection."""
-        return self.pool._acquire_idle(idempotent=True) is self.connection
+        request = build_request((b"x-id", b"8"))
+        return self.pool._acquire_idle(request) is self.connection
 
 
 class ResponseTest(unittest.TestCase):
@@ -174,6 +195,92 @@
         self.assertIsInstance(outcome, BackendResponse)
 
 
+class EndlessResponseTest(unittest.TestCase):
+    """Guards against memory taken by responses that never end."""
+
+    def test_an_endless_response_is_given_up(self) -> None:
+        chunked_head = RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "field line": (RESPONSE_HEAD + b"X: ", b"a" * 1000),
+            "field name": (RESPONSE_HEAD, b"a" * 1000),
+            "fields": (RESPONSE_HEAD, b"X: a\r\n" * 100),
+            "reason phrase": (b"HTTP/1.1 200 ", b"a" * 1000),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "chunk extension": (chunked_head + b"2;", b"a" * 1000),
+            "trailers": (
+                chunked_head + b"2\r\nab\r\n0\r\n",
+                b"X: a\r\n" * 100,
+            ),
+            "body with a length": (
+                RESPONSE_HEAD + b"Content-Length: 99999999999\r\n\r\n",
+                b"a" * 1024 * 1024,
+            ),
+            "body in chunks": (
+                chunked_head,
+                b"100000\r\n" + b"a" * 0x100000 + b"\r\n",
+            ),
+            "body until close": (
+                RESPONSE_HEAD + b"\r\n",
+                b"a" * 1024 * 1024,
+            ),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name=name):
+                harness = ConnectionHarness()
+                harness.connection.data_received(start)
+                sent = 0
+                limit = 2 * (OVERHEAD_MAX_BYTES + INCOMPLETE_BODIES_MAX_BYTES)
+                while not harness.outcomes and sent < limit:
+                    harness.connection.data_received(repeated)
+                    sent += len(repeated)
+                self.assertEqual(harness.outcomes, [Failure.OVERSIZED])
+                self.assertTrue(harness.transport.closed)
+                self.assertFalse(harness.is_reusable())
+                self.assertFalse(harness.pool._receiving)
+                self.assertEqual(harness.pool._incomplete_bodies_size, 0)
+
+    def test_a_body_in_small_chunks_is_complete(self) -> None:
+        harness = ConnectionHarness()
+        harness.connection.data_received(
+            RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        count = OVERHEAD_MAX_BYTES
+        for _ in range(count // 1024):
+            harness.connection.data_received(b"1\r\na\r\n" * 1024)
+        harness.connection.data_received(b"0\r\n\r\n")
+        (outcome,) = harness.outcomes
+        assert isinstance(outcome, BackendResponse)
+        self.assertEqual(len(outcome.body), count)
+
+    def test_the_largest_of_several_responses_is_given_up(self) -> None:
+        pool = ConnectionHarness().pool
+        ordinary, endless = (ConnectionHarness(pool=pool) for _ in range(2))
+        head = RESPONSE_HEAD + b"Content-Length: 99999999\r\n\r\n"
+        ordinary.connection.data_received(head + b"a")
+        endless.connection.data_received(
+            head + b"a" * INCOMPLETE_BODIES_MAX_BYTES
+        )
+        self.assertEqual(endless.outcomes, [Failure.OVERSIZED])
+        self.assertEqual(ordinary.outcomes, [])
+
+    def test_ended_responses_are_not_counted(self) -> None:
+        cases: dict[str, Callable[[ConnectionHarness], None]] = {
+            "complete": lambda h: h.connection.data_received(b"a" * 8),
+            "cancelled": lambda h: h.request.cancel(),
+            "closed": lambda h: h.connection.connection_lost(None),
+        }
+        for name, end in cases.items():
+            with self.subTest(name=name):
+                harness = ConnectionHarness()
+                harness.connection.data_received(
+                    RESPONSE_HEAD + b"Content-Length: 9\r\n\r\na"
+                )
+                self.assertEqual(harness.pool._incomplete_bodies_size, 1)
+                end(harness)
+                self.assertEqual(harness.pool._incomplete_bodies_size, 0)
+                self.assertFalse(harness.pool._receiving)
+
+
 class ReuseTest(unittest.TestCase):
     """Guards against requests on connections that the server has closed."""
 
@@ -199,9 +306,23 @@
         harness = ConnectionHarness()
         harness.connection.data_received(RESPONSE)
         harness.advance_clock(timedelta(seconds=2))
-        self.assertIsNone(harness.pool._acquire_idle(idempotent=False))
+        request = build_request((b"x-id", b"8"), idempotent=False)
+        self.assertIsNone(harness.pool._acquire_idle(request))
         self.assertTrue(harness.is_reusable())
 
+    def test_a_late_copy_can_not_answer_a_request_like_the_last(self) -> None:
+        """Don't reuse a connection where a late copy would look right."""
+        for name, correlation_field in (
+            ("same id", CORRELATION_FIELD),
+            ("no id", None),
+        ):
+            with self.subTest(name=name):
+                harness = ConnectionHarness()
+                harness.connection.data_received(RESPONSE)
+                request = build_request(correlation_field)
+                self.assertIsNone(harness.pool._acquire_idle(request))
+                self.assertTrue(harness.is_reusable())
+
     def test_cancelling_closes_the_connection_without_an_outcome(self) -> None:
         harness = ConnectionHarness()
         harness.connection.data_received(RESPONSE)
