Contain malformed frames, unexpected errors and failing periodic actions

Cause, read from the code: a frame with an unknown error code or class raised inside a callback. A refusal that couldn't be read left its request without a result, and at its timeout it was called not run though it may have run. An unexpected error in a periodic action ended it for good (timeouts, pings, reports), and one in a message of a control host ended the node's uplink. Change: frames are checked whole when they are decoded (codes, classes, weights, durations), a bad one closes its connection and its calls count as lost. TaskGroup.start_periodic goes on after an error; the uplink tries the next control host. Logged errors have type and place, not their text.

--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -14,6 +14,7 @@
 from sequoiaseam._exchange import Response
 from sequoiaseam._frames import Headers
 from sequoiaseam._headers import sanitize_response
+from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
     HANDLE_HEADER,
@@ -137,7 +138,7 @@
                 sock_connect=CONNECT_TIMEOUT_SECONDS,
             ),
         ) as response:
-            body = await response.read()
+            body = await _read_body(response)
             _check_shed(response)
             _check_framing(response)
             return Response(
@@ -167,6 +168,20 @@
         await self._session.close()
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body; raise INCOMPLETE if it exceeds the limit."""
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > BODY_LIMIT_MAX_BYTES:
+            raise RefusalError(
+                ErrorCode.INCOMPLETE,
+                "the backend server's answer is too large",
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+    return bytes(body)
+
+
 def _convert_headers(response: aiohttp.ClientResponse) -> Headers:
     """Return the headers as plain str, the only text the codec accepts."""
     return tuple(
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -164,7 +164,7 @@
         listen = self._settings.listen
         await self._rpc_server.start(listen.host, listen.port)
         self._update_links()
-        self._tasks.start(self._run_ticks())
+        self._tasks.start_periodic(TICK_INTERVAL, self._tick)
 
     async def drain(self) -> None:
         """Do nothing, as nodes and replicas fail over on their own."""
@@ -177,16 +177,14 @@
             await self._rpc_server.close()
         await self._replica_runner.close()
 
-    async def _run_ticks(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_INTERVAL.total_seconds())
-            now = self._clock.now()
-            if now - self._last_alive_report_at >= ALIVE_REPORT_INTERVAL:
-                self._report_active_nodes(now)
-            if self._leadership is not None:
-                self._leadership.tick(now)
-            if self._settings.automatic_repair:
-                self._repair(now)
+    def _tick(self) -> None:
+        now = self._clock.now()
+        if now - self._last_alive_report_at >= ALIVE_REPORT_INTERVAL:
+            self._report_active_nodes(now)
+        if self._leadership is not None:
+            self._leadership.tick(now)
+        if self._settings.automatic_repair:
+            self._repair(now)
 
     def _repair(self, now: datetime) -> None:
         """Send the group's hosts to the nodes; repair the group as leader."""
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -1,6 +1,5 @@
 """Execution of calls on the backend server of the host."""
 
-import asyncio
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,7 +31,7 @@
 from sequoiaseam._pressure import PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
-from sequoiaseam._tables import Importance, Pool
+from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import ErrorCode
 
@@ -113,7 +112,7 @@
     def start(self, get_pool: Callable[[str], Pool | None]) -> None:
         """Start the periodic processing of the queue."""
         self._get_pool = get_pool
-        self._tasks.start(self._tick())
+        self._tasks.start_periodic(TICK_INTERVAL, self._tick)
 
     async def close(self) -> None:
         """Cancel the tasks and close the connections."""
@@ -224,7 +223,7 @@
             )
             ticket = Ticket(
                 run.ticket_id,
-                Importance(call.importance),
+                call.importance,
                 call.account,
                 call.weight,
                 now,
@@ -453,7 +452,7 @@
     ) -> RunRefusal:
         return RunRefusal(
             run.call.call_id,
-            code.value,
+            code,
             may_have_run,
             retry_after // MILLISECOND,
             self._measure_load(),
@@ -514,16 +513,15 @@
             for pressure in self._pressure.collect(now, calls_by_pool)
         ]
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_INTERVAL.total_seconds())
-            session = self._session
-            if session is not None:
-                now = self._clock.now()
-                if self._runs:
-                    actions = session.admission.tick(now)
-                    self._apply_actions(now, session, actions)
-                session.connections.sweep(now)
+    def _tick(self) -> None:
+        session = self._session
+        if session is None:
+            return
+        now = self._clock.now()
+        if self._runs:
+            actions = session.admission.tick(now)
+            self._apply_actions(now, session, actions)
+        session.connections.sweep(now)
 
 
 def _read_length(fields: HeaderFields) -> int:
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -175,7 +175,7 @@
             settings.caller_endpoint.port,
             LISTEN_BACKLOG,
         )
-        self._tasks.start(self._tick())
+        self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._tasks.start(self._uplink.run())
 
     def is_ready(self) -> bool:
@@ -230,11 +230,9 @@
         await self._mesh.close()
         await self._executor.close()
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_INTERVAL.total_seconds())
-            self._quota_gate.tick(self._clock.now())
-            self._send_report(only_if_changed=True)
+    def _tick(self) -> None:
+        self._quota_gate.tick(self._clock.now())
+        self._send_report(only_if_changed=True)
 
     # The backend server.
 
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -131,7 +131,7 @@
             port,
             backlog,
         )
-        self._tasks.start(self._sweep())
+        self._tasks.start_periodic(SWEEP_INTERVAL, self._sweep)
         return self._listener.port
 
     @property
@@ -160,12 +160,10 @@
         for connection in list(self.connections):
             connection.abort()
 
-    async def _sweep(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
-            self.last_swept_at = now = self.clock.now()
-            for connection in list(self.connections):
-                connection.check_timeout(now)
+    def _sweep(self) -> None:
+        self.last_swept_at = now = self.clock.now()
+        for connection in list(self.connections):
+            connection.check_timeout(now)
 
 
 class ServerConnection(asyncio.Protocol):
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -392,7 +392,7 @@
             pending.request_id,
             "" if pending.workspace == OPEN_WORKSPACE else pending.workspace,
             pending.account,
-            int(pending.importance),
+            pending.importance,
             pending.weight,
             compute_slot_wait_limit(route, remaining, nested=pending.nested)
             // MILLISECOND,
@@ -430,7 +430,7 @@
         if isinstance(result, RunAnswer):
             failed = result.status >= 500
             return CallResult.FAILED if failed else CallResult.OK
-        return CALL_RESULTS.get(ErrorCode(result.code), CallResult.REFUSED)
+        return CALL_RESULTS.get(result.code, CallResult.REFUSED)
 
     def _record_response(
         self,
@@ -476,7 +476,7 @@
         may_have_run = True
         retry_after = RETRY_AFTER_MIN
         if result is not None:
-            code = ErrorCode(result.code)
+            code = result.code
             may_have_run = result.may_have_run
             retry_after = max(retry_after, result.retry_after_ms * MILLISECOND)
         if may_have_run:
--- a/src/sequoiaseam/_logs.py
+++ b/src/sequoiaseam/_logs.py
@@ -77,12 +77,20 @@
 
 
 def _describe_exception(record: logging.LogRecord) -> dict[str, str]:
-    if not record.exc_info or record.exc_info[0] is None:
+    if not record.exc_info or record.exc_info[1] is None:
         return {}
-    exception_type, _, traceback = record.exc_info
+    return describe_error(record.exc_info[1])
+
+
+def describe_error(error: BaseException) -> dict[str, str]:
+    """Return fields with the error's type and where it was raised.
+
+    Its message is omitted, because it may quote a request.
+    """
+    traceback = error.__traceback__
     while traceback is not None and traceback.tb_next is not None:
         traceback = traceback.tb_next
-    details = {"exception": exception_type.__name__}
+    details = {"exception": type(error).__name__}
     if traceback is not None:
         file = Path(traceback.tb_frame.f_code.co_filename).name
         details["raised_at"] = f"{file}:{traceback.tb_lineno}"
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -18,7 +18,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._listeners import Listener, open_listener
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
     MeshPing,
@@ -33,6 +33,7 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+from sequoiaseam.errors import ErrorCode
 
 LENGTH_PREFIX: Final = struct.Struct(">I")
 FRAME_MAX_BYTES: Final = 72 * 1024 * 1024
@@ -96,10 +97,20 @@
             start = end
             try:
                 frame = decode_frame(content)
-            except msgspec.DecodeError:
+            except (msgspec.DecodeError, UnicodeDecodeError):
                 self._abort_with_warning("malformed frame")
                 return
-            self._on_frame(frame)
+            try:
+                self._on_frame(frame)
+            except Exception as error:  # noqa: BLE001
+                log_event(
+                    Level.ERROR,
+                    "unexpected error; closing mesh connection",
+                    frame=type(frame).__name__,
+                    **describe_error(error),
+                )
+                self.abort()
+                return
         del buffer[:start]
 
     def _abort_with_warning(self, reason: str) -> None:
@@ -290,7 +301,7 @@
     """Return the refusal of a call that was never sent."""
     return RunRefusal(
         call_id,
-        "CONNECTION_LOST",
+        ErrorCode.CONNECTION_LOST,
         may_have_run=False,
         retry_after_ms=0,
         load=0.0,
@@ -398,14 +409,12 @@
 
     def start(self) -> None:
         """Start to check the links at regular intervals."""
-        self._tasks.start(self._tick())
-
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(CONNECTION_PING_INTERVAL.total_seconds())
-            now = self._clock.now()
-            for link in list(self._links.values()):
-                link.tick(now)
+        self._tasks.start_periodic(CONNECTION_PING_INTERVAL, self._tick)
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        for link in list(self._links.values()):
+            link.tick(now)
 
     def get_link(self, name: str, endpoint: Endpoint) -> MeshLink:
         """Return the link to a node, a new one if its address changed."""
--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -4,10 +4,18 @@
 reads their annotations at run time.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from sequoiaseam._tables import ROUTE_TIMEOUT_MAX, Importance
+from sequoiaseam.errors import ErrorCode
+
+DURATION_MAX_MS: Final = int(ROUTE_TIMEOUT_MAX.total_seconds() * 1000)
+# Values outside of these ranges make a frame malformed.
+DurationMs = Annotated[int, msgspec.Meta(ge=0, le=DURATION_MAX_MS)]
+Weight = Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
+
 
 class RunCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A request for another node to run on its backend server.
@@ -31,10 +39,10 @@
     request_id: str
     workspace: str
     account: str
-    importance: int
-    weight: float
-    patience_ms: int
-    remaining_ms: int
+    importance: Importance
+    weight: Weight
+    patience_ms: DurationMs
+    remaining_ms: DurationMs
     begun: bool
     idempotent: bool
     repeat: bool
@@ -61,12 +69,11 @@
 class RunRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """A call without a response.
 
-    ``code`` is the value of an ``errors.ErrorCode``; ``may_have_run``
-    is set if the backend server may have run the request.
+    ``may_have_run`` is set if the backend server may have run the request.
     """
 
     call_id: int
-    code: str
+    code: ErrorCode
     may_have_run: bool
     retry_after_ms: int
     load: float
--- a/src/sequoiaseam/_tasks.py
+++ b/src/sequoiaseam/_tasks.py
@@ -1,10 +1,11 @@
 """Groups of background tasks that are cancelled together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from typing import Any
 
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam.errors import RefusalError
 
 
@@ -39,9 +40,19 @@
             log_event(
                 Level.ERROR,
                 "background task failed",
-                error=repr(error),
+                **describe_error(error),
             )
 
+    def start_periodic(
+        self, interval: timedelta, action: Callable[[], None]
+    ) -> asyncio.Task[Any]:
+        """Start a task that calls ``action`` after each interval.
+
+        An unexpected error is logged and doesn't end the task, because
+        the process would go on without its timeouts or pings.
+        """
+        return self.start(_call_periodically(interval, action))
+
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they are done."""
         tasks = list(self._tasks)
@@ -53,3 +64,19 @@
         """Wait until all tasks are done, without cancelling them."""
         while self._tasks:
             await asyncio.wait(self._tasks)
+
+
+async def _call_periodically(
+    interval: timedelta, action: Callable[[], None]
+) -> None:
+    while True:
+        await asyncio.sleep(interval.total_seconds())
+        try:
+            action()
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                Level.ERROR,
+                "periodic action failed",
+                action=getattr(action, "__qualname__", ""),
+                **describe_error(error),
+            )
--- a/src/sequoiaseam/_uplink.py
+++ b/src/sequoiaseam/_uplink.py
@@ -11,7 +11,7 @@
 from sequoiaseam._codec import Codec
 from sequoiaseam._control_messages import ATTACH_PATH, NodeHello
 from sequoiaseam._feed import Ping, Pong
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._rpc import Channel, Stream, StreamEndedError
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tasks import TaskGroup
@@ -145,6 +145,14 @@
                 control=name,
                 error=type(error).__name__,
             )
+        except Exception as error:  # noqa: BLE001
+            # Without a control host, the node would soon refuse everything.
+            log_event(
+                Level.ERROR,
+                "unexpected error; detaching from the control host",
+                control=name,
+                **describe_error(error),
+            )
         finally:
             self._attached_host = None
 
