Keep the feed within failure domains and send only changed rows

Control: nodes took the feed from the leader or a random control host, most of them across domains; an edit sent all tables to each node; log entries and batches of member reports went as they were; witness groups, which the platform's nodes don't use, were planned, logged and fed. Change: control hosts tell each other their failure domain and pass it on; a node attaches to one of its own domain and leaves it for another when it is silent or not up to date. A delta carries the rows that changed. Messages of 256 bytes or more to and from control hosts are compressed where that makes them smaller, once for all receivers. ControlSettings.assigns_witnesses turns the witnesses off where requests enter at one node only.

--- a/src/sequoiaseam/_codec.py
+++ b/src/sequoiaseam/_codec.py
@@ -5,13 +5,28 @@
 receiver instantiate any other class.
 """
 
+import zlib
 from collections.abc import Iterable
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Final
 
 import msgspec
 
 from sequoiaseam.errors import ErrorCode, SeamError
 
+# Shorter messages don't become smaller.
+COMPRESSION_MIN_BYTES: Final = 256
+COMPRESSION_LEVEL: Final = 1
+DECOMPRESSED_MAX_BYTES: Final = 72 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class EncodedMessage:
+    """Content of a message, and whether it is compressed."""
+
+    content: bytes
+    compressed: bool
+
 
 class Codec:
     """Encode and decode messages of a fixed set of frozen data classes."""
@@ -26,6 +41,9 @@
             tuple[str, msgspec.Raw]
         )
         self._encoder = msgspec.msgpack.Encoder()
+        # The last message that was compressed. A change of the state goes
+        # to many nodes in a row as the same object.
+        self._last_compressed: tuple[object, EncodedMessage] | None = None
 
     def encode(self, message: object) -> bytes:
         """Encode a message; raise TypeError for an unregistered type."""
@@ -34,6 +52,37 @@
             raise TypeError(f"{name} is not a message type")
         return self._encoder.encode((name, message))
 
+    def encode_compressed(self, message: object) -> EncodedMessage:
+        """Encode a message, compressed if that makes it smaller."""
+        last = self._last_compressed
+        if last is not None and last[0] is message:
+            return last[1]
+        content = self.encode(message)
+        if len(content) < COMPRESSION_MIN_BYTES:
+            return EncodedMessage(content, compressed=False)
+        compressed = zlib.compress(content, COMPRESSION_LEVEL)
+        if len(compressed) < len(content):
+            encoded = EncodedMessage(compressed, compressed=True)
+        else:
+            encoded = EncodedMessage(content, compressed=False)
+        self._last_compressed = (message, encoded)
+        return encoded
+
+    def decode_compressed(self, data: bytes) -> Any:
+        """Decode a compressed message; raise BAD_REQUEST if malformed."""
+        decompressor = zlib.decompressobj()
+        try:
+            content = decompressor.decompress(data, DECOMPRESSED_MAX_BYTES)
+        except zlib.error as error:
+            raise SeamError(
+                ErrorCode.BAD_REQUEST, "malformed compressed message"
+            ) from error
+        if not decompressor.eof:
+            raise SeamError(
+                ErrorCode.BAD_REQUEST, "compressed message incomplete or large"
+            )
+        return self.decode(content)
+
     def decode(self, data: bytes) -> Any:
         """Decode a message; raise SeamError BAD_REQUEST if malformed."""
         try:
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -90,12 +90,14 @@
         self._codec = create_control_codec()
         self._tasks = TaskGroup()
         self._links = ControlLinks(
-            settings.name,
+            PeerHello(settings.name, settings.domain),
             self._codec,
             rng,
             self._authenticator.create_proof,
         )
         self._links.names_are_addresses = settings.automatic_repair
+        # Failure domains of the control hosts that have said hello.
+        self._domains = {settings.name: settings.domain}
         self._state = FleetState()
         self._event_log = FollowEventLog()
         self._leadership: Leadership | None = None
@@ -191,9 +193,9 @@
         status = self._replica_runner.replica.status()
         self._log_membership(status)
         if status.membership is not None:
-            hosts = tuple(voter.host for voter in status.membership.voters)
-            leader = self._leader or ""
-            self._sessions.send_control_hosts(ControlHosts(hosts, leader))
+            self._announce_hosts(
+                tuple(voter.host for voter in status.membership.voters)
+            )
         if self._leadership is None:
             self._repair_planner = None
             return
@@ -213,6 +215,18 @@
             )
             self._replica_runner.repair(step)
 
+    def _announce_hosts(self, hosts: tuple[str, ...]) -> None:
+        """Send the control hosts to the nodes; link this host to them.
+
+        All hosts are linked, so that each learns the domains of the others.
+        """
+        for host in hosts:
+            self._links.open_by_address(host)
+        domains = tuple(self._domains.get(host, "") for host in hosts)
+        self._sessions.send_control_hosts(
+            ControlHosts(hosts, self._leader or "", domains)
+        )
+
     def _log_membership(self, status: ReplicaStatus) -> None:
         """Log each change of the group membership."""
         membership = status.membership
@@ -320,6 +334,7 @@
                 lambda: self._state,
                 self._rng,
                 self._start_proposal,
+                assigns_witnesses=self._settings.assigns_witnesses,
             )
 
     def _start_proposal(self, command: Command) -> None:
@@ -393,6 +408,7 @@
         hello = await stream.recv_message()
         if not isinstance(hello, PeerHello) or hello.name != identity.name:
             return
+        self._domains[hello.name] = hello.domain
         async for message in stream:
             if isinstance(message, PeerPing):
                 await stream.send_message(message)
--- a/src/sequoiaseam/_control_links.py
+++ b/src/sequoiaseam/_control_links.py
@@ -37,14 +37,14 @@
 
     def __init__(
         self,
-        name: str,
+        hello: PeerHello,
         peer: str,
         endpoint: Endpoint,
         codec: Codec,
         rng: Random,
         create_proof: Callable[[], str],
     ) -> None:
-        self._name = name
+        self._hello = hello
         self._peer = peer
         self._endpoint = endpoint
         self._codec = codec
@@ -116,7 +116,7 @@
             self._create_proof(),
         ) as stream:
             async with asyncio.timeout(CONNECTION_TIMEOUT.total_seconds()):
-                await stream.send_message(PeerHello(self._name))
+                await stream.send_message(self._hello)
             self._send_queue = queue = self._create_send_queue()
             reader = tasks.start(self._read(stream))
             sender = tasks.start(self._send(stream, queue))
@@ -164,12 +164,12 @@
 
     def __init__(
         self,
-        name: str,
+        hello: PeerHello,
         codec: Codec,
         rng: Random,
         create_proof: Callable[[], str],
     ) -> None:
-        self._name = name
+        self._hello = hello
         self._codec = codec
         self._rng = rng
         self._create_proof = create_proof
@@ -189,10 +189,10 @@
             self._open(peer, endpoint)
 
     def _open(self, peer: str, endpoint: Endpoint) -> None:
-        if peer == self._name or peer in self._links:
+        if peer == self._hello.name or peer in self._links:
             return
         link = ControlLink(
-            self._name,
+            self._hello,
             peer,
             endpoint,
             self._codec,
@@ -202,10 +202,15 @@
         self._links[peer] = (endpoint, link)
         self._link_tasks[peer] = self._tasks.start(link.run())
 
+    def open_by_address(self, peer: str) -> None:
+        """Open the link to a host that is named by its address."""
+        if peer not in self._links:
+            self._open(peer, parse_endpoint(peer))
+
     def post(self, peer: str, message: object) -> None:
         """Send a message to a control host; it may be lost."""
-        if self.names_are_addresses and peer not in self._links:
-            self._open(peer, parse_endpoint(peer))
+        if self.names_are_addresses:
+            self.open_by_address(peer)
         entry = self._links.get(peer)
         if entry is not None:
             entry[1].post(message)
--- a/src/sequoiaseam/_control_messages.py
+++ b/src/sequoiaseam/_control_messages.py
@@ -54,11 +54,13 @@
 class ControlHosts:
     """The control hosts, in deployments where their names are addresses.
 
-    ``leader`` is "" while no leader is known.
+    ``leader`` is "" while no leader is known. ``domains`` are the failure
+    domains of ``hosts``, "" where unknown.
     """
 
     hosts: tuple[str, ...]
     leader: str = ""
+    domains: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,9 +102,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerHello:
-    """First message of a control host to another, with its name."""
+    """First message of a control host, with its name and failure domain."""
 
     name: str
+    domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -21,6 +21,15 @@
 from sequoiaseam._keyring import Keyring
 from sequoiaseam._state import FleetState, add_crash_report
 from sequoiaseam._tables import KeyRecord, Tables
+from sequoiaseam._tables_delta import (
+    ChangedRows,
+    TablesDelta,
+    apply_tables_delta,
+    build_tables_delta,
+    find_changed_keys,
+    find_changed_rows,
+    merge_changes,
+)
 from sequoiaseam.const import CLOCK_DRIFT_MAX, CONFIGURATION_LEASE
 
 # Number of log entries whose changes are kept for nodes that reconnect;
@@ -60,15 +69,15 @@
 
     Rows hold the values as of ``index``, so a delta that starts before
     a node's index can be applied as well. ``tables`` is None if
-    unchanged. ``pools`` is as in a snapshot; a view ignores deltas for
-    pools other than its own.
+    unchanged, and otherwise holds the rows that changed. ``pools`` is as
+    in a snapshot; a view ignores deltas for pools other than its own.
     """
 
     after: int
     index: int
     revision: int
     pools: frozenset[str] | None = None
-    tables: Tables | None = None
+    tables: TablesDelta | None = None
     keys: tuple[KeyRecord, ...] = ()
     withdrawn: tuple[str, ...] = ()
     members: tuple[Member, ...] = ()
@@ -114,7 +123,7 @@
 
     after: int
     index: int
-    tables: bool
+    tables: ChangedRows | None
     keys: frozenset[str]
     members: frozenset[str]
     shards: frozenset[int]
@@ -144,17 +153,6 @@
     return frozenset(name for group in groups for name in group.witnesses)
 
 
-def _find_changed_keys(
-    old: Mapping[str, object],
-    new: Mapping[str, object],
-) -> frozenset[str]:
-    """Return the keys that were added, removed or changed in value."""
-    if old is new:
-        return frozenset()
-    changed = {k for k, v in new.items() if old.get(k) != v}
-    return frozenset(changed | (old.keys() - new.keys()))
-
-
 class FeedSource:
     """Control host's side of the feed; selects what each node is sent."""
 
@@ -262,9 +260,9 @@
         return _ChangeRecord(
             after=self._baseline_index,
             index=index,
-            tables=state.tables is not self._baseline_tables,
-            keys=_find_changed_keys(self._baseline_keys, state.keys),
-            members=_find_changed_keys(self._baseline_members, state.members),
+            tables=find_changed_rows(self._baseline_tables, state.tables),
+            keys=find_changed_keys(self._baseline_keys, state.keys),
+            members=find_changed_keys(self._baseline_members, state.members),
             shards=shards,
             crashes=(command,) if isinstance(command, CrashReported) else (),
             added_pools=added_pools,
@@ -318,7 +316,7 @@
             index=state.index,
             revision=state.revision,
             pools=subscriber.pools,
-            tables=state.tables if any(r.tables for r in records) else None,
+            tables=self._build_tables_delta(records),
             keys=tuple(state.keys[k] for k in keys if k in state.keys),
             withdrawn=tuple(k for k in keys if k not in state.keys),
             members=self._select_members(subscriber.pools, candidates),
@@ -327,6 +325,14 @@
             quarantine=tuple(c for r in records for c in r.crashes),
         )
 
+    def _build_tables_delta(
+        self, records: list[_ChangeRecord]
+    ) -> TablesDelta | None:
+        changes = [r.tables for r in records if r.tables is not None]
+        if not changes:
+            return None
+        return build_tables_delta(self._state.tables, merge_changes(changes))
+
     def _find_members_in_pools(self, pools: frozenset[str]) -> frozenset[str]:
         members = self._state.members.values()
         return frozenset(m.name for m in members if m.pool in pools)
@@ -475,7 +481,7 @@
         self.index = delta.index
         self.revision = delta.revision
         if delta.tables is not None:
-            self.tables = delta.tables
+            self.tables = apply_tables_delta(self.tables, delta.tables)
         if delta.keys or delta.withdrawn:
             keys = {
                 key_id: key
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -59,9 +59,6 @@
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
-# In fleets of up to this many nodes, all nodes connect to the leading control
-# host, which avoids a relay of each message.
-LEADER_ATTACHED_NODES_MAX: Final = 100
 LISTEN_BACKLOG: Final = 1024  # connections
 
 
@@ -346,12 +343,9 @@
         elif isinstance(message, QuotaGrant):
             self._quota_gate.receive(message)
         elif isinstance(message, ControlHosts):
-            is_small_fleet = (
-                len(self._view.members) <= LEADER_ATTACHED_NODES_MAX
-            )
             self._uplink.set_control_hosts(
                 parse_control_endpoints(message.hosts),
-                message.leader if is_small_fleet else "",
+                find_local_hosts(message, self._settings.domain),
             )
 
     def _apply_feed(self, message: FeedSnapshot | FeedDelta) -> None:
@@ -368,6 +362,17 @@
             log_event(Level.INFO, "tables in force", revision=view.revision)
 
 
+def find_local_hosts(message: ControlHosts, domain: str) -> frozenset[str]:
+    """Return the control hosts of a failure domain."""
+    return frozenset(
+        host
+        for host, host_domain in zip(
+            message.hosts, message.domains, strict=False
+        )
+        if host_domain == domain
+    )
+
+
 def parse_control_endpoints(hosts: tuple[str, ...]) -> Mapping[str, Endpoint]:
     """Return the endpoints of control hosts by name (their addresses)."""
     return {name: parse_endpoint(name) for name in hosts}
--- a/src/sequoiaseam/_leadership.py
+++ b/src/sequoiaseam/_leadership.py
@@ -37,12 +37,15 @@
         get_state: Callable[[], FleetState],
         rng: Random,
         propose: Callable[[Command], None],
+        *,
+        assigns_witnesses: bool = True,
     ) -> None:
         self._get_state = get_state
         self.term = term
         state = get_state()
         self._rng = rng
         self._propose = propose
+        self._assigns_witnesses = assigns_witnesses
         self._registry = MemberRegistry(now)
         self._registry.start_leading(now, state.members)
         self._quota = QuotaOwner(now, term, state.tables.workspaces)
@@ -53,10 +56,13 @@
         self.applied_indexes: dict[str, int] = {}
 
     def tick(self, now: datetime) -> None:
-        """Expire leases and grants; plan the witness groups."""
+        """Expire leases and grants; plan the witness groups, if any."""
         self._propose_all(self._registry.tick(now, self._get_state().members))
         self._quota.tick(now)
-        if now - self._last_plan_time >= WITNESS_PLAN_INTERVAL:
+        if (
+            self._assigns_witnesses
+            and now - self._last_plan_time >= WITNESS_PLAN_INTERVAL
+        ):
             self._last_plan_time = now
             self._plan(now)
 
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -43,6 +43,7 @@
     OPENING = 0  # The method path and the caller's proof.
     MESSAGE = 1
     REFUSAL = 2  # The value of an errors.ErrorCode and a message.
+    COMPRESSED_MESSAGE = 3
 
 
 class StreamEndedError(Exception):
@@ -161,8 +162,9 @@
 
     async def send_message(self, message: object) -> None:
         """Send a message; raise StreamEndedError if the stream ended."""
-        content = self._codec.encode(message)
-        await self._connection.write(Kind.MESSAGE, content)
+        encoded = self._codec.encode_compressed(message)
+        kind = Kind.COMPRESSED_MESSAGE if encoded.compressed else Kind.MESSAGE
+        await self._connection.write(kind, encoded.content)
 
     async def recv_message(self) -> Any:
         """Return the next message, or None at the end of the stream.
@@ -177,6 +179,8 @@
         if kind == Kind.REFUSAL:
             code, message = _decode_refusal(content)
             raise SeamError(ErrorCode(code), message)
+        if kind == Kind.COMPRESSED_MESSAGE:
+            return self._codec.decode_compressed(content)
         return self._codec.decode(content)
 
     def abort(self) -> None:
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -115,7 +115,9 @@
     ``replicas`` are those that form the group initially, and the group
     replaces failed replicas by itself; this host takes part in forming
     the group only if ``forms_group`` is set. Without ``secrets``, all
-    peers on the network are trusted.
+    peers on the network are trusted. ``assigns_witnesses`` is False in
+    fleets whose requests each enter at a single node, which needs no
+    witnesses to run them at most once.
     """
 
     name: str
@@ -129,6 +131,7 @@
     snapshot_every: int = 10_000
     automatic_repair: bool = False
     forms_group: bool = True
+    assigns_witnesses: bool = True
 
 
 def parse_name(text: str) -> str:
--- a/src/sequoiaseam/_uplink.py
+++ b/src/sequoiaseam/_uplink.py
@@ -61,7 +61,7 @@
         self._hooks = hooks
         self._queue: asyncio.Queue[Any] = asyncio.Queue(MAX_QUEUED_MESSAGES)
         self._attached_host: str | None = None
-        self._preferred_host = ""
+        self._preferred_hosts: frozenset[str] = frozenset()
         self._preferred_tried_at = clock.now() - PREFERRED_HOST_RETRY_INTERVAL
         self._last_pong_at = clock.now()
         self._confirmation_age = timedelta(0)
@@ -74,22 +74,23 @@
     def set_control_hosts(
         self,
         hosts: Mapping[str, Endpoint],
-        preferred_host: str = "",
+        preferred_hosts: frozenset[str] = frozenset(),
     ) -> None:
         """Replace the control hosts to attach to; no hosts keep the old ones.
 
-        Switch to ``preferred_host`` if it is known, unless it was tried
-        less than PREFERRED_HOST_RETRY_INTERVAL ago.
+        Switch to one of ``preferred_hosts``, unless one was tried less
+        than PREFERRED_HOST_RETRY_INTERVAL ago. The feed then stays within
+        the node's failure domain.
         """
         if hosts:
             self._hosts = dict(hosts)
-        self._preferred_host = preferred_host
+        self._preferred_hosts = preferred_hosts
 
     def _should_switch_host(self) -> bool:
-        """Return whether to switch to the preferred control host now."""
+        """Return whether to switch to a preferred control host now."""
         return (
-            self._preferred_host in self._hosts
-            and self._preferred_host != self._attached_host
+            not self._preferred_hosts.isdisjoint(self._hosts)
+            and self._attached_host not in self._preferred_hosts
             and self._clock.now() - self._preferred_tried_at
             >= PREFERRED_HOST_RETRY_INTERVAL
         )
@@ -123,12 +124,12 @@
                 )
 
     def _list_hosts_to_try(self) -> list[str]:
-        """Return the control hosts in random order, the preferred first."""
+        """Return the control hosts in random order, preferred ones first."""
         names = sorted(self._hosts)
         self._rng.shuffle(names)
-        if self._preferred_host in names:
+        if not self._preferred_hosts.isdisjoint(names):
             self._preferred_tried_at = self._clock.now()
-            names.sort(key=lambda name: name != self._preferred_host)
+            names.sort(key=lambda name: name not in self._preferred_hosts)
         return names or [""]
 
     async def _attach(self, name: str) -> None:
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -2,24 +2,14 @@
 
 import asyncio
 import unittest
-from datetime import datetime, timedelta
-from random import Random
+from datetime import timedelta
 from typing import Any, Final, cast
 
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sequoiaseam._access import TrustedNetwork
-from sequoiaseam._clock import ManualClock, ProcessClock
-from sequoiaseam._commands import Member, MemberState
-from sequoiaseam._control_messages import (
-    ATTACH_PATH,
-    NodeHello,
-    create_control_codec,
-)
-from sequoiaseam._feed import Ping, Pong
-from sequoiaseam._members import MemberReport
+from sequoiaseam._clock import ManualClock
 from sequoiaseam._mesh import LENGTH_PREFIX, FrameConnection, MeshLink
 from sequoiaseam._mesh_frames import (
     RunAnswer,
@@ -29,11 +19,9 @@
     decode_frame,
     encode_frame,
 )
-from sequoiaseam._rpc import RpcServer, Stream
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._uplink import Uplink, UplinkHooks
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import LOCALHOST
 
@@ -184,71 +172,5 @@
         await tasks.cancel()
 
 
-class UplinkTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against nodes that stay without a control host."""
-
-    async def test_attaches_again_after_an_unexpected_error(self) -> None:
-        clock = ProcessClock()
-        codec = create_control_codec()
-        attached = 0
-        attached_again = asyncio.Event()
-
-        async def serve_node(stream: Stream, _: object) -> None:
-            nonlocal attached
-            attached += 1
-            if attached > 1:
-                attached_again.set()
-            await stream.recv_message()
-            await stream.send_message(Pong(clock.now(), 0, timedelta(0)))
-            await stream.recv_message()
-            await stream.recv_message()
-
-        server = RpcServer(
-            TrustedNetwork("control"),
-            clock,
-            codec,
-            {ATTACH_PATH: serve_node},
-        )
-        await server.start(LOCALHOST, 0)
-        self.addAsyncCleanup(server.close)
-        assert server._listener is not None
-        endpoint = Endpoint(LOCALHOST, server._listener.port)
-
-        def fail(_: Any) -> None:
-            raise KeyError("unexpected")
-
-        uplink = Uplink(
-            {"control": endpoint},
-            codec,
-            clock,
-            Random(1),
-            UplinkHooks(
-                create_hello,
-                create_ping,
-                TrustedNetwork("node").create_proof,
-                fail,
-            ),
-        )
-        tasks = TaskGroup()
-        tasks.start(uplink.run())
-        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            await attached_again.wait()
-        await tasks.cancel()
-
-
-def create_hello() -> NodeHello:
-    """Return the subscription of a node without a backend server."""
-    member = Member(
-        *("node", 1, LOCALHOST, 1, "", "domain-1", "south"),
-        state=MemberState.JOINING,
-    )
-    return NodeHello(MemberReport(member, 1), 0)
-
-
-def create_ping(now: datetime) -> Ping:
-    """Return a ping of a node without any state."""
-    return Ping(now, 0)
-
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -48,7 +48,7 @@
         self.relay = Relay(port)
         await self.relay.start()
         self.link = ControlLink(
-            "one",
+            PeerHello("one"),
             "two",
             Endpoint("127.0.0.1", self.relay.port),
             codec,
--- /dev/null
+++ b/tests/test_uplink.py
@@ -0,0 +1,159 @@
+"""Tests of a node's choice of its control host."""
+
+import asyncio
+import unittest
+from datetime import datetime, timedelta
+from random import Random
+from typing import Any, Final
+
+from sequoiaseam._access import Identity, TrustedNetwork
+from sequoiaseam._clock import ProcessClock
+from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._control_messages import (
+    ATTACH_PATH,
+    ControlHosts,
+    NodeHello,
+    create_control_codec,
+)
+from sequoiaseam._feed import Ping, Pong
+from sequoiaseam._host_node import find_local_hosts
+from sequoiaseam._members import MemberReport
+from sequoiaseam._rpc import RpcServer, Stream
+from sequoiaseam._settings import Endpoint
+from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._uplink import Uplink, UplinkHooks
+from tests.hosts import LOCALHOST
+
+WAIT_LIMIT_SECONDS: Final = 20.0
+STALE_AGE: Final = timedelta(days=1)
+
+
+def create_hello() -> NodeHello:
+    """Return the subscription of a node without a backend server."""
+    member = Member(
+        *("node", 1, LOCALHOST, 1, "", "domain-1", "south"),
+        state=MemberState.JOINING,
+    )
+    return NodeHello(MemberReport(member, 1), 0)
+
+
+def create_ping(now: datetime) -> Ping:
+    """Return a ping of a node without any state."""
+    return Ping(now, 0)
+
+
+class ScriptedControlHost:
+    """A control host that answers pings with a confirmation of any age."""
+
+    def __init__(self) -> None:
+        self.confirmation_age = timedelta(0)
+        self.attached = asyncio.Event()
+        self.attached_count = 0
+        self._server = RpcServer(
+            TrustedNetwork("control"),
+            ProcessClock(),
+            create_control_codec(),
+            {ATTACH_PATH: self._serve},
+        )
+
+    async def start(self) -> Endpoint:
+        """Listen on an ephemeral port and return the address."""
+        await self._server.start(LOCALHOST, 0)
+        assert self._server._listener is not None
+        return Endpoint(LOCALHOST, self._server._listener.port)
+
+    async def close(self) -> None:
+        """Close all streams."""
+        await self._server.close()
+
+    async def _serve(self, stream: Stream, _: Identity) -> None:
+        self.attached_count += 1
+        self.attached.set()
+        async for message in stream:
+            if isinstance(message, Ping):
+                await stream.send_message(
+                    Pong(message.sent, 0, self.confirmation_age)
+                )
+
+
+class UplinkTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against nodes without a fresh control host."""
+
+    async def asyncSetUp(self) -> None:
+        self.controls = {
+            name: ScriptedControlHost() for name in ("near", "far")
+        }
+        self.endpoints = {}
+        for name, control in self.controls.items():
+            self.endpoints[name] = await control.start()
+            self.addAsyncCleanup(control.close)
+
+    async def start_uplink(
+        self, *names: str, handle_message: Any = lambda _: None
+    ) -> Uplink:
+        """Start an uplink that first knows only the named hosts."""
+        uplink = Uplink(
+            {name: self.endpoints[name] for name in names},
+            create_control_codec(),
+            ProcessClock(),
+            Random(1),
+            UplinkHooks(
+                create_hello,
+                create_ping,
+                TrustedNetwork("node").create_proof,
+                handle_message,
+            ),
+        )
+        tasks = TaskGroup()
+        tasks.start(uplink.run())
+        self.addAsyncCleanup(tasks.cancel)
+        return uplink
+
+    async def wait_until_attached(self, name: str) -> None:
+        """Wait until a host is attached after this call."""
+        control = self.controls[name]
+        control.attached.clear()
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await control.attached.wait()
+
+    async def test_attaches_again_after_an_unexpected_error(self) -> None:
+        def fail(_: Any) -> None:
+            raise KeyError("unexpected")
+
+        await self.start_uplink("near", handle_message=fail)
+        await self.wait_until_attached("near")
+        await self.wait_until_attached("near")
+
+    async def test_moves_to_the_control_host_of_its_domain(self) -> None:
+        uplink = await self.start_uplink("far")
+        await self.wait_until_attached("far")
+        uplink.set_control_hosts(self.endpoints, frozenset(("near",)))
+        await self.wait_until_attached("near")
+
+    async def test_leaves_a_near_host_that_is_not_up_to_date(self) -> None:
+        """Keep the lease alive although the near host is partitioned."""
+        self.controls["near"].confirmation_age = STALE_AGE
+        uplink = await self.start_uplink("far")
+        uplink.set_control_hosts(self.endpoints, frozenset(("near",)))
+        await self.wait_until_attached("near")
+        await self.wait_until_attached("far")
+
+    def test_local_hosts_are_those_of_the_domain(self) -> None:
+        cases: dict[str, tuple[ControlHosts, frozenset[str]]] = {
+            "one": (
+                ControlHosts(("a", "b"), "a", ("north", "south")),
+                frozenset("b"),
+            ),
+            "none": (
+                ControlHosts(("a", "b"), "a", ("north", "")),
+                frozenset(),
+            ),
+            "unknown": (ControlHosts(("a", "b"), "a"), frozenset()),
+        }
+        for name, (message, expected) in cases.items():
+            with self.subTest(name=name):
+                self.assertEqual(find_local_hosts(message, "south"), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
