Let calls stay in their domain and close links that no call uses

Cause: a node prefers its own domain only while a member there has reported spare capacity within 2 s. In a large fleet a node calls each single member less often, so that most choices fell to single latencies and half of the calls left a domain that had room. Each node also kept and checked a connection to every node that it had ever called, each a ping every 2 s. Change: the balancer keeps the mean load and the rate of failed calls of a pool's members inside and outside of its domain. Calls stay up to a mean load of 0.7, at which none waits, and beyond it unless the load elsewhere is lower by 0.2, which is the wait, in service times, that leaving saves. A link without calls for 10 s is closed and counts as reachable; only a node that was found unreachable is connected without a call.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -16,9 +16,20 @@
 # scores are better by these factors.
 OTHER_DOMAIN_PENALTY: Final = 1.3
 OTHER_REGION_PENALTY: Final = 3.0
-# While a member of the same failure domain reports a lower load, calls
-# stay there: traffic between domains costs more than a short wait.
+# Up to this mean load of the members in the same failure domain, a call
+# doesn't wait for a slot there, so that it gains nothing elsewhere.
 LOCAL_LOAD_MAX: Final = 0.7
+# Beyond it, a call leaves the domain if the mean load elsewhere is lower by
+# this much. A load that exceeds the slots by this fraction costs a wait of
+# the same fraction of the mean service time.
+LOAD_ADVANTAGE_MIN: Final = 0.2
+# Load that counts as much as all calls being refused or failing.
+UNSUCCESSFUL_LOAD: Final = 4.0
+# A report above this is taken as this, so that none decides alone.
+LOCALITY_LOAD_MAX: Final = 2.0
+LOCALITY_LOAD_LIFETIME: Final = timedelta(seconds=3)
+# Fraction of each report in the mean load of a domain's members.
+LOCALITY_SMOOTHING_FACTOR: Final = 0.1
 SMOOTHING_FACTOR: Final = 0.2
 # The latency of a member that isn't chosen decays with this half-life once
 # it is this old, so that one slow call doesn't exclude a member for good.
@@ -110,19 +121,6 @@
             ),
         )
 
-    def has_spare_capacity(self, now: datetime) -> bool:
-        """Return whether the member recently reported spare capacity."""
-        is_recent = (
-            self.load_reported_at is not None
-            and now - self.load_reported_at < REPORTED_LOAD_LIFETIME
-        )
-        return (
-            is_recent
-            and self.reported_load < LOCAL_LOAD_MAX
-            and not self.compute_unsuccessful_rate(now)
-            and now - self.ramp_started_at >= RAMP_DURATION
-        )
-
     def reset_failures(self) -> None:
         """Discard the results from before an ejection or its end."""
         self.failure_rate = 0.0
@@ -131,6 +129,43 @@
         self.consecutive_failures = 0
 
 
+@dataclass(slots=True)
+class _LocalityLoad:
+    """Mean load of a pool's members in this or in other failure domains.
+
+    Each node calls any single member too rarely to know its load.
+    """
+
+    load: float = 0.0
+    unsuccessful_rate: float = 0.0
+    reported_at: datetime | None = None
+
+    def record_load(self, now: datetime, load: float) -> None:
+        """Add a member's report; start anew after a time without any."""
+        if not self.is_known(now):
+            self.load, self.unsuccessful_rate = load, 0.0
+        self.load += LOCALITY_SMOOTHING_FACTOR * (load - self.load)
+        self.reported_at = now
+
+    def record_result(self, *, unsuccessful: bool) -> None:
+        """Add the result of a call."""
+        self.unsuccessful_rate += LOCALITY_SMOOTHING_FACTOR * (
+            unsuccessful - self.unsuccessful_rate
+        )
+
+    def is_known(self, now: datetime) -> bool:
+        """Return whether a member reported its load recently."""
+        return (
+            self.reported_at is not None
+            and now - self.reported_at < LOCALITY_LOAD_LIFETIME
+        )
+
+    def compute_excess(self) -> float:
+        """Return the load beyond which calls wait or fail, 0 if none."""
+        unsuccessful_load = UNSUCCESSFUL_LOAD * self.unsuccessful_rate
+        return max(0.0, self.load + unsuccessful_load - LOCAL_LOAD_MAX)
+
+
 @dataclass(slots=True)
 class _PoolMembers:
     """Members of one pool, grouped by locality."""
@@ -162,6 +197,8 @@
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
         self._groups: dict[str, _PoolMembers] = {}
+        # By pool, and whether the members are in this failure domain.
+        self._locality_loads: dict[tuple[str, bool], _LocalityLoad] = {}
 
     def update(self, now: datetime, members: Mapping[str, Member]) -> None:
         """Set the members of the pools that this node calls."""
@@ -195,9 +232,10 @@
         if probed is not None:
             probed.probe_started_at = now
             return probed.member.name
-        local = self._choose_local(now, group, exclude)
-        if local is not None:
-            return local.member.name
+        if self._prefers_local(now, pool):
+            local = self._choose_local(now, group, exclude)
+            if local is not None:
+                return local.member.name
         best: _Peer | None = None
         least = 0.0
         for peers, penalty in (
@@ -211,21 +249,44 @@
                     best, least = peer, score
         return best.member.name if best else None
 
+    def _prefers_local(self, now: datetime, pool: str) -> bool:
+        """Return whether a call should stay in this failure domain.
+
+        It stays there while it would not wait much less elsewhere.
+        """
+        local = self._get_locality_load(pool, local=True)
+        if not local.is_known(now):
+            return False
+        excess = local.compute_excess()
+        if not excess:
+            return True
+        elsewhere = self._get_locality_load(pool, local=False)
+        return (
+            elsewhere.is_known(now)
+            and excess - elsewhere.compute_excess() < LOAD_ADVANTAGE_MIN
+        )
+
+    def _get_locality_load(self, pool: str, *, local: bool) -> _LocalityLoad:
+        return self._locality_loads.setdefault((pool, local), _LocalityLoad())
+
+    def _get_load_around(self, peer: _Peer) -> _LocalityLoad:
+        """Return the mean load of the members that a peer is one of."""
+        member = peer.member
+        is_local = (
+            member.domain == self._domain and member.region == self._region
+        )
+        return self._get_locality_load(member.pool, local=is_local)
+
     def _choose_local(
         self,
         now: datetime,
         group: _PoolMembers,
         exclude: frozenset[str],
     ) -> _Peer | None:
-        """Return the better of two local members with spare capacity.
-
-        Local members are in this node's failure domain.
-        """
+        """Return the better of two members in this failure domain."""
         best: _Peer | None = None
         least = 0.0
         for peer in self._sample_two(group.local, exclude):
-            if not peer.has_spare_capacity(now):
-                continue
             score = self._score(now, group, peer)
             if best is None or score < least:
                 best, least = peer, score
@@ -253,6 +314,7 @@
         peer.in_flight = max(0, peer.in_flight - 1)
         peer.last_heard_at = now
         unsuccessful = result is not CallResult.OK
+        self._get_load_around(peer).record_result(unsuccessful=unsuccessful)
         peer.unsuccessful_rate = peer.compute_unsuccessful_rate(now)
         peer.unsuccessful_rate += SMOOTHING_FACTOR * (
             unsuccessful - peer.unsuccessful_rate
@@ -283,9 +345,12 @@
             peer.ramp_started_at = now
 
     def record_load(self, now: datetime, name: str, load: float) -> None:
-        """Record the load from 0 to 1 that a member reports."""
+        """Record the load that a member reports, over 1 if calls wait."""
         peer = self._peers.get(name)
         if peer is not None and load == load:
+            self._get_load_around(peer).record_load(
+                now, min(LOCALITY_LOAD_MAX, max(0.0, load))
+            )
             peer.reported_load = min(1.0, max(0.0, load))
             peer.load_reported_at = now
 
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -38,6 +38,9 @@
 LENGTH_PREFIX: Final = struct.Struct(">I")
 FRAME_MAX_BYTES: Final = 72 * 1024 * 1024
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
+# A link without calls for this long is closed, so that in a large fleet a
+# node holds and checks only the connections that it uses.
+LINK_IDLE_TIMEOUT: Final = timedelta(seconds=10)
 
 
 ResultCallback = Callable[[RunResult | None], None]
@@ -143,6 +146,11 @@
             bool(self._outgoing) or self._transport.get_write_buffer_size() > 0
         )
 
+    def close_idle(self) -> None:
+        """Close the connection without notifying its owner."""
+        self._on_close = lambda: None
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         if self._transport is not None:
@@ -153,7 +161,7 @@
     """Connection from this node to another, opened on demand.
 
     ``on_reachability_change`` is called with whether the other node can
-    be reached.
+    be reached. It isn't called when a connection is closed as idle.
     """
 
     def __init__(
@@ -165,6 +173,7 @@
         self.endpoint = endpoint
         self._on_reachability_change = on_reachability_change
         self._closed = False
+        self._unreachable = False
         self._clock = clock
         self._connection: FrameConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
@@ -173,6 +182,7 @@
         self._next_id = 0
         self._ping_count = 0
         self._last_activity = clock.now()
+        self._last_call_at = clock.now()
 
     def call(self, call: RunCall, on_result: ResultCallback) -> int:
         """Send a call and return its id, which ``cancel`` accepts.
@@ -185,6 +195,7 @@
         call_id = self._next_id
         call = msgspec.structs.replace(call, call_id=call_id)
         self._pending[call_id] = on_result
+        self._last_call_at = self._clock.now()
         if self._connection is not None:
             self._connection.post(call)
         else:
@@ -223,10 +234,12 @@
                 peer=str(self.endpoint),
                 error=type(error).__name__,
             )
+            self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
             self._fail_unsent()
         else:
             self._connection = connection
+            self._unreachable = False
             self._last_activity = self._clock.now()
             self._on_reachability_change(True)  # noqa: FBT003
             unsent, self._unsent = self._unsent, {}
@@ -251,6 +264,7 @@
         """Report all calls that were sent as lost: each may have run."""
         self._connection = None
         if not self._closed:
+            self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
         pending, self._pending = self._pending, {}
         unsent = set(self._unsent)
@@ -269,7 +283,13 @@
         """
         connection = self._connection
         if connection is None:
-            self._start_connecting()
+            if self._unreachable:
+                self._start_connecting()
+            return
+        is_idle = now - self._last_call_at >= LINK_IDLE_TIMEOUT
+        if is_idle and not self._pending:
+            self._connection = None
+            connection.close_idle()
             return
         if connection.received_data:
             # Any received data proves as much as a returned ping.
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,134 @@
+"""Tests of the links between nodes."""
+
+import unittest
+from datetime import timedelta
+from typing import Any, Final, cast
+
+from sequoiaseam._clock import ManualClock
+from sequoiaseam._mesh import (
+    LINK_IDLE_TIMEOUT,
+    FrameConnection,
+    MeshLink,
+)
+from sequoiaseam._mesh_frames import Frame, MeshPing, RunAnswer, RunCall
+from sequoiaseam._settings import Endpoint
+from sequoiaseam._tables import Importance
+from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+
+CALL: Final = RunCall(
+    *(1, "read", "store", "GET", "/", b"", b"", "id", "", "open"),
+    *(Importance.NORMAL, 1.0, 10, 1000, False, True, False),
+)
+
+
+class RecordingTransport:
+    """A transport that records whether it was aborted."""
+
+    def __init__(self) -> None:
+        self.aborted = False
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class RecordingConnection(FrameConnection):
+    """A connection that records the frames to send."""
+
+    def __init__(self, link: MeshLink) -> None:
+        super().__init__(link._handle_frame, link._handle_close)
+        self.posted: list[Frame] = []
+
+    def post(self, frame: Frame) -> None:
+        self.posted.append(frame)
+
+
+class OpenLink:
+    """A link with an open connection whose frames are recorded."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.reachable: list[bool] = []
+        self.connecting_count = 0
+        self.link = MeshLink(
+            Endpoint("127.0.0.1", 1), self.clock, self.reachable.append
+        )
+        self.link._start_connecting = (  # type: ignore[method-assign]
+            self.count_connecting
+        )
+        self.connect()
+
+    def connect(self) -> None:
+        """Give the link a new connection."""
+        self.transport = RecordingTransport()
+        self.connection = RecordingConnection(self.link)
+        self.connection.connection_made(cast("Any", self.transport))
+        self.link._connection = self.connection
+
+    def count_connecting(self) -> None:
+        """Count attempts to connect instead of making them."""
+        self.connecting_count += 1
+
+    def run_ticks(self, duration: timedelta, *, echo: bool = True) -> None:
+        """Check the link regularly for a time, with echoes to its pings."""
+        end = self.clock.now() + duration
+        while self.clock.now() < end:
+            self.link.tick(self.clock.advance(CONNECTION_PING_INTERVAL))
+            self.connection.received_data = echo
+
+
+class IdleLinkTest(unittest.TestCase):
+    """Guards against the cost of connections that no call uses."""
+
+    def test_an_idle_link_is_closed_and_stays_reachable(self) -> None:
+        harness = OpenLink()
+        harness.run_ticks(LINK_IDLE_TIMEOUT + 5 * CONNECTION_PING_INTERVAL)
+        self.assertTrue(harness.transport.aborted)
+        harness.connection.connection_lost(None)
+        self.assertEqual(harness.reachable, [])
+        self.assertEqual(harness.connecting_count, 0)
+
+    def test_a_call_opens_a_closed_link_again(self) -> None:
+        harness = OpenLink()
+        harness.run_ticks(2 * LINK_IDLE_TIMEOUT)
+        harness.link.call(CALL, lambda _: None)
+        self.assertEqual(harness.connecting_count, 1)
+
+    def test_a_late_close_does_not_affect_the_next_connection(self) -> None:
+        harness = OpenLink()
+        harness.run_ticks(2 * LINK_IDLE_TIMEOUT)
+        old_connection = harness.connection
+        harness.connect()
+        results: list[object] = []
+        harness.link.call(CALL, results.append)
+        old_connection.connection_lost(None)
+        self.assertEqual((results, harness.reachable), ([], []))
+
+    def test_a_link_with_a_call_in_progress_stays_open(self) -> None:
+        harness = OpenLink()
+        call_id = harness.link.call(CALL, lambda _: None)
+        harness.run_ticks(3 * LINK_IDLE_TIMEOUT)
+        self.assertFalse(harness.transport.aborted)
+        pings = [
+            p for p in harness.connection.posted if isinstance(p, MeshPing)
+        ]
+        self.assertGreater(len(pings), 10)
+        harness.link._handle_frame(
+            RunAnswer(call_id, 200, b"", b"", 0, 0.0, [])
+        )
+        harness.run_ticks(CONNECTION_PING_INTERVAL)
+        self.assertTrue(harness.transport.aborted)
+
+    def test_a_silent_link_is_lost_and_connected_again(self) -> None:
+        harness = OpenLink()
+        results: list[object] = []
+        harness.link.call(CALL, results.append)
+        harness.run_ticks(2 * CONNECTION_TIMEOUT, echo=False)
+        self.assertTrue(harness.transport.aborted)
+        harness.connection.connection_lost(None)
+        self.assertEqual((results, harness.reachable), ([None], [False]))
+        harness.run_ticks(CONNECTION_PING_INTERVAL)
+        self.assertEqual(harness.connecting_count, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
