Run pipelined requests side by side and answer what was passed on

Cause, read from the code: malformed bytes behind a request in progress closed its connection without the answer; thousands of refused pipelined requests recursed; the timer of a request that waited behind another started when it was handled, so that it ran beyond its caller's deadline; a slow request held up the idempotent ones behind it. Change: up to four pipelined requests with safe methods are handled at a time, responses wait for their turn; others wait for the response before. In a stop the connection closes with the last response to what was passed on. Malformed bytes are answered after the complete requests before them. The timeout counts from the arrival of a request, and one that is over is refused as not run.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -24,8 +24,14 @@
 HeaderFields = list[tuple[bytes, bytes]]
 
 SWEEP_INTERVAL: Final = timedelta(milliseconds=250)
-# Requests read beyond the one in progress before reading is paused.
+# Requests read beyond those in progress before reading is paused.
 PIPELINED_REQUESTS_MAX: Final = 4
+# Pipelined requests handled at the same time. The responses of all but the
+# first are held back until it is their turn.
+CONCURRENT_REQUESTS_MAX: Final = 4
+# Pipelined requests with other methods wait for the response to the one
+# before (RFC 9112, section 9.3.2).
+SAFE_METHODS: Final = frozenset(("GET", "HEAD", "OPTIONS"))
 METHOD_PATTERN: Final = re.compile(r"[A-Z]{1,20}")
 CONTENT_LENGTH_PATTERN: Final = re.compile(rb"[0-9]{1,18}")
 FIELD_VALUE_PATTERN: Final = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
@@ -91,6 +97,16 @@
         self.connection.respond(self, status, header_lines, body, length)
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """A response until it is written; see ``HttpRequest.respond``."""
+
+    status: int
+    header_lines: bytes
+    body: bytes
+    length: int | None
+
+
 class MalformedRequestError(Exception):
     """A request that is rejected before it is complete."""
 
@@ -173,8 +189,16 @@
         self._server = server
         self._transport: Any = None
         self._parser = httptools.HttpRequestParser(self)
-        self._pipelined_requests: deque[HttpRequest] = deque()
-        self._current_request: HttpRequest | None = None
+        # Requests not yet handled, and those in progress, in order.
+        self._waiting: deque[HttpRequest] = deque()
+        self._in_progress: deque[HttpRequest] = deque()
+        # Responses that wait for the one to the first request in progress.
+        self._held_responses: dict[int, _Response] = {}
+        # Whether ``_start_waiting`` is running, which must not recurse.
+        self._starting = False
+        # Error in what follows the last complete request.
+        self._malformed: MalformedRequestError | None = None
+        self._reading_paused = False
         self._phase_started_at = server.last_swept_at
         self._reading = False
         self._reset_request()
@@ -190,9 +214,9 @@
     def busy(self) -> bool:
         """Return whether a request or its response is in progress."""
         return (
-            self._current_request is not None
+            bool(self._in_progress)
             or self._reading
-            or bool(self._pipelined_requests)
+            or bool(self._waiting)
             or self._transport.get_write_buffer_size() > 0
         )
 
@@ -204,23 +228,23 @@
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Notify the handler of the current request of the disconnect."""
+        """Notify the handler of the disconnect."""
         del exc
         self._server.connections.discard(self)
-        self._pipelined_requests.clear()
-        current_request, self._current_request = self._current_request, None
-        if (
-            current_request is not None
-            and current_request.on_disconnect is not None
-        ):
-            current_request.on_disconnect()
+        self._waiting.clear()
+        in_progress, self._in_progress = self._in_progress, deque()
+        for request in in_progress:
+            if request.on_disconnect is not None:
+                request.on_disconnect()
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed ones are not supported."""
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data."""
+        """Parse received data; ignore any that follows a malformed request."""
+        if self._malformed is not None:
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -299,7 +323,7 @@
             raise MalformedRequestError(
                 417, "unsupported value of the Expect field"
             )
-        if self._current_request is None and not self._pipelined_requests:
+        if not self._in_progress and not self._waiting:
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
@@ -312,7 +336,7 @@
         self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Handle the request, or queue it behind the current one."""
+        """Handle the request, or queue it behind those in progress."""
         self._reading = False
         now = self._server.clock.now()
         self._phase_started_at = now
@@ -325,13 +349,35 @@
             self._parser.should_keep_alive(),
             self,
         )
-        if self._current_request is not None:
-            self._pipelined_requests.append(request)
-            if len(self._pipelined_requests) >= PIPELINED_REQUESTS_MAX:
-                self._transport.pause_reading()
+        self._waiting.append(request)
+        self._start_waiting()
+        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
+            self._pause_reading()
+
+    def _start_waiting(self) -> None:
+        """Handle waiting requests, as far as they may run side by side."""
+        if self._starting:
             return
-        self._current_request = request
-        self._server.handler.handle(request)
+        self._starting = True
+        while self._waiting and self._may_start(self._waiting[0]):
+            request = self._waiting.popleft()
+            self._in_progress.append(request)
+            self._server.handler.handle(request)
+        self._starting = False
+
+    def _pause_reading(self) -> None:
+        if not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _may_start(self, request: HttpRequest) -> bool:
+        in_progress = self._in_progress
+        return not in_progress or (
+            len(in_progress) < CONCURRENT_REQUESTS_MAX
+            and request.method in SAFE_METHODS
+            and all(r.method in SAFE_METHODS for r in in_progress)
+            and not self._server.closing
+        )
 
     # Responses.
 
@@ -343,21 +389,51 @@
         body: bytes,
         length: int | None,
     ) -> None:
-        """Send the response, unless the request is no longer current."""
-        if request is not self._current_request:
+        """Send the response once the ones before it have been sent.
+
+        It is dropped if the request is no longer in progress.
+        """
+        if request not in self._in_progress:
             return
-        self._current_request = None
+        response = _Response(status, header_lines, body, length)
+        self._held_responses[id(request)] = response
+        while self._in_progress:
+            first = self._in_progress[0]
+            next_response = self._held_responses.pop(id(first), None)
+            if next_response is None:
+                return
+            self._in_progress.popleft()
+            if self._send(first, next_response):
+                return
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        self._start_waiting()
+
+    def _send(self, request: HttpRequest, response: _Response) -> bool:
+        """Send a response; return whether the connection is then closed.
+
+        The last response before a close may not leave behind a request
+        that is in progress. Callers send waiting requests again.
+        """
         self._phase_started_at = self._server.last_swept_at
-        should_close = self._server.closing or not request.keep_alive
+        should_close = not request.keep_alive or (
+            self._server.closing and not self._in_progress
+        )
         self._write(
-            request.method, status, header_lines, body, length, should_close
+            request.method,
+            response.status,
+            response.header_lines,
+            response.body,
+            response.length,
+            should_close,
         )
+        if not should_close and not self._in_progress and not self._waiting:
+            should_close = self._refuse_malformed()
         if should_close:
+            self._waiting.clear()
             self._transport.close()
-        elif self._pipelined_requests:
-            self._current_request = self._pipelined_requests.popleft()
-            self._transport.resume_reading()
-            self._server.handler.handle(self._current_request)
+        return should_close
 
     def _write(
         self,
@@ -387,16 +463,31 @@
         )
 
     def _refuse(self, error: MalformedRequestError) -> None:
-        """Respond to a malformed request and close the connection."""
+        """Respond to a malformed request and close the connection.
+
+        Complete requests before it are answered first.
+        """
         log_event(
             Level.INFO,
             "malformed request refused",
             status=error.status,
             reason=error.reason,
         )
-        if self._current_request is None and not self._pipelined_requests:
-            self._write("GET", error.status, b"", b"", 0, should_close=True)
-        self._transport.close()
+        self._reading = False
+        self._malformed = error
+        if self._in_progress or self._waiting:
+            self._pause_reading()
+        else:
+            self._refuse_malformed()
+            self._transport.close()
+
+    def _refuse_malformed(self) -> bool:
+        """Respond to a malformed request, if there was one."""
+        if self._malformed is None:
+            return False
+        status = self._malformed.status
+        self._write("GET", status, b"", b"", 0, should_close=True)
+        return True
 
     # Timeouts and closing.
 
@@ -404,7 +495,7 @@
         """Close the connection if the caller is too slow or idle too long."""
         limits = self._server.limits
         age = now - self._phase_started_at
-        if self._current_request is not None:
+        if self._in_progress:
             return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -178,6 +178,12 @@
             self._refuse(pending, code)
             return
         self._set_deadline(pending)
+        if pending.deadline is not None and (
+            pending.deadline <= self._clock.now()
+        ):
+            # It waited behind another request on its connection.
+            self._refuse(pending, ErrorCode.DEADLINE)
+            return
         if pending.nested:
             self._inherit_from_parent(pending)
         self._check_overload(pending)
@@ -263,8 +269,9 @@
         if value is not None and value.isdigit():
             timeout = min(timeout, int(value) * MILLISECOND)
         pending.deadline = request.arrived_at + timeout
+        remaining = pending.deadline - self._clock.now()
         pending.timer = asyncio.get_running_loop().call_later(
-            timeout.total_seconds(),
+            max(0.0, remaining.total_seconds()),
             self._expire,
             pending,
         )
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -21,6 +21,7 @@
     ScriptedServer,
     echo_body,
     format_request,
+    read_response,
 )
 
 WAIT_LIMIT_SECONDS = 20.0
@@ -294,6 +295,27 @@
             await request.closed.wait()
 
 
+class PipelinedDeadlineTest(HostTestCase):
+    """Guards against pipelined requests that outlive their deadlines."""
+
+    async def test_time_behind_another_request_counts(self) -> None:
+        cluster = await self.start_cluster((never_respond,))
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0]
+        )
+        writer.write(
+            format_request("/order/1", "X-Left-Ms: 300", method="POST")
+            + format_request("/order/2", "X-Left-Ms: 200", method="POST")
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            first = await read_response(reader)
+            second = await read_response(reader)
+        self.assertEqual((first.status, second.status), (504, 503))
+        self.assertIn(b"DEADLINE", second.body)
+        self.assertEqual(len(cluster.servers[0].received), 1)
+        writer.close()
+
+
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
 
