Judge by its own route's service time whether a request is too late

Nested calls of 15 ms with short deadlines run on servers whose other requests take 900 ms, so they were refused at once and failed the runs that made them. With a standing queue, the limit on the wait was also compared with the 90th percentile, so that a request whose times vary was refused without waiting. Change: service times are kept by latency group (the route), and a ticket has its deadline and the time by which it must start apart. Result: MixedDeadlineTest, a server whose long requests hold its slots while short calls arrive.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -98,14 +98,6 @@
         """Return how many requests may be processed concurrently."""
         return self._limiter.limit
 
-    def estimate_service_time(self, now: datetime) -> timedelta:
-        """Return the expected service time of a request.
-
-        A ticket is refused once less time than this is left until its
-        deadline.
-        """
-        return self._limiter.service_times.estimate(now)
-
     def offer(
         self,
         now: datetime,
@@ -207,11 +199,10 @@
     def next_due(self, now: datetime) -> datetime:
         """Return when to call ``tick`` next."""
         due = now + TICK_INTERVAL
-        deadline = self._queue.find_next_deadline()
-        if deadline is None:
-            return due
-        latest_start = deadline - self._limiter.service_times.estimate(now)
-        return max(now, min(due, latest_start))
+        expiry = self._queue.find_next_expiry(
+            lambda group: self._limiter.service_times.estimate(now, group)
+        )
+        return due if expiry is None else max(now, min(due, expiry))
 
     def configure(
         self,
@@ -267,10 +258,13 @@
         # With a standing queue, don't spend a slot on a ticket that could
         # only just meet its deadline.
         has_standing_queue = self._has_standing_queue(now)
-        min_deadline = now + self._limiter.service_times.estimate(
-            now, p90=has_standing_queue
-        )
-        for expired in self._queue.expire(min_deadline):
+        service_times = self._limiter.service_times
+        for expired in self._queue.expire(
+            now,
+            lambda group: service_times.estimate(
+                now, group, p90=has_standing_queue
+            ),
+        ):
             self._pressure_gauge.record_refusal(expired.importance)
             code = ErrorCode.DEADLINE
             actions.append(self._refuse(expired.ticket_id, code))
@@ -327,7 +321,7 @@
             and not ticket.exclusive
             and self._has_free_slot()
             and ticket.deadline - now
-            >= self._limiter.service_times.estimate(now)
+            >= self._limiter.service_times.estimate(now, ticket.latency_group)
         )
 
     def _has_free_slot(self) -> bool:
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -215,21 +215,16 @@
         elif not self._allow_run(now, call):
             self._refuse(run, ErrorCode.RETRIES_EXHAUSTED)
         else:
-            max_slot_wait = call.patience_ms * MILLISECOND
-            wait_until = (
-                now
-                + max_slot_wait
-                + session.admission.estimate_service_time(now)
-            )
             ticket = Ticket(
                 run.ticket_id,
                 call.importance,
                 call.account,
                 call.weight,
                 now,
-                min(run.deadline, wait_until),
+                run.deadline,
                 call.begun,
                 latency_group=call.route,
+                start_by=now + call.patience_ms * MILLISECOND,
             )
             self._apply_actions(
                 now, session, session.admission.offer(now, ticket)
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -144,6 +144,33 @@
         return timedelta(seconds=seconds * HALF ** min(idle, 60))
 
 
+class ServiceTimes:
+    """Recent service times by latency group.
+
+    A server may run requests of very different durations, so that a
+    value for all of them would fit none.
+    """
+
+    def __init__(self) -> None:
+        self._estimators: dict[str, ServiceTimeEstimator] = {}
+
+    def record(self, now: datetime, group: str, latency: float) -> None:
+        """Add a service time in seconds."""
+        estimator = self._estimators.get(group)
+        if estimator is None:
+            estimator = self._estimators[group] = ServiceTimeEstimator()
+        estimator.record(now, latency)
+
+    def estimate(
+        self, now: datetime, group: str, *, p90: bool = False
+    ) -> timedelta:
+        """Return the estimate for a group, 0 if it is unknown."""
+        estimator = self._estimators.get(group)
+        if estimator is None:
+            return timedelta(0)
+        return estimator.estimate(now, p90=p90)
+
+
 @dataclass(slots=True)
 class _GroupBaseline:
     """Baseline latency of a group and its normalized latencies in a window."""
@@ -238,7 +265,8 @@
         self._integrated_at = now
         self._settling = False
         self._reset_window(now)
-        self.service_times = ServiceTimeEstimator()
+        self.service_times = ServiceTimes()
+        self._mixed_service_times = ServiceTimeEstimator()
 
     @property
     def limit(self) -> int:
@@ -291,7 +319,8 @@
             self._handle_shed(now, concurrency)
         elif completion in (Completion.OK, Completion.TIMEOUT):
             latency = (now - started).total_seconds()
-            self.service_times.record(now, latency)
+            self.service_times.record(now, latency_group, latency)
+            self._mixed_service_times.record(now, latency)
             self._record_completion(now, started)
             own_time = max(0.0, latency - nested.total_seconds())
             self._record_latency(started, own_time, completion, latency_group)
@@ -402,7 +431,9 @@
             and now - trial.started_at < SHED_TRIAL_DURATION_MAX
         ):
             return
-        median_seconds = self.service_times.estimate(now).total_seconds()
+        median_seconds = self._mixed_service_times.estimate(
+            now
+        ).total_seconds()
         pause = max(SHED_CUT_INTERVAL_MIN_SECONDS, 2 * median_seconds)
         last_cut_at = self._last_shed_cut_at
         if (
--- a/src/sequoiaseam/_queue.py
+++ b/src/sequoiaseam/_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
@@ -20,6 +21,8 @@
     whose call tree has already used capacity. ``exclusive`` marks a
     request that may crash the server; it runs only while no other
     request does. ``latency_group`` groups requests of similar latency.
+    ``deadline`` is when the response must be complete. ``start_by`` is
+    how long the ticket may wait, so that a refusal isn't late.
     """
 
     ticket_id: int
@@ -31,6 +34,7 @@
     begun: bool
     exclusive: bool = False
     latency_group: str = ""
+    start_by: datetime | None = None
 
     @property
     def priority(self) -> int:
@@ -122,7 +126,10 @@
         self._fair_queues = [_FairQueue() for _ in range(PRIORITY_COUNT)]
         self._tickets: dict[int, Ticket] = {}
         self._counts_by_priority = [0] * PRIORITY_COUNT
-        self._deadline_heap: list[tuple[datetime, int]] = []
+        # By latency group, because how long before its deadline a ticket
+        # must start depends on its group.
+        self._deadline_heaps: dict[str, list[tuple[datetime, int]]] = {}
+        self._start_by_heap: list[tuple[datetime, int]] = []
         self._arrival_order: deque[Ticket] = deque()
 
     def __len__(self) -> int:
@@ -142,9 +149,12 @@
         self._tickets[ticket.ticket_id] = ticket
         self._counts_by_priority[ticket.priority] += 1
         self._fair_queues[ticket.priority].push(ticket)
-        heapq.heappush(
-            self._deadline_heap, (ticket.deadline, ticket.ticket_id)
-        )
+        heap = self._deadline_heaps.setdefault(ticket.latency_group, [])
+        heapq.heappush(heap, (ticket.deadline, ticket.ticket_id))
+        if ticket.start_by is not None:
+            heapq.heappush(
+                self._start_by_heap, (ticket.start_by, ticket.ticket_id)
+            )
         self._arrival_order.append(ticket)
 
     def peek(
@@ -215,24 +225,54 @@
             return flow.tickets[0 if newest_first else -1]
         return None
 
-    def expire(self, min_deadline: datetime) -> tuple[Ticket, ...]:
-        """Remove and return tickets due before ``min_deadline``."""
-        expired = []
-        while self._deadline_heap and self._deadline_heap[0][0] < min_deadline:
-            _, ticket_id = heapq.heappop(self._deadline_heap)
-            ticket = self.remove(ticket_id)
-            if ticket is not None:
-                expired.append(ticket)
-        if len(self._deadline_heap) > 2 * len(self._tickets) + 64:
+    def expire(
+        self, now: datetime, get_service_time: Callable[[str], timedelta]
+    ) -> tuple[Ticket, ...]:
+        """Remove and return the tickets that it is too late to start.
+
+        They have waited for as long as they may, or can't end by their
+        deadlines. ``get_service_time`` returns the expected service time
+        of a latency group.
+        """
+        expired = self._pop_before(self._start_by_heap, now)
+        for latency_group, heap in list(self._deadline_heaps.items()):
+            expired += self._pop_before(
+                heap, now + get_service_time(latency_group)
+            )
+            if not heap:
+                del self._deadline_heaps[latency_group]
+        heap_size = sum(map(len, self._deadline_heaps.values()))
+        if heap_size > 2 * len(self._tickets) + 64:
             self._compact()
         return tuple(expired)
 
-    def find_next_deadline(self) -> datetime | None:
-        """Return the earliest deadline.
+    def _pop_before(
+        self, heap: list[tuple[datetime, int]], limit: datetime
+    ) -> list[Ticket]:
+        """Remove and return the tickets of a heap that are due earlier."""
+        popped = []
+        while heap and heap[0][0] < limit:
+            _, ticket_id = heapq.heappop(heap)
+            ticket = self.remove(ticket_id)
+            if ticket is not None:
+                popped.append(ticket)
+        return popped
 
-        It may belong to a ticket that has already left the queue.
+    def find_next_expiry(
+        self, get_service_time: Callable[[str], timedelta]
+    ) -> datetime | None:
+        """Return when the next ticket becomes too late, None without any.
+
+        It may be a ticket that has already left the queue.
         """
-        return self._deadline_heap[0][0] if self._deadline_heap else None
+        expiries = [
+            heap[0][0] - get_service_time(latency_group)
+            for latency_group, heap in self._deadline_heaps.items()
+            if heap
+        ]
+        if self._start_by_heap:
+            expiries.append(self._start_by_heap[0][0])
+        return min(expiries, default=None)
 
     def measure_oldest_wait(self, now: datetime) -> timedelta:
         """Return how long the oldest ticket in the queue has waited."""
@@ -243,10 +283,14 @@
         return timedelta(0)
 
     def _compact(self) -> None:
-        self._deadline_heap = [
-            entry for entry in self._deadline_heap if entry[1] in self._tickets
+        self._deadline_heaps = {}
+        for ticket in self._tickets.values():
+            heap = self._deadline_heaps.setdefault(ticket.latency_group, [])
+            heapq.heappush(heap, (ticket.deadline, ticket.ticket_id))
+        self._start_by_heap = [
+            entry for entry in self._start_by_heap if entry[1] in self._tickets
         ]
-        heapq.heapify(self._deadline_heap)
+        heapq.heapify(self._start_by_heap)
         self._arrival_order = deque(
             t for t in self._arrival_order if t.ticket_id in self._tickets
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -29,6 +29,8 @@
     patience: timedelta = timedelta(seconds=5),
     begun: bool = False,
     exclusive: bool = False,
+    latency_group: str = "",
+    max_wait: timedelta | None = None,
 ) -> Ticket:
     """Return a ticket whose deadline is ``patience`` after its arrival."""
     return Ticket(
@@ -40,6 +42,8 @@
         arrived + patience,
         begun,
         exclusive,
+        latency_group,
+        None if max_wait is None else arrived + max_wait,
     )
 
 
@@ -151,6 +155,94 @@
         self.assertEqual(list_refused(actions), [(2, ErrorCode.DEADLINE)])
 
 
+class MixedDeadlineTest(unittest.TestCase):
+    """Guards against requests refused for the duration of other ones.
+
+    The load is a server whose long requests hold its slots while nested
+    calls with short deadlines arrive.
+    """
+
+    def build_busy(self) -> Admission:
+        """Return the admission of a server that runs mostly long requests."""
+        admission = build_admission(slots=2)
+        now = EPOCH
+        for ticket_id in range(1, 61):
+            group, duration = ("long", 900 * MS)
+            if ticket_id % 5 == 0:
+                group, duration = ("short", 20 * MS)
+            admission.offer(
+                now,
+                build_ticket(ticket_id, arrived=now, latency_group=group),
+            )
+            now += duration
+            admission.finish(now, ticket_id, Completion.OK)
+        self.now = now
+        return admission
+
+    def test_a_short_call_starts_on_a_free_slot(self) -> None:
+        admission = self.build_busy()
+        ticket = build_ticket(
+            100,
+            arrived=self.now,
+            patience=300 * MS,
+            latency_group="short",
+            max_wait=100 * MS,
+        )
+        self.assertEqual(
+            list_started(admission.offer(self.now, ticket)), [100]
+        )
+
+    def test_a_short_call_waits_for_a_slot(self) -> None:
+        admission = self.build_busy()
+        for ticket_id in (100, 101):
+            ticket = build_ticket(
+                ticket_id, arrived=self.now, latency_group="long"
+            )
+            admission.offer(self.now, ticket)
+        ticket = build_ticket(
+            102,
+            arrived=self.now,
+            patience=300 * MS,
+            latency_group="short",
+            max_wait=200 * MS,
+        )
+        self.assertEqual(admission.offer(self.now, ticket), ())
+        later = self.now + 150 * MS
+        self.assertEqual(admission.tick(later), ())
+        self.assertEqual(
+            list_started(admission.finish(later, 100, Completion.OK)), [102]
+        )
+
+    def test_a_long_request_without_enough_time_is_refused(self) -> None:
+        admission = self.build_busy()
+        ticket = build_ticket(
+            100,
+            arrived=self.now,
+            patience=300 * MS,
+            latency_group="long",
+            max_wait=200 * MS,
+        )
+        self.assertEqual(
+            list_refused(admission.offer(self.now, ticket)),
+            [(100, ErrorCode.DEADLINE)],
+        )
+
+    def test_a_request_waits_no_longer_than_it_may(self) -> None:
+        admission = self.build_busy()
+        for ticket_id in (100, 101, 102):
+            ticket = build_ticket(
+                ticket_id,
+                arrived=self.now,
+                latency_group="long",
+                max_wait=100 * MS,
+            )
+            admission.offer(self.now, ticket)
+        self.assertEqual(
+            list_refused(admission.tick(self.now + 101 * MS)),
+            [(102, ErrorCode.DEADLINE)],
+        )
+
+
 class CancelAndDrainTest(unittest.TestCase):
     """Guards against leaked slots and starts after cancel or drain."""
 
