Confirm the configuration as soon as a leader is known

Nodes that started before the control hosts waited a second for connections that nobody answered. Change: a change of role or leader ends the wait for the next confirmation; pings that came without a recent confirmation are answered again with the next one; a connection attempt to a control host is given up after 0.5 s.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -132,6 +132,7 @@
                 load=self._load_snapshot,
                 on_role_change=self._handle_role_change,
                 restore=self._restore_state,
+                on_confirmed=self._sessions.answer_waiting_pings,
             ),
         )
         self._request_handler = OperatorRequestHandler(
--- a/src/sequoiaseam/_replica_runner.py
+++ b/src/sequoiaseam/_replica_runner.py
@@ -1,6 +1,7 @@
 """Runs a replica: timers, disk, messages and pending requests."""
 
 import asyncio
+import contextlib
 import itertools
 from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -54,6 +55,7 @@
     replaces the state by one. ``on_role_change`` is called after each
     change of role, term or leader. ``restore`` discards the state and
     starts from the snapshot in the journal, or empty if it has none.
+    ``on_confirmed`` is called after each confirmation.
     """
 
     send: Callable[[str, object], None]
@@ -62,6 +64,7 @@
     load: Callable[[bytes], None]
     on_role_change: Callable[[RoleChanged], None]
     restore: Callable[[Snapshot | None], None]
+    on_confirmed: Callable[[], None] = lambda: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +144,8 @@
         self._proposals: PendingFutures[int, int] = PendingFutures()
         self._reads: PendingFutures[int, int] = PendingFutures()
         self.confirmation: Confirmation | None = None
+        # Set when the replica's role or its leader changes.
+        self._role_changed = asyncio.Event()
         self.applied_index = 0
 
     async def start(self) -> None:
@@ -221,12 +226,14 @@
         """Renew the read index regularly, for the leases of the nodes."""
         is_confirmed = True
         while True:
+            self._role_changed.clear()
             requested_at = self._clock.now()
             was_confirmed = is_confirmed
             try:
                 index = await self.read_barrier(patient=True)
                 self.confirmation = Confirmation(index, requested_at)
                 is_confirmed = True
+                self._hooks.on_confirmed()
             except SeamError as error:
                 # Without a leader the confirmation ages, which nodes see.
                 is_confirmed = False
@@ -238,7 +245,16 @@
                     )
             if is_confirmed and not was_confirmed:
                 log_event(Level.INFO, "configuration confirmed again")
-            await asyncio.sleep(CONFIRM_INTERVAL.total_seconds())
+            await self._wait_to_confirm()
+
+    async def _wait_to_confirm(self) -> None:
+        """Wait for the next confirmation, or for another role or leader.
+
+        The nodes' leases may be running out when a leader is elected.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_INTERVAL.total_seconds()):
+                await self._role_changed.wait()
 
     async def _run_disk_jobs(self) -> None:
         """Run the disk jobs one at a time; reopen the journal on an error."""
@@ -378,4 +394,5 @@
 
     @_perform_action.register
     def _(self, action: RoleChanged) -> None:
+        self._role_changed.set()
         self._hooks.on_role_change(action)
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -29,7 +29,9 @@
 # Above this amount of unread content, reading from the socket is paused, so
 # that the sender has to wait.
 MAX_UNREAD_BYTES: Final = 1024 * 1024
-CONNECT_TIMEOUT_SECONDS: Final = 1.0
+# Several round trips between regions. A lost first packet is repeated by the
+# system after 1 s only, by a new connection earlier.
+CONNECT_TIMEOUT_SECONDS: Final = 0.5
 OPENING_TIMEOUT_SECONDS: Final = 2.0
 
 _encode: Final = msgspec.msgpack.Encoder().encode
--- a/src/sequoiaseam/_sessions.py
+++ b/src/sequoiaseam/_sessions.py
@@ -25,6 +25,7 @@
 from sequoiaseam._replica_runner import Confirmation
 from sequoiaseam._rpc import Stream
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam.const import CONFIGURATION_LEASE
 
 SEND_QUEUE_MAX_MESSAGES: Final = 10_000
 # A node that sends nothing for this long has stopped or is unreachable.
@@ -40,6 +41,8 @@
     report: MemberReport
     index: int
     last_received_at: datetime
+    # The last ping, while no recent confirmation could answer it.
+    waiting_ping: Ping | None = None
     # The control hosts that were last sent to the node.
     control_hosts: ControlHosts | None = None
     send_queue: "asyncio.Queue[Any]" = field(
@@ -176,15 +179,28 @@
 
     def _answer_ping(self, session: NodeSession, ping: Ping) -> None:
         session.index = ping.index
+        session.waiting_ping = None
         confirmation = self._hooks.get_confirmation()
         if confirmation is None:
             # The host is up but can't confirm the configuration. An age
             # longer than any lease tells the node so.
+            session.waiting_ping = ping
             session.post(Pong(ping.sent, 0, timedelta(days=1)))
             return
         age = self._clock.now() - confirmation.requested_at
+        if age > CONFIGURATION_LEASE / 2:
+            session.waiting_ping = ping
         session.post(Pong(ping.sent, confirmation.index, age))
 
+    def answer_waiting_pings(self) -> None:
+        """Answer the pings again that came before a new confirmation.
+
+        The nodes would otherwise have no lease until their next pings.
+        """
+        for session in self._sessions.values():
+            if session.waiting_ping is not None:
+                self._answer_ping(session, session.waiting_ping)
+
     def post(self, name: str, message: object) -> None:
         """Send a message to a node; drop it if the node isn't connected."""
         session = self._sessions.get(name)
