Share pressure and failing routes between the nodes of a domain

At 195 nodes each has a request every 0.7 s. The fair shares that decide which part of a class is refused are measured by workspace and node: with 140 workspaces every rate is near zero, so that nothing was refused. The throttle of routes whose trees fail needs ten failures within 2 s at one node. Change: pings carry the pressure of a node's server and the outcomes of its root requests, pongs the mean level by pool and the success rate of failing routes over the nodes of the control host, which are those of the domain. A node applies the higher of its own and the domain's level. Workspaces whose rates can't be measured are refused as one.

--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -18,6 +18,7 @@
     Member,
     WitnessGroup,
 )
+from sequoiaseam._domain_load import DomainLoad, NodeLoad
 from sequoiaseam._keyring import Keyring
 from sequoiaseam._state import FleetState, add_crash_report
 from sequoiaseam._tables import KeyRecord, Tables
@@ -91,13 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Request of a node for a freshness lease.
+    """Request of a node for a freshness lease, with its load if it has any.
 
     ``sent`` is the time on the node's clock.
     """
 
     sent: datetime
     index: int
+    load: NodeLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,12 +108,14 @@
 
     ``index`` is the committed index of the control host's last read-index
     confirmation. ``age`` is the time from the start of that confirmation
-    round to the creation of the pong.
+    round to the creation of the pong. ``load`` is that of the nodes of
+    the control host, None if there is nothing to say.
     """
 
     sent: datetime
     index: int
     age: timedelta
+    load: DomainLoad | None = None
 
 
 FEED_TYPES: Final = (FeedSnapshot, FeedDelta, Ping, Pong)
@@ -423,9 +427,9 @@
             self.updated_at = now
         return not self._pending_deltas
 
-    def build_ping(self, now: datetime) -> Ping:
+    def build_ping(self, now: datetime, load: NodeLoad | None = None) -> Ping:
         """Return a ping that requests the next lease."""
-        return Ping(now, self.index)
+        return Ping(now, self.index, load)
 
     def receive_pong(self, now: datetime, pong: Pong) -> None:
         """Accept a pong; its lease starts to count once its index is applied.
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -28,7 +28,7 @@
     RunRefusal,
     RunResult,
 )
-from sequoiaseam._pressure import PressureMap
+from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
 from sequoiaseam._tables import Pool
@@ -141,6 +141,13 @@
             and now - session.last_reported_at < REPORT_SILENCE_TIMEOUT
         )
 
+    def measure_pressure(self, now: datetime) -> PoolPressure | None:
+        """Return the pressure on the backend server, None without one."""
+        session = self._session
+        if session is None:
+            return None
+        return session.admission.measure_pressure(now)
+
     # Reports of the backend server.
 
     def accept_report(self, now: datetime, report: ServerReport) -> None:
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -22,6 +22,7 @@
     NodeHello,
     create_control_codec,
 )
+from sequoiaseam._domain_load import NodeLoad
 from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
 from sequoiaseam._header_names import HeaderNames
 from sequoiaseam._host_call_executor import HostCallExecutor
@@ -328,7 +329,13 @@
         return NodeHello(self._create_report(), self._view.index)
 
     def _create_ping(self, now: datetime) -> Ping:
-        return self._view.build_ping(now)
+        pressure = self._executor.measure_pressure(now)
+        load = NodeLoad(
+            pressure.pool if pressure else "",
+            pressure.level if pressure else 0.0,
+            self._ingress.take_outcomes(),
+        )
+        return self._view.build_ping(now, load)
 
     def _send_report(self, *, only_if_changed: bool = False) -> None:
         if only_if_changed and self._create_member() == self._reported_member:
@@ -340,6 +347,8 @@
             self._apply_feed(message)
         elif isinstance(message, Pong):
             self._view.receive_pong(self._clock.now(), message)
+            if message.load is not None:
+                self._ingress.observe_domain(message.load)
         elif isinstance(message, QuotaGrant):
             self._quota_gate.receive(message)
         elif isinstance(message, ControlHosts):
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -12,6 +12,7 @@
 from sequoiaseam._balancer import Balancer, CallResult
 from sequoiaseam._call_attribution import CallAttribution
 from sequoiaseam._clock import Clock
+from sequoiaseam._domain_load import DomainLoad, RouteOutcomes
 from sequoiaseam._feed import NodeView
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
 from sequoiaseam._http_server import HttpRequest, format_fields
@@ -165,6 +166,18 @@
         self._route_index = RouteIndex(self._view.tables)
         self._usual_importance = find_most_common_importance(self._view.tables)
 
+    # Load of the failure domain.
+
+    def take_outcomes(self) -> tuple[RouteOutcomes, ...]:
+        """Return the responses to root requests since the last call."""
+        return self._route_throttle.take_outcomes()
+
+    def observe_domain(self, load: DomainLoad) -> None:
+        """Apply what the nodes of this failure domain have measured."""
+        now = self._clock.now()
+        self._pressure.observe_domain(now, load.levels)
+        self._route_throttle.observe_domain(now, load.success_rates)
+
     # Checks of new requests.
 
     def handle(self, request: HttpRequest) -> None:
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -56,12 +56,23 @@
 # Levels that aren't updated decay to 0 between these ages.
 DECAY_START_AGE: Final = timedelta(milliseconds=300)
 DECAY_END_AGE: Final = timedelta(seconds=1)
+# The levels that the domain's nodes have measured arrive twice a second.
+DOMAIN_DECAY_START_AGE: Final = timedelta(milliseconds=700)
+DOMAIN_DECAY_END_AGE: Final = timedelta(seconds=1.5)
 RISE_TIME_CONSTANT: Final = timedelta(milliseconds=50)
 FALL_TIME_CONSTANT: Final = timedelta(milliseconds=100)
 # A smoothed level this close to the reported one is set to it, as
 # otherwise a small fraction of a shed class would still be admitted.
 LEVEL_TOLERANCE: Final = 0.005
 ROUTE_POOL_LIFETIME: Final = timedelta(seconds=60)
+# Rate, in requests per interval, from which a workspace has a fair share of
+# its own at a node. The rate of one that sends less often than twice a second
+# is a matter of chance.
+MEASURABLE_RATE_MIN: Final = 0.2
+# Before that many intervals, a low rate only means that it isn't known yet.
+RATE_MEASUREMENT_INTERVALS: Final = 10
+# Key of the others, which is no name of a workspace.
+SPARSE_WORKSPACES: Final = ""
 # Call counts are smoothed because each host counts a route's calls
 # separately.
 CALLS_SMOOTHING_FACTOR: Final = 0.1
@@ -311,14 +322,21 @@
     """Fair sharing of one pool and class between workspaces."""
 
     interval_start: datetime
+    # Number of intervals since the first arrival.
+    intervals: int = 0
     fraction: float = 0.0
     demands: dict[str, _WorkspaceDemand] = field(default_factory=dict)
+    # All workspaces whose rates at this node are too low to be measured.
+    sparse_demand: _WorkspaceDemand = field(
+        default_factory=lambda: _WorkspaceDemand(0.0)
+    )
 
     def record(self, now: datetime, workspace: str, weight: float) -> None:
         """Count an arrival."""
         count = (now - self.interval_start) // MEASUREMENT_INTERVAL
         if count > 0:
             self._close_intervals(count)
+            self.intervals += count
             self.interval_start += count * MEASUREMENT_INTERVAL
         demand = self.demands.get(workspace)
         if demand is None:
@@ -331,6 +349,10 @@
         if abs(fraction - self.fraction) > 0.01:
             self._apply_fraction(fraction)
         demand = self.demands[workspace]
+        if demand.rate < MEASURABLE_RATE_MIN and self.intervals >= (
+            RATE_MEASUREMENT_INTERVALS
+        ):
+            demand = self.sparse_demand
         demand.pending_refusals += demand.refused_fraction
         if demand.pending_refusals < 1:
             return False
@@ -348,22 +370,42 @@
             demand.arrivals = 0
             if demand.rate < 1e-3:
                 del self.demands[name]
+        if not self.demands:
+            # Refusals that are due from an earlier surge don't count.
+            self.sparse_demand.pending_refusals = 0.0
         self._apply_fraction(self.fraction)
 
     def _apply_fraction(self, fraction: float) -> None:
-        """Cap all workspaces at the same rate relative to their weight."""
+        """Cap all workspaces at the same rate relative to their weight.
+
+        Those with a low rate are capped together. Without any other they
+        make up the whole load, also if none of them arrived lately.
+        """
         self.fraction = fraction
+        sparse = self.sparse_demand
+        sparse.rate = sparse.weight = 0.0
+        measured: dict[str, _WorkspaceDemand] = {}
+        for name, demand in self.demands.items():
+            if demand.rate < MEASURABLE_RATE_MIN:
+                sparse.rate += demand.rate
+                sparse.weight += demand.weight
+            else:
+                measured[name] = demand
         rates = {
             name: (demand.rate, demand.weight)
-            for name, demand in self.demands.items()
+            for name, demand in measured.items()
         }
+        if sparse.weight > 0:
+            rates[SPARSE_WORKSPACES] = (sparse.rate, sparse.weight)
         rate_cap = compute_rate_cap(rates, fraction)
-        for demand in self.demands.values():
+        for demand in (*measured.values(), sparse):
             allowed_rate = rate_cap * demand.weight
             exceeds_cap = demand.rate > allowed_rate
             demand.refused_fraction = (
                 1 - allowed_rate / demand.rate if exceeds_cap else 0.0
             )
+        if not measured:
+            sparse.refused_fraction = fraction
 
 
 def compute_rate_cap(
@@ -394,6 +436,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._levels: dict[str, _PoolLevel] = {}
+        # Mean levels in this failure domain, and when they arrived.
+        self._domain_levels: Mapping[str, float] = {}
+        self._domain_levels_at: datetime | None = None
         self._route_pools: dict[str, dict[str, _ReachedPool]] = {}
         self._fair_shares: dict[tuple[str, Importance], _FairShare] = {}
 
@@ -417,6 +462,27 @@
                 self._levels[pressure.pool] = pool_level
             pool_level.update(now, pressure.level)
 
+    def observe_domain(
+        self, now: datetime, levels: Mapping[str, float]
+    ) -> None:
+        """Set the levels that all nodes of the domain have measured."""
+        self._domain_levels = levels
+        self._domain_levels_at = now
+
+    def _measure_level(self, now: datetime, pool: str) -> float:
+        """Return the higher of this node's level and that of the domain."""
+        pool_level = self._levels.get(pool)
+        own_level = pool_level.compute_decayed(now) if pool_level else 0.0
+        if self._domain_levels_at is None or pool not in self._domain_levels:
+            return own_level
+        remaining_fraction = (
+            DOMAIN_DECAY_END_AGE - (now - self._domain_levels_at)
+        ) / (DOMAIN_DECAY_END_AGE - DOMAIN_DECAY_START_AGE)
+        domain_level = self._domain_levels[pool] * min(
+            1.0, max(0.0, remaining_fraction)
+        )
+        return max(own_level, domain_level)
+
     def decide(
         self,
         now: datetime,
@@ -442,7 +508,7 @@
             key = (pool, importance)
             fair_share = self._fair_shares.setdefault(key, _FairShare(now))
             fair_share.record(now, workspace, weight)
-            level = self._levels[pool].compute_decayed(now)
+            level = self._measure_level(now, pool)
             if level > highest_level:
                 highest_level, limiting_share = level, fair_share
         if limiting_share is None or not self._is_refused(
@@ -469,11 +535,8 @@
     ) -> tuple[PoolPressure, ...]:
         """Return the levels of pools to include in a response."""
         return tuple(
-            PoolPressure(
-                pool, pool_level.compute_decayed(now) if pool_level else 0.0
-            )
+            PoolPressure(pool, self._measure_level(now, pool))
             for pool in sorted(pools)
-            for pool_level in (self._levels.get(pool),)
         )
 
     def _is_refused(
--- a/src/sequoiaseam/_route_throttle.py
+++ b/src/sequoiaseam/_route_throttle.py
@@ -1,10 +1,13 @@
 """Adaptive throttling of routes whose call trees mostly fail."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from random import Random
 from typing import Final
 
+from sequoiaseam._domain_load import RouteOutcomes
+
 # Number of responses over which the success rate is averaged.
 SUCCESS_RATE_SAMPLES: Final = 10
 # Below this success rate, requests are admitted in proportion to it.
@@ -34,15 +37,34 @@
     def __init__(self, rng: Random) -> None:
         self._rng = rng
         self._stats_by_route: dict[str, _RouteStats] = {}
+        # Numbers of responses that succeeded and failed, by route.
+        self._unreported: dict[str, tuple[int, int]] = {}
 
     def record(self, now: datetime, route: str, *, failed: bool) -> None:
         """Record a server's response to a root request."""
+        succeeded, failures = self._unreported.get(route, (0, 0))
+        self._unreported[route] = (succeeded + (not failed), failures + failed)
         stats = self._get_stats(now, route)
         stats.updated_at = now
         stats.success_rate += (
             (not failed) - stats.success_rate
         ) / SUCCESS_RATE_SAMPLES
 
+    def take_outcomes(self) -> tuple[RouteOutcomes, ...]:
+        """Return the responses recorded since the last call."""
+        unreported, self._unreported = self._unreported, {}
+        return tuple(
+            RouteOutcomes(route, succeeded, failed)
+            for route, (succeeded, failed) in unreported.items()
+        )
+
+    def observe_domain(
+        self, now: datetime, success_rates: Mapping[str, float]
+    ) -> None:
+        """Take over the rates that all nodes of the domain have measured."""
+        for route, success_rate in success_rates.items():
+            self._stats_by_route[route] = _RouteStats(now, success_rate)
+
     def allow(self, now: datetime, route: str) -> bool:
         """Return whether to admit a root request."""
         success_rate = self._get_stats(now, route).success_rate
--- a/src/sequoiaseam/_sessions.py
+++ b/src/sequoiaseam/_sessions.py
@@ -16,6 +16,7 @@
     ReportPull,
     ReportPush,
 )
+from sequoiaseam._domain_load import DomainLoadAggregator
 from sequoiaseam._feed import FeedSource, Ping, Pong
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
@@ -82,6 +83,7 @@
         self._clock = clock
         self._hooks = hooks
         self._sessions: dict[str, NodeSession] = {}
+        self._domain_load = DomainLoadAggregator()
         self._leave_notices: list[MemberGone] = []
         self._pull_ids = itertools.count(1)
         self._pending_reports: PendingFutures[tuple[str, int], NodeReport] = (
@@ -158,6 +160,10 @@
 
     def _receive(self, session: NodeSession, message: Any) -> None:
         if isinstance(message, Ping):
+            if message.load is not None:
+                self._domain_load.record(
+                    self._clock.now(), session.name, message.load
+                )
             self._answer_ping(session, message)
         elif isinstance(message, NodeHello):
             session.report = message.report
@@ -178,6 +184,7 @@
             self._hooks.forward(session.name, message)
 
     def _answer_ping(self, session: NodeSession, ping: Ping) -> None:
+        now = self._clock.now()
         session.index = ping.index
         session.waiting_ping = None
         confirmation = self._hooks.get_confirmation()
@@ -187,10 +194,19 @@
             session.waiting_ping = ping
             session.post(Pong(ping.sent, 0, timedelta(days=1)))
             return
-        age = self._clock.now() - confirmation.requested_at
+        age = now - confirmation.requested_at
         if age > CONFIGURATION_LEASE / 2:
             session.waiting_ping = ping
-        session.post(Pong(ping.sent, confirmation.index, age))
+        load = self._domain_load.summarize(now)
+        has_content = load.levels or load.success_rates
+        session.post(
+            Pong(
+                ping.sent,
+                confirmation.index,
+                age,
+                load if has_content else None,
+            )
+        )
 
     def answer_waiting_pings(self) -> None:
         """Answer the pings again that came before a new confirmation.
