Compare members by their slowness for the same kind of call

Cause: the balancer compared mean latencies of members whose calls differ: on a pool that runs calls of 15 ms and of 900 ms, a member's mean says what it ran last, not how fast it is. Change: latencies are kept relative to the pool's mean for the route; a call leaves its domain rather than go to members that take 1.5 times the mean.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -19,9 +19,12 @@
 # Up to this mean load of the members in the same failure domain, a call
 # doesn't wait for a slot there, so that it gains nothing elsewhere.
 LOCAL_LOAD_MAX: Final = 0.7
-# Beyond it, a call leaves the domain if the mean load elsewhere is lower by
-# this much. A load that exceeds the slots by this fraction costs a wait of
-# the same fraction of the mean service time.
+# A call also leaves the domain rather than take this many times as long as
+# at a member of mean speed.
+LOCAL_SLOWNESS_MAX: Final = 1.5
+# With a higher load, it leaves if the mean load elsewhere is lower by this
+# much. A load that exceeds the slots by this fraction costs a wait of the
+# same fraction of the mean service time.
 LOAD_ADVANTAGE_MIN: Final = 0.2
 # Load that counts as much as all calls being refused or failing.
 UNSUCCESSFUL_LOAD: Final = 4.0
@@ -31,13 +34,16 @@
 # Fraction of each report in the mean load of a domain's members.
 LOCALITY_SMOOTHING_FACTOR: Final = 0.1
 SMOOTHING_FACTOR: Final = 0.2
-# The latency of a member that isn't chosen decays with this half-life once
+# The slowness of a member that isn't chosen decays with this half-life once
 # it is this old, so that one slow call doesn't exclude a member for good.
-LATENCY_HALF_LIFE: Final = timedelta(seconds=5)
+SLOWNESS_HALF_LIFE: Final = timedelta(seconds=5)
+# Mean latency of a pool that isn't known yet.
 LATENCY_DEFAULT_S: Final = 0.01
-# A member without a latency is assumed to be faster than the fastest one,
+LATENCY_MIN_S: Final = 1e-6
+MEAN_SMOOTHING_FACTOR: Final = 0.05
+# A member without a slowness is assumed to be faster than the fastest one,
 # so that it is tried early, even in another failure domain.
-UNKNOWN_LATENCY_FACTOR: Final = 0.5
+UNKNOWN_SLOWNESS_FACTOR: Final = 0.5
 # Calls that are refused or fail quickly must not attract more calls. Their
 # rate decays with a half-life of 4 s, because a member that is avoided for
 # it gets no calls that would lower it.
@@ -76,8 +82,10 @@
     in_flight: int = 0
     # Time of the last response, or of the start of the first call in flight.
     last_heard_at: datetime | None = None
-    latency_s: float | None = None
-    latency_updated_at: datetime | None = None
+    # Moving average of the latency, relative to the mean latency of the
+    # pool's members for the same kind of call.
+    slowness: float | None = None
+    slowness_updated_at: datetime | None = None
     # Moving average of calls that were refused or failed.
     unsuccessful_rate: float = 0.0
     last_result_at: datetime | None = None
@@ -197,6 +205,8 @@
         self._rng = rng
         self._peers: dict[str, _Peer] = {}
         self._groups: dict[str, _PoolMembers] = {}
+        # By pool and latency group; by pool alone with None as the group.
+        self._mean_latencies_s: dict[tuple[str, str | None], float] = {}
         # By pool, and whether the members are in this failure domain.
         self._locality_loads: dict[tuple[str, bool], _LocalityLoad] = {}
 
@@ -283,10 +293,15 @@
         group: _PoolMembers,
         exclude: frozenset[str],
     ) -> _Peer | None:
-        """Return the better of two members in this failure domain."""
+        """Return the better of two members in this failure domain.
+
+        Return None if both are clearly slower than the pool's mean.
+        """
         best: _Peer | None = None
         least = 0.0
         for peer in self._sample_two(group.local, exclude):
+            if (peer.slowness or 0.0) > LOCAL_SLOWNESS_MAX:
+                continue
             score = self._score(now, group, peer)
             if best is None or score < least:
                 best, least = peer, score
@@ -306,8 +321,12 @@
         name: str,
         result: CallResult,
         latency: timedelta,
+        latency_group: str = "",
     ) -> None:
-        """Update the measurements of a member at the end of a call."""
+        """Update the measurements of a member at the end of a call.
+
+        Calls of one ``latency_group`` take about the same time.
+        """
         peer = self._peers.get(name)
         if peer is None:
             return
@@ -325,7 +344,9 @@
             peer.probe_started_at = None
             return
         if result in (CallResult.OK, CallResult.TIMEOUT):
-            self._update_latency(now, peer, latency.total_seconds())
+            self._update_slowness(
+                now, peer, latency.total_seconds(), latency_group
+            )
         if peer.ejected_until is not None:
             self._finish_probe(now, peer, result)
         else:
@@ -385,15 +406,23 @@
         return [usable[first], usable[second]]
 
     def _score(self, now: datetime, group: _PoolMembers, peer: _Peer) -> float:
-        """Return the expected wait in s of another call; lower is better."""
-        latency_s = self._estimate_latency(now, group, peer)
+        """Return the expected relative wait of another call.
+
+        It is 1 for a member of mean speed without calls; lower is better.
+        """
+        slowness = self._estimate_slowness(now, group, peer)
         if peer.in_flight and peer.last_heard_at is not None:
             # Avoid a silent member even before pings detect it: its
             # responses take at least as long as the silence has lasted.
-            latency_s = max(
-                latency_s, (now - peer.last_heard_at).total_seconds()
+            mean_latency_s = self._mean_latencies_s.get(
+                (peer.member.pool, None), LATENCY_DEFAULT_S
+            )
+            silence = now - peer.last_heard_at
+            slowness = max(
+                slowness,
+                silence.total_seconds() / max(mean_latency_s, LATENCY_MIN_S),
             )
-        score = (peer.in_flight + 1) * latency_s
+        score = (peer.in_flight + 1) * slowness
         score *= 1 + UNSUCCESSFUL_PENALTY * peer.compute_unsuccessful_rate(now)
         if (
             peer.load_reported_at
@@ -402,36 +431,48 @@
             score *= 1 + REPORTED_LOAD_WEIGHT * peer.reported_load
         return score / peer.compute_ramp_fraction(now)
 
-    def _estimate_latency(
+    def _estimate_slowness(
         self, now: datetime, group: _PoolMembers, peer: _Peer
     ) -> float:
-        """Return a member's expected latency in seconds.
+        """Return a member's expected latency relative to the pool's mean.
 
-        An old latency decays to a tenth; an unknown one is derived from
+        An old value decays to a tenth; an unknown one is derived from
         the pool's lowest.
         """
-        if peer.latency_s is None or peer.latency_updated_at is None:
-            known_latencies = [
-                p.latency_s for p in group.iterate() if p.latency_s is not None
+        if peer.slowness is None or peer.slowness_updated_at is None:
+            known = [
+                p.slowness for p in group.iterate() if p.slowness is not None
             ]
-            return UNKNOWN_LATENCY_FACTOR * min(
-                known_latencies, default=LATENCY_DEFAULT_S
-            )
-        age = (now - peer.latency_updated_at) / LATENCY_HALF_LIFE
+            return UNKNOWN_SLOWNESS_FACTOR * min(known, default=1.0)
+        age = (now - peer.slowness_updated_at) / SLOWNESS_HALF_LIFE
         if age < 1:
-            return peer.latency_s
-        return peer.latency_s * max(0.1, math.exp2(1 - age))
+            return peer.slowness
+        return peer.slowness * max(0.1, math.exp2(1 - age))
 
-    def _update_latency(
+    def _update_slowness(
         self,
         now: datetime,
         peer: _Peer,
         latency_s: float,
+        latency_group: str,
     ) -> None:
-        if peer.latency_s is None:
-            peer.latency_s = latency_s
-        peer.latency_s += SMOOTHING_FACTOR * (latency_s - peer.latency_s)
-        peer.latency_updated_at = now
+        pool = peer.member.pool
+        mean_s = self._update_mean((pool, latency_group), latency_s)
+        self._update_mean((pool, None), latency_s)
+        slowness = latency_s / max(mean_s, LATENCY_MIN_S)
+        if peer.slowness is None:
+            peer.slowness = slowness
+        peer.slowness += SMOOTHING_FACTOR * (slowness - peer.slowness)
+        peer.slowness_updated_at = now
+
+    def _update_mean(
+        self, key: tuple[str, str | None], latency_s: float
+    ) -> float:
+        """Add a latency to a moving average and return the average."""
+        mean_s = self._mean_latencies_s.get(key, latency_s)
+        mean_s += MEAN_SMOOTHING_FACTOR * (latency_s - mean_s)
+        self._mean_latencies_s[key] = mean_s
+        return mean_s
 
     def _count_failure(
         self,
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -432,7 +432,13 @@
         now = self._clock.now()
         pending.cancel_attempt = None
         call_result = self._classify(result)
-        self._balancer.finish(now, host_name, call_result, now - started)
+        self._balancer.finish(
+            now,
+            host_name,
+            call_result,
+            now - started,
+            pending.route.name if pending.route else "",
+        )
         if result is not None:
             self._record_response(pending, host_name, now, result)
         if pending.finished:
