Judge sheds of servers with long requests by latency, in their own time

The limiter compared the throughput of 100 completions before and within 1 s after it lowered the limit. A server with 21 slots and requests of 170 ms completes fewer, so that each shed lowered the limit further, to one. Change: the trial lasts until two completions a slot (20 to 100), up to eight service times; it compares latencies, which vary less than the rate of few completions. The lower limit is kept if the server shed no more, or became faster; otherwise the one before the first cut of a series is restored, and sheds are ignored for five times the length of the trial.

--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -3,8 +3,7 @@
 import enum
 import math
 from collections import deque
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Final
 
@@ -48,7 +47,7 @@
 # of its deviation from the other groups that each window corrects.
 GROUP_BASELINE_SAMPLES: Final = 10
 GROUP_BASELINE_GAIN: Final = 0.1
-SHED_CUT_INTERVAL_MIN_SECONDS: Final = 0.1
+SHED_CUT_INTERVAL_MIN: Final = timedelta(milliseconds=100)
 COLD_LIMIT_RATIO: Final = 0.1
 TIMEOUT_RATIO_MAX: Final = 0.1
 # The limit grows fast up to this fraction of the concurrency at which the
@@ -58,11 +57,21 @@
 # After a shed, the limit is lowered to this fraction of the concurrency at
 # which it happened.
 SHED_LIMIT_RATIO: Final = 0.65
-# Number of completions over which throughput is measured before and after
-# the limit is lowered for a shed.
-SHED_THROUGHPUT_SAMPLES: Final = 100
-# If there are fewer completions within this time, the lower limit is kept.
-SHED_TRIAL_DURATION_MAX: Final = timedelta(seconds=1)
+# Number of completions for each slot over which latency is measured before
+# and after the limit is lowered for a shed, and its bounds.
+SHED_SAMPLES_PER_SLOT: Final = 2
+SHED_SAMPLES_MIN: Final = 20
+SHED_SAMPLES_MAX: Final = 100
+# If there are fewer completions within the longer of this time and this many
+# service times, the lower limit is kept.
+SHED_TRIAL_DURATION_MIN: Final = timedelta(seconds=1)
+SHED_TRIAL_SERVICE_TIMES: Final = 8
+# Ratio of the time in which sheds are ignored after such a trial to the
+# trial's duration, which is long where requests are.
+SHED_TRIAL_PAUSE_RATIO: Final = 5
+# Cuts within this time of each other answer the same sheds, so that they are
+# undone together.
+SHED_SERIES_GAP: Final = timedelta(seconds=5)
 LOAD_REPORT_TTL: Final = timedelta(seconds=1)
 LOAD_REPORT_FULL: Final = 0.95
 SERVICE_TIME_SAMPLES: Final = 65
@@ -93,18 +102,22 @@
 
 @dataclass(slots=True)
 class _ShedTrial:
-    """Lower limit after a shed, while its throughput is measured.
+    """Lower limit after a shed, while its effect is measured.
 
-    ``limit`` and ``throughput``, in requests per second, are those
-    before the reduction. ``cut_ratio`` is the fraction by which
-    concurrency was reduced.
+    ``limit`` is that before the first reduction of a series, ``latency``
+    the mean normalized latency before the last one. ``cut_ratio`` is the
+    fraction by which concurrency was reduced. ``samples`` is the number
+    of completions to wait for.
     """
 
     started_at: datetime
     limit: float
-    throughput: float
+    latency: float
     cut_ratio: float
-    completion_times: list[datetime] = field(default_factory=list)
+    samples: int
+    latency_sum: float = 0.0
+    completions: int = 0
+    sheds: int = 0
 
 
 class ServiceTimeEstimator:
@@ -214,6 +227,13 @@
         baseline.window_count += 1
         return normalized
 
+    def get_ratio(self, latency_group: str, latency: float) -> float | None:
+        """Return the normalized latency without recording it."""
+        baseline = self._baselines.get(latency_group)
+        if baseline is None or baseline.count < GROUP_BASELINE_SAMPLES:
+            return None
+        return latency / max(baseline.seconds, 1e-9)
+
     def correct_baselines(self, mean: float) -> None:
         """Adjust baselines of groups that deviate from the overall mean."""
         for baseline in self._baselines.values():
@@ -251,13 +271,12 @@
         self._next_trial_at = now + SPARSE_WINDOW_AGE
         self._shed_concurrency = 0.0
         self._last_shed_cut_at: datetime | None = None
+        self._limit_before_sheds = self._limit
         self._shed_trial: _ShedTrial | None = None
         # Sheds are ignored until this time if a trial has shown that they
         # don't depend on concurrency.
         self._sheds_ignored_until = now
-        self._completion_times: deque[datetime] = deque(
-            maxlen=SHED_THROUGHPUT_SAMPLES
-        )
+        self._recent_latencies: deque[float] = deque(maxlen=SHED_SAMPLES_MAX)
         self._reported_load = 0.0
         self._load_reported_at = now
         self._running = 0
@@ -316,13 +335,15 @@
         concurrency = self._running
         self.suspend(now)
         if completion is Completion.SHED:
-            self._handle_shed(now, concurrency)
+            self._handle_shed(now, started, concurrency)
         elif completion in (Completion.OK, Completion.TIMEOUT):
             latency = (now - started).total_seconds()
             self.service_times.record(now, latency_group, latency)
             self._mixed_service_times.record(now, latency)
-            self._record_completion(now, started)
             own_time = max(0.0, latency - nested.total_seconds())
+            ratio = self._normalizer.get_ratio(latency_group, own_time)
+            if completion is Completion.OK and ratio is not None:
+                self._record_for_sheds(now, started, ratio)
             self._record_latency(started, own_time, completion, latency_group)
         self.tick(now)
 
@@ -393,71 +414,94 @@
             self._sample_count += 1
             self._latency_sum += normalized
 
-    def _record_completion(self, now: datetime, started: datetime) -> None:
-        """Record a completion and evaluate a shed trial that has enough."""
-        self._completion_times.append(now)
+    def _record_for_sheds(
+        self, now: datetime, started: datetime, latency: float
+    ) -> None:
+        """Record a normalized latency; end a shed trial that has enough."""
+        self._recent_latencies.append(latency)
         trial = self._shed_trial
         if trial is None or started < trial.started_at:
             return
-        trial.completion_times.append(now)
-        if len(trial.completion_times) >= SHED_THROUGHPUT_SAMPLES:
+        trial.latency_sum += latency
+        trial.completions += 1
+        if trial.completions >= trial.samples:
             self._evaluate_shed_trial(now, trial)
 
     def _evaluate_shed_trial(self, now: datetime, trial: _ShedTrial) -> None:
-        """Restore the limit if lowering it reduced throughput.
+        """Restore the limit if lowering it had no effect.
 
-        A saturated server has the same throughput with fewer concurrent
-        requests. One that sheds for another reason has less, and sheds
-        as large a fraction as before.
+        A server that sheds because of its load sheds less at a lower
+        concurrency, or at least becomes faster. One that sheds for another
+        reason only loses throughput.
         """
         self._shed_trial = None
-        throughput_drop = (
-            1 - _measure_throughput(trial.completion_times) / trial.throughput
-        )
-        if throughput_drop < TRIAL_EFFECT_RATIO_MIN * trial.cut_ratio:
+        latency = trial.latency_sum / trial.completions
+        latency_drop = 1 - latency / max(trial.latency, 1e-9)
+        if not trial.sheds or (
+            latency_drop >= TRIAL_EFFECT_RATIO_MIN * trial.cut_ratio
+        ):
             return
-        self._sheds_ignored_until = now + TRIAL_INTERVAL_MIN
+        self._sheds_ignored_until = now + max(
+            TRIAL_INTERVAL_MIN,
+            SHED_TRIAL_PAUSE_RATIO * (now - trial.started_at),
+        )
         self._last_shed_cut_at = None
         self._limit = min(float(self._slots), trial.limit)
         self._reset_window(now)
 
-    def _handle_shed(self, now: datetime, concurrency: int) -> None:
+    def _handle_shed(
+        self, now: datetime, started: datetime, concurrency: int
+    ) -> None:
         """Lower the limit, once for requests that ran concurrently."""
         if now < self._sheds_ignored_until:
             return
+        median = self._mixed_service_times.estimate(now)
         trial = self._shed_trial
-        if (
-            trial is not None
-            and now - trial.started_at < SHED_TRIAL_DURATION_MAX
+        if trial is not None and started >= trial.started_at:
+            trial.sheds += 1
+        if trial is not None and now - trial.started_at < max(
+            SHED_TRIAL_DURATION_MIN, SHED_TRIAL_SERVICE_TIMES * median
         ):
             return
-        median_seconds = self._mixed_service_times.estimate(
-            now
-        ).total_seconds()
-        pause = max(SHED_CUT_INTERVAL_MIN_SECONDS, 2 * median_seconds)
+        pause = max(SHED_CUT_INTERVAL_MIN, 2 * median)
         last_cut_at = self._last_shed_cut_at
-        if (
-            last_cut_at is not None
-            and (now - last_cut_at).total_seconds() < pause
-        ):
+        if last_cut_at is not None and now - last_cut_at < pause:
             return
+        if last_cut_at is None or now - last_cut_at > SHED_SERIES_GAP:
+            self._limit_before_sheds = self._limit
         self._was_reduced = True
         self._last_shed_cut_at = now
         self._shed_concurrency = float(concurrency)
         self._trial = None
         self._settling = False
-        limit = self._limit
-        self._limit = max(1.0, min(limit, concurrency) * SHED_LIMIT_RATIO)
-        self._shed_trial = None
-        if (
-            len(self._completion_times) == SHED_THROUGHPUT_SAMPLES
-            and concurrency > 1
-        ):
-            cut_ratio = 1 - self._limit / concurrency
-            throughput = _measure_throughput(self._completion_times)
-            self._shed_trial = _ShedTrial(now, limit, throughput, cut_ratio)
+        self._limit = max(
+            1.0, min(self._limit, concurrency) * SHED_LIMIT_RATIO
+        )
+        self._shed_trial = self._create_shed_trial(now, concurrency)
         self._reset_window(now)
 
+    def _create_shed_trial(
+        self, now: datetime, concurrency: int
+    ) -> _ShedTrial | None:
+        """Return the trial of a limit that was just lowered.
+
+        Return None if the latency before it isn't known.
+        """
+        samples = min(
+            SHED_SAMPLES_MAX,
+            max(SHED_SAMPLES_MIN, SHED_SAMPLES_PER_SLOT * self._slots),
+        )
+        recent = list(self._recent_latencies)[-samples:]
+        if len(recent) < samples or concurrency <= 1:
+            return None
+        return _ShedTrial(
+            now,
+            self._limit_before_sheds,
+            sum(recent) / samples,
+            1 - self._limit / concurrency,
+            samples,
+        )
+
     def _measure_concurrency(self, now: datetime) -> float:
         """Return the mean concurrency in the current window."""
         self._integrate_concurrency(now)
@@ -633,9 +677,3 @@
 
     def _is_warming_up(self, now: datetime) -> bool:
         return now - self._created_at < self._warmup
-
-
-def _measure_throughput(completion_times: Sequence[datetime]) -> float:
-    """Return the throughput in requests per second."""
-    span = (completion_times[-1] - completion_times[0]).total_seconds()
-    return (len(completion_times) - 1) / max(span, 1e-6)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,6 +13,7 @@
 from sequoiaseam._queue import Ticket
 from sequoiaseam._tables import Importance, Pool
 from sequoiaseam.errors import ErrorCode
+from tests.seeds import iterate_seeds
 
 SCHEDULES = int(os.environ.get("SEQUOIASEAM_SCHEDULES", "500"))
 MS = timedelta(milliseconds=1)
@@ -332,9 +333,16 @@
 class SimulatedServer:
     """Simulated server whose running requests share ``cores``."""
 
-    def __init__(self, limiter: Limiter, cores: int, seed: int) -> None:
+    def __init__(
+        self,
+        limiter: Limiter,
+        cores: int,
+        seed: int,
+        mean_work: timedelta = 40 * MS,
+    ) -> None:
         self.limiter = limiter
         self.cores = cores
+        self.mean_work = mean_work
         self.speed = 1.0
         self.shed_threshold = 10_000
         self.shed_probability = 0.0
@@ -372,16 +380,23 @@
             ):
                 self.limiter.finish(self.now, self.now, Completion.SHED)
                 continue
-            work = self.rng.uniform(0.02, 0.06)
+            work = self.mean_work.total_seconds() * self.rng.uniform(0.5, 1.5)
             self.requests.append((work, self.now))
 
 
 class LimiterTest(unittest.TestCase):
     """Guards against a limit that doesn't match the server's capacity."""
 
-    def build(self, cores: int, slots: int = 60) -> SimulatedServer:
+    def build(
+        self,
+        cores: int,
+        slots: int = 60,
+        *,
+        seed: int = 3,
+        mean_work: timedelta = 40 * MS,
+    ) -> SimulatedServer:
         limiter = Limiter(slots, timedelta(0), EPOCH)
-        return SimulatedServer(limiter, cores, seed=3)
+        return SimulatedServer(limiter, cores, seed, mean_work)
 
     def test_finds_capacity_below_slots(self) -> None:
         server = self.build(cores=10)
@@ -417,6 +432,29 @@
                 server.run(1)
                 self.assertGreater(server.run(2), 0.9 * 1500)
 
+    def test_sheds_keep_the_slots_of_a_server_with_long_requests(
+        self,
+    ) -> None:
+        """Guard against few slots with few completions a second.
+
+        The load is a fleet of servers with some twenty slots that refuse
+        a part of their requests at any concurrency for seconds.
+        """
+        for mean_work, slots in ((170 * MS, 21), (800 * MS, 25)):
+            capacity = slots / (mean_work / timedelta(seconds=1))
+            for seed in iterate_seeds(3):
+                with self.subTest(mean_work=mean_work, seed=seed):
+                    server = self.build(
+                        cores=60, slots=slots, seed=seed, mean_work=mean_work
+                    )
+                    server.run(5)
+                    server.shed_probability = 0.4
+                    server.run(4)
+                    self.assertGreater(server.run(8), 0.6 * capacity)
+                    server.shed_probability = 0.0
+                    server.run(2)
+                    self.assertGreater(server.run(4), 0.8 * capacity)
+
     def test_limit_rises_during_warmup(self) -> None:
         limiter = Limiter(60, timedelta(seconds=4), EPOCH)
         server = SimulatedServer(limiter, 60, seed=3)
