Quarantine requests that crash backend servers on HostNode

Cause: only the other path (_call_executor) watched for crashes; on the path of the platform's programs nothing but a route's attempts bounded a request that crashes each server that runs it and comes again. Change: CrashGuard checks a server on which a run broke off; if it accepts no connection, what was running is reported to the fleet as suspect by the existing crash reports. Two crashes are enough only where suspects run alone, as here the bystanders of one crash may be resent together. Requests that complete since are cleared.

--- a/src/sequoiaseam/_crash_reports.py
+++ b/src/sequoiaseam/_crash_reports.py
@@ -8,7 +8,10 @@
 from sequoiaseam._commands import CrashReported
 from sequoiaseam._feed import NodeView
 from sequoiaseam._pending import PendingFutures
-from sequoiaseam._quarantine import QuarantineList
+from sequoiaseam._quarantine import (
+    QUARANTINE_CRASH_THRESHOLD,
+    QuarantineList,
+)
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import HEARTBEAT_INTERVAL
 
@@ -34,8 +37,9 @@
         self,
         view: NodeView,
         post: Callable[[object], bool],
+        crash_threshold: int = QUARANTINE_CRASH_THRESHOLD,
     ) -> None:
-        self.quarantine = QuarantineList()
+        self.quarantine = QuarantineList(crash_threshold)
         self._view = view
         self._post = post
         self._applied_crash_ids: frozenset[str] = frozenset()
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -11,6 +11,7 @@
 from sequoiaseam._announcements import ServerReport
 from sequoiaseam._call_attribution import CallAttribution, ParentRun
 from sequoiaseam._clock import Clock
+from sequoiaseam._crash_guard import CrashGuard
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
 from sequoiaseam._http_client import (
     BackendPool,
@@ -31,6 +32,7 @@
 from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
+from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import ErrorCode
@@ -45,6 +47,8 @@
 LOAD_FIELD_PARTS: Final = 3
 # Retries that a backend server accepts in 10 s at any request rate.
 SERVER_RETRIES_MIN: Final = 2.0
+# A quarantine lasts for minutes; callers give up long before.
+QUARANTINE_RETRY_AFTER: Final = timedelta(minutes=1)
 MISDIRECTED_REQUEST_STATUS: Final = 421
 
 
@@ -91,7 +95,9 @@
         rng: Random,
         header_names: HeaderNames,
         pressure: PressureMap,
+        crash_guard: CrashGuard,
     ) -> None:
+        self._crash_guard = crash_guard
         self._clock = clock
         self._rng = rng
         self._header_names = header_names
@@ -113,10 +119,12 @@
         """Start the periodic processing of the queue."""
         self._get_pool = get_pool
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
+        self._crash_guard.start()
 
     async def close(self) -> None:
         """Cancel the tasks and close the connections."""
         await self._tasks.cancel()
+        await self._crash_guard.close()
         if self._session is not None:
             self._session.connections.close()
 
@@ -219,6 +227,8 @@
             self._refuse(run, ErrorCode.NO_SERVER)
         elif not self.is_serving(now):
             self._refuse(run, ErrorCode.DRAINING)
+        elif self._crash_guard.is_quarantined(call):
+            self._refuse(run, ErrorCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
         elif not self._allow_run(now, call):
             self._refuse(run, ErrorCode.RETRIES_EXHAUSTED)
         else:
@@ -257,6 +267,7 @@
             return
         if run.server_request is not None:
             self.attribution.end_run(run.ticket_id)
+            self._crash_guard.end_run(run.ticket_id, complete=False)
             run.server_request.cancel()
         session = self._session
         if session is not None:
@@ -305,6 +316,7 @@
             call.idempotent,
             lambda outcome: self._finish_run(session, run, outcome),
         )
+        self._crash_guard.start_run(run.ticket_id, call)
         session.connections.send(run.server_request)
 
     def _format_request(
@@ -342,6 +354,15 @@
     ) -> None:
         now = self._clock.now()
         self.attribution.end_run(run.ticket_id)
+        if outcome is Failure.BROKEN:
+            self._crash_guard.end_broken_run(
+                run.ticket_id,
+                Endpoint(session.report.host, session.report.port),
+            )
+        else:
+            self._crash_guard.end_run(
+                run.ticket_id, complete=isinstance(outcome, BackendResponse)
+            )
         pending = self._runs.pop(run.ticket_id, None) is not None
         completion, result = self._classify_outcome(now, session, run, outcome)
         actions = session.admission.finish(now, run.ticket_id, completion)
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -22,6 +22,8 @@
     NodeHello,
     create_control_codec,
 )
+from sequoiaseam._crash_guard import CrashGuard
+from sequoiaseam._crash_reports import CrashReporter
 from sequoiaseam._domain_load import NodeLoad
 from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
 from sequoiaseam._header_names import HeaderNames
@@ -33,6 +35,7 @@
 from sequoiaseam._mesh import Mesh, MeshServer
 from sequoiaseam._mesh_frames import RunCall, RunResult
 from sequoiaseam._pressure import PressureMap
+from sequoiaseam._quarantine import SHARED_CRASH_THRESHOLD
 from sequoiaseam._quota import (
     QuotaSpender,
 )
@@ -139,7 +142,16 @@
         )
         self._mesh = Mesh(clock, self._update_reachability)
         pressure = PressureMap(rng)
-        self._executor = HostCallExecutor(clock, rng, header_names, pressure)
+        self._crash_reporter = CrashReporter(
+            self._view, self._uplink.post, SHARED_CRASH_THRESHOLD
+        )
+        self._executor = HostCallExecutor(
+            clock,
+            rng,
+            header_names,
+            pressure,
+            CrashGuard(clock, rng, self._crash_reporter),
+        )
         self._mesh_server = MeshServer(self._executor.run)
         self._ingress = Ingress(
             clock,
@@ -227,6 +239,7 @@
         await self._tasks.cancel()
         await self._mesh.close()
         await self._executor.close()
+        await self._crash_reporter.close()
 
     def _tick(self) -> None:
         self._quota_gate.tick(self._clock.now())
@@ -363,6 +376,7 @@
         previous_tables = view.tables
         if not view.apply(now, message):
             self._uplink.post(self._create_hello())
+        self._crash_reporter.follow_view()
         self._balancer.update(now, view.members)
         self._mesh.close_links_except(set(view.members))
         if view.tables is not previous_tables:
--- a/src/sequoiaseam/_quarantine.py
+++ b/src/sequoiaseam/_quarantine.py
@@ -29,6 +29,9 @@
 
 # Number of crashes after which a fingerprint is quarantined.
 QUARANTINE_CRASH_THRESHOLD: Final = 2
+# The same where suspects don't run alone: several requests that were running
+# at one crash may be sent again to the next server together.
+SHARED_CRASH_THRESHOLD: Final = 3
 
 # Maximum number of fingerprints kept; those whose last crash is the oldest
 # are evicted first.
@@ -108,9 +111,15 @@
 
 
 class QuarantineList:
-    """Suspect and quarantined fingerprints, computed from crash reports."""
+    """Suspect and quarantined fingerprints, computed from crash reports.
 
-    def __init__(self) -> None:
+    ``crash_threshold`` is the number of crashes that quarantine one.
+    """
+
+    def __init__(
+        self, crash_threshold: int = QUARANTINE_CRASH_THRESHOLD
+    ) -> None:
+        self._crash_threshold = crash_threshold
         self._entries: dict[int, QuarantineEntry] = {}
         self._crash_ids: dict[str, None] = {}
 
@@ -142,9 +151,9 @@
     def check(self, now: datetime, fingerprint: int) -> Standing:
         """Return the current standing of a fingerprint."""
         entry = self._entries.get(fingerprint)
-        if entry is None or now >= _compute_suspect_end(entry):
+        if entry is None or now >= self._compute_suspect_end(entry):
             return Standing.CLEAR
-        if now < _compute_quarantine_end(entry):
+        if now < self._compute_quarantine_end(entry):
             return Standing.QUARANTINED
         return Standing.SUSPECT
 
@@ -156,7 +165,7 @@
         return tuple(
             entry
             for entry in self._entries.values()
-            if now < _compute_quarantine_end(entry)
+            if now < self._compute_quarantine_end(entry)
         )
 
     def dump(self) -> tuple[tuple[QuarantineEntry, ...], tuple[str, ...]]:
@@ -179,7 +188,9 @@
         self, fingerprint: int, crashed_at: datetime, *, crashed_alone: bool
     ) -> None:
         previous = self._entries.pop(fingerprint, None)
-        if previous is None or crashed_at >= _compute_suspect_end(previous):
+        if previous is None or (
+            crashed_at >= self._compute_suspect_end(previous)
+        ):
             entry = QuarantineEntry(fingerprint, 1, crashed_at, crashed_alone)
         else:
             entry = replace(
@@ -192,18 +203,16 @@
         # the oldest.
         self._entries[fingerprint] = entry
 
+    def _compute_quarantine_end(self, entry: QuarantineEntry) -> datetime:
+        """Return the end of the quarantine, or the last crash without one."""
+        extra_crashes = entry.crash_count - self._crash_threshold
+        if extra_crashes < 0:
+            return entry.last_crash
+        factor = 1 << min(extra_crashes, QUARANTINE_DOUBLINGS_MAX)
+        return entry.last_crash + INITIAL_QUARANTINE_DURATION * factor
 
-def _compute_quarantine_end(entry: QuarantineEntry) -> datetime:
-    """Return the end of the quarantine, or the last crash without one."""
-    extra_crashes = entry.crash_count - QUARANTINE_CRASH_THRESHOLD
-    if extra_crashes < 0:
-        return entry.last_crash
-    factor = 1 << min(extra_crashes, QUARANTINE_DOUBLINGS_MAX)
-    return entry.last_crash + INITIAL_QUARANTINE_DURATION * factor
-
-
-def _compute_suspect_end(entry: QuarantineEntry) -> datetime:
-    return _compute_quarantine_end(entry) + SUSPECT_DURATION
+    def _compute_suspect_end(self, entry: QuarantineEntry) -> datetime:
+        return self._compute_quarantine_end(entry) + SUSPECT_DURATION
 
 
 class CrashWatch:
@@ -215,10 +224,12 @@
     that the report applies to resends of those requests.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, crash_threshold: int = QUARANTINE_CRASH_THRESHOLD
+    ) -> None:
         self._fingerprints_by_run: dict[int, int] = {}
         self._running_counts: Counter[int] = Counter()
-        self._local_list = QuarantineList()
+        self._local_list = QuarantineList(crash_threshold)
         self._completed: dict[int, None] = {}
 
     def start(self, fingerprint: int, run_id: int) -> None:
