Stop waiting for a former leader's confirmation

Change: a pending confirmation is rejected when the leader changes; the runner then asks the new one at once. Result: test_no_confirmation_waits_for_a_former_leader; with the code before eleven requests to the lost leader were pending at each follower when the new one was known.

--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -48,9 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingConfirm:
-    """A read index requested from the leader and not yet received."""
+    """A read index requested from a leader and not yet received."""
 
     token: Token
+    leader: ReplicaId
     deadline: datetime
 
 
@@ -79,6 +80,7 @@
             self._tick_leader(now)
         elif now >= self._election_deadline or self._is_only_member():
             self._start_pre_vote(now)
+        self._reject_former_confirms()
         self._expire_pending_confirms(now)
         self._expire_join_requests(now)
         return self._take_actions()
@@ -98,6 +100,7 @@
             self._on_hello_reply(sender, message)
         elif self._accept_group_message(sender, message):
             self._handle_group_message(message, now)
+        self._reject_former_confirms()
         return self._take_actions()
 
     def propose(
@@ -143,7 +146,7 @@
             request_id = self._rng.getrandbits(63)
             deadline = now + ELECTION_TIMEOUT_MAX
             self._pending_confirms[request_id] = PendingConfirm(
-                token, deadline
+                token, self._leader, deadline
             )
             header = self._header(self._leader)
             self._send(ConfirmRequest(header, request_id, patient))
@@ -335,6 +338,20 @@
             return False
         return True
 
+    def _reject_former_confirms(self) -> None:
+        """Reject the confirmations requested from a former leader.
+
+        It may be lost, and another leader can confirm at once.
+        """
+        former_ids = [
+            request_id
+            for request_id, pending in self._pending_confirms.items()
+            if pending.leader != self._leader
+        ]
+        for request_id in former_ids:
+            token = self._pending_confirms.pop(request_id).token
+            self._reject(token, ErrorCode.NOT_LEADER)
+
     def _expire_pending_confirms(self, now: datetime) -> None:
         if self._role is Role.LEADER:
             self._expire_reads(now)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -121,6 +121,26 @@
         fleet.run(5.0)
         self.assertEqual(3, fleet.confirmed_count)
 
+    def test_no_confirmation_waits_for_a_former_leader(self) -> None:
+        """Guard against leases that run out after a new leader is known."""
+        fleet = start_fleet(3)
+        former = fleet.require_leader()
+        former.stop()
+        followers = fleet.running_hosts()
+        names = {host.name for host in followers}
+
+        def confirm_until_elected() -> bool:
+            if all(host.replica.leader in names for host in followers):
+                return True
+            for host in followers:
+                fleet.confirm(host)
+            return False
+
+        self.assertTrue(fleet.run_until(confirm_until_elected))
+        for host in followers:
+            waiting = host.replica._pending_confirms.values()
+            self.assertNotIn(former.name, {p.leader.host for p in waiting})
+
     def test_leader_stays_when_an_isolated_follower_returns(self) -> None:
         """Guard against a follower that raises its term while isolated."""
         fleet = start_fleet(3)
