Remember over a node's restart that its server is leaving

Cause, read from the code (operators of similar systems met it): a node learns from its backend server that it leaves, and forgets it when it restarts. A server that announces its leave goes on serving for seconds without further reports, so that a delayed earlier report makes the new process use it again, beyond the time after which it must get no requests. Change: the member's row in the replicated log names the leaving server and its start. A node that finds a row of its former incarnation ignores that server's reports; a planned stop keeps the row until the lease ends. Result: test_a_server_that_left_before_a_restart_gets_no_requests, with the feed or the report first; it can't be built on the code before, whose rows don't name servers. A node that restarts before its last report was committed still forgets; that is a few milliseconds.

--- a/src/sequoiaseam/_commands.py
+++ b/src/sequoiaseam/_commands.py
@@ -17,13 +17,23 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """A backend server and its start, in Unix milliseconds."""
+
+    server_id: str
+    started_at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A node with its backend server.
 
     ``incarnation`` increases with each start of the node. ``host`` and
     ``port`` are the address of the node's peer listener. ``pool`` is
-    empty while no backend server is announced.
+    empty while no backend server is announced. ``leaving_server`` is the
+    backend server that is leaving, if any: a node that restarts meanwhile
+    may receive a late report in which the server still serves.
     """
 
     name: str
@@ -35,6 +45,7 @@
     region: str
     state: MemberState
     slots: int = 0
+    leaving_server: LeavingServer | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -16,7 +16,7 @@
 from sequoiaseam._announcements import ServerReport, StaleReportFilter
 from sequoiaseam._balancer import Balancer
 from sequoiaseam._clock import Clock, create_incarnation
-from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._commands import LeavingServer, Member, MemberState
 from sequoiaseam._control_messages import (
     ControlHosts,
     NodeHello,
@@ -107,6 +107,8 @@
         self._view = NodeView()
         self._access = TrustedNetwork(settings.name)
         self._reported_member: Member | None = None
+        # Server that was leaving when this node last stopped.
+        self._former_server: LeavingServer | None = None
         self._report_sequence = 0
         self._stale_report_filter = StaleReportFilter()
         self._tasks = TaskGroup()
@@ -215,8 +217,12 @@
         # as a request read there would be cut off by ``close``.
         self._http_server.stop_accepting()
         self._quota_gate.close()
-        member_gone = MemberGone(self._settings.name, self._incarnation)
-        self._uplink.post(member_gone)
+        if self._create_member().leaving_server is None:
+            # Otherwise the member stays until its lease ends, so that the
+            # node still knows after a restart that its server is leaving.
+            self._uplink.post(
+                MemberGone(self._settings.name, self._incarnation)
+            )
         await asyncio.sleep(LEAVE_FLUSH_TIME.total_seconds())
 
     async def _wait_idle(self, deadline: datetime) -> None:
@@ -329,6 +335,11 @@
             region=settings.region,
             state=state,
             slots=report.slots if report else 0,
+            leaving_server=LeavingServer(
+                report.server_id, report.started_at_ms
+            )
+            if report is not None and report.leaving
+            else None,
         )
 
     def _create_report(self) -> MemberReport:
@@ -376,6 +387,7 @@
         previous_tables = view.tables
         if not view.apply(now, message):
             self._uplink.post(self._create_hello())
+        self._follow_former_incarnation()
         self._crash_reporter.follow_view()
         self._balancer.update(now, view.members)
         self._mesh.close_links_except(set(view.members))
@@ -384,6 +396,16 @@
             self._http_server.limits = view.tables.limits
             log_event(Level.INFO, "tables in force", revision=view.revision)
 
+    def _follow_former_incarnation(self) -> None:
+        """Ignore reports of a server that left before this node restarted."""
+        member = self._view.members.get(self._settings.name)
+        if member is None or member.incarnation == self._incarnation:
+            return
+        server = member.leaving_server
+        if server is not None and server != self._former_server:
+            self._former_server = server
+            self.accept_server_leave(server.server_id, server.started_at_ms)
+
 
 def find_local_hosts(message: ControlHosts, domain: str) -> frozenset[str]:
     """Return the control hosts of a failure domain."""
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from sequoiaseam._commands import LeavingServer, MemberState
+from sequoiaseam._feed import FeedDelta
 from sequoiaseam._host_call_executor import SERVER_RETRIES_MIN
 from sequoiaseam._ingress import choose_status, compute_slot_wait_limit
 from sequoiaseam._pressure import LEVEL_MAX, PoolPressure
@@ -440,6 +442,39 @@
             {200, 503},
         )
 
+    async def test_a_server_that_left_before_a_restart_gets_no_requests(
+        self,
+    ) -> None:
+        """Ignore a late report of a server whose leave was acknowledged.
+
+        The node that acknowledged it has been restarted since.
+        """
+        for order in ("feed first", "report first"):
+            with self.subTest(order=order):
+                cluster = await self.start_cluster((echo_body,))
+                node = cluster.nodes[0]
+                if order == "report first":
+                    cluster.report_server(0, 4)
+                row = replace(
+                    node._view.members["host-0"],
+                    state=MemberState.DRAINING,
+                    leaving_server=LeavingServer("server-0", 1),
+                )
+                node._apply_feed(FeedDelta(1, 2, 1, members=(row,)))
+                cluster.report_server(0, 4)
+                response = await cluster.send_request("/read/1")
+                self.assertEqual(response.status, 503)
+                self.assertEqual(cluster.servers[0].received, [])
+
+    async def test_a_member_names_its_leaving_server(self) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        node = cluster.nodes[0]
+        self.assertIsNone(node._create_member().leaving_server)
+        cluster.report_server(0, 2, leaving=True)
+        self.assertEqual(
+            node._create_member().leaving_server, LeavingServer("server-0", 1)
+        )
+
     async def test_outdated_reports_are_ignored(self) -> None:
         cluster = await self.start_cluster((echo_body,))
         cluster.report_server(0, 5, leaving=True)
