Divide the fleet's retries among the servers of a pool

Change: HostSettings.fleet_retries is what all servers of a pool together may receive; each takes its part of seven tenths of it, by the members in its view. Result: test_servers_of_a_pool_divide_the_retries_of_the_fleet.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -47,6 +47,9 @@
 LOAD_FIELD_PARTS: Final = 3
 # Retries that a backend server accepts in 10 s at any request rate.
 SERVER_RETRIES_MIN: Final = 2.0
+# Part of the fleet's retries that the servers of a pool divide among them.
+# The rest covers nodes that restart and so forget what they have counted.
+FLEET_RETRIES_FRACTION: Final = 0.7
 # A quarantine lasts for minutes; callers give up long before.
 QUARANTINE_RETRY_AFTER: Final = timedelta(minutes=1)
 MISDIRECTED_REQUEST_STATUS: Final = 421
@@ -96,8 +99,10 @@
         header_names: HeaderNames,
         pressure: PressureMap,
         crash_guard: CrashGuard,
+        fleet_retries: int = 0,
     ) -> None:
         self._crash_guard = crash_guard
+        self._fleet_retries = fleet_retries
         self._clock = clock
         self._rng = rng
         self._header_names = header_names
@@ -121,6 +126,13 @@
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._crash_guard.start()
 
+    def set_pool_size(self, server_count: int) -> None:
+        """Divide the fleet's retries among the servers of this pool."""
+        self._retry_limiter.retries_min = max(
+            SERVER_RETRIES_MIN,
+            FLEET_RETRIES_FRACTION * self._fleet_retries / server_count,
+        )
+
     async def close(self) -> None:
         """Cancel the tasks and close the connections."""
         await self._tasks.cancel()
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -86,6 +86,9 @@
     # Fraction of its rate that a workspace may exceed it by while the
     # control hosts elect a new leader. 0 disables this.
     quota_overshoot_fraction: float = 0.0
+    # Retries that all servers of a pool together may receive in 10 s at any
+    # request rate. 0 leaves each its own small number.
+    fleet_retries: int = 0
     log_level: str = "info"
 
 
@@ -153,6 +156,7 @@
             header_names,
             pressure,
             CrashGuard(clock, rng, self._crash_reporter),
+            settings.fleet_retries,
         )
         self._mesh_server = MeshServer(self._executor.run)
         self._ingress = Ingress(
@@ -387,6 +391,12 @@
         previous_tables = view.tables
         if not view.apply(now, message):
             self._uplink.post(self._create_hello())
+        report = self._executor.report
+        if report is not None:
+            server_count = sum(
+                member.pool == report.pool for member in view.members.values()
+            )
+            self._executor.set_pool_size(max(1, server_count))
         self._follow_former_incarnation()
         self._crash_reporter.follow_view()
         self._balancer.update(now, view.members)
--- a/src/sequoiaseam/_retry.py
+++ b/src/sequoiaseam/_retry.py
@@ -137,7 +137,7 @@
     """
 
     def __init__(self, retries_min: float) -> None:
-        self._retries_min = retries_min
+        self.retries_min = retries_min
         self._root_requests: dict[str, SlidingSum] = {}
         self._charged: dict[str, SlidingSum] = {}
 
@@ -179,7 +179,7 @@
         )
         charged_total = cost + (charged.measure(now) if charged else 0.0)
         return share > 0 and charged_total <= max(
-            self._retries_min, charged_max
+            self.retries_min, charged_max
         )
 
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -185,9 +185,11 @@
         handlers: Sequence[Handler],
         tables: Tables = TABLES,
         shutdown_time_limit: timedelta = SECOND,
+        fleet_retries: int = 0,
     ) -> None:
         self.tables = tables
         self._shutdown_time_limit = shutdown_time_limit
+        self._fleet_retries = fleet_retries
         self.servers = [ScriptedServer(handler) for handler in handlers]
         self.nodes: list[HostNode] = []
         self.ports: list[int] = []
@@ -240,6 +242,7 @@
                 mesh_endpoint=ephemeral_endpoint,
                 control_endpoints=(),
                 shutdown_time_limit=self._shutdown_time_limit,
+                fleet_retries=self._fleet_retries,
             ),
             HEADER_NAMES,
             ProcessClock(),
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -8,7 +8,10 @@
 
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
-from sequoiaseam._host_call_executor import SERVER_RETRIES_MIN
+from sequoiaseam._host_call_executor import (
+    FLEET_RETRIES_FRACTION,
+    SERVER_RETRIES_MIN,
+)
 from sequoiaseam._ingress import choose_status, compute_slot_wait_limit
 from sequoiaseam._pressure import LEVEL_MAX, PoolPressure
 from sequoiaseam._tables import Workspace
@@ -288,6 +291,30 @@
             runs - 12, SERVER_RETRIES_MIN * len(cluster.servers)
         )
 
+    async def test_servers_of_a_pool_divide_the_retries_of_the_fleet(
+        self,
+    ) -> None:
+        """Use most of them where servers shed, and no more than all."""
+        fleet_retries = 20
+        cluster = HostCluster(
+            (respond_not_run, respond_not_run), fleet_retries=fleet_retries
+        )
+        await cluster.start()
+        self.addAsyncCleanup(cluster.close)
+        for i in range(len(cluster.servers)):
+            cluster.report_server(i, 2)
+            node = cluster.nodes[i]
+            members = tuple(node._view.members.values())
+            node._apply_feed(FeedDelta(1, 2, 1, members=members))
+        count = 3 * fleet_retries
+        for _ in range(count):
+            await cluster.send_request("/open/1", key=None)
+        runs = sum(len(server.received) for server in cluster.servers)
+        self.assertGreaterEqual(
+            runs - count, int(FLEET_RETRIES_FRACTION * fleet_retries) - 2
+        )
+        self.assertLessEqual(runs - count, fleet_retries)
+
     async def test_a_request_is_cancelled_at_its_timeout(self) -> None:
         cluster = await self.start_cluster((never_respond,))
         response = await cluster.send_request("/order/1", "X-Left-Ms: 100")
