--- a/src/sequoiaseam/_backend.py
+++ b/src/sequoiaseam/_backend.py
@@ -1,7 +1,6 @@
 """HTTP client for the backend server beside the node."""
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
@@ -14,6 +13,7 @@
 from sequoiaseam._exchange import Response
 from sequoiaseam._frames import Headers
 from sequoiaseam._headers import sanitize_response
+from sequoiaseam._listeners import accepts_connections
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
@@ -152,16 +152,11 @@
 
     async def is_reachable(self) -> bool:
         """Return whether the backend server accepts connections."""
-        host, port = self._base_url.host, self._base_url.port
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, port)
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-        return True
+        return await accepts_connections(
+            self._base_url.host or "",
+            self._base_url.port or 0,
+            CONNECT_TIMEOUT_SECONDS,
+        )
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/sequoiaseam/_crash_guard.py
+++ b/src/sequoiaseam/_crash_guard.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import contextlib
 from datetime import timedelta
 from random import Random
 from typing import Final, Protocol
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._crash_reports import CrashReporter
+from sequoiaseam._listeners import accepts_connections
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._mesh_frames import RunCall
 from sequoiaseam._quarantine import (
@@ -34,7 +34,9 @@
 class ConnectionCheck(Protocol):
     """Returns whether an address accepts connections."""
 
-    async def __call__(self, endpoint: Endpoint) -> bool:
+    async def __call__(
+        self, host: str, port: int, timeout_seconds: float
+    ) -> bool:
         """Try to connect."""
 
 
@@ -46,12 +48,12 @@
         clock: Clock,
         rng: Random,
         reporter: CrashReporter,
-        accepts_connections: ConnectionCheck | None = None,
+        check_connection: ConnectionCheck = accepts_connections,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._reporter = reporter
-        self._accepts_connections = accepts_connections or try_to_connect
+        self._check_connection = check_connection
         self._watch = CrashWatch(SHARED_CRASH_THRESHOLD)
         # Runs that broke off and may have crashed the server.
         self._unexplained: set[int] = set()
@@ -90,7 +92,9 @@
 
     async def _check_server(self, endpoint: Endpoint) -> None:
         await asyncio.sleep(CHECK_DELAY.total_seconds())
-        is_running = await self._accepts_connections(endpoint)
+        is_running = await self._check_connection(
+            endpoint.host, endpoint.port, CONNECT_TIMEOUT.total_seconds()
+        )
         unexplained, self._unexplained = self._unexplained, set()
         if is_running:
             for run_id in unexplained:
@@ -118,21 +122,6 @@
             self._tasks.start(self._reporter.report(report))
 
 
-async def try_to_connect(endpoint: Endpoint) -> bool:
-    """Return whether an address accepts connections."""
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-            _, writer = await asyncio.open_connection(
-                endpoint.host, endpoint.port
-            )
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
-    return True
-
-
 def _compute_call_fingerprint(call: RunCall) -> int:
     return compute_fingerprint(
         call.workspace, call.route, call.method, call.target, call.body
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -1,6 +1,7 @@
-"""Listening TCP sockets."""
+"""Listening TCP sockets, and a check whether others listen."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -35,3 +36,18 @@
         backlog=backlog,
     )
     return Listener(server, int(server.sockets[0].getsockname()[1]))
+
+
+async def accepts_connections(
+    host: str, port: int, timeout_seconds: float
+) -> bool:
+    """Return whether an address accepts connections within the time."""
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return True
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -58,8 +58,10 @@
             self.reporter.follow_view()
         return True
 
-    async def _check(self, endpoint: Endpoint) -> bool:
-        del endpoint
+    async def _check(
+        self, host: str, port: int, timeout_seconds: float
+    ) -> bool:
+        del host, port, timeout_seconds
         self.checked.set()
         return self.server_runs
 
