--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -1,7 +1,9 @@
 """Tests that malformed messages and unexpected errors stay contained."""
 
 import asyncio
+import contextlib
 import unittest
+from dataclasses import fields, is_dataclass
 from datetime import timedelta
 from typing import Any, Final, cast
 
@@ -10,6 +12,7 @@
 from hypothesis import strategies as st
 
 from sequoiaseam._clock import ManualClock
+from sequoiaseam._control_messages import create_control_codec
 from sequoiaseam._mesh import LENGTH_PREFIX, FrameConnection, MeshLink
 from sequoiaseam._mesh_frames import (
     RunAnswer,
@@ -22,7 +25,7 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam.errors import ErrorCode
+from sequoiaseam.errors import ErrorCode, SeamError
 from tests.hosts import LOCALHOST
 
 WAIT_LIMIT_SECONDS: Final = 20.0
@@ -151,6 +154,50 @@
         self.assertEqual(results, [None])
 
 
+class ControlMessageTest(unittest.TestCase):
+    """Guards against messages of control that raise unexpected errors."""
+
+    codec = create_control_codec()
+
+    @given(
+        st.sampled_from([t.__name__ for t in codec.types]),
+        VALUES | st.dictionaries(st.text(max_size=8), VALUES, max_size=4),
+    )
+    def test_any_content_of_each_type_is_read_or_refused(
+        self, name: str, content: object
+    ) -> None:
+        data = msgspec.msgpack.encode((name, content))
+        try:
+            message = self.codec.decode(data)
+        except SeamError as error:
+            self.assertIs(error.code, ErrorCode.BAD_REQUEST)
+        else:
+            self.assertEqual(type(message).__name__, name)
+
+    @given(
+        st.sampled_from([t for t in codec.types if is_dataclass(t)]),
+        st.data(),
+    )
+    def test_any_changed_field_is_read_or_refused(
+        self, message_type: type[Any], data: st.DataObject
+    ) -> None:
+        """Give some of the fields a value of any type."""
+        values = {
+            field.name: data.draw(VALUES)
+            for field in fields(message_type)
+            if data.draw(st.booleans())
+        }
+        content = msgspec.msgpack.encode((message_type.__name__, values))
+        with contextlib.suppress(SeamError):
+            self.codec.decode(content)
+
+    @given(st.binary(max_size=64))
+    def test_any_bytes_are_refused_or_read(self, content: bytes) -> None:
+        for decode in (self.codec.decode, self.codec.decode_compressed):
+            with contextlib.suppress(SeamError):
+                decode(content)
+
+
 class PeriodicTaskTest(unittest.IsolatedAsyncioTestCase):
     """Guards against processes that go on without their timeouts."""
 
