Learn the time limits of nested calls to find their callers

Acceptances thus waited behind history calls there, and calls of repeated runs weren't counted as repeats. Deadlines also fell 0.5 to 1.0 ms short of their runs', as two hosts round them down. Change: the limit is learned by called route, as the span between a run's start and a call's deadline that recurs; the range of the gap begins at -1.2 ms.

--- a/src/sequoiaseam/_call_attribution.py
+++ b/src/sequoiaseam/_call_attribution.py
@@ -1,8 +1,9 @@
 """Attribution of a backend server's nested calls to the runs they serve.
 
 Used for calls without a handle. A backend server passes on its remaining
-time: a nested call's deadline is that of the request it serves or, if the
-called route's timeout is shorter, the start of the run plus that timeout.
+time: a nested call's deadline is that of the request it serves or, if its
+own limit for the call is shorter, the start of the run plus that limit, which
+is learned and until then assumed to be the called route's timeout.
 The host knows both to the millisecond, so few runs match. Which routes a
 route calls is learned from calls that match runs of one route only.
 """
@@ -13,15 +14,20 @@
 from datetime import datetime, timedelta
 from typing import Final
 
-# Range of the gap between a call's deadline and that of its run. A
-# backend server rounds the remaining time up or down to a millisecond,
-# and the request takes up to about one more to reach it.
-GAP_MIN: Final = timedelta(microseconds=-500)
+from sequoiaseam._time_limits import TimeLimitEstimator
+
+# Range of the gap between a call's deadline and that of its run. This host
+# and a backend server each round the remaining time to a millisecond, and
+# the request takes up to about one more to reach the server.
+GAP_MIN: Final = timedelta(microseconds=-1200)
 GAP_MAX: Final = timedelta(microseconds=1900)
 GAP_TYPICAL: Final = timedelta(microseconds=600)
 # Replaces GAP_MAX for matches by the start of a run, as a backend server
 # may start a run somewhat later than it reads the request.
 START_GAP_MAX: Final = timedelta(microseconds=2900)
+# Range of the gap to a learned limit, which includes the typical delays.
+LEARNED_GAP_MIN: Final = timedelta(microseconds=-2500)
+LEARNED_GAP_MAX: Final = timedelta(microseconds=2500)
 # A called route is taken for a coincidental match if it has fewer calls
 # per run than CALLS_PER_RUN_MIN, or than this fraction of the highest
 # value of any route for the same called route.
@@ -79,6 +85,7 @@
         self._runs_by_deadline: list[tuple[datetime, int]] = []
         self._runs_by_start: list[tuple[datetime, int]] = []
         self._counts_by_route: dict[str, _CallCounts] = {}
+        self._time_limits = TimeLimitEstimator()
 
     def start_run(
         self, now: datetime, deadline: datetime, run: ParentRun
@@ -111,14 +118,12 @@
         and ``timeout`` the timeout of that route.
         """
         candidates = list(
-            _find_within_gap(self._runs_by_deadline, deadline, GAP_MAX)
+            _find_within_gap(
+                self._runs_by_deadline, deadline, GAP_MIN, GAP_MAX
+            )
         )
         if not candidates:
-            candidates = list(
-                _find_within_gap(
-                    self._runs_by_start, deadline - timeout, START_GAP_MAX
-                )
-            )
+            candidates = self._find_by_start(deadline, route, timeout)
         if not candidates:
             return None
         parents = [self._runs[run_id].parent for _, run_id in candidates]
@@ -131,6 +136,27 @@
         best_fits[route] = best_fits.get(route, 0.0) + 1
         return best
 
+    def _find_by_start(
+        self, deadline: datetime, route: str, timeout: timedelta
+    ) -> list[tuple[timedelta, int]]:
+        """Return the runs whose start fits a call with a limit of its own."""
+        self._time_limits.record(
+            route, [deadline - run.began_at for run in self._runs.values()]
+        )
+        limit = self._time_limits.find(route)
+        if limit is None:
+            gaps = _find_within_gap(
+                self._runs_by_start, deadline - timeout, GAP_MIN, START_GAP_MAX
+            )
+        else:
+            gaps = _find_within_gap(
+                self._runs_by_start,
+                deadline - limit,
+                LEARNED_GAP_MIN,
+                LEARNED_GAP_MAX,
+            )
+        return list(gaps)
+
     def list_called_routes(self, route: str) -> frozenset[str]:
         """Return the routes that a route calls, without coincidences."""
         counts = self._counts_by_route.get(route)
@@ -177,13 +203,14 @@
 def _find_within_gap(
     ordered: list[tuple[datetime, int]],
     time: datetime,
+    gap_min: timedelta,
     gap_max: timedelta,
 ) -> Iterator[tuple[timedelta, int]]:
     """Yield gap and id of the runs whose time is just before ``time``."""
     index = bisect_left(ordered, (time - gap_max, 0))
     while index < len(ordered):
         gap = time - ordered[index][0]
-        if gap < GAP_MIN:
+        if gap < gap_min:
             return
         yield gap, ordered[index][1]
         index += 1
--- a/tests/test_call_attribution.py
+++ b/tests/test_call_attribution.py
@@ -59,6 +59,48 @@
         self.assertIsNone(found)
 
 
+class OwnLimitTest(unittest.TestCase):
+    """Guards against calls of a tree that lose their importance.
+
+    The load is that of servers that allow calls 700 ms on routes whose
+    timeout is a second, with up to 27 runs in progress.
+    """
+
+    def measure_found_fraction(self, limit: timedelta, seed: int) -> float:
+        """Return the fraction of the later calls with the right parent."""
+        rng = random.Random(seed)
+        attribution = CallAttribution()
+        now = EPOCH
+        found = 0
+        count = 600
+        for number in range(count):
+            now += rng.expovariate(20) * timedelta(seconds=1)
+            run_deadline = now + rng.uniform(800, 1000) * MS
+            attribution.start_run(now, run_deadline, build_parent(number))
+            deadline = min(run_deadline, now + limit)
+            rounding = rng.uniform(-1.0, 0.6) * MS
+            parent = attribution.find_parent(
+                deadline + rounding, "prices", timedelta(seconds=1)
+            )
+            if number >= count // 2:
+                found += parent is not None and parent.run_id == number
+            if number >= 20:
+                attribution.end_run(number - 20)
+        return found / (count - count // 2)
+
+    def test_learns_a_limit_below_the_timeout(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                fraction = self.measure_found_fraction(700 * MS, seed)
+                self.assertGreater(fraction, 0.85)
+
+    def test_calls_without_a_limit_have_the_deadline_of_their_run(
+        self,
+    ) -> None:
+        fraction = self.measure_found_fraction(timedelta(seconds=9), 1)
+        self.assertGreater(fraction, 0.85)
+
+
 class EstimateTest(unittest.TestCase):
     """Guards against retries that cost more nested calls than estimated."""
 
