--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -58,8 +58,8 @@
 # refused, so that those in progress can finish.
 DRAIN_ADMISSION_FRACTION: Final = 0.5
 # Fraction of the shutdown time limit after which running requests are cut
-# off.
-DRAIN_TIME_FRACTION: Final = 0.9
+# off. The rest is for closing connections and the end of the process.
+DRAIN_TIME_FRACTION: Final = 0.86
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
