Order and name the balancer's constants by what they bound

LOCALITY_LOAD_MAX and LOCAL_LOAD_MAX differed by two letters; the first bounds a report and is REPORTED_LOAD_MAX now. No change of behaviour.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -19,17 +19,17 @@
 # Up to this mean load of the members in the same failure domain, a call
 # doesn't wait for a slot there, so that it gains nothing elsewhere.
 LOCAL_LOAD_MAX: Final = 0.7
+# With a higher mean load, a call leaves the domain if the one elsewhere is
+# lower by this much. A load that exceeds the slots by this fraction costs a
+# wait of the same fraction of the mean service time.
+LOAD_ADVANTAGE_MIN: Final = 0.2
 # A call also leaves the domain rather than take this many times as long as
 # at a member of mean speed.
 LOCAL_SLOWNESS_MAX: Final = 1.5
-# With a higher load, it leaves if the mean load elsewhere is lower by this
-# much. A load that exceeds the slots by this fraction costs a wait of the
-# same fraction of the mean service time.
-LOAD_ADVANTAGE_MIN: Final = 0.2
 # Load that counts as much as all calls being refused or failing.
 UNSUCCESSFUL_LOAD: Final = 4.0
 # A report above this is taken as this, so that none decides alone.
-LOCALITY_LOAD_MAX: Final = 2.0
+REPORTED_LOAD_MAX: Final = 2.0
 LOCALITY_LOAD_LIFETIME: Final = timedelta(seconds=3)
 # Fraction of each report in the mean load of a domain's members.
 LOCALITY_SMOOTHING_FACTOR: Final = 0.1
@@ -370,7 +370,7 @@
         peer = self._peers.get(name)
         if peer is not None and load == load:
             self._get_load_around(peer).record_load(
-                now, min(LOCALITY_LOAD_MAX, max(0.0, load))
+                now, min(REPORTED_LOAD_MAX, max(0.0, load))
             )
             peer.reported_load = min(1.0, max(0.0, load))
             peer.load_reported_at = now
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -132,7 +132,7 @@
                 connection.abort()
                 continue
             if connection.last_correlation_field == request.correlation_field:
-                # So could a second copy of the last response.
+                # Nor could a second copy of the last response.
                 return None
             if (
                 not request.idempotent
