Let a compiled client end a request while it parses

The outcome had been reported by then; asyncio closed the connection. Change: the second check is made in a method of its own.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -293,11 +293,14 @@
             return
         if self._response is not None:
             self._finish_request(Failure.GARBLED)
-        elif self._request is not None:
+        else:
             self._check_size()
 
     def _check_size(self) -> None:
         """Give up an incomplete response that exceeds a size limit."""
+        if self._request is None:
+            # The parser's callbacks have ended it.
+            return
         if self._exceeds_overhead():
             self.reject_oversized()
         elif self._body_size:
