Leave a control host that is cut off before an edit is overdue

A node whose control host is cut off from the others, but not from the node, left it once the confirmation was 1.75 s old, which it noticed up to 0.5 s later, and had another one up to 0.9 s after that; an edit has to be in force within 2.5 s. Since nodes prefer the host of their domain, all of a domain depend on one. Change: the limit is 1 s, and each pong is judged when it comes.

--- a/src/sequoiaseam/_uplink.py
+++ b/src/sequoiaseam/_uplink.py
@@ -17,7 +17,6 @@
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import (
     ATTACH_TIMEOUT,
-    CONFIGURATION_LEASE,
     NODE_PING_INTERVAL,
     UPLINK_TIMEOUT,
 )
@@ -28,8 +27,10 @@
 # Minimum time between attempts to switch to the preferred control host.
 PREFERRED_HOST_RETRY_INTERVAL: Final = timedelta(seconds=5)
 # A control host whose last confirmation of the configuration is older than
-# this is partitioned or lagging; another control host may be up to date.
-MAX_CONFIRMATION_AGE: Final = CONFIGURATION_LEASE / 2
+# this is partitioned or lagging; another control host may be up to date. It
+# is more than twice the time between confirmations, and leaves time to find
+# another host before an edit has to be in force.
+MAX_CONFIRMATION_AGE: Final = timedelta(seconds=1)
 MAX_QUEUED_MESSAGES: Final = 10_000
 
 
@@ -64,6 +65,7 @@
         self._preferred_hosts: frozenset[str] = frozenset()
         self._preferred_tried_at = clock.now() - PREFERRED_HOST_RETRY_INTERVAL
         self._last_pong_at = clock.now()
+        self._attached_at = clock.now()
         self._confirmation_age = timedelta(0)
 
     @property
@@ -165,7 +167,7 @@
             async with asyncio.timeout(timeout_seconds):
                 await stream.send_message(self._hooks.create_hello())
             self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._last_pong_at = self._clock.now()
+            self._last_pong_at = self._attached_at = self._clock.now()
             self._confirmation_age = timedelta(0)
             self._attached_host = name
             log_event(Level.INFO, "control host attached", control=name)
@@ -182,6 +184,20 @@
                 self._last_pong_at = self._clock.now()
                 self._confirmation_age = message.age
             self._hooks.handle_message(message)
+            if self._is_outdated():
+                return
+
+    def _is_outdated(self) -> bool:
+        """Return whether another control host may be more up to date.
+
+        A host that was just attached may be about to confirm.
+        """
+        attached_for = self._clock.now() - self._attached_at
+        return (
+            self._confirmation_age > MAX_CONFIRMATION_AGE
+            and attached_for >= NODE_PING_INTERVAL
+            and len(self._hosts) > 1
+        )
 
     async def _send_messages(self, stream: Stream) -> None:
         while True:
@@ -206,13 +222,10 @@
             )
             for task in done:
                 task.result()
+            if self._is_outdated():
+                raise TimeoutError
             if done or self._should_switch_host():
                 return
             silence = self._clock.now() - self._last_pong_at
             if silence > UPLINK_TIMEOUT:
                 raise TimeoutError
-            if (
-                self._confirmation_age > MAX_CONFIRMATION_AGE
-                and len(self._hosts) > 1
-            ):
-                raise TimeoutError
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -18,10 +18,17 @@
 from sequoiaseam._feed import Ping, Pong
 from sequoiaseam._host_node import find_local_hosts
 from sequoiaseam._members import MemberReport
-from sequoiaseam._rpc import RpcServer, Stream
+from sequoiaseam._replica_runner import CONFIRM_INTERVAL
+from sequoiaseam._rpc import CONNECT_TIMEOUT_SECONDS, RpcServer, Stream
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._uplink import Uplink, UplinkHooks
+from sequoiaseam._uplink import (
+    MAX_CONFIRMATION_AGE,
+    MAX_RECONNECT_DELAY_SECONDS,
+    Uplink,
+    UplinkHooks,
+)
+from sequoiaseam.const import NODE_PING_INTERVAL
 from tests.hosts import LOCALHOST
 
 WAIT_LIMIT_SECONDS: Final = 20.0
@@ -138,6 +145,20 @@
         await self.wait_until_attached("near")
         await self.wait_until_attached("far")
 
+    def test_a_node_moves_on_before_an_edit_has_to_be_in_force(self) -> None:
+        """Bound the time at a control host that is cut off from the others.
+
+        Edits have to be in force within 2.5 s also at its nodes.
+        """
+        time_to_move = (
+            MAX_CONFIRMATION_AGE
+            + NODE_PING_INTERVAL
+            + timedelta(seconds=MAX_RECONNECT_DELAY_SECONDS)
+            + timedelta(seconds=CONNECT_TIMEOUT_SECONDS)
+        )
+        self.assertLess(time_to_move, timedelta(seconds=2.5))
+        self.assertGreater(MAX_CONFIRMATION_AGE, 2 * CONFIRM_INTERVAL)
+
     def test_local_hosts_are_those_of_the_domain(self) -> None:
         cases: dict[str, tuple[ControlHosts, frozenset[str]]] = {
             "one": (
