--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -51,6 +51,8 @@
             _,
         ) = ports
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        # Zones of addresses that are not in the zone of the others.
+        self.zones: dict[str, str] = {}
 
     async def start(self, address: str, *, bootstrap: bool = True) -> None:
         """Start the control host or node of an address."""
@@ -86,7 +88,8 @@
         return (
             f'node-name = "host-{address}"\n'
             f'ip-address = "{address}"\n'
-            'zone = "north"\nregion = "south"\n'
+            f'zone = "{self.zones.get(address, "north")}"\n'
+            'region = "south"\n'
             f"internal-port-range = [{self.internal_port}, "
             f"{self.internal_port}]\n"
             f"seed-nodes = [{seeds}]\n"
@@ -331,6 +334,30 @@
         ]
         self.assertEqual(exit_codes, [0, 0])
 
+    async def test_a_node_attaches_to_the_control_host_of_its_domain(
+        self,
+    ) -> None:
+        node = NODE_ADDRESSES[0]
+        self.fleet.zones = {
+            address: f"zone-{index}"
+            for index, address in enumerate(CONTROL_ADDRESSES)
+        }
+        near = CONTROL_ADDRESSES[-1]
+        self.fleet.zones[node] = self.fleet.zones[near]
+        for address in (*CONTROL_ADDRESSES, node):
+            await self.fleet.start(address)
+        await self.put_configuration(build_document(3, 0))
+
+        async def has_attached_near() -> bool:
+            attached = self.fleet.read_log(node).rpartition(
+                '"control host attached"'
+            )[2]
+            return f'"control": "{near}:' in attached
+
+        await self.wait_until(
+            has_attached_near, "the node isn't at the host of its domain"
+        )
+
     async def test_repairs_the_control_group(self) -> None:
         for address in CONTROL_ADDRESSES:
             await self.fleet.start(address)
