Don't keep calls in a domain at its only member when that is silent

Change: a member that has been silent for four mean latencies with calls in flight is not preferred.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -26,6 +26,9 @@
 # A call also leaves the domain rather than take this many times as long as
 # at a member of mean speed.
 LOCAL_SLOWNESS_MAX: Final = 1.5
+# The same for a member that has not responded for this many mean latencies;
+# calls of a pool differ in length.
+LOCAL_SILENCE_MAX: Final = 4.0
 # Load that counts as much as all calls being refused or failing.
 UNSUCCESSFUL_LOAD: Final = 4.0
 # A report above this is taken as this, so that none decides alone.
@@ -295,12 +298,17 @@
     ) -> _Peer | None:
         """Return the better of two members in this failure domain.
 
-        Return None if both are clearly slower than the pool's mean.
+        Return None if both are clearly slower than the pool's mean, or
+        silent: there may be only one.
         """
         best: _Peer | None = None
         least = 0.0
         for peer in self._sample_two(group.local, exclude):
-            if (peer.slowness or 0.0) > LOCAL_SLOWNESS_MAX:
+            if (
+                peer.slowness or 0.0
+            ) > LOCAL_SLOWNESS_MAX or self._measure_silence(
+                now, peer
+            ) > LOCAL_SILENCE_MAX:
                 continue
             score = self._score(now, group, peer)
             if best is None or score < least:
@@ -410,18 +418,12 @@
 
         It is 1 for a member of mean speed without calls; lower is better.
         """
-        slowness = self._estimate_slowness(now, group, peer)
-        if peer.in_flight and peer.last_heard_at is not None:
-            # Avoid a silent member even before pings detect it: its
-            # responses take at least as long as the silence has lasted.
-            mean_latency_s = self._mean_latencies_s.get(
-                (peer.member.pool, None), LATENCY_DEFAULT_S
-            )
-            silence = now - peer.last_heard_at
-            slowness = max(
-                slowness,
-                silence.total_seconds() / max(mean_latency_s, LATENCY_MIN_S),
-            )
+        # Avoid a silent member even before pings detect it: its responses
+        # take at least as long as the silence has lasted.
+        slowness = max(
+            self._estimate_slowness(now, group, peer),
+            self._measure_silence(now, peer),
+        )
         score = (peer.in_flight + 1) * slowness
         score *= 1 + UNSUCCESSFUL_PENALTY * peer.compute_unsuccessful_rate(now)
         if (
@@ -431,6 +433,19 @@
             score *= 1 + REPORTED_LOAD_WEIGHT * peer.reported_load
         return score / peer.compute_ramp_fraction(now)
 
+    def _measure_silence(self, now: datetime, peer: _Peer) -> float:
+        """Return the silence of a member with calls in flight.
+
+        It is relative to the pool's mean latency, 0 without such calls.
+        """
+        if not peer.in_flight or peer.last_heard_at is None:
+            return 0.0
+        mean_latency_s = self._mean_latencies_s.get(
+            (peer.member.pool, None), LATENCY_DEFAULT_S
+        )
+        silence = now - peer.last_heard_at
+        return silence.total_seconds() / max(mean_latency_s, LATENCY_MIN_S)
+
     def _estimate_slowness(
         self, now: datetime, group: _PoolMembers, peer: _Peer
     ) -> float:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -118,6 +118,17 @@
         fixture.now += 300 * MS
         self.assertEqual(fixture.count_calls(20)["m0"], 0)
 
+    def test_leaves_the_only_silent_member_of_its_domain(self) -> None:
+        members = build_members(1) | build_members(3, "domain-2", "far")
+        fixture = Fixture(members)
+        for _ in range(50):
+            name = fixture.call()
+            fixture.balancer.record_load(fixture.now, name, 0.1)
+        self.assertGreater(fixture.count_calls(20)["m0"], 15)
+        fixture.balancer.start(fixture.now, "m0")
+        fixture.now += 100 * MS
+        self.assertEqual(fixture.count_calls(20)["m0"], 0)
+
     def test_reported_load_does_not_override_latency(self) -> None:
         fixture = Fixture(build_members(2))
         for name, load in (("m0", 0.0), ("m1", 1.0)):
