Log requests that end with their connection, and what a drain leaves

Between the lines `draining` and `stopped` a node wrote nothing, and a request that was cancelled with its caller's connection left no line on any node. So a request read after the last idle check, one cut at the drain's time limit, and a caller that left look the same. Change: `drain ended` tells when the last idle check was and how many requests and calls are still in progress then; `request cancelled; its connection was closed` names the request, whether it may have run and the host of its attempt.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -145,6 +145,11 @@
         """Return whether a call is in progress."""
         return bool(self._runs)
 
+    @property
+    def call_count(self) -> int:
+        """Return the number of calls in progress."""
+        return len(self._runs)
+
     @property
     def report(self) -> ServerReport | None:
         """Return the latest report of the backend server, if any."""
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -220,6 +220,14 @@
         # No event loop iteration may lie between the last check and this,
         # as a request read there would be cut off by ``close``.
         self._http_server.stop_accepting()
+        log_event(
+            Level.INFO,
+            "drain ended",
+            host=self._settings.name,
+            duration=self._clock.now() - started_at,
+            requests=self._ingress.pending_request_count,
+            calls=self._executor.call_count,
+        )
         self._quota_gate.close()
         if self._create_member().leaving_server is None:
             # Otherwise the member stays until its lease ends, so that the
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -107,7 +107,8 @@
     server_failure: RunAnswer | None = None
     quota_request_id: int | None = None
     timer: asyncio.TimerHandle | None = None
-    # Cancels the attempt in progress.
+    # Host of the attempt in progress, and the function that cancels it.
+    attempt_host: str = ""
     cancel_attempt: Callable[[], None] | None = field(default=None, repr=False)
     finished: bool = False
 
@@ -158,11 +159,16 @@
         self._retry_shares: dict[str, tuple[float, RetryShare]] = {}
         self._tree_retry_limiter = TreeRetryLimiter(POOL_RETRIES_MIN)
         self._route_throttle = RouteThrottle(rng)
-        self.pending_request_count = 0
+        self._pending_requests: set[PendingRequest] = set()
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
 
+    @property
+    def pending_request_count(self) -> int:
+        """Return the number of requests that have no response yet."""
+        return len(self._pending_requests)
+
     def update_tables(self) -> None:
         """Update what is derived from the tables after they change."""
         self._route_index = RouteIndex(self._view.tables)
@@ -186,7 +192,7 @@
         """Start handling a request."""
         raw_id = request.get_field(self._header_names.request_id) or b""
         pending = PendingRequest(request, raw_id.decode("latin-1"))
-        self.pending_request_count += 1
+        self._pending_requests.add(pending)
         request.on_disconnect = lambda: self._abandon(pending)
         code = self._find_route(pending) or self._authenticate(pending)
         if code is not None:
@@ -399,6 +405,7 @@
                     now + duration, host_name, CallResult.REFUSED, duration
                 )
 
+        pending.attempt_host = host_name
         pending.cancel_attempt = cancel_attempt
         cancel_call = self._send_call(host_name, call, handle_result)
 
@@ -437,6 +444,7 @@
         result: RunResult | None,
     ) -> None:
         now = self._clock.now()
+        pending.attempt_host = ""
         pending.cancel_attempt = None
         call_result = self._classify(result)
         self._balancer.finish(
@@ -590,7 +598,7 @@
 
     def _finish(self, pending: PendingRequest) -> None:
         pending.finished = True
-        self.pending_request_count -= 1
+        self._pending_requests.discard(pending)
         pending.request.on_disconnect = None
         if pending.parent_run_id is not None:
             self._attribution.end_call(
@@ -617,6 +625,18 @@
         if pending.finished:
             return
         self._finish(pending)
+        self._log.log(
+            Level.INFO,
+            "request cancelled; its connection was closed",
+            request_id=pending.request_id,
+            route=pending.route.name if pending.route else "",
+            may_have_run=(
+                pending.may_have_run or pending.cancel_attempt is not None
+            ),
+            attempt_host=pending.attempt_host,
+            tried=sorted(pending.tried_hosts),
+            age=self._clock.now() - pending.request.arrived_at,
+        )
         if pending.cancel_attempt is not None:
             pending.cancel_attempt()
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,10 +1,14 @@
 """Tests of planned stops of nodes under load."""
 
 import asyncio
+import io
+import json
+import sys
 import unittest
 from datetime import timedelta
 from typing import Any, Final
 
+from sequoiaseam._logs import Level, configure_logging
 from sequoiaseam._members import MemberGone
 from tests.hosts import (
     LOCALHOST,
@@ -30,6 +34,11 @@
     )
 
 
+def ignore_request(request: ReceivedRequest) -> None:
+    """Never respond."""
+    del request
+
+
 def respond_with_large_body(request: ReceivedRequest) -> None:
     """Respond with a body that a caller can't receive at once."""
     request.respond(200, LARGE_BODY)
@@ -172,5 +181,39 @@
         writer.close()
 
 
+class DrainLogTest(DrainTestCase):
+    """Guards against requests whose end at a stop leaves no log line."""
+
+    def read_fields(self, stream: io.StringIO, event: str) -> list[Any]:
+        """Return the fields of all lines of an event."""
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        return [line["fields"] for line in lines if line["event"] == event]
+
+    async def test_an_interrupted_request_and_the_drain_are_logged(
+        self,
+    ) -> None:
+        stream = io.StringIO()
+        configure_logging(Level.INFO, stream)
+        self.addCleanup(configure_logging, Level.ERROR, sys.stderr)
+        cluster = await self.start_cluster(ignore_request)
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not self.count_runs(cluster):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        sender.cancel()
+        await asyncio.gather(sender, return_exceptions=True)
+        await self.stop(cluster)
+        (cancelled,) = self.read_fields(
+            stream, "request cancelled; its connection was closed"
+        )
+        self.assertEqual(cancelled["request_id"], "7")
+        self.assertTrue(cancelled["may_have_run"])
+        self.assertIn(cancelled["attempt_host"], ("host-0", "host-1"))
+        (ended,) = self.read_fields(stream, "drain ended")
+        self.assertEqual((ended["requests"], ended["calls"]), (0, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
