--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,22 +5,33 @@
 import json
 import sys
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final
 
+from sequoiaseam._feed import FeedDelta
 from sequoiaseam._logs import Level, configure_logging
 from sequoiaseam._members import MemberGone
+from sequoiaseam._mesh_frames import RunCall, RunRefusal, RunResult
+from sequoiaseam._tables import Importance
 from tests.hosts import (
     LOCALHOST,
     Handler,
     HostCluster,
     ReceivedRequest,
+    Response,
     format_request,
     read_response,
 )
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 SHUTDOWN_TIME_LIMIT: Final = timedelta(seconds=10)
+# Ends shortly after callers and nodes have learned of the drain.
+SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
+CALL: Final = RunCall(
+    *(0, "slow", "store", "GET", "/slow/1", b"", b"", "7", "", "coop"),
+    *(Importance.NORMAL, 1.0, 50_000, 60_000, False, False, False),
+)
 RESPONSE_DELAY_SECONDS: Final = 0.3
 POLL_INTERVAL_SECONDS: Final = 0.01
 # More than the socket buffers on both sides hold.
@@ -47,10 +58,18 @@
 class DrainTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that drain one node."""
 
-    async def start_cluster(self, handler: Handler) -> HostCluster:
-        """Start a host to drain, and one that runs its callers' requests."""
+    async def start_cluster(
+        self,
+        *handlers: Handler,
+        time_limit: timedelta = SHUTDOWN_TIME_LIMIT,
+    ) -> HostCluster:
+        """Start a host to drain, and one that runs its callers' requests.
+
+        A single handler serves both.
+        """
         cluster = HostCluster(
-            (handler, handler), shutdown_time_limit=SHUTDOWN_TIME_LIMIT
+            handlers if len(handlers) > 1 else handlers * 2,
+            shutdown_time_limit=time_limit,
         )
         await cluster.start()
         self.addAsyncCleanup(cluster.close)
@@ -62,16 +81,20 @@
             await cluster.nodes[0].drain()
             await cluster.nodes[0].close()
 
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
     def count_runs(self, cluster: HostCluster) -> int:
         """Return the number of requests that reached a backend server."""
         return sum(len(server.received) for server in cluster.servers)
 
     async def wait_until_closing(self, cluster: HostCluster) -> None:
         """Wait until each response closes its connection."""
-        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            http_server = cluster.nodes[0]._http_server
-            while not http_server.closing:  # noqa: ASYNC110
-                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        http_server = cluster.nodes[0]._http_server
+        await self.wait_until(lambda: http_server.closing)
 
 
 class LateRequestTest(DrainTestCase):
@@ -134,6 +157,85 @@
         self.assertEqual(statuses.count(200), self.count_runs(cluster))
 
 
+class TimeLimitTest(DrainTestCase):
+    """Guards against requests cut without an answer at the time limit."""
+
+    async def send_until_queued(
+        self, cluster: HostCluster
+    ) -> list[asyncio.Task[Response]]:
+        """Send requests until several wait at the host that stops."""
+        cluster.report_server(0, 2, slots=1)
+        tasks: list[asyncio.Task[Response]] = []
+        executor = cluster.nodes[0]._executor
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while executor.call_count < 3:
+                tasks.append(
+                    asyncio.create_task(
+                        cluster.send_request(
+                            "/slow/1", method="POST", body=b"x"
+                        )
+                    )
+                )
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        return tasks
+
+    async def test_requests_of_callers_are_answered(self) -> None:
+        """Refuse as not run only what hasn't reached a server."""
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=SHORT_TIME_LIMIT
+        )
+        tasks = await self.send_until_queued(cluster)
+        await self.stop(cluster)
+        responses = await asyncio.gather(*tasks, return_exceptions=True)
+        statuses = [
+            r.status if isinstance(r, Response) else 0 for r in responses
+        ]
+        self.assertLessEqual(set(statuses), {502, 503})
+        self.assertGreaterEqual(statuses.count(502), self.count_runs(cluster))
+        self.assertGreaterEqual(statuses.count(503), 2)
+
+    async def test_calls_of_other_nodes_are_answered(self) -> None:
+        """Refuse the queued calls as not run, so that others may run them."""
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=SHORT_TIME_LIMIT
+        )
+        cluster.report_server(0, 2, slots=1)
+        results: list[RunResult | None] = []
+        for _ in range(3):
+            cluster.nodes[1]._start_call("host-0", CALL, results.append)
+        await self.wait_until(
+            lambda: cluster.nodes[0]._executor.call_count == 3
+        )
+        await self.stop(cluster)
+        await self.wait_until(lambda: len(results) == 3)
+        may_have_run = [
+            result.may_have_run if isinstance(result, RunRefusal) else None
+            for result in results
+        ]
+        self.assertCountEqual(may_have_run, [True, False, False])
+        self.assertEqual(self.count_runs(cluster), 1)
+
+
+class MemberGoneTest(DrainTestCase):
+    """Guards against calls cut when their node is removed from the view."""
+
+    async def test_a_call_in_progress_is_finished(self) -> None:
+        """Remove the node that runs a request, as if it left the fleet."""
+        cluster = await self.start_cluster(ignore_request)
+        cluster.report_server(0, 2, leaving=True)
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        server = cluster.servers[1]
+        await self.wait_until(lambda: bool(server.received))
+        cluster.nodes[0]._apply_feed(FeedDelta(1, 2, 1, left=("host-1",)))
+        await asyncio.sleep(RESPONSE_DELAY_SECONDS)
+        server.received[0].respond(200, b"whole")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await sender
+        self.assertEqual((response.status, response.body), (200, b"whole"))
+
+
 class SlowReaderTest(DrainTestCase):
     """Guards against responses cut because their callers read slowly."""
 
@@ -199,9 +301,7 @@
         sender = asyncio.create_task(
             cluster.send_request("/slow/1", method="POST", body=b"x")
         )
-        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            while not self.count_runs(cluster):  # noqa: ASYNC110
-                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
         sender.cancel()
         await asyncio.gather(sender, return_exceptions=True)
         await self.stop(cluster)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -591,5 +591,21 @@
         self.assertTrue(transport.closed)
 
 
+class LateConnectionTest(unittest.TestCase):
+    """Guards against connections accepted at the end of a drain.
+
+    An event loop may report a connection after its listener is closed. A
+    request that is read there would be cut off with the process.
+    """
+
+    def test_a_connection_made_after_the_end_is_closed_unread(self) -> None:
+        server = HttpServer(ManualClock(), RequestRecorder())
+        connection = ServerConnection(server)
+        server.stop_accepting()
+        transport: Any = FakeTransport()
+        connection.connection_made(transport)
+        self.assertTrue(transport.closed)
+
+
 if __name__ == "__main__":
     unittest.main()
