Close connections that are accepted after the end of a drain

Cause: asyncio accepts a connection in one iteration of its loop and calls connection_made two iterations later. HttpServer.stop_accepting, which runs between the two, closes the listener and the registered connections only. uvloop schedules connection_made so that it precedes the drain's next step, so the platform's programs don't show it today. Change: a connection that is made after stop_accepting is closed before anything is read from it.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -135,6 +135,7 @@
         self.last_swept_at = clock.now()
         # Set during shutdown: each response then closes its connection.
         self.closing = False
+        self._accepting = True
         self.connections: set[ServerConnection] = set()
         self._listener: Listener | None = None
         self._tasks = TaskGroup()
@@ -165,6 +166,7 @@
 
         Callers may repeat a request that they sent but that was not read.
         """
+        self._accepting = False
         if self._listener is not None:
             self._listener.server.close()
         self.close_idle()
@@ -176,6 +178,16 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def register(self, connection: "ServerConnection") -> bool:
+        """Add a new connection; return False if it has to be closed.
+
+        The event loop may report one that it accepted before the listener
+        was closed.
+        """
+        if self._accepting:
+            self.connections.add(connection)
+        return self._accepting
+
     def _sweep(self) -> None:
         self.last_swept_at = now = self.clock.now()
         for connection in list(self.connections):
@@ -225,7 +237,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register a new connection."""
         self._transport = transport
-        self._server.connections.add(self)
+        if not self._server.register(self):
+            self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler of the disconnect."""
