Refuse what is in progress at a drain's time limit instead of cutting it

Nodes that had sent calls to the stopping node saw their link close, so all these calls counted as possibly run, and non-idempotent ones got 502 although they had only been queued. Cause: HostNode.drain waited until DRAIN_TIME_FRACTION of the time limit, and close then aborted all connections with whatever was in progress. Change: at that moment the executor refuses its calls (queued ones as not run, so that the calling nodes pass them to other servers; those sent to the server as possibly run), and the ingress refuses the requests without a response: 503 only if no server can have got them, otherwise 502. The answers are sent in the time that is left for closing. A request whose time ends this way gets the same treatment as one at its timeout (_interrupt). Why it works: the refusals, the end of accepting and the last idle check are one step of the event loop, so no request lies between them.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -223,6 +223,18 @@
             session.admission.cancel(now, run.ticket_id)
             self._refuse(run, ErrorCode.DRAINING)
 
+    def refuse_all(self) -> None:
+        """Refuse all calls; those sent to the backend server may have run."""
+        now = self._clock.now()
+        self._refuse_queued(now)
+        for run in list(self._runs.values()):
+            self._cancel(run)
+            run.on_result(
+                self._create_refusal(
+                    now, run, ErrorCode.DRAINING, may_have_run=True
+                )
+            )
+
     # Calls.
 
     def run(
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -57,8 +57,8 @@
 # Fraction of the shutdown time limit after which callers' requests are
 # refused, so that those in progress can finish.
 DRAIN_ADMISSION_FRACTION: Final = 0.5
-# Fraction of the shutdown time limit after which running requests are cut
-# off. The rest is for closing connections and the end of the process.
+# Fraction of the shutdown time limit after which requests in progress are
+# refused. The rest is for closing connections and the end of the process.
 DRAIN_TIME_FRACTION: Final = 0.86
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
@@ -217,9 +217,6 @@
         )
         self._ingress.closing = True
         await self._wait_idle(started_at + DRAIN_TIME_FRACTION * time_limit)
-        # No event loop iteration may lie between the last check and this,
-        # as a request read there would be cut off by ``close``.
-        self._http_server.stop_accepting()
         log_event(
             Level.INFO,
             "drain ended",
@@ -228,6 +225,11 @@
             requests=self._ingress.pending_request_count,
             calls=self._executor.call_count,
         )
+        # No event loop iteration may lie between the last check and
+        # ``stop_accepting``, as a request read there would be cut off by
+        # ``close``.
+        self._refuse_unfinished()
+        self._http_server.stop_accepting()
         self._quota_gate.close()
         if self._create_member().leaving_server is None:
             # Otherwise the member stays until its lease ends, so that the
@@ -237,6 +239,16 @@
             )
         await asyncio.sleep(LEAVE_FLUSH_TIME.total_seconds())
 
+    def _refuse_unfinished(self) -> None:
+        """Refuse what is still in progress at the end of a drain.
+
+        The executor comes first, as it knows of the requests of this host's
+        callers which of them haven't run.
+        """
+        self._ingress.retries_enabled = False
+        self._executor.refuse_all()
+        self._ingress.refuse_pending()
+
     async def _wait_idle(self, deadline: datetime) -> None:
         """Wait until nothing is in progress, at most until the deadline."""
         # Transports have no event for the moment when all data is sent.
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -163,6 +163,8 @@
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
+        # Cleared at the end of a drain, when no attempt can finish any more.
+        self.retries_enabled = True
 
     @property
     def pending_request_count(self) -> int:
@@ -535,7 +537,9 @@
         may_have_run: bool,
     ) -> bool:
         route = pending.route
-        if route is None or (may_have_run and not route.idempotent):
+        if route is None or not self.retries_enabled:
+            return False
+        if may_have_run and not route.idempotent:
             return False
         if code in REROUTABLE_CODES and not may_have_run:
             pending.reroutes += 1
@@ -640,14 +644,22 @@
         if pending.cancel_attempt is not None:
             pending.cancel_attempt()
 
+    def refuse_pending(self) -> None:
+        """Refuse all requests that have no response yet."""
+        for pending in list(self._pending_requests):
+            self._interrupt(pending, ErrorCode.DRAINING)
+
     def _expire(self, pending: PendingRequest) -> None:
-        if pending.finished:
-            return
+        if not pending.finished:
+            self._interrupt(pending, ErrorCode.TIMEOUT)
+
+    def _interrupt(self, pending: PendingRequest, code: ErrorCode) -> None:
+        """Refuse a request and cancel its attempt in progress."""
         cancel_attempt = pending.cancel_attempt
         if cancel_attempt is not None:
             # A sent call may still run until the cancellation arrives.
             pending.may_have_run = True
-        self._refuse(pending, ErrorCode.TIMEOUT)
+        self._refuse(pending, code)
         if cancel_attempt is not None:
             cancel_attempt()
 
