Test the interleaving of the recorded request that was cut

Before the drain waited first for callers' requests, then for runs, and didn't look at the former again.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -31,8 +31,23 @@
 SLOTS: Final = 8
 QUEUED_CALLS: Final = 2
 CALL: Final = RunCall(
-    *(0, "slow", "store", "GET", "/slow/1", b"", b"", "7", "", "coop"),
-    *(Importance.NORMAL, 1.0, 50_000, 60_000, False, False, False),
+    call_id=0,
+    route="slow",
+    pool="store",
+    method="GET",
+    target="/slow/1",
+    fields=b"X-Id: 7\r\n",
+    body=b"",
+    request_id="7",
+    workspace="",
+    account="coop",
+    importance=Importance.NORMAL,
+    weight=1.0,
+    patience_ms=50_000,
+    remaining_ms=60_000,
+    begun=False,
+    idempotent=False,
+    repeat=False,
 )
 RESPONSE_DELAY_SECONDS: Final = 0.3
 POLL_INTERVAL_SECONDS: Final = 0.01
@@ -134,6 +149,25 @@
             return None
         return response.status
 
+    async def test_a_request_behind_a_run_of_another_node_is_awaited(
+        self,
+    ) -> None:
+        """Send a request while only another node's run keeps the node busy.
+
+        The end of that run doesn't end the drain before the request.
+        """
+        cluster = await self.start_cluster(ignore_request, respond_later)
+        stop = asyncio.create_task(self.stop(cluster))
+        executor = cluster.nodes[0]._executor
+        cluster.nodes[1]._start_call("host-0", CALL, lambda _: None)
+        await self.wait_until(lambda: executor.call_count > 0)
+        await self.wait_until_closing(cluster)
+        sender = asyncio.create_task(self.send_late_request(cluster))
+        await self.wait_until(lambda: bool(cluster.servers[1].received))
+        cluster.servers[0].received[0].respond(200, b"whole")
+        self.assertEqual(await sender, 200)
+        await stop
+
     async def test_requests_are_refused_once_little_time_is_left(
         self,
     ) -> None:
