Finish calls in progress on a node that is removed from the view

Callers saw: 502 CONNECTION_LOST for a request that another node was still running, when that node was removed from the view, for example because it had lost its lease. Idempotent requests ran a second time elsewhere. Cause: Mesh.close_links_except aborted the link to a removed node together with the calls on it, and get_link did the same when a node's address changed. Both count every sent call as lost. The removed node cancelled them, though it could have answered. Change: such a link is retired. Calls that were not sent yet are refused as not run, so that they go to other nodes; those that were sent keep the connection, which is still checked with pings, and it is closed once the last has ended. Why it works: only a result, a cancellation or the loss of the connection ends a call that was sent; the view no longer does.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -420,7 +420,7 @@
         self._follow_former_incarnation()
         self._crash_reporter.follow_view()
         self._balancer.update(now, view.members)
-        self._mesh.close_links_except(set(view.members))
+        self._mesh.retire_links_except(set(view.members))
         if view.tables is not previous_tables:
             self._ingress.update_tables()
             self._http_server.limits = view.tables.limits
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -308,6 +308,22 @@
         self._ping_count += 1
         connection.post(MeshPing(self._ping_count))
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a call waits for its result."""
+        return bool(self._pending)
+
+    def retire(self) -> None:
+        """Refuse the calls that were not sent, and report no more changes.
+
+        The caller goes on with ``tick`` and closes the link once it isn't
+        busy. The other node may still be running the calls that were sent.
+        """
+        self._on_reachability_change = lambda _: None
+        if self._connect_task is not None:
+            self._connect_task.cancel()
+            self._fail_unsent()
+
     def close(self) -> None:
         """Close the connection."""
         self._closed = True
@@ -425,6 +441,8 @@
         self._clock = clock
         self._on_reachability_change = on_reachability_change
         self._links: dict[str, MeshLink] = {}
+        # Links to former members and addresses that calls still use.
+        self._retired_links: set[MeshLink] = set()
         self._tasks = TaskGroup()
 
     def start(self) -> None:
@@ -435,30 +453,47 @@
         now = self._clock.now()
         for link in list(self._links.values()):
             link.tick(now)
+        for link in list(self._retired_links):
+            if link.busy:
+                link.tick(now)
+            self._close_if_unused(link)
 
     def get_link(self, name: str, endpoint: Endpoint) -> MeshLink:
         """Return the link to a node, a new one if its address changed."""
-        link = self._links.get(name)
-        if link is None or link.endpoint != endpoint:
-            if link is not None:
-                link.close()
-            link = self._links[name] = MeshLink(
-                endpoint,
-                self._clock,
-                lambda reachable: self._on_reachability_change(
-                    name, reachable
-                ),
-            )
+        old_link = self._links.get(name)
+        if old_link is not None and old_link.endpoint == endpoint:
+            return old_link
+        link = self._links[name] = MeshLink(
+            endpoint,
+            self._clock,
+            lambda reachable: self._on_reachability_change(name, reachable),
+        )
+        if old_link is not None:
+            self._retire(old_link)
         return link
 
-    def close_links_except(self, retained: set[str]) -> None:
-        """Close the links to all nodes that are not in ``retained``."""
+    def retire_links_except(self, retained: set[str]) -> None:
+        """Close the links to all nodes that are not in ``retained``.
+
+        A link stays open until the calls that were sent on it have ended: a
+        node that has lost its lease, for example, still runs them.
+        """
         for name in set(self._links) - retained:
-            self._links.pop(name).close()
+            self._retire(self._links.pop(name))
+
+    def _retire(self, link: MeshLink) -> None:
+        self._retired_links.add(link)
+        link.retire()
+        self._close_if_unused(link)
+
+    def _close_if_unused(self, link: MeshLink) -> None:
+        if not link.busy:
+            self._retired_links.discard(link)
+            link.close()
 
     async def close(self) -> None:
         """Close all links."""
         with contextlib.suppress(asyncio.CancelledError):
             await self._tasks.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retired_links):
             link.close()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,12 +8,21 @@
 from sequoiaseam._mesh import (
     LINK_IDLE_TIMEOUT,
     FrameConnection,
+    Mesh,
     MeshLink,
 )
-from sequoiaseam._mesh_frames import Frame, MeshPing, RunAnswer, RunCall
+from sequoiaseam._mesh_frames import (
+    Frame,
+    MeshPing,
+    RunAnswer,
+    RunCall,
+    RunRefusal,
+    RunResult,
+)
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+from tests.hosts import LOCALHOST
 
 CALL: Final = RunCall(
     *(1, "read", "store", "GET", "/", b"", b"", "id", "", "open"),
@@ -130,5 +139,45 @@
         self.assertEqual(harness.connecting_count, 1)
 
 
+class RemovedMemberTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls without a result when a member is removed."""
+
+    async def test_a_call_that_was_not_sent_is_refused_as_not_run(
+        self,
+    ) -> None:
+        """Remove the member while its link is still connecting."""
+        mesh = Mesh(ManualClock(), lambda *_: None)
+        self.addAsyncCleanup(mesh.close)
+        link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
+        results: list[RunResult | None] = []
+        link.call(CALL, results.append)
+        mesh.retire_links_except(set())
+        (result,) = results
+        self.assertIsInstance(result, RunRefusal)
+        assert isinstance(result, RunRefusal)
+        self.assertFalse(result.may_have_run)
+
+    async def test_a_link_to_a_former_address_is_closed_after_its_calls(
+        self,
+    ) -> None:
+        clock = ManualClock()
+        mesh = Mesh(clock, lambda *_: None)
+        self.addAsyncCleanup(mesh.close)
+        link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
+        transport = RecordingTransport()
+        connection = RecordingConnection(link)
+        connection.connection_made(cast("Any", transport))
+        link._connection = connection
+        results: list[RunResult | None] = []
+        call_id = link.call(CALL, results.append)
+        self.assertIsNot(mesh.get_link("host-1", Endpoint(LOCALHOST, 2)), link)
+        mesh._tick()
+        self.assertFalse(transport.aborted)
+        answer = RunAnswer(call_id, 200, b"", b"", 0, 0.0, [])
+        link._handle_frame(answer)
+        mesh._tick()
+        self.assertEqual((results, transport.aborted), ([answer], True))
+
+
 if __name__ == "__main__":
     unittest.main()
