Admit no requests in a drain that have no time left to finish

Cause: HostNode.drain admitted callers' requests until half of the shutdown time limit. With a limit of 10 s (the large deployment) that is 5 s, and what is in progress is refused after 8.6 s, so a request with a timeout of 5 s may be interrupted. It is needless there, as callers know of the stop after 2.5 s. Change: admission ends 250 ms after the notice time, at half of the limit at the latest. With a limit of 6 s that is 2.75 s instead of 3 s. Why it works: with 10 s, a request has 5.85 s left when the last one is admitted. With 6 s, long requests can still be interrupted after 5.16 s, but only such as were sent while their callers couldn't know of the stop. Result: tests.test_drain.LateAdmissionTest failed before ((502, 2) for (503, 1): admitted at 3 s, run, and interrupted) and passes; test_drain: 10 passed.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -54,8 +54,9 @@
 # For this time, calls by those who haven't learned of the drain yet are still
 # served, so that the capacity of the backend server is used.
 DRAIN_SERVING_TIME: Final = timedelta(seconds=1.5)
-# Fraction of the shutdown time limit after which callers' requests are
-# refused, so that those in progress can finish.
+# Callers' requests are refused after this time, or after this fraction of the
+# shutdown time limit if that is earlier. The rest is for those in progress.
+DRAIN_ADMISSION_TIME: Final = DRAIN_NOTICE_TIME + timedelta(milliseconds=250)
 DRAIN_ADMISSION_FRACTION: Final = 0.5
 # Fraction of the shutdown time limit after which requests in progress are
 # refused. The rest is for closing connections and the end of the process.
@@ -213,7 +214,8 @@
         self._http_server.closing = True
         self._http_server.close_idle()
         await self._wait_idle(
-            started_at + DRAIN_ADMISSION_FRACTION * time_limit
+            started_at
+            + min(DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit)
         )
         self._ingress.closing = True
         await self._wait_idle(started_at + DRAIN_TIME_FRACTION * time_limit)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -26,6 +26,8 @@
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 SHUTDOWN_TIME_LIMIT: Final = timedelta(seconds=10)
+# Callers that send a request later than this don't get it admitted.
+LATEST_ADMISSION_SECONDS: Final = 3.0
 # Ends shortly after callers and nodes have learned of the drain.
 SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
 SLOTS: Final = 8
@@ -193,6 +195,35 @@
         self.assertEqual(statuses.count(200), self.count_runs(cluster))
 
 
+class LateAdmissionTest(DrainTestCase):
+    """Guards against requests that are let in too late to be finished."""
+
+    async def test_requests_are_refused_once_callers_have_learned_of_the_stop(
+        self,
+    ) -> None:
+        """Keep a node with a long time limit busy, and send a late request.
+
+        It could run until the time limit and be interrupted there.
+        """
+        cluster = await self.start_cluster(ignore_request)
+        running = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        stop = asyncio.create_task(self.stop(cluster))
+        await asyncio.sleep(LATEST_ADMISSION_SECONDS)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await cluster.send_request(
+                "/slow/2", method="POST", body=b"x"
+            )
+        self.assertEqual((response.status, self.count_runs(cluster)), (503, 1))
+        for server in cluster.servers:
+            for request in server.received:
+                request.respond(200, b"whole")
+        self.assertEqual((await running).status, 200)
+        await stop
+
+
 class TimeLimitTest(DrainTestCase):
     """Guards against requests cut without an answer at the time limit."""
 
