End a drain within a time limit that is shorter than its notice time

None has reported it; the known deployments allow 6 and 10 s. Cause: HostNode.drain waits 1.5 s and then 1 s whatever shutdown_time_limit says, so with 2.4 s it ends after 2.55 s, without refusing what is in progress in time. Change: these two steps come after their times or after fractions of the limit, whichever is earlier, as the later ones do already. With 6 s and more nothing changes.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -49,13 +49,17 @@
 from sequoiaseam._uplink import Uplink, UplinkHooks
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
-# Time within which callers and other nodes learn of a drain.
-DRAIN_NOTICE_TIME: Final = timedelta(seconds=2.5)
-# For this time, calls by those who haven't learned of the drain yet are still
-# served, so that the capacity of the backend server is used.
+# Each step of a drain comes after its time, or after its fraction of the
+# shutdown time limit if that is earlier.
+# Until then, calls by nodes that haven't learned of the drain yet are served,
+# so that the capacity of the backend server is used.
 DRAIN_SERVING_TIME: Final = timedelta(seconds=1.5)
-# Callers' requests are refused after this time, or after this fraction of the
-# shutdown time limit if that is earlier. The rest is for those in progress.
+DRAIN_SERVING_FRACTION: Final = 0.3
+# By then, callers and other nodes have learned of the drain.
+DRAIN_NOTICE_TIME: Final = timedelta(seconds=2.5)
+DRAIN_NOTICE_FRACTION: Final = 0.45
+# From then on, callers' requests are refused. The rest of the time is for
+# those in progress.
 DRAIN_ADMISSION_TIME: Final = DRAIN_NOTICE_TIME + timedelta(milliseconds=250)
 DRAIN_ADMISSION_FRACTION: Final = 0.5
 # Fraction of the shutdown time limit after which requests in progress are
@@ -205,18 +209,22 @@
         self._send_report()
         started_at = self._clock.now()
         time_limit = self._settings.shutdown_time_limit
-        await asyncio.sleep(DRAIN_SERVING_TIME.total_seconds())
+        serving_time = min(
+            DRAIN_SERVING_TIME, DRAIN_SERVING_FRACTION * time_limit
+        )
+        notice_time = min(
+            DRAIN_NOTICE_TIME, DRAIN_NOTICE_FRACTION * time_limit
+        )
+        admission_time = min(
+            DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
+        )
+        await asyncio.sleep(serving_time.total_seconds())
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
-        await asyncio.sleep(
-            (DRAIN_NOTICE_TIME - DRAIN_SERVING_TIME).total_seconds()
-        )
+        await asyncio.sleep((notice_time - serving_time).total_seconds())
         self._http_server.closing = True
         self._http_server.close_idle()
-        await self._wait_idle(
-            started_at
-            + min(DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit)
-        )
+        await self._wait_idle(started_at + admission_time)
         self._ingress.closing = True
         await self._wait_idle(started_at + DRAIN_TIME_FRACTION * time_limit)
         log_event(
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -284,6 +284,26 @@
         self.assertEqual(may_have_run.count(False), count - runs)
 
 
+class ShortTimeLimitTest(DrainTestCase):
+    """Guards against nodes that are killed because a drain takes too long."""
+
+    async def test_a_drain_ends_within_a_time_limit_shorter_than_the_notice(
+        self,
+    ) -> None:
+        """Stop a busy node that has less time than callers need to learn."""
+        time_limit = timedelta(seconds=2.4)
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=time_limit
+        )
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        async with asyncio.timeout(time_limit.total_seconds()):
+            await self.stop(cluster)
+        self.assertEqual((await sender).status, 502)
+
+
 class MemberGoneTest(DrainTestCase):
     """Guards against calls cut when their node is removed from the view."""
 
