Send no nested calls after the end of a drain

None has reported it. Cause: late in a drain, the ingress refuses callers' requests but not the calls of backend servers, as the runs in progress need them. It went on so after the last idle check, when no run is left and all connections are about to be closed. Change: the flag that ends retries there, retries_enabled, becomes sending_enabled, and ends first attempts, too; such calls are refused as not run. Why it works: it is cleared in the event loop step of the last check, so that whatever is read later is answered without being sent. Result: tests.test_drain.LateNestedCallTest failed before (IncompleteReadError: closed without an answer) and passes; test_drain and test_host_node: 37 passed.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -255,7 +255,7 @@
         The executor comes first, as it knows of the requests of this host's
         callers which of them haven't run.
         """
-        self._ingress.retries_enabled = False
+        self._ingress.sending_enabled = False
         self._executor.refuse_all()
         self._ingress.refuse_pending()
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -163,8 +163,8 @@
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
-        # Cleared at the end of a drain, when no attempt can finish any more.
-        self.retries_enabled = True
+        # Cleared at the end of a drain, when nothing that is sent can finish.
+        self.sending_enabled = True
 
     @property
     def pending_request_count(self) -> int:
@@ -315,7 +315,7 @@
             return
         now = self._clock.now()
         pending.pool = self._choose_pool(route)
-        if self.closing and not pending.nested:
+        if not self.sending_enabled or (self.closing and not pending.nested):
             self._refuse(pending, ErrorCode.DRAINING)
             return
         if not pending.nested:
@@ -537,7 +537,7 @@
         may_have_run: bool,
     ) -> bool:
         route = pending.route
-        if route is None or not self.retries_enabled:
+        if route is None or not self.sending_enabled:
             return False
         if may_have_run and not route.idempotent:
             return False
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -195,6 +195,45 @@
         self.assertEqual(statuses.count(200), self.count_runs(cluster))
 
 
+class LateNestedCallTest(DrainTestCase):
+    """Guards against nested calls that are sent as their node closes."""
+
+    async def test_calls_that_are_complete_after_the_end_are_refused(
+        self,
+    ) -> None:
+        """Send the end of nested calls as the node leaves the fleet."""
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=SHORT_TIME_LIMIT
+        )
+        node = cluster.nodes[0]
+        request = format_request("/open/1", method="POST", body=b"x", key=None)
+        # Enough for the balancer to choose each host at least once.
+        connections = [
+            await asyncio.open_connection(LOCALHOST, cluster.ports[0])
+            for _ in range(SLOTS)
+        ]
+        for _, writer in connections:
+            writer.write(request[:-1])
+        original_post = node._uplink.post
+
+        def post(message: Any) -> bool:
+            if isinstance(message, MemberGone):
+                for _, writer in connections:
+                    writer.write(request[-1:])
+            return original_post(message)
+
+        node._uplink.post = post  # type: ignore[method-assign]
+        await self.stop(cluster)
+        statuses = []
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            for reader, writer in connections:
+                statuses.append((await read_response(reader)).status)
+                writer.close()
+        self.assertEqual(
+            (statuses, self.count_runs(cluster)), ([503] * SLOTS, 0)
+        )
+
+
 class LateAdmissionTest(DrainTestCase):
     """Guards against requests that are let in too late to be finished."""
 
