Limit the remaining time that a caller states

Callers saw: the connection closed without an answer, and with it every other pipelined request in progress on it, for a remaining time of 15 digits or more. Cause: int(value) * MILLISECOND and the sum with the time of arrival raise OverflowError (ValueError from 4301 digits on) in Ingress.handle, which the event loop takes for a fatal error of the connection. Change: the field is read in one place; longer numbers count as 31 years, which the route's timeout then limits. Result: FieldValueTest failed before for 5 of 8 values (IncompleteReadError: 0 bytes read), passes; test_host_node: 26 passed.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -44,6 +44,9 @@
 )
 
 MILLISECOND: Final = timedelta(milliseconds=1)
+# Milliseconds of 12 digits are 31 years. More would overflow a date.
+REMAINING_TIME_DIGITS_MAX: Final = 12
+REMAINING_TIME_MAX: Final = 10**REMAINING_TIME_DIGITS_MAX * MILLISECOND
 # Fraction of the route's objective that a request may wait for a slot.
 SLOT_WAIT_FRACTION: Final = 1 / 8
 # The same for nested calls. It is larger because a refusal wastes the work
@@ -215,12 +218,12 @@
         """Apply importance, account and weight of the request being served."""
         route = pending.route
         request = pending.request
-        value = request.get_field(self._header_names.remaining_time)
-        if route is None or value is None or not value.isdigit():
+        remaining = self._read_remaining_time(request)
+        if route is None or remaining is None:
             return
         found = self._attribution.start_call(
             request.arrived_at,
-            request.arrived_at + int(value) * MILLISECOND,
+            request.arrived_at + remaining,
             route.name,
             route.timeout,
         )
@@ -287,15 +290,25 @@
         )
         return None
 
+    def _read_remaining_time(self, request: HttpRequest) -> timedelta | None:
+        """Return how long the caller waits, None if it doesn't say."""
+        value = request.get_field(self._header_names.remaining_time)
+        if value is None or not value.isdigit():
+            return None
+        digits = value.lstrip(b"0")
+        if len(digits) > REMAINING_TIME_DIGITS_MAX:
+            return REMAINING_TIME_MAX
+        return int(digits or b"0") * MILLISECOND
+
     def _set_deadline(self, pending: PendingRequest) -> None:
         route = pending.route
         request = pending.request
         if route is None:
             return
         timeout = route.timeout
-        value = request.get_field(self._header_names.remaining_time)
-        if value is not None and value.isdigit():
-            timeout = min(timeout, int(value) * MILLISECOND)
+        stated = self._read_remaining_time(request)
+        if stated is not None:
+            timeout = min(timeout, stated)
         pending.deadline = request.arrived_at + timeout
         remaining = pending.deadline - self._clock.now()
         pending.timer = asyncio.get_running_loop().call_later(
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -17,6 +17,7 @@
 from sequoiaseam._tables import Workspace
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
+    API_KEY,
     LOCALHOST,
     ROUTES,
     TABLES,
@@ -345,6 +346,24 @@
         writer.close()
 
 
+class FieldValueTest(HostTestCase):
+    """Guards against requests cut by an unusual value of a field."""
+
+    async def test_a_long_remaining_time_is_limited_by_the_route(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        for path in ("/read/1", "/open/1"):
+            for value in ("9" * 15, "9" * 20, "9" * 5000, "0" * 20 + "900"):
+                with self.subTest(path=path, digits=len(value)):
+                    response = await cluster.send_request(
+                        path,
+                        f"X-Left-Ms: {value}",
+                        key=API_KEY if path == "/read/1" else None,
+                    )
+                    self.assertEqual(response.status, 200)
+
+
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
 
