Accept any status and load field in a backend server's response

Callers saw: no answer until the timeout, or until the connection's idle time if the server is beside the node. For a status of 600 or more from another host, all other calls on the link between the two nodes were lost, too. Cause: no status line exists for such a status, so HttpRequest.respond raised KeyError after the request was taken off its queue; on the calling node this closed the mesh connection. A load number of 309 digits or more raises OverflowError or ValueError in _finish_run before the result is passed on. Change: a response with a status over 599 counts as garbled; a load with more than nine digits is ignored like other malformed ones.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -45,6 +45,7 @@
 REPORT_SILENCE_TIMEOUT: Final = timedelta(seconds=6)
 METHODS_WITHOUT_BODY: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 LOAD_FIELD_PARTS: Final = 3
+LOAD_DIGITS_MAX: Final = 9
 # Retries that a backend server accepts in 10 s at any request rate.
 SERVER_RETRIES_MIN: Final = 2.0
 # Part of the fleet's retries that the servers of a pool divide among them.
@@ -467,7 +468,7 @@
         """Record the load that the server reports; ignore malformed values."""
         parts = value.split(b",")
         if len(parts) != LOAD_FIELD_PARTS or not all(
-            p.isdigit() for p in parts
+            p.isdigit() and len(p) <= LOAD_DIGITS_MAX for p in parts
         ):
             return
         running, waiting, slots = map(int, parts)
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -26,6 +26,8 @@
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
 ANNOUNCED_IDLE_FRACTION: Final = 0.6
+# The parser accepts any three digits (RFC 9110, section 15).
+STATUS_MAX: Final = 599
 # Bytes outside of bodies, such as header fields, that a server may send for
 # a request, and the further ones for each byte of the bodies: a chunk of a
 # single byte takes five more bytes.
@@ -380,8 +382,13 @@
             self._closed = True
             self._finish_request(Failure.GARBLED)
             return
+        status = self._parser.get_status_code()
+        if status > STATUS_MAX:
+            self._closed = True
+            self._finish_request(Failure.GARBLED)
+            return
         self._response = BackendResponse(
-            self._parser.get_status_code(),
+            status,
             self._fields,
             b"".join(self._body_chunks),
         )
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -52,6 +52,16 @@
     request.respond(500, b"broken", "X-Stamp: s")
 
 
+def respond_700(request: ReceivedRequest) -> None:
+    """Respond with a status beyond those of HTTP."""
+    request.respond(700, b"broken")
+
+
+def respond_with_load(request: ReceivedRequest, digits: int) -> None:
+    """Respond with a load that is a number of so many digits."""
+    request.respond(200, b"whole", f"X-Load: {'9' * digits},1,8")
+
+
 def send_endless_body(request: ReceivedRequest) -> None:
     """Send a body without end until the connection is closed."""
     transport = request.transport
@@ -363,6 +373,43 @@
                     )
                     self.assertEqual(response.status, 200)
 
+    async def test_a_status_that_does_not_exist_is_no_response(self) -> None:
+        """Ask a server of the same host, and one of another host.
+
+        A call on the same connection between the hosts isn't affected.
+        """
+        for handlers, is_remote in (
+            ((respond_700,), False),
+            ((echo_body, respond_700), True),
+        ):
+            with self.subTest(remote=is_remote):
+                cluster = await self.start_cluster(handlers)
+                server = cluster.servers[-1]
+                if is_remote:
+                    cluster.report_server(0, 2, leaving=True)
+                    server.handler = never_respond
+                    bystander = asyncio.create_task(
+                        cluster.send_request("/slow/1")
+                    )
+                    await self.wait_for_requests(server, 1)
+                    server.handler = respond_700
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request("/order/1")
+                self.assertEqual(response.status, 502)
+                if is_remote:
+                    server.received[0].respond(200, b"whole")
+                    self.assertEqual((await bystander).status, 200)
+
+    async def test_a_load_of_many_digits_is_ignored(self) -> None:
+        for digits in (400, 5000):
+            with self.subTest(digits=digits):
+                cluster = await self.start_cluster(
+                    (lambda r, n=digits: respond_with_load(r, n),)
+                )
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request("/slow/1")
+                self.assertEqual(response.status, 200)
+
 
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
