Find responses to request ids outside of ASCII

Callers saw: 504 at the timeout for a request whose id has a byte over 127, although its server had run it and responded at once. Cause: the id is forwarded as it came, but the response was looked for with the id decoded as Latin-1 and encoded as UTF-8, so it counted as the late response to an earlier request. Change: the id is encoded as it was decoded. The scripted servers of the tests decode header fields as Latin-1, too, as they refused such a field.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -337,7 +337,7 @@
         if call.request_id:
             correlation_field = (
                 self._header_names.request_id,
-                call.request_id.encode(),
+                call.request_id.encode("latin-1"),
             )
         run.server_request = PendingRequest(
             self._format_request(now, session.report, run),
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -83,7 +83,7 @@
 
     def find_field(self, name: str) -> str | None:
         """Return the value of a header field, or None if it is absent."""
-        for line in self.head.decode().split("\r\n")[1:]:
+        for line in self.head.decode("latin-1").split("\r\n")[1:]:
             field_name, _, value = line.partition(": ")
             if field_name.lower() == name:
                 return value
@@ -97,7 +97,7 @@
             f"Content-Length: {len(body)}",
             *header_lines,
         ]
-        head = "".join(f"{line}\r\n" for line in lines).encode()
+        head = "".join(f"{line}\r\n" for line in lines).encode("latin-1")
         self.transport.write(head + b"\r\n" + body)
 
 
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
@@ -400,11 +401,23 @@
                     server.received[0].respond(200, b"whole")
                     self.assertEqual((await bystander).status, 200)
 
+    async def test_a_request_id_outside_of_ascii_is_found(self) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        message = format_request("/order/1").replace(b"7", b"\xe4")
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0]
+        )
+        writer.write(message)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            status_line = await reader.readline()
+        self.assertEqual(status_line, b"HTTP/1.1 200 OK\r\n")
+        writer.close()
+
     async def test_a_load_of_many_digits_is_ignored(self) -> None:
         for digits in (400, 5000):
             with self.subTest(digits=digits):
                 cluster = await self.start_cluster(
-                    (lambda r, n=digits: respond_with_load(r, n),)
+                    (partial(respond_with_load, digits=digits),)
                 )
                 async with asyncio.timeout(WAIT_LIMIT_SECONDS):
                     response = await cluster.send_request("/slow/1")
