Don't reuse a connection whose end has been received

Callers saw: 502 for a request that isn't idempotent, though no server had got it, and an idempotent one spent a retry. The crash guard counted a crash. Cause: between eof_received and connection_lost of an idle connection to the backend server, other callbacks run. One that sends a request got this connection from the pool; the request wasn't written and ended as broken, that is as possibly run. Change: the connection counts as closed from eof_received on, so the request gets another one. Result: the new test of ReuseTest failed before (True is not false) and passes; test_http_client and test_host_node: 43 passed. Trial with sockets, a request sent in that gap: BROKEN before with asyncio and uvloop, on a new connection with the change.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -271,7 +271,12 @@
         self._finish_request(Failure.BROKEN)
 
     def eof_received(self) -> bool:
-        """Complete a response without a length, which ends here."""
+        """Complete a response without a length, which ends here.
+
+        Before ``connection_lost`` follows, other callbacks may run, which
+        must not send a request on this connection.
+        """
+        self._closed = True
         if self._reads_until_close and self._request is not None:
             self._complete_response()
             self._finish_request(Failure.GARBLED)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -291,6 +291,13 @@
         self.assertTrue(harness.transport.closed)
         self.assertFalse(harness.is_reusable())
 
+    def test_a_connection_that_the_server_closes_is_not_reused(self) -> None:
+        """The event loop reports the end of the data before the close."""
+        harness = ConnectionHarness()
+        harness.connection.data_received(RESPONSE)
+        harness.connection.eof_received()
+        self.assertFalse(harness.is_reusable())
+
     def test_reuses_a_connection_for_part_of_the_announced_time(self) -> None:
         harness = ConnectionHarness()
         harness.connection.data_received(
