Send 100 Continue for a request behind others

Callers saw: 408 after the idle time, or their own timeout, for a pipelined request with Expect: 100-continue whose header came before the response to the request before it. They wait for the 100 response before they send the body. Cause: it was sent only if nothing was in progress when the header came, and not later. Change: it is sent after the response before it, unless the body has begun.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -221,6 +221,8 @@
         self._body_parts: list[bytes] = []
         self._received_size = 0
         self._in_body = False
+        # Whether the caller waits for a 100 response before the body.
+        self._expects_continue = False
 
     @property
     def busy(self) -> bool:
@@ -336,11 +338,22 @@
             raise MalformedRequestError(
                 417, "unsupported value of the Expect field"
             )
-        if not self._in_progress and not self._waiting:
+        self._expects_continue = True
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send a 100 response if it is due and the next to be sent."""
+        if (
+            self._expects_continue
+            and not self._in_progress
+            and not self._waiting
+        ):
+            self._expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._expects_continue = False
         self._received_size += len(body)
         if self._received_size > self._server.limits.body:
             raise MalformedRequestError(
@@ -351,6 +364,7 @@
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind those in progress."""
         self._reading = False
+        self._expects_continue = False
         now = self._server.clock.now()
         self._phase_started_at = now
         request = HttpRequest(
@@ -422,6 +436,7 @@
             self._reading_paused = False
             self._transport.resume_reading()
         self._start_waiting()
+        self._send_continue()
 
     def _send(self, request: HttpRequest, response: _Response) -> bool:
         """Send a response; return whether the connection is then closed.
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -9,6 +9,7 @@
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._http_server import (
     CONCURRENT_REQUESTS_MAX,
+    CONTINUE_RESPONSE,
     HttpRequest,
     HttpServer,
     ServerConnection,
@@ -553,6 +554,39 @@
         connection.data_received(b"ab")
         self.assertEqual(recorder.requests[0].body, b"ab")
 
+    def test_sends_100_continue_after_the_response_before(self) -> None:
+        """The caller of a pipelined request waits for it, too."""
+        recorder = RequestRecorder()
+        _, connection, transport = open_connection(recorder)
+        connection.data_received(
+            GET_LINE
+            + HOST_FIELD
+            + CRLF
+            + POST_LINE
+            + HOST_FIELD
+            + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+        )
+        self.assertEqual(transport.written, b"")
+        recorder.requests[0].respond(200, b"", b"whole")
+        continue_response = b"whole" + CONTINUE_RESPONSE
+        self.assertTrue(transport.written.endswith(continue_response))
+        connection.data_received(b"ab")
+        recorder.requests[1].respond(200, b"", b"whole")
+        self.assertEqual(recorder.requests[1].body, b"ab")
+        self.assertEqual(transport.written.count(CONTINUE_RESPONSE), 1)
+
+    def test_does_not_send_100_continue_once_the_body_has_come(self) -> None:
+        recorder = RequestRecorder()
+        _, connection, transport = open_connection(recorder)
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        connection.data_received(
+            POST_LINE
+            + HOST_FIELD
+            + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\na",
+        )
+        recorder.requests[0].respond(200, b"", b"whole")
+        self.assertNotIn(CONTINUE_RESPONSE, transport.written)
+
     def test_closes_slow_and_idle_connections(self) -> None:
         cases = (
             ("slow head", GET_LINE, 4, b"HTTP/1.1 408"),
