Answer pipelined requests that were read before a close

Callers saw: no answer to pipelined requests that were read and waited behind others, once a planned stop had begun: the response to the one before them closed the connection. Worse, requests that came in one piece behind one that was refused at once were started, passed on to servers, and cancelled when the close was reported. A 400 response could follow the response that announced the close. Cause: _send cleared the waiting requests, as if callers would send them again, and nothing kept the parser's callbacks from starting further ones after the close. Change: data is parsed whole before its requests are started, and during shutdown the response to the last request that was read closes the connection. No more is read after the first response, so a caller can't prolong the stop. After the last response nothing is started or sent. At the end of a drain, calls of backend servers that wait are refused like other requests, as no attempt can finish any more. test_a_drain_answers_what_was_passed_on asserted that waiting requests are dropped; its replacement asserts that all are answered in order and that one response announces the close.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -208,6 +208,8 @@
         self._held_responses: dict[int, _Response] = {}
         # Whether ``_start_waiting`` is running, which must not recurse.
         self._starting = False
+        # Set with the last response. Nothing is read or sent after it.
+        self._ended = False
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
         self._reading_paused = False
@@ -257,22 +259,37 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data; ignore any that follows a malformed request."""
-        if self._malformed is not None:
+        """Parse received data; ignore any that follows a malformed request.
+
+        Requests are started after all data is parsed, so that the last
+        response before a close is that to the last request that was read.
+        """
+        if self._malformed is not None or self._ended:
+            return
+        malformed = self._parse(data)
+        if malformed is not None:
+            self._refuse(malformed)
             return
+        self._start_waiting()
+        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
+            self._pause_reading()
+
+    def _parse(self, data: bytes) -> MalformedRequestError | None:
+        """Parse data; return the error if it is malformed."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             malformed = error.__context__
             if not isinstance(malformed, MalformedRequestError):
                 raise
-            self._refuse(malformed)
+            return malformed
         except httptools.HttpParserUpgrade:
-            self._refuse(
-                MalformedRequestError(501, "protocol upgrade is not supported")
+            return MalformedRequestError(
+                501, "protocol upgrade is not supported"
             )
         except httptools.HttpParserError as error:
-            self._refuse(MalformedRequestError(400, type(error).__name__))
+            return MalformedRequestError(400, type(error).__name__)
+        return None
 
     # Parser callbacks.
 
@@ -362,7 +379,7 @@
         self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Handle the request, or queue it behind those in progress."""
+        """Queue the request behind those in progress."""
         self._reading = False
         self._expects_continue = False
         now = self._server.clock.now()
@@ -377,9 +394,6 @@
             self,
         )
         self._waiting.append(request)
-        self._start_waiting()
-        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
-            self._pause_reading()
 
     def _start_waiting(self) -> None:
         """Handle waiting requests, as far as they may run side by side."""
@@ -403,7 +417,6 @@
             len(in_progress) < CONCURRENT_REQUESTS_MAX
             and request.method in SAFE_METHODS
             and all(r.method in SAFE_METHODS for r in in_progress)
-            and not self._server.closing
         )
 
     # Responses.
@@ -432,7 +445,7 @@
             self._in_progress.popleft()
             if self._send(first, next_response):
                 return
-        if self._reading_paused:
+        if self._reading_paused and not self._server.closing:
             self._reading_paused = False
             self._transport.resume_reading()
         self._start_waiting()
@@ -442,11 +455,13 @@
         """Send a response; return whether the connection is then closed.
 
         The last response before a close may not leave behind a request
-        that is in progress. Callers send waiting requests again.
+        that was read. During shutdown no more are read after a response,
+        so that a caller can't prolong it.
         """
         self._phase_started_at = self._server.last_swept_at
+        is_last_read = not self._in_progress and not self._waiting
         should_close = not request.keep_alive or (
-            self._server.closing and not self._in_progress
+            self._server.closing and is_last_read
         )
         self._write(
             request.method,
@@ -456,13 +471,19 @@
             response.length,
             should_close,
         )
-        if not should_close and not self._in_progress and not self._waiting:
+        if not should_close and is_last_read:
             should_close = self._refuse_malformed()
         if should_close:
-            self._waiting.clear()
-            self._transport.close()
+            self._close()
+        elif self._server.closing:
+            self._pause_reading()
         return should_close
 
+    def _close(self) -> None:
+        """Close the connection once all that was written is sent."""
+        self._ended = True
+        self._transport.close()
+
     def _write(
         self,
         method: str,
@@ -503,11 +524,14 @@
         )
         self._reading = False
         self._malformed = error
+        self._start_waiting()
+        if self._ended:
+            return
         if self._in_progress or self._waiting:
             self._pause_reading()
         else:
             self._refuse_malformed()
-            self._transport.close()
+            self._close()
 
     def _refuse_malformed(self) -> bool:
         """Respond to a malformed request, if there was one."""
@@ -532,12 +556,12 @@
                     MalformedRequestError(408, "request not received in time")
                 )
         elif age > limits.idle_time:
-            self._transport.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if not self.busy:
-            self._transport.close()
+            self._close()
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -328,7 +328,7 @@
             return
         now = self._clock.now()
         pending.pool = self._choose_pool(route)
-        if self.closing and not pending.nested:
+        if self.closing and not (pending.nested and self.retries_enabled):
             self._refuse(pending, ErrorCode.DRAINING)
             return
         if not pending.nested:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 import sys
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
 
@@ -15,7 +16,9 @@
 from sequoiaseam._mesh_frames import RunCall, RunRefusal, RunResult
 from sequoiaseam._tables import Importance
 from tests.hosts import (
+    API_KEY,
     LOCALHOST,
+    TABLES,
     Handler,
     HostCluster,
     ReceivedRequest,
@@ -296,7 +299,49 @@
 
 
 class PipelinedRequestTest(DrainTestCase):
-    """Guards against pipelined requests that run without an answer."""
+    """Guards against pipelined requests that end without an answer."""
+
+    async def test_requests_read_before_the_time_limit_are_answered(
+        self,
+    ) -> None:
+        """Leave requests waiting behind ones that don't end.
+
+        Those of a backend server, which are refused last, aren't passed on
+        at the end, either.
+        """
+        routes = {
+            name: replace(route, timeout=timedelta(minutes=1))
+            for name, route in TABLES.routes.items()
+        }
+        cluster = HostCluster(
+            (ignore_request,) * 2,
+            replace(TABLES, routes=routes),
+            shutdown_time_limit=SHORT_TIME_LIMIT,
+        )
+        await cluster.start()
+        self.addAsyncCleanup(cluster.close)
+        # All run on the other host, which takes calls until the end.
+        cluster.nodes[0]._apply_feed(FeedDelta(1, 2, 1, left=("host-0",)))
+        keys = {"/slow/1": API_KEY, "/open/1": None}
+        readers = []
+        for path, key in keys.items():
+            reader, writer = await asyncio.open_connection(
+                LOCALHOST, cluster.ports[0]
+            )
+            self.addCleanup(writer.close)
+            request = format_request(path, method="POST", body=b"x", key=key)
+            writer.write(request * 2)
+            readers.append(reader)
+        await self.wait_until(lambda: self.count_runs(cluster) == len(keys))
+        await self.stop(cluster)
+        for path, reader in zip(keys, readers, strict=True):
+            with self.subTest(path=path):
+                self.assertEqual((await read_response(reader)).status, 502)
+                last = await read_response(reader)
+                self.assertEqual(last.status, 503)
+                self.assertIn("connection: close", last.head.lower())
+                self.assertEqual(await reader.read(), b"")
+        self.assertEqual(self.count_runs(cluster), len(keys))
 
     async def test_requests_behind_the_last_response_do_not_run(self) -> None:
         cluster = await self.start_cluster(respond_later)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -418,6 +418,7 @@
         self.server, self.connection, self.transport = open_connection(
             self.recorder
         )
+        self.responded: set[str] = set()
 
     def receive(self, *targets: str, method: str = "GET") -> None:
         """Receive pipelined requests in one piece."""
@@ -433,6 +434,12 @@
         (request,) = (r for r in self.recorder.requests if r.target == target)
         request.respond(status, b"", target.encode())
 
+    def respond_once(self, target: str) -> None:
+        """Respond to a request unless that was done before."""
+        if target not in self.responded:
+            self.responded.add(target)
+            self.respond(target)
+
     def list_started(self) -> list[str]:
         """Return the targets of the requests passed to the handler."""
         return [request.target for request in self.recorder.requests]
@@ -484,19 +491,63 @@
         self.connection.connection_lost(None)
         self.assertEqual(disconnects, ["/1", "/2"])
 
-    def test_a_drain_answers_what_was_passed_on(self) -> None:
-        """Drop the waiting requests, which callers send again."""
+    def test_a_drain_answers_all_that_was_read(self) -> None:
+        """Run the waiting requests before the connection is closed."""
         targets = [f"/{i}" for i in range(CONCURRENT_REQUESTS_MAX + 2)]
-        self.receive(*targets)
-        started = self.list_started()
+        for method in ("GET", "POST"):
+            with self.subTest(method=method):
+                self.setUp()
+                self.receive(*targets, method=method)
+                self.server.closing = True
+                while not self.transport.closed:
+                    for target in reversed(self.list_started()):
+                        self.respond_once(target)
+                responses = split_responses(self.transport.written)
+                self.assertEqual([b.decode() for _, b in responses], targets)
+                self.assertEqual(self.transport.written.count(b"close"), 1)
+                self.assertEqual(self.list_started(), targets)
+
+    def test_a_drain_answers_all_that_was_read_at_once(self) -> None:
+        """Refuse the first request while the ones behind it are parsed."""
+        recorder = RequestRecorder(responds=True)
+        server, connection, transport = open_connection(recorder)
+        server.closing = True
+        connection.data_received((POST_LINE + HOST_FIELD + CRLF) * 3)
+        self.assertEqual(len(recorder.requests), 3)
+        self.assertEqual(len(split_responses(transport.written)), 3)
+        self.assertEqual(transport.written.count(b"close"), 1)
+        self.assertTrue(transport.written.endswith(b"close\r\n\r\nwhole"))
+
+    def test_a_drain_reads_no_more_after_the_first_response(self) -> None:
+        """Requests sent without end don't keep the connection open."""
+        self.receive("/1", "/2", "/3", method="POST")
         self.server.closing = True
-        for target in reversed(started):
+        for target in ("/1", "/2"):
             self.respond(target)
-        responses = split_responses(self.transport.written)
-        self.assertEqual([body.decode() for _, body in responses], started)
-        self.assertEqual(self.transport.written.count(b"close"), 1)
+            self.assertTrue(self.transport.reading_paused)
+            self.assertFalse(self.transport.closed)
+        self.respond("/3")
         self.assertTrue(self.transport.closed)
-        self.assertEqual(self.list_started(), started)
+        self.receive("/4", method="POST")
+        self.assertEqual(self.list_started(), ["/1", "/2", "/3"])
+
+    def test_nothing_is_started_or_sent_after_the_last_response(self) -> None:
+        """Send more behind a request that closes the connection."""
+        closing_request = GET_LINE + HOST_FIELD + b"Connection: close\r\n\r\n"
+        for surplus in (GET_LINE + HOST_FIELD + CRLF, b"\x00\x01"):
+            for responds in (False, True):
+                with self.subTest(surplus=surplus, responds=responds):
+                    recorder = RequestRecorder(responds=responds)
+                    _, connection, transport = open_connection(recorder)
+                    connection.data_received(closing_request + surplus)
+                    (request,) = recorder.requests
+                    request.respond(200, b"", b"whole")
+                    connection.data_received(surplus)
+                    self.assertEqual(
+                        split_responses(transport.written), [(200, b"whole")]
+                    )
+                    self.assertTrue(transport.closed)
+                    self.assertEqual(len(recorder.requests), 1)
 
     def test_malformed_bytes_end_the_connection_after_the_answers(
         self,
