Half-close a connection after the last response

Callers saw: ConnectionResetError instead of a complete response, if they had sent more than was read: the rest of a body that is too long, bytes behind a malformed request, or the next request while the last response of a planned stop was on its way to them. Cause: the connection was closed at once. A system resets a connection that is closed with unread data, drops what it hasn't sent yet, and the caller's next write fails. Change: after such a response only the sending side is closed. What still comes is discarded until the caller closes, for 2 s at most after all is sent (RFC 9112, section 9.6). A caller that asked for the close sends no more, so its connection is closed as before. Such connections don't count as busy, and idle ones are closed as before, so that callers know a request that crosses the close wasn't read.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -24,6 +24,9 @@
 HeaderFields = list[tuple[bytes, bytes]]
 
 SWEEP_INTERVAL: Final = timedelta(milliseconds=250)
+# Time from the last response to the close, for callers that send on. They
+# would lose a response that isn't received yet (RFC 9112, section 9.6).
+CLOSE_TIMEOUT: Final = timedelta(seconds=2)
 # Requests read beyond those in progress before reading is paused.
 PIPELINED_REQUESTS_MAX: Final = 4
 # Pipelined requests handled at the same time. The responses of all but the
@@ -208,7 +211,7 @@
         self._held_responses: dict[int, _Response] = {}
         # Whether ``_start_waiting`` is running, which must not recurse.
         self._starting = False
-        # Set with the last response. Nothing is read or sent after it.
+        # Set with the last response. Data received after it is discarded.
         self._ended = False
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
@@ -473,12 +476,33 @@
         )
         if not should_close and is_last_read:
             should_close = self._refuse_malformed()
-        if should_close:
+        if not should_close:
+            if self._server.closing:
+                self._pause_reading()
+        elif request.keep_alive or self._malformed is not None:
+            self._end()
+        else:
+            # The caller has announced that it sends no more.
             self._close()
-        elif self._server.closing:
-            self._pause_reading()
         return should_close
 
+    def _end(self) -> None:
+        """Close the sending side; leave it to the caller to close the other.
+
+        Closing both with data unread would reset the connection.
+        """
+        self._ended = True
+        self._reading = False
+        self._phase_started_at = self._server.last_swept_at
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+
     def _close(self) -> None:
         """Close the connection once all that was written is sent."""
         self._ended = True
@@ -531,7 +555,7 @@
             self._pause_reading()
         else:
             self._refuse_malformed()
-            self._close()
+            self._end()
 
     def _refuse_malformed(self) -> bool:
         """Respond to a malformed request, if there was one."""
@@ -549,6 +573,12 @@
         age = now - self._phase_started_at
         if self._in_progress:
             return
+        if self._ended:
+            if self._transport.get_write_buffer_size() > 0:
+                self._phase_started_at = now
+            elif age > CLOSE_TIMEOUT:
+                self._close()
+            return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
             if slow or age > limits.idle_time:
@@ -560,7 +590,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not self.busy:
+        if not self.busy and not self._ended:
             self._close()
 
     def abort(self) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,20 +1,25 @@
 """Tests of the HTTP/1.1 server for callers."""
 
+import asyncio
 import re
 import unittest
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
 
-from sequoiaseam._clock import ManualClock
+from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_server import (
+    CLOSE_TIMEOUT,
     CONCURRENT_REQUESTS_MAX,
     CONTINUE_RESPONSE,
     HttpRequest,
     HttpServer,
     ServerConnection,
 )
+from tests.hosts import LOCALHOST
 
+WAIT_LIMIT_SECONDS: Final = 20.0
+LARGE_BODY: Final = b"a" * (8 * 1024 * 1024)
 HOST_FIELD: Final = b"Host: quotes.example\r\n"
 GET_LINE: Final = b"GET /a HTTP/1.1\r\n"
 POST_LINE: Final = b"POST /a HTTP/1.1\r\n"
@@ -28,19 +33,27 @@
 
 
 class FakeTransport:
-    """A transport that records what is written."""
+    """A transport that records what is written.
+
+    ``closed`` tells whether nothing more is sent, ``released`` whether
+    nothing is received, either.
+    """
 
     def __init__(self) -> None:
         self.written = b""
         self.closed = False
+        self.released = False
         self.reading_paused = False
 
     def write(self, data: bytes) -> None:
         self.written += data
 
-    def close(self) -> None:
+    def write_eof(self) -> None:
         self.closed = True
 
+    def close(self) -> None:
+        self.closed = self.released = True
+
     def pause_reading(self) -> None:
         self.reading_paused = True
 
@@ -67,6 +80,13 @@
             request.respond(200, b"", b"whole")
 
 
+class LargeBodyHandler:
+    """A handler that responds with a body that no socket takes at once."""
+
+    def handle(self, request: HttpRequest) -> None:
+        request.respond(200, b"", LARGE_BODY)
+
+
 def open_connection(
     recorder: RequestRecorder,
 ) -> tuple[HttpServer, ServerConnection, FakeTransport]:
@@ -676,6 +696,102 @@
         self.assertTrue(transport.closed)
 
 
+class LastResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against responses that a reset of the connection destroys.
+
+    A system resets a connection that is closed with unread data in its
+    buffer. The caller's system then drops what it hasn't sent, and the
+    caller's next write fails.
+    """
+
+    async def test_a_caller_that_sends_on_gets_the_last_response(
+        self,
+    ) -> None:
+        surplus = b"x" * 8_000_000
+        request = GET_LINE + HOST_FIELD + CRLF
+        cases = {
+            "body too long": (
+                POST_LINE
+                + HOST_FIELD
+                + b"Content-Length: 99999999\r\n\r\n"
+                + surplus,
+                [(413, 0)],
+            ),
+            "malformed": (b"\x00" + surplus, [(400, 0)]),
+            "malformed after a request": (
+                request + b"\x00" + surplus,
+                [(200, len(LARGE_BODY)), (400, 0)],
+            ),
+            "requests after the last": (
+                request[:-2] + b"Connection: close\r\n\r\n" + request * 50_000,
+                [(200, len(LARGE_BODY))],
+            ),
+        }
+        server = HttpServer(ProcessClock(), LargeBodyHandler())
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        for name, (sent, expected) in cases.items():
+            with self.subTest(name=name):
+                self.assertEqual(
+                    await self.send_and_read(port, sent, len(expected)),
+                    expected,
+                )
+
+    async def test_a_stop_sends_the_last_response_whole(self) -> None:
+        """Send a next request while the last response is on its way."""
+        server = HttpServer(ProcessClock(), LargeBodyHandler())
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        server.closing = True
+        request = GET_LINE + HOST_FIELD + CRLF
+        self.assertEqual(
+            await self.send_and_read(port, request, 1, later=request),
+            [(200, len(LARGE_BODY))],
+        )
+
+    async def send_and_read(
+        self, port: int, sent: bytes, count: int, later: bytes = b""
+    ) -> list[tuple[int, int]]:
+        """Return the status and the length of the body of each response.
+
+        ``later`` is sent after the start of the first one has come.
+        """
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, port, limit=1024
+        )
+        self.addCleanup(writer.transport.abort)
+        writer.write(sent)
+        responses = []
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            for _ in range(count):
+                await asyncio.sleep(0.05)
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(later)
+                (length,) = re.findall(rb"Content-Length: (\d+)", head)
+                await asyncio.sleep(0.05)
+                body = await reader.readexactly(int(length))
+                responses.append((int(head.split()[1]), len(body)))
+            self.assertEqual(await reader.read(), b"")
+        return responses
+
+    def test_a_caller_that_does_not_close_is_not_awaited(self) -> None:
+        """Discard data for a bounded time, without counting as busy."""
+        recorder = RequestRecorder(responds=True)
+        server, connection, transport = open_connection(recorder)
+        server.closing = True
+        connection.data_received((GET_LINE + HOST_FIELD + CRLF) + POST_LINE)
+        self.assertTrue(transport.closed)
+        self.assertFalse(connection.busy)
+        now = server.clock.now()
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        connection.close_if_idle()
+        connection.check_timeout(now + CLOSE_TIMEOUT / 2)
+        self.assertFalse(transport.released)
+        connection.check_timeout(now + CLOSE_TIMEOUT * 2)
+        self.assertTrue(transport.released)
+        self.assertEqual(len(recorder.requests), 1)
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
