Contain the error of one request's handling

Callers saw: when handling a request failed unexpectedly, a closed connection, also for the other requests in progress on it. If the request had waited behind another, the error went to the code that had responded to that one: a result from another node then closed the link to it with all calls, and the connection's other requests were never started. Cause: ServerConnection passed the error on. Two such errors were found, both overflows by numbers that a caller or a backend server sends. Change: the error is logged, what the request had started is cancelled as if its caller had disconnected, and it is answered with 500, which promises nothing.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -17,7 +17,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._listeners import Listener, open_listener
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
 
@@ -67,7 +67,7 @@
     """A complete request, with field names in lower case.
 
     ``on_disconnect`` is called once if the caller disconnects before the
-    response.
+    response, or if the handler fails.
     """
 
     method: str
@@ -406,9 +406,27 @@
         while self._waiting and self._may_start(self._waiting[0]):
             request = self._waiting.popleft()
             self._in_progress.append(request)
-            self._server.handler.handle(request)
+            self._start(request)
         self._starting = False
 
+    def _start(self, request: HttpRequest) -> None:
+        """Pass a request to the handler.
+
+        An error must not reach the event loop, which would close the
+        connection, or the code that responded to the request before.
+        """
+        try:
+            self._server.handler.handle(request)
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                Level.ERROR,
+                "unexpected error; refusing the request",
+                **describe_error(error),
+            )
+            if request.on_disconnect is not None:
+                request.on_disconnect()
+            request.respond(500, b"", b"")
+
     def _pause_reading(self) -> None:
         if not self._reading_paused:
             self._reading_paused = True
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -80,6 +80,21 @@
             request.respond(200, b"", b"whole")
 
 
+class FailingHandler(RequestRecorder):
+    """A handler that fails after it has begun to handle one request."""
+
+    def __init__(self, failing_target: str) -> None:
+        super().__init__()
+        self._failing_target = failing_target
+        self.cancelled: list[str] = []
+
+    def handle(self, request: HttpRequest) -> None:
+        super().handle(request)
+        request.on_disconnect = lambda: self.cancelled.append(request.target)
+        if request.target == self._failing_target:
+            raise OverflowError
+
+
 class LargeBodyHandler:
     """A handler that responds with a body that no socket takes at once."""
 
@@ -585,6 +600,37 @@
         self.assertEqual(self.list_started(), ["/1", "/2"])
 
 
+class HandlerErrorTest(unittest.TestCase):
+    """Guards against one request's error that ends others.
+
+    It reached the event loop, which closes the connection, or the code that
+    had responded to the request before.
+    """
+
+    def test_an_error_is_answered_and_does_not_affect_others(self) -> None:
+        for method in ("GET", "POST"):
+            with self.subTest(method=method):
+                handler = FailingHandler("/2")
+                _, connection, transport = open_connection(handler)
+                for target in ("/1", "/2", "/3"):
+                    connection.data_received(
+                        f"{method} {target} HTTP/1.1\r\n".encode()
+                        + HOST_FIELD
+                        + CRLF
+                    )
+                for target in ("/1", "/3"):
+                    (request,) = (
+                        r for r in handler.requests if r.target == target
+                    )
+                    request.respond(200, b"", target.encode())
+                self.assertEqual(
+                    split_responses(transport.written),
+                    [(200, b"/1"), (500, b""), (200, b"/3")],
+                )
+                self.assertFalse(transport.closed)
+                self.assertEqual(handler.cancelled, ["/2"])
+
+
 class ConnectionTest(unittest.TestCase):
     """Guards against misordered responses and connections kept forever."""
 
