--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -17,13 +17,16 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._listeners import Listener, open_listener
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
 
 HeaderFields = list[tuple[bytes, bytes]]
 
 SWEEP_INTERVAL: Final = timedelta(milliseconds=250)
+# Time from the last response to the close, for callers that send on. They
+# would lose a response that isn't received yet (RFC 9112, section 9.6).
+CLOSE_TIMEOUT: Final = timedelta(seconds=2)
 # Requests read beyond those in progress before reading is paused.
 PIPELINED_REQUESTS_MAX: Final = 4
 # Pipelined requests handled at the same time. The responses of all but the
@@ -64,7 +67,7 @@
     """A complete request, with field names in lower case.
 
     ``on_disconnect`` is called once if the caller disconnects before the
-    response.
+    response, or if the handler fails.
     """
 
     method: str
@@ -208,6 +211,8 @@
         self._held_responses: dict[int, _Response] = {}
         # Whether ``_start_waiting`` is running, which must not recurse.
         self._starting = False
+        # Set with the last response. Data received after it is discarded.
+        self._ended = False
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
         self._reading_paused = False
@@ -221,6 +226,8 @@
         self._body_parts: list[bytes] = []
         self._received_size = 0
         self._in_body = False
+        # Whether the caller waits for a 100 response before the body.
+        self._expects_continue = False
 
     @property
     def busy(self) -> bool:
@@ -255,22 +262,37 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data; ignore any that follows a malformed request."""
-        if self._malformed is not None:
+        """Parse received data; ignore any that follows a malformed request.
+
+        Requests are started after all data is parsed, so that the last
+        response before a close is that to the last request that was read.
+        """
+        if self._malformed is not None or self._ended:
+            return
+        malformed = self._parse(data)
+        if malformed is not None:
+            self._refuse(malformed)
             return
+        self._start_waiting()
+        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
+            self._pause_reading()
+
+    def _parse(self, data: bytes) -> MalformedRequestError | None:
+        """Parse data; return the error if it is malformed."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             malformed = error.__context__
             if not isinstance(malformed, MalformedRequestError):
                 raise
-            self._refuse(malformed)
+            return malformed
         except httptools.HttpParserUpgrade:
-            self._refuse(
-                MalformedRequestError(501, "protocol upgrade is not supported")
+            return MalformedRequestError(
+                501, "protocol upgrade is not supported"
             )
         except httptools.HttpParserError as error:
-            self._refuse(MalformedRequestError(400, type(error).__name__))
+            return MalformedRequestError(400, type(error).__name__)
+        return None
 
     # Parser callbacks.
 
@@ -336,11 +358,22 @@
             raise MalformedRequestError(
                 417, "unsupported value of the Expect field"
             )
-        if not self._in_progress and not self._waiting:
+        self._expects_continue = True
+        self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send a 100 response if it is due and the next to be sent."""
+        if (
+            self._expects_continue
+            and not self._in_progress
+            and not self._waiting
+        ):
+            self._expects_continue = False
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
+        self._expects_continue = False
         self._received_size += len(body)
         if self._received_size > self._server.limits.body:
             raise MalformedRequestError(
@@ -349,8 +382,9 @@
         self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
-        """Handle the request, or queue it behind those in progress."""
+        """Queue the request behind those in progress."""
         self._reading = False
+        self._expects_continue = False
         now = self._server.clock.now()
         self._phase_started_at = now
         request = HttpRequest(
@@ -363,9 +397,6 @@
             self,
         )
         self._waiting.append(request)
-        self._start_waiting()
-        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
-            self._pause_reading()
 
     def _start_waiting(self) -> None:
         """Handle waiting requests, as far as they may run side by side."""
@@ -375,9 +406,27 @@
         while self._waiting and self._may_start(self._waiting[0]):
             request = self._waiting.popleft()
             self._in_progress.append(request)
-            self._server.handler.handle(request)
+            self._start(request)
         self._starting = False
 
+    def _start(self, request: HttpRequest) -> None:
+        """Pass a request to the handler.
+
+        An error must not reach the event loop, which would close the
+        connection, or the code that responded to the request before.
+        """
+        try:
+            self._server.handler.handle(request)
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                Level.ERROR,
+                "unexpected error; refusing the request",
+                **describe_error(error),
+            )
+            if request.on_disconnect is not None:
+                request.on_disconnect()
+            request.respond(500, b"", b"")
+
     def _pause_reading(self) -> None:
         if not self._reading_paused:
             self._reading_paused = True
@@ -389,7 +438,6 @@
             len(in_progress) < CONCURRENT_REQUESTS_MAX
             and request.method in SAFE_METHODS
             and all(r.method in SAFE_METHODS for r in in_progress)
-            and not self._server.closing
         )
 
     # Responses.
@@ -418,20 +466,23 @@
             self._in_progress.popleft()
             if self._send(first, next_response):
                 return
-        if self._reading_paused:
+        if self._reading_paused and not self._server.closing:
             self._reading_paused = False
             self._transport.resume_reading()
         self._start_waiting()
+        self._send_continue()
 
     def _send(self, request: HttpRequest, response: _Response) -> bool:
         """Send a response; return whether the connection is then closed.
 
         The last response before a close may not leave behind a request
-        that is in progress. Callers send waiting requests again.
+        that was read. During shutdown no more are read after a response,
+        so that a caller can't prolong it.
         """
         self._phase_started_at = self._server.last_swept_at
+        is_last_read = not self._in_progress and not self._waiting
         should_close = not request.keep_alive or (
-            self._server.closing and not self._in_progress
+            self._server.closing and is_last_read
         )
         self._write(
             request.method,
@@ -441,13 +492,40 @@
             response.length,
             should_close,
         )
-        if not should_close and not self._in_progress and not self._waiting:
+        if not should_close and is_last_read:
             should_close = self._refuse_malformed()
-        if should_close:
-            self._waiting.clear()
-            self._transport.close()
+        if not should_close:
+            if self._server.closing:
+                self._pause_reading()
+        elif request.keep_alive or self._malformed is not None:
+            self._end()
+        else:
+            # The caller has announced that it sends no more.
+            self._close()
         return should_close
 
+    def _end(self) -> None:
+        """Close the sending side; leave it to the caller to close the other.
+
+        Closing both with data unread would reset the connection.
+        """
+        self._ended = True
+        self._reading = False
+        self._phase_started_at = self._server.last_swept_at
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+
+    def _close(self) -> None:
+        """Close the connection once all that was written is sent."""
+        self._ended = True
+        self._transport.close()
+
     def _write(
         self,
         method: str,
@@ -488,11 +566,14 @@
         )
         self._reading = False
         self._malformed = error
+        self._start_waiting()
+        if self._ended:
+            return
         if self._in_progress or self._waiting:
             self._pause_reading()
         else:
             self._refuse_malformed()
-            self._transport.close()
+            self._end()
 
     def _refuse_malformed(self) -> bool:
         """Respond to a malformed request, if there was one."""
@@ -510,6 +591,12 @@
         age = now - self._phase_started_at
         if self._in_progress:
             return
+        if self._ended:
+            if self._transport.get_write_buffer_size() > 0:
+                self._phase_started_at = now
+            elif age > CLOSE_TIMEOUT:
+                self._close()
+            return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
             if slow or age > limits.idle_time:
@@ -517,12 +604,12 @@
                     MalformedRequestError(408, "request not received in time")
                 )
         elif age > limits.idle_time:
-            self._transport.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not self.busy:
-            self._transport.close()
+        if not self.busy and not self._ended:
+            self._close()
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
@@ -17,6 +18,7 @@
 from sequoiaseam._tables import Workspace
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
+    API_KEY,
     LOCALHOST,
     ROUTES,
     TABLES,
@@ -51,6 +53,16 @@
     request.respond(500, b"broken", "X-Stamp: s")
 
 
+def respond_700(request: ReceivedRequest) -> None:
+    """Respond with a status beyond those of HTTP."""
+    request.respond(700, b"broken")
+
+
+def respond_with_load(request: ReceivedRequest, digits: int) -> None:
+    """Respond with a load that is a number of so many digits."""
+    request.respond(200, b"whole", f"X-Load: {'9' * digits},1,8")
+
+
 def send_endless_body(request: ReceivedRequest) -> None:
     """Send a body without end until the connection is closed."""
     transport = request.transport
@@ -345,6 +357,73 @@
         writer.close()
 
 
+class FieldValueTest(HostTestCase):
+    """Guards against requests cut by an unusual value of a field."""
+
+    async def test_a_long_remaining_time_is_limited_by_the_route(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        for path in ("/read/1", "/open/1"):
+            for value in ("9" * 15, "9" * 20, "9" * 5000, "0" * 20 + "900"):
+                with self.subTest(path=path, digits=len(value)):
+                    response = await cluster.send_request(
+                        path,
+                        f"X-Left-Ms: {value}",
+                        key=API_KEY if path == "/read/1" else None,
+                    )
+                    self.assertEqual(response.status, 200)
+
+    async def test_a_status_that_does_not_exist_is_no_response(self) -> None:
+        """Ask a server of the same host, and one of another host.
+
+        A call on the same connection between the hosts isn't affected.
+        """
+        for handlers, is_remote in (
+            ((respond_700,), False),
+            ((echo_body, respond_700), True),
+        ):
+            with self.subTest(remote=is_remote):
+                cluster = await self.start_cluster(handlers)
+                server = cluster.servers[-1]
+                if is_remote:
+                    cluster.report_server(0, 2, leaving=True)
+                    server.handler = never_respond
+                    bystander = asyncio.create_task(
+                        cluster.send_request("/slow/1")
+                    )
+                    await self.wait_for_requests(server, 1)
+                    server.handler = respond_700
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request("/order/1")
+                self.assertEqual(response.status, 502)
+                if is_remote:
+                    server.received[0].respond(200, b"whole")
+                    self.assertEqual((await bystander).status, 200)
+
+    async def test_a_request_id_outside_of_ascii_is_found(self) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        message = format_request("/order/1").replace(b"7", b"\xe4")
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0]
+        )
+        writer.write(message)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            status_line = await reader.readline()
+        self.assertEqual(status_line, b"HTTP/1.1 200 OK\r\n")
+        writer.close()
+
+    async def test_a_load_of_many_digits_is_ignored(self) -> None:
+        for digits in (400, 5000):
+            with self.subTest(digits=digits):
+                cluster = await self.start_cluster(
+                    (partial(respond_with_load, digits=digits),)
+                )
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request("/slow/1")
+                self.assertEqual(response.status, 200)
+
+
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,19 +1,25 @@
 """Tests of the HTTP/1.1 server for callers."""
 
+import asyncio
 import re
 import unittest
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
 
-from sequoiaseam._clock import ManualClock
+from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_server import (
+    CLOSE_TIMEOUT,
     CONCURRENT_REQUESTS_MAX,
+    CONTINUE_RESPONSE,
     HttpRequest,
     HttpServer,
     ServerConnection,
 )
+from tests.hosts import LOCALHOST
 
+WAIT_LIMIT_SECONDS: Final = 20.0
+LARGE_BODY: Final = b"a" * (8 * 1024 * 1024)
 HOST_FIELD: Final = b"Host: quotes.example\r\n"
 GET_LINE: Final = b"GET /a HTTP/1.1\r\n"
 POST_LINE: Final = b"POST /a HTTP/1.1\r\n"
@@ -27,19 +33,27 @@
 
 
 class FakeTransport:
-    """A transport that records what is written."""
+    """A transport that records what is written.
+
+    ``closed`` tells whether nothing more is sent, ``released`` whether
+    nothing is received, either.
+    """
 
     def __init__(self) -> None:
         self.written = b""
         self.closed = False
+        self.released = False
         self.reading_paused = False
 
     def write(self, data: bytes) -> None:
         self.written += data
 
-    def close(self) -> None:
+    def write_eof(self) -> None:
         self.closed = True
 
+    def close(self) -> None:
+        self.closed = self.released = True
+
     def pause_reading(self) -> None:
         self.reading_paused = True
 
@@ -66,6 +80,28 @@
             request.respond(200, b"", b"whole")
 
 
+class FailingHandler(RequestRecorder):
+    """A handler that fails after it has begun to handle one request."""
+
+    def __init__(self, failing_target: str) -> None:
+        super().__init__()
+        self._failing_target = failing_target
+        self.cancelled: list[str] = []
+
+    def handle(self, request: HttpRequest) -> None:
+        super().handle(request)
+        request.on_disconnect = lambda: self.cancelled.append(request.target)
+        if request.target == self._failing_target:
+            raise OverflowError
+
+
+class LargeBodyHandler:
+    """A handler that responds with a body that no socket takes at once."""
+
+    def handle(self, request: HttpRequest) -> None:
+        request.respond(200, b"", LARGE_BODY)
+
+
 def open_connection(
     recorder: RequestRecorder,
 ) -> tuple[HttpServer, ServerConnection, FakeTransport]:
@@ -417,6 +453,7 @@
         self.server, self.connection, self.transport = open_connection(
             self.recorder
         )
+        self.responded: set[str] = set()
 
     def receive(self, *targets: str, method: str = "GET") -> None:
         """Receive pipelined requests in one piece."""
@@ -432,6 +469,12 @@
         (request,) = (r for r in self.recorder.requests if r.target == target)
         request.respond(status, b"", target.encode())
 
+    def respond_once(self, target: str) -> None:
+        """Respond to a request unless that was done before."""
+        if target not in self.responded:
+            self.responded.add(target)
+            self.respond(target)
+
     def list_started(self) -> list[str]:
         """Return the targets of the requests passed to the handler."""
         return [request.target for request in self.recorder.requests]
@@ -483,19 +526,63 @@
         self.connection.connection_lost(None)
         self.assertEqual(disconnects, ["/1", "/2"])
 
-    def test_a_drain_answers_what_was_passed_on(self) -> None:
-        """Drop the waiting requests, which callers send again."""
+    def test_a_drain_answers_all_that_was_read(self) -> None:
+        """Run the waiting requests before the connection is closed."""
         targets = [f"/{i}" for i in range(CONCURRENT_REQUESTS_MAX + 2)]
-        self.receive(*targets)
-        started = self.list_started()
+        for method in ("GET", "POST"):
+            with self.subTest(method=method):
+                self.setUp()
+                self.receive(*targets, method=method)
+                self.server.closing = True
+                while not self.transport.closed:
+                    for target in reversed(self.list_started()):
+                        self.respond_once(target)
+                responses = split_responses(self.transport.written)
+                self.assertEqual([b.decode() for _, b in responses], targets)
+                self.assertEqual(self.transport.written.count(b"close"), 1)
+                self.assertEqual(self.list_started(), targets)
+
+    def test_a_drain_answers_all_that_was_read_at_once(self) -> None:
+        """Refuse the first request while the ones behind it are parsed."""
+        recorder = RequestRecorder(responds=True)
+        server, connection, transport = open_connection(recorder)
+        server.closing = True
+        connection.data_received((POST_LINE + HOST_FIELD + CRLF) * 3)
+        self.assertEqual(len(recorder.requests), 3)
+        self.assertEqual(len(split_responses(transport.written)), 3)
+        self.assertEqual(transport.written.count(b"close"), 1)
+        self.assertTrue(transport.written.endswith(b"close\r\n\r\nwhole"))
+
+    def test_a_drain_reads_no_more_after_the_first_response(self) -> None:
+        """Requests sent without end don't keep the connection open."""
+        self.receive("/1", "/2", "/3", method="POST")
         self.server.closing = True
-        for target in reversed(started):
+        for target in ("/1", "/2"):
             self.respond(target)
-        responses = split_responses(self.transport.written)
-        self.assertEqual([body.decode() for _, body in responses], started)
-        self.assertEqual(self.transport.written.count(b"close"), 1)
+            self.assertTrue(self.transport.reading_paused)
+            self.assertFalse(self.transport.closed)
+        self.respond("/3")
         self.assertTrue(self.transport.closed)
-        self.assertEqual(self.list_started(), started)
+        self.receive("/4", method="POST")
+        self.assertEqual(self.list_started(), ["/1", "/2", "/3"])
+
+    def test_nothing_is_started_or_sent_after_the_last_response(self) -> None:
+        """Send more behind a request that closes the connection."""
+        closing_request = GET_LINE + HOST_FIELD + b"Connection: close\r\n\r\n"
+        for surplus in (GET_LINE + HOST_FIELD + CRLF, b"\x00\x01"):
+            for responds in (False, True):
+                with self.subTest(surplus=surplus, responds=responds):
+                    recorder = RequestRecorder(responds=responds)
+                    _, connection, transport = open_connection(recorder)
+                    connection.data_received(closing_request + surplus)
+                    (request,) = recorder.requests
+                    request.respond(200, b"", b"whole")
+                    connection.data_received(surplus)
+                    self.assertEqual(
+                        split_responses(transport.written), [(200, b"whole")]
+                    )
+                    self.assertTrue(transport.closed)
+                    self.assertEqual(len(recorder.requests), 1)
 
     def test_malformed_bytes_end_the_connection_after_the_answers(
         self,
@@ -513,6 +600,37 @@
         self.assertEqual(self.list_started(), ["/1", "/2"])
 
 
+class HandlerErrorTest(unittest.TestCase):
+    """Guards against one request's error that ends others.
+
+    It reached the event loop, which closes the connection, or the code that
+    had responded to the request before.
+    """
+
+    def test_an_error_is_answered_and_does_not_affect_others(self) -> None:
+        for method in ("GET", "POST"):
+            with self.subTest(method=method):
+                handler = FailingHandler("/2")
+                _, connection, transport = open_connection(handler)
+                for target in ("/1", "/2", "/3"):
+                    connection.data_received(
+                        f"{method} {target} HTTP/1.1\r\n".encode()
+                        + HOST_FIELD
+                        + CRLF
+                    )
+                for target in ("/1", "/3"):
+                    (request,) = (
+                        r for r in handler.requests if r.target == target
+                    )
+                    request.respond(200, b"", target.encode())
+                self.assertEqual(
+                    split_responses(transport.written),
+                    [(200, b"/1"), (500, b""), (200, b"/3")],
+                )
+                self.assertFalse(transport.closed)
+                self.assertEqual(handler.cancelled, ["/2"])
+
+
 class ConnectionTest(unittest.TestCase):
     """Guards against misordered responses and connections kept forever."""
 
@@ -553,6 +671,39 @@
         connection.data_received(b"ab")
         self.assertEqual(recorder.requests[0].body, b"ab")
 
+    def test_sends_100_continue_after_the_response_before(self) -> None:
+        """The caller of a pipelined request waits for it, too."""
+        recorder = RequestRecorder()
+        _, connection, transport = open_connection(recorder)
+        connection.data_received(
+            GET_LINE
+            + HOST_FIELD
+            + CRLF
+            + POST_LINE
+            + HOST_FIELD
+            + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+        )
+        self.assertEqual(transport.written, b"")
+        recorder.requests[0].respond(200, b"", b"whole")
+        continue_response = b"whole" + CONTINUE_RESPONSE
+        self.assertTrue(transport.written.endswith(continue_response))
+        connection.data_received(b"ab")
+        recorder.requests[1].respond(200, b"", b"whole")
+        self.assertEqual(recorder.requests[1].body, b"ab")
+        self.assertEqual(transport.written.count(CONTINUE_RESPONSE), 1)
+
+    def test_does_not_send_100_continue_once_the_body_has_come(self) -> None:
+        recorder = RequestRecorder()
+        _, connection, transport = open_connection(recorder)
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        connection.data_received(
+            POST_LINE
+            + HOST_FIELD
+            + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\na",
+        )
+        recorder.requests[0].respond(200, b"", b"whole")
+        self.assertNotIn(CONTINUE_RESPONSE, transport.written)
+
     def test_closes_slow_and_idle_connections(self) -> None:
         cases = (
             ("slow head", GET_LINE, 4, b"HTTP/1.1 408"),
@@ -591,6 +742,102 @@
         self.assertTrue(transport.closed)
 
 
+class LastResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against responses that a reset of the connection destroys.
+
+    A system resets a connection that is closed with unread data in its
+    buffer. The caller's system then drops what it hasn't sent, and the
+    caller's next write fails.
+    """
+
+    async def test_a_caller_that_sends_on_gets_the_last_response(
+        self,
+    ) -> None:
+        surplus = b"x" * 8_000_000
+        request = GET_LINE + HOST_FIELD + CRLF
+        cases = {
+            "body too long": (
+                POST_LINE
+                + HOST_FIELD
+                + b"Content-Length: 99999999\r\n\r\n"
+                + surplus,
+                [(413, 0)],
+            ),
+            "malformed": (b"\x00" + surplus, [(400, 0)]),
+            "malformed after a request": (
+                request + b"\x00" + surplus,
+                [(200, len(LARGE_BODY)), (400, 0)],
+            ),
+            "requests after the last": (
+                request[:-2] + b"Connection: close\r\n\r\n" + request * 50_000,
+                [(200, len(LARGE_BODY))],
+            ),
+        }
+        server = HttpServer(ProcessClock(), LargeBodyHandler())
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        for name, (sent, expected) in cases.items():
+            with self.subTest(name=name):
+                self.assertEqual(
+                    await self.send_and_read(port, sent, len(expected)),
+                    expected,
+                )
+
+    async def test_a_stop_sends_the_last_response_whole(self) -> None:
+        """Send a next request while the last response is on its way."""
+        server = HttpServer(ProcessClock(), LargeBodyHandler())
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        server.closing = True
+        request = GET_LINE + HOST_FIELD + CRLF
+        self.assertEqual(
+            await self.send_and_read(port, request, 1, later=request),
+            [(200, len(LARGE_BODY))],
+        )
+
+    async def send_and_read(
+        self, port: int, sent: bytes, count: int, later: bytes = b""
+    ) -> list[tuple[int, int]]:
+        """Return the status and the length of the body of each response.
+
+        ``later`` is sent after the start of the first one has come.
+        """
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, port, limit=1024
+        )
+        self.addCleanup(writer.transport.abort)
+        writer.write(sent)
+        responses = []
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            for _ in range(count):
+                await asyncio.sleep(0.05)
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(later)
+                (length,) = re.findall(rb"Content-Length: (\d+)", head)
+                await asyncio.sleep(0.05)
+                body = await reader.readexactly(int(length))
+                responses.append((int(head.split()[1]), len(body)))
+            self.assertEqual(await reader.read(), b"")
+        return responses
+
+    def test_a_caller_that_does_not_close_is_not_awaited(self) -> None:
+        """Discard data for a bounded time, without counting as busy."""
+        recorder = RequestRecorder(responds=True)
+        server, connection, transport = open_connection(recorder)
+        server.closing = True
+        connection.data_received((GET_LINE + HOST_FIELD + CRLF) + POST_LINE)
+        self.assertTrue(transport.closed)
+        self.assertFalse(connection.busy)
+        now = server.clock.now()
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        connection.close_if_idle()
+        connection.check_timeout(now + CLOSE_TIMEOUT / 2)
+        self.assertFalse(transport.released)
+        connection.check_timeout(now + CLOSE_TIMEOUT * 2)
+        self.assertTrue(transport.released)
+        self.assertEqual(len(recorder.requests), 1)
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
