Add a failing test of late requests on open routes in a drain

Callers saw: none has reported it. Requests on open routes without a key are admitted to the end of a drain; those still running at its time limit are interrupted (502), and on an installation without workspaces none is refused. Cause: Ingress.closing takes each request on an open route without a key for a call of the host's backend server, also when that runs nothing.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -257,6 +257,30 @@
         self.assertEqual((status, self.count_runs(cluster)), (503, 0))
 
 
+class OpenRouteTest(DrainTestCase):
+    """Guards against callers taken for this host's server in a drain."""
+
+    async def test_callers_are_refused_while_the_server_runs_nothing(
+        self,
+    ) -> None:
+        """Send a request without a key, which only a run may still make."""
+        cluster = await self.start_cluster(ignore_request)
+        cluster.report_server(0, 2, leaving=True)
+        running = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        stop = asyncio.create_task(self.stop(cluster))
+        await asyncio.sleep(LATEST_ADMISSION_SECONDS)
+        self.assertEqual(cluster.nodes[0]._executor.call_count, 0)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await cluster.send_request("/open/1", key=None)
+        self.assertEqual((response.status, self.count_runs(cluster)), (503, 1))
+        cluster.servers[1].received[0].respond(200, b"whole")
+        self.assertEqual((await running).status, 200)
+        await stop
+
+
 class TimeLimitTest(DrainTestCase):
     """Guards against requests cut without an answer at the time limit."""
 
