Add a failing test of a response with an invalid status

Callers saw: none has reported it. The caller whose server responds with a status outside of 100 to 599 gets no answer, its connection counts as idle and is closed as such. Cause: STATUS_LINES has no line for the status, so ServerConnection._write raises KeyError after the request was taken from those in progress. FrameConnection.data_received closes the link for any error in a callback, also if the frame was valid and the error concerns one request only.

--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -324,6 +324,41 @@
             await request.closed.wait()
 
 
+class InvalidStatusTest(HostTestCase):
+    """Guards against a server's response that ends other requests."""
+
+    async def test_only_the_request_with_an_invalid_status_fails(
+        self,
+    ) -> None:
+        """Let a server respond with a status outside of 100 to 599."""
+
+        def respond_invalid(request: ReceivedRequest) -> None:
+            if request.head.startswith(b"POST /order/"):
+                request.respond(600, b"odd")
+
+        for name, host in (("through another host", 0), ("directly", 1)):
+            with self.subTest(name=name):
+                cluster = await self.start_cluster(
+                    (never_respond, respond_invalid)
+                )
+                cluster.report_server(0, 2, leaving=True)
+                server = cluster.servers[1]
+                other = asyncio.create_task(
+                    cluster.send_request(
+                        "/slow/1", method="POST", body=b"x", host=host
+                    )
+                )
+                await self.wait_for_requests(server, 1)
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request(
+                        "/order/1", method="POST", body=b"x", host=host
+                    )
+                self.assertEqual(response.status, 502)
+                self.assertFalse(other.done())
+                server.received[0].respond(200, b"whole")
+                self.assertEqual((await other).body, b"whole")
+
+
 class PipelinedDeadlineTest(HostTestCase):
     """Guards against pipelined requests that outlive their deadlines."""
 
