Add a failing test of a remaining time that no time type holds

Callers saw: none has reported it. The connection is closed without an answer, together with all other requests in progress on it. Cause: Ingress._set_deadline and _inherit_from_parent multiply any number of digits by a millisecond, which raises OverflowError (ValueError from 4301 digits on). Nothing between the handler and the event loop turns an error into an answer.

--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -17,6 +17,7 @@
 from sequoiaseam._tables import Workspace
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
+    API_KEY,
     LOCALHOST,
     ROUTES,
     TABLES,
@@ -359,6 +360,26 @@
                 self.assertEqual((await other).body, b"whole")
 
 
+class RemainingTimeTest(HostTestCase):
+    """Guards against requests without an answer for a header value."""
+
+    async def test_a_remaining_time_beyond_all_timeouts_has_no_effect(
+        self,
+    ) -> None:
+        """Send values that no time type of the node can hold."""
+        cluster = await self.start_cluster((echo_body,))
+        for path, key, digits in (
+            ("/order/1", API_KEY, 18),
+            ("/order/1", API_KEY, 5000),
+            ("/open/1", None, 15),
+        ):
+            with self.subTest(path=path, digits=digits):
+                response = await cluster.send_request(
+                    path, f"X-Left-Ms: {'9' * digits}", key=key
+                )
+                self.assertEqual(response.status, 200)
+
+
 class PipelinedDeadlineTest(HostTestCase):
     """Guards against pipelined requests that outlive their deadlines."""
 
