Add a failing test of a server load that no number type holds

Callers saw: none has reported it. The response is lost, the caller gets 504 at its timeout, and the slot at the server is never given back. Cause: HostCallExecutor._record_server_load converts any number of digits. The error leaves _finish_run between taking the run from those in progress and giving back its slot and its result.

--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
@@ -52,6 +53,11 @@
     request.respond(500, b"broken", "X-Stamp: s")
 
 
+def respond_with_line(line: str, request: ReceivedRequest) -> None:
+    """Respond with a further header line."""
+    request.respond(200, b"whole", line)
+
+
 def send_endless_body(request: ReceivedRequest) -> None:
     """Send a body without end until the connection is closed."""
     transport = request.transport
@@ -380,6 +386,23 @@
                 self.assertEqual(response.status, 200)
 
 
+class ServerLoadTest(HostTestCase):
+    """Guards against slots that a server's header value takes forever."""
+
+    async def test_a_load_beyond_all_numbers_is_ignored(self) -> None:
+        for digits in (400, 5000):
+            with self.subTest(digits=digits):
+                cluster = await self.start_cluster((echo_body,))
+                server = cluster.servers[0]
+                load_line = f"X-Load: 1,{'9' * digits},8"
+                server.handler = partial(respond_with_line, load_line)
+                response = await cluster.send_request("/order/1")
+                self.assertEqual(response.status, 200)
+                session = cluster.nodes[0]._executor._session
+                assert session is not None
+                self.assertEqual(session.admission.running, 0)
+
+
 class PipelinedDeadlineTest(HostTestCase):
     """Guards against pipelined requests that outlive their deadlines."""
 
