--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -422,6 +422,9 @@
                 async with asyncio.timeout(WAIT_LIMIT_SECONDS):
                     response = await cluster.send_request("/slow/1")
                 self.assertEqual(response.status, 200)
+                session = cluster.nodes[0]._executor._session
+                assert session is not None
+                self.assertEqual(session.admission.running, 0)
 
 
 class StatusTest(unittest.TestCase):
