Refuse callers of open routes late in a drain, too

Callers saw: none has reported it. Cause: late in a drain the ingress lets the calls of its backend server through, and takes each request without a key on an open route for one, also when the server runs nothing. Change: such a request is sent only while a run of the server is in progress.

--- a/src/sequoiaseam/_call_attribution.py
+++ b/src/sequoiaseam/_call_attribution.py
@@ -117,6 +117,11 @@
             _remove(self._runs_by_deadline, (run.deadline, run_id))
             _remove(self._runs_by_start, (run.began_at, run_id))
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether the backend server runs a request."""
+        return bool(self._runs)
+
     def start_call(
         self,
         now: datetime,
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -317,6 +317,17 @@
             pending,
         )
 
+    def _may_send(self, pending: PendingRequest) -> bool:
+        """Return whether a drain allows the request to be sent.
+
+        A request without a key on an open route is a call of the backend
+        server only if that runs something.
+        """
+        if not self.closing:
+            return True
+        may_be_call = pending.nested and self._attribution.has_runs
+        return self.sending_enabled and may_be_call
+
     def _check_overload(self, pending: PendingRequest) -> None:
         """Refuse the request if a pool that it may reach is overloaded.
 
@@ -328,7 +339,7 @@
             return
         now = self._clock.now()
         pending.pool = self._choose_pool(route)
-        if not self.sending_enabled or (self.closing and not pending.nested):
+        if not self._may_send(pending):
             self._refuse(pending, ErrorCode.DRAINING)
             return
         if not pending.nested:
