End a program that gets SIGTERM while it is starting

Seen: no one has reported it; a control host that gets SIGTERM while its disk fails runs on until it is killed at the end of its grace period. Cause: run_service waited for the signal only after service.start() had returned. Change: the startup runs as a task, and a signal cancels it. What it has opened so far is drained and closed as in any other stop. Why it works: start() is left at its next suspension, and close() accepts parts that were not started.

--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -49,7 +49,8 @@
 async def run_service(service: Service, name: str) -> None:
     """Run until SIGTERM or SIGINT, then drain and close.
 
-    SIGHUP doesn't stop the service; settings are read only at startup.
+    A signal during startup ends the startup. SIGHUP doesn't stop the
+    service; settings are read only at startup.
     """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -63,20 +64,41 @@
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    await service.start()
-    # Objects allocated during startup are long-lived. Excluding them from
-    # later collections shortens the pauses that add to tail latency.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    log_event(Level.INFO, "started", host=name)
-    await stop_requested.wait()
+    if await _start(service, stop_requested):
+        # Objects allocated during startup are long-lived. Excluding them
+        # from later collections shortens the pauses that add to tail
+        # latency.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        log_event(Level.INFO, "started", host=name)
+        await stop_requested.wait()
     log_event(Level.INFO, "draining", host=name)
     await service.drain()
     await service.close()
     log_event(Level.INFO, "stopped", host=name)
 
 
+async def _start(service: Service, stop_requested: asyncio.Event) -> bool:
+    """Start the service; return False if a stop was requested meanwhile.
+
+    The startup is then cancelled, as it may last for as long as a disk
+    fails.
+    """
+    start_task = asyncio.ensure_future(service.start())
+    stop_task = asyncio.ensure_future(stop_requested.wait())
+    await asyncio.wait(
+        (start_task, stop_task), return_when=asyncio.FIRST_COMPLETED
+    )
+    stop_task.cancel()
+    start_task.cancel()
+    try:
+        await start_task
+    except asyncio.CancelledError:
+        return False
+    return True
+
+
 def run_embedded(create: Callable[[], Service], name: str) -> None:
     """Run a service embedded in another program; log to standard output."""
     configure_logging(Level.INFO, sys.stdout)
