--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -1,6 +1,9 @@
 """Tests of planned stops of the programs, as processes on loopback."""
 
 import asyncio
+import contextlib
+import itertools
+import json
 import signal
 import tempfile
 import time
@@ -8,15 +11,22 @@
 from pathlib import Path
 from typing import Final
 
+import aiohttp
+
 from tests.test_platform_system import (
     CONTROL_ADDRESSES,
     WAIT_TIMEOUT,
     PlatformFleet,
+    build_document,
 )
 
 POLL_INTERVAL: Final = 0.05
 # From SIGTERM to SIGKILL, as the settings of the processes say.
 GRACE_PERIOD_SECONDS: Final = 6.0
+# Time for a request to be read by a process on the same machine.
+REQUEST_DELIVERY_SECONDS: Final = 0.5
+# More than the socket buffers on both sides hold.
+LARGE_DOCUMENT_BYTES: Final = 24 * 1024 * 1024
 CONTROL_ADDRESS: Final = CONTROL_ADDRESSES[0]
 
 
@@ -65,5 +75,61 @@
         await self.assert_stops_in_time(CONTROL_ADDRESS)
 
 
+class OperatorConnectionTest(StopTestCase):
+    """Guards against stops that wait for operators without a bound."""
+
+    async def connect(self) -> asyncio.StreamWriter:
+        """Open a connection to the operators' listener."""
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            _, writer = await asyncio.open_connection(
+                CONTROL_ADDRESS, self.fleet.api_port
+            )
+        self.addCleanup(writer.close)
+        return writer
+
+    async def test_a_request_whose_body_does_not_arrive(self) -> None:
+        await self.fleet.start(CONTROL_ADDRESS)
+        await self.wait_until_logged(CONTROL_ADDRESS, '"started"')
+        writer = await self.connect()
+        writer.write(
+            b"POST /sequoiaseam/rpc?call=configuration.put HTTP/1.1\r\n"
+            b"Host: control\r\nContent-Length: 100\r\n\r\n{"
+        )
+        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
+        await self.assert_stops_in_time(CONTROL_ADDRESS)
+
+    async def test_a_response_that_is_not_read(self) -> None:
+        """Stop a host while an operator reads the configuration slowly."""
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address)
+        document = json.loads(build_document(3, 0))
+        document["padding"] = "a" * LARGE_DOCUMENT_BYTES
+        await self.put_until_accepted(json.dumps(document).encode())
+        writer = await self.connect()
+        writer.write(
+            b"POST /sequoiaseam/rpc?call=configuration.get HTTP/1.1\r\n"
+            b"Host: control\r\nContent-Length: 0\r\n\r\n"
+        )
+        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
+        await self.assert_stops_in_time(CONTROL_ADDRESS)
+
+    async def put_until_accepted(self, body: bytes) -> None:
+        """Send a configuration to the hosts until one accepts it."""
+        async with (
+            asyncio.timeout(WAIT_TIMEOUT),
+            aiohttp.ClientSession() as session,
+        ):
+            for address in itertools.cycle(CONTROL_ADDRESSES):
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.post(
+                        f"http://{address}:{self.fleet.api_port}"
+                        "/sequoiaseam/rpc?call=configuration.put",
+                        data=body,
+                    ) as response:
+                        if response.status == 200:
+                            return
+                await asyncio.sleep(POLL_INTERVAL)
+
+
 if __name__ == "__main__":
     unittest.main()
