End a control host on SIGTERM while its disk doesn't respond

Cause: ReplicaRunner.close waited in shutdown(wait=True) of its executor, which blocks the event loop as well, and the interpreter joins the threads of executors at its exit. A stop waits up to 1 s for the function in progress, without blocking the event loop, and logs 'stopped while the disk doesn't respond' if it hasn't ended. Result: both cases of tests.test_stops.StalledDiskTest failed before (AssertionError: still running at the end of the grace period) and pass. test_confirmation, test_system_control and test_uplink pass.

--- a/src/sequoiaseam/_replica_runner.py
+++ b/src/sequoiaseam/_replica_runner.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 from collections.abc import Awaitable, Callable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from functools import singledispatchmethod
@@ -14,6 +13,7 @@
 from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
 from sequoiaseam._commands import COMMAND_TYPES, Command, Noop
+from sequoiaseam._disk_thread import DiskThread
 from sequoiaseam._files import DiskFileSystem
 from sequoiaseam._group_repair import Exchange, RepairStep, Retire
 from sequoiaseam._journal import Journal
@@ -42,6 +42,8 @@
 CONFIRM_INTERVAL: Final = timedelta(milliseconds=400)
 # Delay between attempts to open the journal after a disk error.
 REOPEN_DELAY: Final = timedelta(milliseconds=300)
+# Time for the disk work in progress to end when the replica stops.
+DISK_CLOSE_TIME: Final = timedelta(seconds=1)
 
 COMMAND_CODEC: Final = Codec(COMMAND_TYPES)
 
@@ -136,7 +138,7 @@
         self._rng = rng
         self._hooks = hooks
         self._tasks = TaskGroup()
-        self._disk_executor = ThreadPoolExecutor(1, "journal")
+        self._disk_thread = DiskThread("journal")
         self._disk_jobs: asyncio.Queue[Callable[[], Awaitable[None]]] = (
             asyncio.Queue()
         )
@@ -156,9 +158,17 @@
         self._tasks.start(self._confirm_periodically())
 
     async def close(self) -> None:
-        """Cancel the tasks and wait for disk work in progress."""
+        """Cancel the tasks and wait a short time for disk work in progress.
+
+        What isn't written by then hasn't been acknowledged to anyone.
+        """
         await self._tasks.cancel()
-        self._disk_executor.shutdown(wait=True)
+        if not await self._disk_thread.close(DISK_CLOSE_TIME):
+            log_event(
+                Level.WARNING,
+                "stopped while the disk doesn't respond",
+                replica=self._config.host,
+            )
 
     def receive(self, sender: str, message: Any) -> None:
         """Pass a message from the host ``sender`` to the replica."""
@@ -280,12 +290,10 @@
 
         What a failed disk holds is known only after reading it again.
         """
-        loop = asyncio.get_running_loop()
         while True:
             try:
-                journal, restored = await loop.run_in_executor(
-                    self._disk_executor,
-                    self._journal_opener.open,
+                journal, restored = await self._disk_thread.run(
+                    self._journal_opener.open
                 )
                 break
             except SeamError as error:
@@ -302,10 +310,6 @@
         now = self._clock.now()
         self.replica = Replica(self._config, restored, self._rng, now)
 
-    async def _run_on_disk(self, function: Callable[[], None]) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._disk_executor, function)
-
     def _perform_actions(self, actions: Actions) -> None:
         for action in actions:
             self._perform_action(action)
@@ -321,7 +325,7 @@
     @_perform_action.register
     def _(self, action: Persist) -> None:
         async def job() -> None:
-            await self._run_on_disk(
+            await self._disk_thread.run(
                 lambda: self._journal.append(action.records),
             )
             self._perform_actions(
@@ -350,7 +354,7 @@
 
     def _save_snapshot(self, snapshot: Snapshot) -> None:
         async def job() -> None:
-            await self._run_on_disk(
+            await self._disk_thread.run(
                 lambda: self._journal.save_snapshot(snapshot),
             )
             self._perform_actions(
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,10 +4,12 @@
 import contextlib
 import itertools
 import json
+import os
 import signal
 import tempfile
 import time
 import unittest
+import unittest.mock
 from pathlib import Path
 from typing import Final
 
@@ -75,6 +77,65 @@
         await self.assert_stops_in_time(CONTROL_ADDRESS)
 
 
+# Run by Python before the program: syncing a file blocks while the file that
+# the variable names exists.
+STALLING_SYNC: Final = """
+import os, time
+real_fsync = os.fsync
+def fsync(descriptor):
+    while os.path.exists(os.environ["STALL_FLAG"]):
+        time.sleep(0.02)
+    real_fsync(descriptor)
+os.fsync = fsync
+"""
+
+
+class StalledDiskTest(StopTestCase):
+    """Guards against stops that wait for a disk that doesn't respond."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.flag = self.fleet.folder / "stalled"
+        hook_folder = self.fleet.folder / "hook"
+        hook_folder.mkdir()
+        (hook_folder / "sitecustomize.py").write_text(STALLING_SYNC)
+        self.variables = {
+            "STALL_FLAG": str(self.flag),
+            "PYTHONPATH": f"{hook_folder}:{os.environ['PYTHONPATH']}",
+        }
+
+    async def start_with_hook(self, address: str) -> None:
+        """Start a control host whose disk can be stalled."""
+        with unittest.mock.patch.dict(os.environ, self.variables):
+            await self.fleet.start(address)
+
+    async def test_while_the_journal_is_opened(self) -> None:
+        self.flag.touch()
+        await self.start_with_hook(CONTROL_ADDRESS)
+        data = self.fleet.folder / CONTROL_ADDRESS / "data"
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not list(data.glob("*")):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL)
+        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
+        await self.assert_stops_in_time(CONTROL_ADDRESS)
+
+    async def test_while_entries_are_written(self) -> None:
+        """Stall the disk of a host as its group elects a leader."""
+        await self.start_with_hook(CONTROL_ADDRESS)
+        await self.wait_until_logged(CONTROL_ADDRESS, '"started"')
+        self.flag.touch()
+        for address in CONTROL_ADDRESSES[1:]:
+            await self.fleet.start(address)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while not any(  # noqa: ASYNC110
+                '"role": "leader"' in self.fleet.read_log(address)
+                for address in CONTROL_ADDRESSES[1:]
+            ):
+                await asyncio.sleep(POLL_INTERVAL)
+        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
+        await self.assert_stops_in_time(CONTROL_ADDRESS)
+
+
 class OperatorConnectionTest(StopTestCase):
     """Guards against stops that wait for operators without a bound."""
 
