Answer operators' calls in progress when a control host stops

Seen: an operator's edit that is in progress at a planned stop of its control host ends with 'the answer was lost', although it is applied. The order to drain a node isn't repeated, and is reported as failed. Cause: Control.drain did nothing and RpcServer.close cancelled the handlers of all streams, including those that were executing a call. Change: drain() closes the listener, refuses streams that are opened later with CONNECTION_LOST (the client then asks another host), and waits for the calls in progress, 3.5 s at most, as an edit waits 3 s for a majority. Calls that are read after the last check are refused the same way and not executed.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -42,6 +42,7 @@
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._operator_messages import EditAnswer, FollowRequest
 from sequoiaseam._operator_requests import (
+    QUORUM_TIMEOUT,
     FollowEventLog,
     OperatorRequestHandler,
     OperatorRequestHooks,
@@ -60,7 +61,7 @@
     ReplicaHooks,
     ReplicaRunner,
 )
-from sequoiaseam._rpc import RpcServer, Stream
+from sequoiaseam._rpc import RpcServer, Stream, create_stopping_error
 from sequoiaseam._sessions import NodeSessions, SessionHooks
 from sequoiaseam._settings import ControlSettings, Endpoint, Secrets
 from sequoiaseam._state import FleetState
@@ -69,6 +70,9 @@
 
 TICK_INTERVAL: Final = timedelta(milliseconds=100)
 ALIVE_REPORT_INTERVAL: Final = timedelta(milliseconds=500)
+# Time for the answers to operators' calls in a planned stop. An edit waits
+# for a majority first.
+OPERATOR_CALL_TIME_LIMIT: Final = QUORUM_TIMEOUT + timedelta(seconds=0.5)
 IDENTITY_BYTES: Final = 16
 
 
@@ -147,6 +151,9 @@
             ),
         )
         self._rpc_server: RpcServer | None = None
+        self._calls_in_progress: set[asyncio.Task[Any]] = set()
+        # Set at the end of a drain.
+        self._closing = False
 
     # Lifecycle.
 
@@ -170,7 +177,21 @@
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
 
     async def drain(self) -> None:
-        """Do nothing, as nodes and replicas fail over on their own."""
+        """Answer the operators' calls in progress, and refuse later ones.
+
+        Nodes and replicas fail over on their own.
+        """
+        if self._rpc_server is not None:
+            self._rpc_server.stop_accepting()
+        deadline = self._clock.now() + OPERATOR_CALL_TIME_LIMIT
+        while self._calls_in_progress and self._clock.now() < deadline:
+            await asyncio.wait(
+                self._calls_in_progress,
+                timeout=(deadline - self._clock.now()).total_seconds(),
+            )
+        # Set in the same step as the last check, as a call that starts later
+        # would be cut off by ``close``.
+        self._closing = True
 
     async def close(self) -> None:
         """Close the listener and all connections."""
@@ -443,6 +464,12 @@
     async def _serve_call(self, stream: Stream, identity: Identity) -> None:
         _require_operator(identity)
         request = await stream.recv_message()
+        if self._closing:
+            raise create_stopping_error()
+        task = asyncio.current_task()
+        assert task is not None  # noqa: S101 - each stream has a task
+        self._calls_in_progress.add(task)
+        task.add_done_callback(self._calls_in_progress.discard)
         try:
             answer = await self._request_handler.handle_request(request)
         except SeamError as error:
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -202,6 +202,11 @@
 StreamHandler = Callable[[Stream, Identity], Awaitable[None]]
 
 
+def create_stopping_error() -> SeamError:
+    """Create the error of a request that another host has to execute."""
+    return SeamError(ErrorCode.CONNECTION_LOST, "this host is stopping")
+
+
 class RpcServer:
     """Accept streams and pass each one to the handler of its method path.
 
@@ -222,16 +227,22 @@
         self._methods = methods
         self._tasks = TaskGroup()
         self._connections: set[Connection] = set()
+        self._accepting = True
         self._listener: Listener | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Start listening on ``host`` and ``port``."""
         self._listener = await open_listener(self._accept, host, port)
 
-    async def close(self) -> None:
-        """Stop listening and close all streams."""
+    def stop_accepting(self) -> None:
+        """Stop listening and refuse streams that aren't open yet."""
+        self._accepting = False
         if self._listener is not None:
             self._listener.server.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all streams."""
+        self.stop_accepting()
         await self._tasks.cancel()
         for connection in list(self._connections):
             connection.abort()
@@ -273,6 +284,8 @@
         if frame[0] != Kind.OPENING or handler is None:
             raise SeamError(ErrorCode.BAD_REQUEST, "unknown method")
         identity = self._verifier.verify(self._clock.now(), proof)
+        if not self._accepting:
+            raise create_stopping_error()
         await handler(Stream(connection, self._codec), identity)
 
 
