Test calls at a stopping leader without a majority

Stops a leader of the platform's control hosts while an edit and a read wait for hosts that are paused. Both are answered with 503, and the process ends in its grace period.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -192,5 +192,49 @@
                 await asyncio.sleep(POLL_INTERVAL)
 
 
+class EditDuringStopTest(StopTestCase):
+    """Guards against operators' calls that end without an answer."""
+
+    async def find_leader(self) -> str:
+        """Start the control hosts and return the address of the leader."""
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while True:
+                for address in CONTROL_ADDRESSES:
+                    if '"role": "leader"' in self.fleet.read_log(address):
+                        return address
+                await asyncio.sleep(POLL_INTERVAL)
+
+    async def call(self, address: str, call: str, body: bytes) -> int:
+        """Return the status of the response to an operator's call."""
+        url = f"http://{address}:{self.fleet.api_port}/sequoiaseam/rpc"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"{url}?call=configuration.{call}",
+                data=body,
+                allow_redirects=False,
+            ) as response,
+        ):
+            return response.status
+
+    async def test_calls_at_a_leader_without_a_majority(self) -> None:
+        """Stop a leader while calls wait for hosts that are paused."""
+        leader = await self.find_leader()
+        for address in CONTROL_ADDRESSES:
+            if address != leader:
+                self.fleet.processes[address].send_signal(signal.SIGSTOP)
+        calls = [
+            asyncio.create_task(
+                self.call(leader, "put", build_document(3, 0))
+            ),
+            asyncio.create_task(self.call(leader, "get", b"")),
+        ]
+        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
+        await self.assert_stops_in_time(leader)
+        self.assertEqual(await asyncio.gather(*calls), [503, 503])
+
+
 if __name__ == "__main__":
     unittest.main()
