Finish calls of sequoiaseam-node on a node that leaves the view

Callers saw: no answer before the timeout of their route, for a request that another node was still running, when that node was removed from the view or changed its address. The removed node cancelled it, though it could have answered. Cause: PeerLinkPool closed the link at once. PeerLink.close then cancelled the task that reads answers, while that was closing the socket itself, so that the calls that waited for their answers were not failed either. Change: such a link is retired: it is closed once the calls that were started on it have ended. A cancelled reading task fails the calls that wait. Why it works: a call that was started ends with its answer, its deadline, or the loss of the connection, which aiohttp's heartbeat detects; the view no longer ends it.

--- a/src/sequoiaseam/_peer_links.py
+++ b/src/sequoiaseam/_peer_links.py
@@ -51,6 +51,8 @@
         self._balancer = balancer
         self._hooks = hooks
         self._links: dict[str, PeerLink] = {}
+        # Links to former members and addresses that calls still use.
+        self._retired_links: set[PeerLink] = set()
         self._session: aiohttp.ClientSession | None = None
         self._tasks = TaskGroup()
 
@@ -75,9 +77,20 @@
             self._get_link(name).post(message)
 
     def close_departed(self) -> None:
-        """Close the links to nodes that are no longer members."""
+        """Retire the links to nodes that are no longer members.
+
+        Such a node may still run calls, for example if it has lost its lease.
+        """
         for name in self._links.keys() - self._view.members.keys():
-            self._tasks.start(self._links.pop(name).close())
+            self._retire(self._links.pop(name))
+
+    def _retire(self, link: PeerLink) -> None:
+        self._retired_links.add(link)
+        self._tasks.start(self._close_retired(link))
+
+    async def _close_retired(self, link: PeerLink) -> None:
+        await link.retire()
+        self._retired_links.discard(link)
 
     def _get_link(self, name: str) -> PeerLink:
         url = build_peer_url(self._view.members[name])
@@ -87,7 +100,7 @@
         if self._session is None:
             raise RuntimeError("the node is not started")
         if link is not None:
-            self._tasks.start(link.close())
+            self._retire(link)
         link = PeerLink(
             url,
             self._session,
@@ -115,7 +128,7 @@
                 if not link.test_and_clear_used()
             ]
             for name in idle_names:
-                self._tasks.start(self._links.pop(name).close())
+                self._retire(self._links.pop(name))
 
     def _is_member_at(self, name: str, url: str) -> bool:
         member = self._view.members.get(name)
@@ -124,7 +137,7 @@
     async def close(self) -> None:
         """Close all links and the client session."""
         await self._tasks.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._retired_links):
             await link.close()
         if self._session is not None:
             await self._session.close()
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -78,6 +78,9 @@
         self._socket: aiohttp.ClientWebSocketResponse | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._pending_answers: dict[int, asyncio.Future[Any]] = {}
+        # Calls that have no result yet, including those not sent yet.
+        self._open_calls = 0
+        self._idle = asyncio.Event()
         self._last_call_id = 0
         self._used_since_check = True
         self._tasks = TaskGroup()
@@ -103,6 +106,15 @@
         coroutine cancels the call on the other node.
         """
         self._used_since_check = True
+        self._open_calls += 1
+        try:
+            return await self._call(frame)
+        finally:
+            self._open_calls -= 1
+            if not self._open_calls:
+                self._idle.set()
+
+    async def _call(self, frame: CallFrame) -> AnswerFrame | RefusalFrame:
         await self._connect()
         self._last_call_id += 1
         call_id = self._last_call_id
@@ -188,8 +200,12 @@
                 code=error.code.value,
             )
         finally:
-            await socket.close()
-            self._fail_pending(socket)
+            try:
+                await socket.close()
+            finally:
+                # Also when this task is cancelled, as the calls would wait
+                # until their deadlines.
+                self._fail_pending(socket)
 
     def _fail_pending(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         if self._socket is socket:
@@ -226,6 +242,18 @@
         else:
             self._on_message(message)
 
+    async def retire(self) -> None:
+        """Close the connection once the calls in progress have ended.
+
+        The other node may still run them. Changes of the connection are no
+        longer reported.
+        """
+        self._on_connected = self._on_disconnected = lambda: None
+        while self._open_calls:
+            self._idle.clear()
+            await self._idle.wait()
+        await self.close()
+
     async def close(self) -> None:
         """Close the connection and cancel its tasks."""
         if self._socket is not None:
