Start a server's session before refusing the former one's queue

Callers saw: 504 at the timeout for a request that came in place of one that was queued when another server was announced, for example the next pipelined one. Cause: the refusals are passed on while the executor still had the former session. A call that came then was queued there, and only the present session's queue is ever run. Change: the new session is set first, so such calls go to the new server. Calls that the former server runs end by its own responses, as before.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -186,12 +186,14 @@
         session.last_reported_at = now
         session.connection_refused = False
         if report.leaving:
-            self._refuse_queued(now)
+            self._refuse_queued(now, session)
 
     def _replace_session(self, now: datetime, report: ServerReport) -> None:
-        if self._session is not None:
-            self._refuse_queued(now)
-            self._session.connections.close()
+        """Start a session; calls that the former server runs go on.
+
+        The queued ones are refused last, as calls may come in their place.
+        """
+        former = self._session
         pool = self._get_pool(report.pool) or Pool(report.pool)
         self._session = _Session(
             report,
@@ -212,12 +214,12 @@
             slots=report.slots,
             leaving=report.leaving,
         )
+        if former is not None:
+            self._refuse_queued(now, former)
+            former.connections.close()
 
-    def _refuse_queued(self, now: datetime) -> None:
+    def _refuse_queued(self, now: datetime, session: _Session) -> None:
         """Refuse all calls that haven't started."""
-        session = self._session
-        if session is None:
-            return
         for run in [
             r for r in self._runs.values() if r.server_request is None
         ]:
@@ -227,7 +229,8 @@
     def refuse_all(self) -> None:
         """Refuse all calls; those sent to the backend server may have run."""
         now = self._clock.now()
-        self._refuse_queued(now)
+        if self._session is not None:
+            self._refuse_queued(now, self._session)
         for run in list(self._runs.values()):
             self._cancel(run)
             run.on_result(
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from functools import partial
 
+from sequoiaseam._announcements import ServerReport
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
 from sequoiaseam._host_call_executor import (
@@ -548,6 +549,49 @@
             {200, 503},
         )
 
+    async def test_requests_behind_those_of_a_replaced_server_run(
+        self,
+    ) -> None:
+        """Replace a server on which a caller's first request is queued.
+
+        The second one starts when the first is refused.
+        """
+        cluster = await self.start_cluster((never_respond,))
+        (node,) = cluster.nodes
+        executor = node._executor
+        successor = ScriptedServer(echo_body)
+        await successor.start()
+        self.addCleanup(successor.close)
+        running = []
+        while not executor._session or not executor._session.admission.queued:
+            running.append(
+                asyncio.create_task(cluster.send_request("/slow/1"))
+            )
+            await asyncio.sleep(0.01)
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0]
+        )
+        self.addCleanup(writer.close)
+        calls = executor.call_count
+        message = format_request("/slow/1", method="POST", body=b"x")
+        writer.write(message * 2)
+        while executor.call_count == calls:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        node.accept_server_report(
+            ServerReport(
+                "successor", "store", LOCALHOST, successor.port, 2, 1, 8
+            )
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            responses = [await read_response(reader) for _ in range(2)]
+        self.assertEqual([r.status for r in responses], [503, 200])
+        for request in cluster.servers[0].received:
+            request.respond(200, b"whole")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            statuses = [(await task).status for task in running]
+        self.assertEqual(statuses.count(200), len(cluster.servers[0].received))
+        self.assertLessEqual(set(statuses), {200, 503})
+
     async def test_a_server_that_left_before_a_restart_gets_no_requests(
         self,
     ) -> None:
