Close connections that a closed pool gets back

It stayed open until the former server closed it. Change: a closed pool closes connections that are returned to it. Requests in progress are still finished. Result: the new test of ReuseTest failed before (False is not true: not closed) and passes; test_http_client and test_host_node: 45 passed.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -107,6 +107,7 @@
         self._receiving: dict[BackendConnection, int] = {}
         self._incomplete_bodies_size = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
         self.opened_count = 0
 
     def send(self, request: PendingRequest) -> None:
@@ -164,7 +165,10 @@
 
     def release(self, connection: "BackendConnection") -> None:
         """Return a connection to the pool for the next request."""
-        self._idle.append(connection)
+        if self._closed:
+            connection.abort()
+        else:
+            self._idle.append(connection)
 
     def record_body(self, connection: "BackendConnection", size: int) -> None:
         """Record how much of a body is held, 0 once it is complete.
@@ -196,7 +200,8 @@
             connection.abort()
 
     def close(self) -> None:
-        """Close the idle connections, but none that carries a request."""
+        """Close each connection once it carries no request."""
+        self._closed = True
         for connection in self._idle:
             connection.abort()
         self._idle.clear()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -291,6 +291,18 @@
         self.assertTrue(harness.transport.closed)
         self.assertFalse(harness.is_reusable())
 
+    def test_a_closed_pool_finishes_requests_and_keeps_no_connection(
+        self,
+    ) -> None:
+        """Another server has been announced while a request is running."""
+        harness = ConnectionHarness()
+        harness.pool.close()
+        self.assertFalse(harness.transport.closed)
+        harness.connection.data_received(RESPONSE)
+        self.assertEqual(len(harness.outcomes), 1)
+        self.assertIsInstance(harness.outcomes[0], BackendResponse)
+        self.assertTrue(harness.transport.closed)
+
     def test_a_connection_that_the_server_closes_is_not_reused(self) -> None:
         """The event loop reports the end of the data before the close."""
         harness = ConnectionHarness()
