Count calls that were never written to a link as not run

Callers saw: 502 for a request that isn't idempotent, sent to another node at the moment when the connection between the nodes ended, though nothing of it was written. An idempotent one spent a retry. Cause: frames are written at the end of an event loop iteration, and before connection_lost an iteration passes in which eof_received or an abort has ended the connection. MeshLink counted every call without a result as sent. Change: a connection writes nothing once it has ended and lists the frames that were left. Their calls are refused as not run, so they go to other nodes.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -66,6 +66,9 @@
         self._transport: Any = None
         self._buffer = bytearray()
         self._outgoing: list[bytes] = []
+        self._outgoing_frames: list[Frame] = []
+        # Set before ``closed``: nothing more can be written.
+        self._ending = False
         self.received_data = False
         self.closed = False
 
@@ -73,10 +76,15 @@
         """Store the transport of the new connection."""
         self._transport = transport
 
+    def eof_received(self) -> bool:
+        """Let the event loop close the connection."""
+        self._ending = True
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark the connection as closed and notify its owner."""
         del exc
-        self.closed = True
+        self.closed = self._ending = True
         self._on_close()
 
     def data_received(self, data: bytes) -> None:
@@ -131,11 +139,18 @@
         content = encode_frame(frame)
         self._outgoing.append(LENGTH_PREFIX.pack(len(content)))
         self._outgoing.append(content)
+        self._outgoing_frames.append(frame)
 
     def _flush(self) -> None:
+        if self._ending:
+            return
         outgoing, self._outgoing = self._outgoing, []
-        if not self.closed:
-            self._transport.write(b"".join(outgoing))
+        self._outgoing_frames = []
+        self._transport.write(b"".join(outgoing))
+
+    def list_unwritten(self) -> list[Frame]:
+        """Return the posted frames of which nothing was written."""
+        return self._outgoing_frames
 
     @property
     def has_unsent_data(self) -> bool:
@@ -153,6 +168,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
+        self._ending = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -188,8 +204,8 @@
         """Send a call and return its id, which ``cancel`` accepts.
 
         ``on_result`` receives the result, or None if the connection was
-        lost after the call was sent. If no connection could be opened, it
-        receives the refusal made by ``create_unsent_refusal``.
+        lost after the call was sent. If the call wasn't sent, it receives the
+        refusal made by ``create_unsent_refusal``.
         """
         self._next_id += 1
         call_id = self._next_id
@@ -261,8 +277,15 @@
                 on_result(frame)
 
     def _handle_close(self) -> None:
-        """Report all calls that were sent as lost: each may have run."""
-        self._connection = None
+        """Report the calls that were sent as lost: each may have run."""
+        connection, self._connection = self._connection, None
+        unwritten = set()
+        if connection is not None:
+            unwritten = {
+                frame.call_id
+                for frame in connection.list_unwritten()
+                if isinstance(frame, RunCall)
+            }
         if not self._closed:
             self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
@@ -271,6 +294,8 @@
         for call_id, on_result in pending.items():
             if call_id in unsent:
                 self._pending[call_id] = on_result
+            elif call_id in unwritten:
+                on_result(create_unsent_refusal(call_id))
             else:
                 on_result(None)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,15 +1,18 @@
 """Tests of the links between nodes."""
 
+import asyncio
 import unittest
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, cast
 
-from sequoiaseam._clock import ManualClock
+from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._mesh import (
     LINK_IDLE_TIMEOUT,
     FrameConnection,
     Mesh,
     MeshLink,
+    MeshServer,
 )
 from sequoiaseam._mesh_frames import (
     Frame,
@@ -22,8 +25,11 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+from sequoiaseam.errors import ErrorCode
 from tests.hosts import LOCALHOST
 
+WAIT_LIMIT_SECONDS: Final = 20.0
+
 CALL: Final = RunCall(
     *(1, "read", "store", "GET", "/", b"", b"", "id", "", "open"),
     *(Importance.NORMAL, 1.0, 10, 1000, False, True, False),
@@ -31,10 +37,14 @@
 
 
 class RecordingTransport:
-    """A transport that records whether it was aborted."""
+    """A transport that records what is written and whether it is aborted."""
 
     def __init__(self) -> None:
         self.aborted = False
+        self.written = b""
+
+    def write(self, data: bytes) -> None:
+        self.written += data
 
     def abort(self) -> None:
         self.aborted = True
@@ -179,5 +189,80 @@
         self.assertEqual((results, transport.aborted), ([answer], True))
 
 
+class LeavingNodeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls that count as run though no node started them.
+
+    A request that isn't idempotent can't go to another node then.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.started: list[RunCall] = []
+        self.responds = True
+        self.server = MeshServer(self.run_call)
+        port = await self.server.start(LOCALHOST, 0)
+        self.reachable: list[bool] = []
+        self.link = MeshLink(
+            Endpoint(LOCALHOST, port), ProcessClock(), self.reachable.append
+        )
+        self.addCleanup(self.link.close)
+        self.addAsyncCleanup(self.server.close)
+        # The link is connected once the first call has its result.
+        results = self.send_call()
+        await self.wait_for_result(results)
+
+    def run_call(
+        self, call: RunCall, on_result: Callable[[RunResult], None]
+    ) -> Callable[[], None]:
+        """Record a call; answer it or leave it in progress."""
+        self.started.append(call)
+        if self.responds:
+            on_result(RunAnswer(call.call_id, 200, b"", b"", 0, 0.0, []))
+        return lambda: None
+
+    def send_call(self) -> list[RunResult | None]:
+        """Send a call and return the list for its result."""
+        results: list[RunResult | None] = []
+        self.link.call(CALL, results.append)
+        return results
+
+    async def wait_for_result(
+        self, results: list[RunResult | None]
+    ) -> RunResult | None:
+        """Return the result of a call once it has come."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not results:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        (result,) = results
+        return result
+
+    def assert_not_run(self, result: RunResult | None) -> None:
+        """Check that a result lets the call go to another node."""
+        assert isinstance(result, RunRefusal), result
+        self.assertFalse(result.may_have_run)
+        self.assertIs(result.code, ErrorCode.CONNECTION_LOST)
+
+    async def test_a_call_that_was_not_written_has_not_run(self) -> None:
+        """Send it before the loss of the connection is reported."""
+        for name in ("eof_received", "abort", "connection_lost"):
+            with self.subTest(name=name):
+                connection = FrameConnection(
+                    self.link._handle_frame, self.link._handle_close
+                )
+                transport = RecordingTransport()
+                connection.connection_made(cast("Any", transport))
+                self.link._connection = connection
+                if name == "eof_received":
+                    connection.eof_received()
+                elif name == "abort":
+                    connection.abort()
+                results = self.send_call()
+                if name != "connection_lost":
+                    await asyncio.sleep(0)
+                connection.connection_lost(None)
+                await asyncio.sleep(0)
+                self.assertEqual(transport.written, b"")
+                self.assert_not_run(await self.wait_for_result(results))
+
+
 if __name__ == "__main__":
     unittest.main()
