Announce to other nodes which calls a closing node hasn't started

Callers saw: 502 for a request that isn't idempotent, sent to another node in the last moments of its stop, though that node had not read the call. Cause: MeshServer.close aborted all connections, and the calling node can't know what was read of the calls that it had sent. Results posted in the same iteration were dropped, too. A connection that the event loop reports after the listener is closed was served and then cut. Change: the closing node starts no more calls and sends a frame with the id of the last one that it has started. The calling node refuses later ones as not run, sends no further ones, and closes the connection once the others have ended. After 100 ms the closing node aborts the connections that are left. A node of an earlier release takes the frame for a malformed one and closes the connection, which is what it saw before.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -21,6 +21,7 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
+    MeshLeave,
     MeshPing,
     RunAnswer,
     RunCall,
@@ -41,6 +42,8 @@
 # A link without calls for this long is closed, so that in a large fleet a
 # node holds and checks only the connections that it uses.
 LINK_IDLE_TIMEOUT: Final = timedelta(seconds=10)
+# Time for other nodes to learn that a node closes its connections.
+LEAVE_TIMEOUT: Final = timedelta(milliseconds=100)
 
 
 ResultCallback = Callable[[RunResult | None], None]
@@ -75,6 +78,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = transport
+        self._flush()
 
     def eof_received(self) -> bool:
         """Let the event loop close the connection."""
@@ -142,7 +146,7 @@
         self._outgoing_frames.append(frame)
 
     def _flush(self) -> None:
-        if self._ending:
+        if self._ending or self._transport is None or not self._outgoing:
             return
         outgoing, self._outgoing = self._outgoing, []
         self._outgoing_frames = []
@@ -190,6 +194,8 @@
         self._on_reachability_change = on_reachability_change
         self._closed = False
         self._unreachable = False
+        # Whether the other node has announced that it closes the connection.
+        self._peer_leaves = False
         self._clock = clock
         self._connection: FrameConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
@@ -204,11 +210,16 @@
         """Send a call and return its id, which ``cancel`` accepts.
 
         ``on_result`` receives the result, or None if the connection was
-        lost after the call was sent. If the call wasn't sent, it receives the
-        refusal made by ``create_unsent_refusal``.
+        lost after the call was sent. If no connection could be opened or the
+        other node closes it without having started the call, it receives the
+        refusal made by ``create_unsent_refusal``, possibly before this method
+        returns.
         """
         self._next_id += 1
         call_id = self._next_id
+        if self._peer_leaves:
+            on_result(create_unsent_refusal(call_id))
+            return call_id
         call = msgspec.structs.replace(call, call_id=call_id)
         self._pending[call_id] = on_result
         self._last_call_at = self._clock.now()
@@ -255,7 +266,7 @@
             self._fail_unsent()
         else:
             self._connection = connection
-            self._unreachable = False
+            self._unreachable = self._peer_leaves = False
             self._last_activity = self._clock.now()
             self._on_reachability_change(True)  # noqa: FBT003
             unsent, self._unsent = self._unsent, {}
@@ -275,6 +286,20 @@
             on_result = self._pending.pop(frame.call_id, None)
             if on_result is not None:
                 on_result(frame)
+        elif isinstance(frame, MeshLeave):
+            self._handle_leave(frame.last_call_id)
+        if self._peer_leaves and not self._pending and self._connection:
+            self._connection.abort()
+
+    def _handle_leave(self, last_call_id: int) -> None:
+        """Refuse the calls that the other node hasn't started."""
+        self._peer_leaves = True
+        self._unreachable = True
+        self._on_reachability_change(False)  # noqa: FBT003
+        for call_id in [i for i in self._pending if i > last_call_id]:
+            on_result = self._pending.pop(call_id, None)
+            if on_result is not None:
+                on_result(create_unsent_refusal(call_id))
 
     def _handle_close(self) -> None:
         """Report the calls that were sent as lost: each may have run."""
@@ -286,9 +311,10 @@
                 for frame in connection.list_unwritten()
                 if isinstance(frame, RunCall)
             }
-        if not self._closed:
+        if not self._closed and not self._peer_leaves:
             self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
+        self._peer_leaves = False
         pending, self._pending = self._pending, {}
         unsent = set(self._unsent)
         for call_id, on_result in pending.items():
@@ -314,6 +340,7 @@
         is_idle = now - self._last_call_at >= LINK_IDLE_TIMEOUT
         if is_idle and not self._pending:
             self._connection = None
+            self._peer_leaves = False
             connection.close_idle()
             return
         if connection.received_data:
@@ -377,6 +404,8 @@
         self._run = run
         self._listener: Listener | None = None
         self._connections: set[_IncomingConnection] = set()
+        self._closing = False
+        self._all_closed = asyncio.Event()
 
     async def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
@@ -384,10 +413,17 @@
         return self._listener.port
 
     def _accept(self) -> FrameConnection:
-        incoming = _IncomingConnection(self._run, self._connections.discard)
+        incoming = _IncomingConnection(self._run, self._remove)
         self._connections.add(incoming)
+        if self._closing:
+            incoming.leave()
         return incoming.connection
 
+    def _remove(self, incoming: "_IncomingConnection") -> None:
+        self._connections.discard(incoming)
+        if not self._connections:
+            self._all_closed.set()
+
     @property
     def has_unsent_data(self) -> bool:
         """Return whether results are still being sent to other nodes."""
@@ -397,9 +433,21 @@
         )
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and starting calls, and close all connections.
+
+        The other nodes learn which calls weren't started and close the
+        connections. Those that remain after LEAVE_TIMEOUT are aborted.
+        """
+        self._closing = True
         if self._listener is not None:
             self._listener.server.close()
+        for incoming in self._connections:
+            incoming.leave()
+        if self._connections:
+            self._all_closed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEAVE_TIMEOUT.total_seconds()):
+                    await self._all_closed.wait()
         for incoming in list(self._connections):
             incoming.connection.abort()
 
@@ -415,13 +463,16 @@
         self._run = run
         self._on_close = on_close
         self.running_calls: dict[int, Callable[[], None]] = {}
+        self._last_call_id = 0
+        self._leaving = False
         self.connection = FrameConnection(
             self._handle_frame, self._handle_close
         )
 
     def _handle_frame(self, frame: Any) -> None:
         if isinstance(frame, RunCall):
-            self._start_call(frame)
+            if not self._leaving:
+                self._start_call(frame)
         elif isinstance(frame, RunCancel):
             cancel = self.running_calls.pop(frame.call_id, None)
             if cancel is not None:
@@ -429,7 +480,13 @@
         elif isinstance(frame, MeshPing):
             self.connection.post(frame)
 
+    def leave(self) -> None:
+        """Start no more calls, and announce it to the other node."""
+        self._leaving = True
+        self.connection.post(MeshLeave(self._last_call_id))
+
     def _start_call(self, call: RunCall) -> None:
+        self._last_call_id = call.call_id
         finished = False
 
         def finish(result: RunResult) -> None:
--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -92,10 +92,19 @@
     number: int
 
 
+class MeshLeave(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Announcement that the node that runs calls closes the connection.
+
+    It starts no call after the one with this id, 0 if there was none.
+    """
+
+    last_call_id: int
+
+
 RunResult = RunAnswer | RunRefusal
-Frame = RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing
+Frame = RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing | MeshLeave
 
 encode_frame: Final = msgspec.msgpack.Encoder().encode
 decode_frame: Final = msgspec.msgpack.Decoder(
-    RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing,
+    RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing | MeshLeave,
 ).decode
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -241,6 +241,54 @@
         self.assertFalse(result.may_have_run)
         self.assertIs(result.code, ErrorCode.CONNECTION_LOST)
 
+    async def test_a_call_that_crosses_the_close_has_not_run(self) -> None:
+        results = self.send_call()
+        await self.server.close()
+        self.assert_not_run(await self.wait_for_result(results))
+        self.assertEqual(len(self.started), 1)
+        self.assertEqual(self.reachable, [True, False])
+
+    async def test_a_call_in_progress_at_the_close_may_have_run(self) -> None:
+        self.responds = False
+        results = self.send_call()
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while len(self.started) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        await self.server.close()
+        self.assertIsNone(await self.wait_for_result(results))
+
+    async def test_a_call_after_the_announcement_has_not_run(self) -> None:
+        """Send it while an earlier one keeps the connection open."""
+        self.responds = False
+        earlier = self.send_call()
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while len(self.started) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        closing = asyncio.create_task(self.server.close())
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while self.reachable[-1]:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        self.assert_not_run(await self.wait_for_result(self.send_call()))
+        self.assertIsNone(await self.wait_for_result(earlier))
+        await closing
+
+    async def test_a_connection_made_after_the_close_runs_no_call(
+        self,
+    ) -> None:
+        """An event loop may report one that it accepted before."""
+        await self.server.close()
+        incoming = self.server._accept()
+        connection = OpenLink()
+        connection.link._connection = connection.connection
+        results: list[RunResult | None] = []
+        connection.link.call(CALL, results.append)
+        transport = RecordingTransport()
+        await asyncio.sleep(0)
+        incoming.connection_made(cast("Any", transport))
+        await asyncio.sleep(0)
+        connection.connection.data_received(transport.written)
+        self.assert_not_run(await self.wait_for_result(results))
+
     async def test_a_call_that_was_not_written_has_not_run(self) -> None:
         """Send it before the loss of the connection is reported."""
         for name in ("eof_received", "abort", "connection_lost"):
