Update the balancer before calls are refused by a change of the view

Callers saw: no answer until the timeout for queued requests, if one change of the view told a node that its server leaves and removed another member. Cause: the queued calls were refused, and passed on, before the balancer had the new members. It chose the removed one, _start_call raised KeyError, and the other refusals, the balancer's update and the connection to the control host went with it. Change: the balancer gets the members first. Result: the new test of DisconnectTest failed before (KeyError: 'host-1') and passes; test_host_node: 31 passed.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -411,6 +411,8 @@
         previous_tables = view.tables
         if not view.apply(now, message):
             self._uplink.post(self._create_hello())
+        # Precedes what refuses calls, which are then passed to members.
+        self._balancer.update(now, view.members)
         report = self._executor.report
         if report is not None:
             server_count = sum(
@@ -419,7 +421,6 @@
             self._executor.set_pool_size(max(1, server_count))
         self._follow_former_incarnation()
         self._crash_reporter.follow_view()
-        self._balancer.update(now, view.members)
         self._mesh.retire_links_except(set(view.members))
         if view.tables is not previous_tables:
             self._ingress.update_tables()
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -26,6 +26,7 @@
     Handler,
     HostCluster,
     ReceivedRequest,
+    Response,
     ScriptedServer,
     echo_body,
     format_request,
@@ -616,6 +617,34 @@
                 self.assertEqual(response.status, 503)
                 self.assertEqual(cluster.servers[0].received, [])
 
+    async def test_one_change_of_the_view_removes_both_servers(self) -> None:
+        """Queued requests aren't passed to the other host, which has left."""
+        cluster = await self.start_cluster((never_respond, echo_body))
+        node = cluster.nodes[0]
+        own, other = (node._view.members[f"host-{i}"] for i in range(2))
+        node._apply_feed(FeedDelta(1, 2, 1, left=("host-1",)))
+        tasks: list[asyncio.Task[Response]] = []
+        while len(tasks) - len(cluster.servers[0].received) < 3:
+            tasks.append(asyncio.create_task(cluster.send_request("/slow/1")))
+            await asyncio.sleep(0.01)
+        calls = node._executor.call_count
+        self.assertGreater(calls, len(cluster.servers[0].received))
+        node._apply_feed(FeedDelta(2, 3, 1, members=(other,)))
+        leaving = replace(
+            own,
+            state=MemberState.DRAINING,
+            leaving_server=LeavingServer("server-0", 1),
+        )
+        node._apply_feed(
+            FeedDelta(3, 4, 1, members=(leaving,), left=("host-1",))
+        )
+        for request in cluster.servers[0].received:
+            request.respond(200, b"whole")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            statuses = [(await task).status for task in tasks]
+        self.assertEqual(statuses.count(200), len(cluster.servers[0].received))
+        self.assertLessEqual(set(statuses), {200, 503})
+
     async def test_a_member_names_its_leaving_server(self) -> None:
         cluster = await self.start_cluster((echo_body,))
         node = cluster.nodes[0]
