Answer what sequoiaseam-node still runs when drain_timeout has passed

Callers saw: a request still in progress when a node's drain_timeout has passed had no answer until its own deadline, while the node waited for it up to a minute in close(), and then cut its connection. Calls of other nodes were cut, those that were queued and hadn't run included, so that no other server could run them. Cause: after the time limit drain() went on to close(), which left requests of callers to aiohttp's shutdown and cancelled calls of other nodes when their connections were closed. Change: at the end of drain(), queued calls are refused as not run, running ones are cancelled and answered with DRAINING as may have run, and so are callers' requests. Requests that arrive later on open connections are refused as not run. 'drain ended' is logged with what was left, as on HostNode. Result: both cases of tests.test_node_drain.TimeLimitTest failed before (TimeoutError: the stop took over 20 s; 0 != 2: no call was refused as may have run) and pass.

--- a/src/sequoiaseam/_call_executor.py
+++ b/src/sequoiaseam/_call_executor.py
@@ -241,6 +241,18 @@
         if self._session is not None:
             self._session.async_admission.admission.drain(self._clock.now())
 
+    def refuse_queued(self) -> None:
+        """Refuse the calls that wait for a slot, at the end of a drain."""
+        if self._session is not None:
+            self._session.async_admission.refuse_all(
+                ErrorCode.DRAINING, "the node is draining"
+            )
+
+    @property
+    def active_calls(self) -> int:
+        """Return the number of calls that are running or queued."""
+        return self._active_calls
+
     def receive_vote(self, vote: Vote) -> None:
         """Process the vote of a witness."""
         self._resolve_grants(
@@ -571,7 +583,9 @@
         session, self._session = self._session, None
         if session is None:
             return
-        session.async_admission.refuse_all()
+        session.async_admission.refuse_all(
+            ErrorCode.NO_SERVER, "the backend server is gone"
+        )
         self._tasks.start(self._close_client(session))
 
     async def _close_client(self, session: BackendSession) -> None:
--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -194,11 +194,28 @@
     def __init__(self, clock: Clock, chain: Handler) -> None:
         self._clock = clock
         self._chain = chain
-        self._active_requests = 0
+        self._active_requests: set[asyncio.Task[Any] | None] = set()
         self._idle = asyncio.Event()
         # Set while the node drains: each connection is closed after its
         # next response.
         self.close_connections = False
+        # Set at the end of a drain: new requests are refused.
+        self.closing = False
+        # Set after that: requests in progress are refused.
+        self._refusing = False
+
+    @property
+    def active_requests(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._active_requests)
+
+    async def refuse_all(self) -> None:
+        """Refuse the requests in progress, which may have run."""
+        self.closing = self._refusing = True
+        for task in self._active_requests:
+            if task is not None:
+                task.cancel()
+        await self.wait_idle()
 
     async def wait_idle(self) -> None:
         """Wait until no request is in progress."""
@@ -208,13 +225,14 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
-        self._active_requests += 1
+        task = asyncio.current_task()
+        self._active_requests.add(task)
         if isinstance(request.protocol, EdgeProtocol):
             request.protocol.received_request = True
         try:
             response = await self._run(request)
         finally:
-            self._active_requests -= 1
+            self._active_requests.discard(task)
             if not self._active_requests:
                 self._idle.set()
         if self.close_connections:
@@ -231,7 +249,7 @@
             read_body=lambda limit: read_body(request, limit),
         )
         try:
-            answer = await self._chain(exchange)
+            answer = await self._run_chain(exchange)
         except RefusalError as error:
             response = create_refusal_response(error, exchange.request_id)
             if not request.content.is_eof():
@@ -239,6 +257,20 @@
             return response
         return create_response(answer, exchange.request_id)
 
+    async def _run_chain(self, exchange: Exchange) -> Response:
+        if self.closing:
+            raise RefusalError(ErrorCode.DRAINING, "the node is draining")
+        try:
+            return await self._chain(exchange)
+        except asyncio.CancelledError:
+            if not self._refusing:
+                raise
+            raise RefusalError(
+                ErrorCode.DRAINING,
+                "the node stopped before the response",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from None
+
 
 def _decode_headers(
     request: web.BaseRequest,
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -304,7 +304,8 @@
         self._draining = True
         self.executor.drain()
         self._send_report()
-        deadline = self._clock.now() + self._settings.drain_timeout
+        started_at = self._clock.now()
+        deadline = started_at + self._settings.drain_timeout
         await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         self._edge.close_connections = True
         await self._stop_accepting_callers()
@@ -312,6 +313,15 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(remaining.total_seconds()):
                 await self._wait_idle()
+        log_event(
+            Level.INFO,
+            "drain ended",
+            host=self._settings.name,
+            duration=self._clock.now() - started_at,
+            requests=self._edge.active_requests,
+            calls=self.executor.active_calls,
+        )
+        await self._refuse_unfinished()
         self._quota_gate.close()
         self._uplink.post(MemberGone(self._settings.name, self.incarnation))
         await asyncio.sleep(TICK_INTERVAL.total_seconds())
@@ -327,6 +337,19 @@
             for site in list(self._caller_runner.sites):
                 await site.stop()
 
+    async def _refuse_unfinished(self) -> None:
+        """Refuse what is still in progress at the end of a drain.
+
+        Calls that haven't run are refused first, so that the nodes that sent
+        them, including this one, can send them to others.
+        """
+        self._edge.closing = True
+        self.executor.refuse_queued()
+        await asyncio.sleep(TICK_INTERVAL.total_seconds())
+        await self._peer_server.refuse_all()
+        await self._nested_edge.refuse_all()
+        await self._edge.refuse_all()
+
     async def _wait_idle(self) -> None:
         """Wait until all requests and calls are answered."""
         await self._edge.wait_idle()
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -39,6 +39,8 @@
 HEARTBEAT_INTERVAL_SECONDS: Final = CONNECTION_TIMEOUT.total_seconds() / 1.5
 # Delay before each attempt to reconnect to a node.
 RECONNECT_INTERVAL_SECONDS: Final = 0.5
+# Time to send refusals at the end of a drain.
+REFUSAL_TIMEOUT_SECONDS: Final = 0.5
 
 CallHandler = Callable[[CallFrame], Awaitable[AnswerFrame | RefusalFrame]]
 MessageHandler = Callable[[Any], None]
@@ -291,6 +293,8 @@
         self._run_call = run_call
         self._on_message = on_message
         self._tasks = TaskGroup()
+        # Set at the end of a drain: cancelled calls are answered.
+        self._refusing = False
         self._sockets: set[web.WebSocketResponse] = set()
 
     def create_app(self) -> web.Application:
@@ -364,6 +368,14 @@
     ) -> None:
         try:
             data = self._codec.encode(await self._run_call(call))
+        except asyncio.CancelledError:
+            if not self._refusing:
+                raise
+            data = self._codec.encode(
+                _create_refusal(
+                    call, ErrorCode.DRAINING, "the node is draining"
+                )
+            )
         except Exception as error:  # noqa: BLE001
             # Without an answer, the calling node would wait until the
             # deadline of the call.
@@ -373,7 +385,13 @@
                 route=call.route,
                 error=type(error).__name__,
             )
-            data = self._codec.encode(_create_internal_refusal(call))
+            data = self._codec.encode(
+                _create_refusal(
+                    call,
+                    ErrorCode.INTERNAL,
+                    "the guarding node failed to handle the call",
+                )
+            )
         if socket.closed:
             return
         with contextlib.suppress(ConnectionError, RuntimeError):
@@ -389,6 +407,14 @@
         except TimeoutError:
             log_event(Level.WARNING, "drain timed out with calls in progress")
 
+    async def refuse_all(self) -> None:
+        """Cancel the calls in progress and answer that they may have run."""
+        self._refusing = True
+        # A node that doesn't read must not hold up the stop.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFUSAL_TIMEOUT_SECONDS):
+                await self._tasks.cancel()
+
     async def close(self) -> None:
         """Cancel all calls and close all connections."""
         await self._tasks.cancel()
@@ -396,13 +422,15 @@
             await socket.close()
 
 
-def _create_internal_refusal(call: CallFrame) -> RefusalFrame:
-    """Return the refusal of a call that raised an unexpected error."""
+def _create_refusal(
+    call: CallFrame, code: ErrorCode, message: str
+) -> RefusalFrame:
+    """Return the refusal of a call that may have run."""
     return RefusalFrame(
         call.call_id,
-        ErrorCode.INTERNAL,
+        code,
         Verdict.MAY_HAVE_RUN,
-        "the guarding node failed to handle the call",
+        message,
         None,
         (),
         0,
--- a/src/sequoiaseam/_pending.py
+++ b/src/sequoiaseam/_pending.py
@@ -111,16 +111,10 @@
         """Record the end of a nested call."""
         self.admission.resume(self._clock.now(), ticket_id)
 
-    def refuse_all(self) -> None:
-        """Refuse all waiting requests after the backend server has left."""
+    def refuse_all(self, code: ErrorCode, message: str) -> None:
+        """Refuse all waiting requests, which haven't run."""
         for ticket_id in self._pending.list_keys():
-            self._pending.fail(
-                ticket_id,
-                RefusalError(
-                    ErrorCode.NO_SERVER,
-                    "the backend server is gone",
-                ),
-            )
+            self._pending.fail(ticket_id, RefusalError(code, message))
             self.admission.cancel(self._clock.now(), ticket_id)
 
     def configure(self, pool: Pool, slots: int) -> None:
--- /dev/null
+++ b/tests/test_node_drain.py
@@ -0,0 +1,282 @@
+"""Tests of planned stops of ``sequoiaseam-node``, in this process."""
+
+import asyncio
+import json
+import unittest
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any, Final
+
+import aiohttp
+from bench.processes import find_free_ports
+
+from sequoiaseam._access import Credentials, Role
+from sequoiaseam._clock import ProcessClock
+from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._feed import FeedSnapshot
+from sequoiaseam._frames import CallFrame, RefusalFrame, create_frame_codec
+from sequoiaseam._members import MemberGone
+from sequoiaseam._node import Node
+from sequoiaseam._peers import PEER_PATH, PROOF_HEADER
+from sequoiaseam._settings import Endpoint, NodeSettings, Secrets
+from sequoiaseam._tables import Importance, Pool, Route, Tables
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.errors import ErrorCode
+from tests.hosts import (
+    HOUR,
+    LOCALHOST,
+    METHODS,
+    Response,
+    ScriptedServer,
+    format_request,
+    read_response,
+)
+from tests.test_drain import ignore_request, respond_later
+
+WAIT_LIMIT_SECONDS: Final = 20.0
+POLL_INTERVAL_SECONDS: Final = 0.01
+# Ends shortly after other nodes have learned of the drain.
+DRAIN_TIMEOUT: Final = timedelta(seconds=2.5)
+SECRETS: Final = Secrets((b"x" * 32,), (b"y" * 32,))
+SLOTS: Final = 2
+# Without workspaces, whose rates the control hosts grant.
+OPEN_TABLES: Final = Tables(
+    routes={
+        "slow": Route(
+            "slow",
+            "/slow/",
+            "store",
+            METHODS,
+            open=True,
+            idempotent=False,
+            timeout=timedelta(minutes=1),
+        )
+    },
+    pools={"store": Pool("store", slots=SLOTS, warmup=timedelta(0))},
+    workspaces={},
+)
+QUEUED_CALLS: Final = 2
+REQUEST: Final = format_request("/slow/1", method="POST", body=b"x", key=None)
+CALL: Final = CallFrame(
+    call_id=1,
+    route="slow",
+    pool="store",
+    method="POST",
+    path="/slow/1",
+    headers=(),
+    body=b"x",
+    workspace="coop",
+    importance=Importance.NORMAL,
+    weight=1.0,
+    remaining_us=60_000_000,
+    begun=False,
+    budget=0,
+    root_id="root",
+    depth=0,
+    idempotent=False,
+)
+
+
+class NodeDrainTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests that stop a node with one backend server."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = ScriptedServer(ignore_request)
+        await self.server.start()
+        self.addCleanup(self.server.close)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        endpoints = [Endpoint(LOCALHOST, port) for port in find_free_ports(3)]
+        self.callers, self.peers, self.local = endpoints
+        self.clock = ProcessClock()
+        self.node = Node(
+            NodeSettings(
+                name="node-1",
+                domain="north",
+                region="south",
+                callers=self.callers,
+                peers=self.peers,
+                local=self.local,
+                metrics=None,
+                control_hosts={},
+                secrets=SECRETS,
+                drain_timeout=DRAIN_TIMEOUT,
+            ),
+            self.clock,
+            Random(1),
+        )
+        await self.node.start()
+        member = Member(
+            "node-1",
+            self.node.incarnation,
+            LOCALHOST,
+            self.peers.port,
+            "store",
+            "north",
+            "south",
+            MemberState.SERVING,
+            SLOTS,
+        )
+        self.node._apply_feed(
+            FeedSnapshot(1, 1, None, OPEN_TABLES, (), (member,), {}, ())
+        )
+        self.node.view.fresh_until = self.clock.now() + HOUR
+        await self.announce()
+        self.announcing = asyncio.create_task(self.announce_regularly())
+        self.addCleanup(self.announcing.cancel)
+
+    async def announce(self) -> None:
+        """Announce the backend server to the node."""
+        async with self.session.put(
+            f"http://{self.local}/v1/backend",
+            data=json.dumps(
+                {
+                    "pool": "store",
+                    "url": f"http://{LOCALHOST}:{self.server.port}",
+                    "slots": SLOTS,
+                }
+            ),
+        ) as response:
+            self.assertEqual(response.status, 200)
+
+    async def announce_regularly(self) -> None:
+        """Announce the backend server until the node has stopped."""
+        while True:
+            await asyncio.sleep(1)
+            await self.announce()
+
+    async def stop(self) -> None:
+        """Drain and close the node, as its program does on SIGTERM."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await self.node.drain()
+            await self.node.close()
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def wait_until_active(self, count: int) -> None:
+        """Wait until the node runs or queues a number of calls."""
+        await self.wait_until(
+            lambda: self.node.executor._active_calls == count
+        )
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection."""
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, self.callers.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def send_request(self) -> Response:
+        """Send a caller's request and return the response."""
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        return await read_response(reader)
+
+    async def connect_peer(self) -> aiohttp.ClientWebSocketResponse:
+        """Open a connection as another node does."""
+        proof = Credentials(SECRETS.fleet, ()).sign(
+            self.clock.now(), Role.FLEET, "node-2", "1"
+        )
+        return await self.session.ws_connect(
+            f"http://{self.peers}{PEER_PATH}", headers={PROOF_HEADER: proof}
+        )
+
+
+class TimeLimitTest(NodeDrainTestCase):
+    """Guards against requests cut without an answer at the time limit."""
+
+    async def test_requests_of_callers_are_answered(self) -> None:
+        """Refuse as not run only what hasn't reached the server."""
+        count = SLOTS + QUEUED_CALLS
+        tasks = []
+        for active in range(1, count + 1):
+            tasks.append(asyncio.create_task(self.send_request()))
+            await self.wait_until_active(active)
+        await self.stop()
+        responses = await asyncio.gather(*tasks, return_exceptions=True)
+        verdicts = [
+            json.loads(response.body)["verdict"]
+            if isinstance(response, Response)
+            else repr(response)
+            for response in responses
+        ]
+        runs = len(self.server.received)
+        self.assertEqual(
+            sorted(verdicts),
+            sorted(
+                [Verdict.MAY_HAVE_RUN.value] * runs
+                + [Verdict.NOT_RUN.value] * (count - runs)
+            ),
+        )
+
+    async def test_calls_of_other_nodes_are_answered(self) -> None:
+        """Refuse the queued calls as not run, so that others may run them."""
+        codec = create_frame_codec()
+        peer = await self.connect_peer()
+        count = SLOTS + QUEUED_CALLS
+        for _ in range(count):
+            await peer.send_bytes(codec.encode(CALL))
+        await self.wait_until_active(count)
+        stop = asyncio.create_task(self.stop())
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            results = [codec.decode(message.data) async for message in peer]
+        await stop
+        verdicts = [
+            result.verdict
+            for result in results
+            if isinstance(result, RefusalFrame)
+            and result.code is ErrorCode.DRAINING
+        ]
+        runs = len(self.server.received)
+        self.assertEqual(verdicts.count(Verdict.MAY_HAVE_RUN), runs)
+        self.assertEqual(verdicts.count(Verdict.NOT_RUN), count - runs)
+
+
+class LateRequestTest(NodeDrainTestCase):
+    """Guards against requests cut at the end of a drain."""
+
+    async def test_a_request_during_the_leave_is_answered_or_not_run(
+        self,
+    ) -> None:
+        """Send a request on an open connection as the node leaves."""
+        self.server.handler = respond_later
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        self.assertEqual((await read_response(reader)).status, 200)
+        original_post = self.node._uplink.post
+
+        def post(message: Any) -> bool:
+            if isinstance(message, MemberGone):
+                writer.write(REQUEST)
+            return original_post(message)
+
+        self.node._uplink.post = post  # type: ignore[method-assign]
+        await self.stop()
+        try:
+            status = (await read_response(reader)).status
+        except (ConnectionError, asyncio.IncompleteReadError):
+            status = 0
+        self.assertEqual(len(self.server.received), 1 + int(status == 200))
+
+
+class OpenConnectionTest(NodeDrainTestCase):
+    """Guards against stops that wait for connections to be closed."""
+
+    async def test_a_connection_of_another_node(self) -> None:
+        """Stop a node while one that doesn't know of it stays connected."""
+        peer = await self.connect_peer()
+        reader = asyncio.create_task(peer.receive())
+        await self.stop()
+        await reader
+
+
+if __name__ == "__main__":
+    unittest.main()
