Bound the wait for callers in a stop of sequoiaseam-node by drain_timeout

Seen: no one has reported it; a node that stops while a caller doesn't read its response runs on for up to two minutes after its drain. Cause: Node.close awaited aiohttp's cleanup() of each listener in turn, which waits up to 60 s for a response that is being sent, and 60 s more after it has cancelled the handler. drain_timeout doesn't apply there. Change: the listeners are closed together, in what is left of drain_timeout, and in 1 s at least. Result: tests.test_node_drain.OpenConnectionTest.test_a_response_that_is_not_read failed before (TimeoutError: the stop took over 20 s) and passes; SlowReaderTest, in which the caller reads late, passed before and passes.

--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -81,6 +81,8 @@
 # All other nodes learn of a drain within this time. Until then, the node
 # still accepts requests of callers.
 DRAIN_PROPAGATION_DELAY: Final = timedelta(seconds=2)
+# Time for the last responses when drain_timeout has passed.
+CLOSE_TIME_MIN: Final = timedelta(seconds=1)
 HANDLE_RANDOM_BYTES: Final = 24
 
 
@@ -110,6 +112,7 @@
         self._runners: list[web.ServerRunner | web.AppRunner] = []
         self._caller_runner: web.ServerRunner | None = None
         self._draining = False
+        self._drain_deadline = now
         self._peer_port = settings.peers.port
         self._last_reported_member: Member | None = None
         self._report_sequence = 0
@@ -305,11 +308,11 @@
         self.executor.drain()
         self._send_report()
         started_at = self._clock.now()
-        deadline = started_at + self._settings.drain_timeout
+        self._drain_deadline = started_at + self._settings.drain_timeout
         await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         self._edge.close_connections = True
         await self._stop_accepting_callers()
-        remaining = deadline - self._clock.now()
+        remaining = self._drain_deadline - self._clock.now()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(remaining.total_seconds()):
                 await self._wait_idle()
@@ -357,14 +360,28 @@
 
     async def close(self) -> None:
         """Close all listeners and connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._close_listeners()
         await self._tasks.cancel()
         await self._peer_server.close()
         await self._peer_links.close()
         await self._crash_reporter.close()
         await self.executor.close()
 
+    async def _close_listeners(self) -> None:
+        """Close the listeners once the last responses are sent.
+
+        A caller that doesn't read its response can't hold up the stop for
+        longer than ``drain_timeout``.
+        """
+        remaining = max(
+            self._drain_deadline - self._clock.now(), CLOSE_TIME_MIN
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(remaining.total_seconds()):
+                await asyncio.gather(
+                    *(runner.cleanup() for runner in self._runners)
+                )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL.total_seconds())
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 
 import aiohttp
 from bench.processes import find_free_ports
@@ -32,7 +32,12 @@
     format_request,
     read_response,
 )
-from tests.test_drain import ignore_request, respond_later
+from tests.test_drain import (
+    LARGE_BODY,
+    ignore_request,
+    respond_later,
+    respond_with_large_body,
+)
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 POLL_INTERVAL_SECONDS: Final = 0.01
@@ -81,6 +86,8 @@
 class NodeDrainTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that stop a node with one backend server."""
 
+    drain_timeout: ClassVar = DRAIN_TIMEOUT
+
     async def asyncSetUp(self) -> None:
         self.server = ScriptedServer(ignore_request)
         await self.server.start()
@@ -101,7 +108,7 @@
                 metrics=None,
                 control_hosts={},
                 secrets=SECRETS,
-                drain_timeout=DRAIN_TIMEOUT,
+                drain_timeout=self.drain_timeout,
             ),
             self.clock,
             Random(1),
@@ -277,6 +284,33 @@
         await self.stop()
         await reader
 
+    async def test_a_response_that_is_not_read(self) -> None:
+        self.server.handler = respond_with_large_body
+        _, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.wait_until(lambda: bool(self.server.received))
+        await self.stop()
+
+
+class SlowReaderTest(NodeDrainTestCase):
+    """Guards against responses cut because their callers read slowly."""
+
+    drain_timeout: ClassVar = timedelta(seconds=15)
+
+    async def test_a_response_that_is_read_late(self) -> None:
+        """Read a response after the last check of the drain."""
+        self.server.handler = respond_with_large_body
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.wait_until(lambda: bool(self.server.received))
+        stop = asyncio.create_task(self.stop())
+        await self.wait_until(lambda: self.node._edge.closing)
+        await asyncio.sleep(0.5)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await read_response(reader)
+        await stop
+        self.assertEqual(len(response.body), len(LARGE_BODY))
+
 
 if __name__ == "__main__":
     unittest.main()
