--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -81,6 +81,8 @@
 # All other nodes learn of a drain within this time. Until then, the node
 # still accepts requests of callers.
 DRAIN_PROPAGATION_DELAY: Final = timedelta(seconds=2)
+# Time for the last responses when drain_timeout has passed.
+CLOSE_TIME_MIN: Final = timedelta(seconds=1)
 HANDLE_RANDOM_BYTES: Final = 24
 
 
@@ -110,6 +112,7 @@
         self._runners: list[web.ServerRunner | web.AppRunner] = []
         self._caller_runner: web.ServerRunner | None = None
         self._draining = False
+        self._drain_deadline = now
         self._peer_port = settings.peers.port
         self._last_reported_member: Member | None = None
         self._report_sequence = 0
@@ -304,14 +307,24 @@
         self._draining = True
         self.executor.drain()
         self._send_report()
-        deadline = self._clock.now() + self._settings.drain_timeout
+        started_at = self._clock.now()
+        self._drain_deadline = started_at + self._settings.drain_timeout
         await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         self._edge.close_connections = True
         await self._stop_accepting_callers()
-        remaining = deadline - self._clock.now()
+        remaining = self._drain_deadline - self._clock.now()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(remaining.total_seconds()):
                 await self._wait_idle()
+        log_event(
+            Level.INFO,
+            "drain ended",
+            host=self._settings.name,
+            duration=self._clock.now() - started_at,
+            requests=self._edge.active_requests,
+            calls=self.executor.active_calls,
+        )
+        await self._refuse_unfinished()
         self._quota_gate.close()
         self._uplink.post(MemberGone(self._settings.name, self.incarnation))
         await asyncio.sleep(TICK_INTERVAL.total_seconds())
@@ -327,6 +340,19 @@
             for site in list(self._caller_runner.sites):
                 await site.stop()
 
+    async def _refuse_unfinished(self) -> None:
+        """Refuse what is still in progress at the end of a drain.
+
+        Calls that haven't run are refused first, so that the nodes that sent
+        them, including this one, can send them to others.
+        """
+        self._edge.closing = True
+        self.executor.refuse_queued()
+        await asyncio.sleep(TICK_INTERVAL.total_seconds())
+        await self._peer_server.refuse_all()
+        await self._nested_edge.refuse_all()
+        await self._edge.refuse_all()
+
     async def _wait_idle(self) -> None:
         """Wait until all requests and calls are answered."""
         await self._edge.wait_idle()
@@ -334,14 +360,28 @@
 
     async def close(self) -> None:
         """Close all listeners and connections."""
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._close_listeners()
         await self._tasks.cancel()
         await self._peer_server.close()
         await self._peer_links.close()
         await self._crash_reporter.close()
         await self.executor.close()
 
+    async def _close_listeners(self) -> None:
+        """Close the listeners once the last responses are sent.
+
+        A caller that doesn't read its response can't hold up the stop for
+        longer than ``drain_timeout``.
+        """
+        remaining = max(
+            self._drain_deadline - self._clock.now(), CLOSE_TIME_MIN
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(remaining.total_seconds()):
+                await asyncio.gather(
+                    *(runner.cleanup() for runner in self._runners)
+                )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL.total_seconds())
