--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -2,11 +2,7 @@
 
 import asyncio
 import json
-import os
-import shutil
 import signal
-import socket
-import sys
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
@@ -16,9 +12,8 @@
 import aiohttp
 
 from tests.hosts import ScriptedServer
+from tests.platform_fleet import CONTROL_ADDRESSES, PlatformFleet
 
-ROOT: Final = Path(__file__).parent.parent
-CONTROL_ADDRESSES: Final = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 NODE_ADDRESSES: Final = ("127.0.2.1", "127.0.2.2")
 SPARE_CONTROL_ADDRESS: Final = "127.0.1.4"
 WAIT_TIMEOUT: Final = 40.0
@@ -26,113 +21,6 @@
 API_KEYS: Final = ("key-one", "key-two")
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound_socket in sockets:
-        bound_socket.bind(("0.0.0.0", 0))  # noqa: S104
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
-
-
-class PlatformFleet:
-    """Processes of control hosts and nodes, each with its own folder."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        ports = find_free_ports(5)
-        (
-            self.internal_port,
-            self.api_port,
-            self.outbound_port,
-            self.ready_port,
-            _,
-        ) = ports
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
-        # Zones of addresses that are not in the zone of the others.
-        self.zones: dict[str, str] = {}
-
-    async def start(self, address: str, *, bootstrap: bool = True) -> None:
-        """Start the control host or node of an address."""
-        is_control = address.startswith("127.0.1.")
-        host_folder = self.folder / address
-        host_folder.mkdir(exist_ok=True)
-        settings = host_folder / "settings.toml"
-        settings.write_text(
-            self._format_settings(
-                address, bootstrap=bootstrap, is_control=is_control
-            )
-        )
-        script = "core.py" if is_control else "sidecar.py"
-        with (host_folder / "log").open("ab") as log:
-            self.processes[address] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(ROOT / "platform" / script),
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "SEQUOIASEAM_CONFIG": str(settings)},
-            )
-
-    def _format_settings(
-        self, address: str, *, bootstrap: bool, is_control: bool
-    ) -> str:
-        seeds = ", ".join(
-            f'"{seed}:{self.api_port}"' for seed in CONTROL_ADDRESSES
-        )
-        listen = f'control-plane = "{address}:{self.api_port}"\n'
-        if not is_control:
-            listen += f'outbound = "{address}:{self.outbound_port}"\n'
-            listen += f'ready = "{address}:{self.ready_port}"\n'
-        return (
-            f'node-name = "host-{address}"\n'
-            f'ip-address = "{address}"\n'
-            f'zone = "{self.zones.get(address, "north")}"\n'
-            'region = "south"\n'
-            f"internal-port-range = [{self.internal_port}, "
-            f"{self.internal_port}]\n"
-            f"seed-nodes = [{seeds}]\n"
-            f"bootstrap = {str(bootstrap).lower()}\n"
-            'service = "store"\n'
-            f'data-directory = "{self.folder / address / "data"}"\n'
-            'bounds = ["grace-period-s=6"]\n'
-            f"[listen-addresses]\n{listen}"
-        )
-
-    async def stop(
-        self, address: str, signal_number: int = signal.SIGKILL
-    ) -> int:
-        """Send a signal, wait for the exit and return the exit code."""
-        process = self.processes.pop(address)
-        process.send_signal(signal_number)
-        return await process.wait()
-
-    def wipe_data(self, address: str) -> None:
-        """Remove the data directory of a host."""
-        shutil.rmtree(self.folder / address / "data")
-
-    async def close(self) -> None:
-        """Kill all processes; fail if one has exited by itself."""
-        exited = {
-            address: self.read_log(address)[-2000:]
-            for address, process in self.processes.items()
-            if process.returncode is not None
-        }
-        for address in set(self.processes) - exited.keys():
-            await self.stop(address)
-        if exited:
-            raise AssertionError(f"processes exited unexpectedly: {exited}")
-
-    def read_last_run(self, address: str) -> str:
-        """Return the log of the last run of a host's program."""
-        return self.read_log(address).rpartition('"event": "started"')[2]
-
-    def read_log(self, address: str) -> str:
-        """Return the log of all runs of a host's program."""
-        return (self.folder / address / "log").read_text()
-
-
 def build_document(
     version: int,
     base: int,
