Add a randomized soak of the platform's programs

Control hosts and nodes run as separate processes on loopback. A seed sets a series of overlapping planned stops, edits, replaced servers and, for half of the seeds, kills and pauses. Callers keep their connections as long as HTTP allows and go on until the process is gone; backend servers in the soak's process record every request that reaches them and make nested calls.

Checked are, from what callers and servers saw: a request that was read is answered, a run's answer isn't replaced by a stop, a request that isn't idempotent runs once, a refusal as not run is true, an answer belongs to its request, requests are unchanged and nodes serve while they can. Whether a node had read a request when it closed the connection follows from how its kernel answered: a close with unread data is a reset.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the platform's programs under stops and faults."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,318 @@
+"""Callers' connections to nodes, and callers that send at random."""
+
+import asyncio
+import itertools
+import random
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from tests.soak.record import Call, End, Record
+
+CHUNK_BYTES: Final = 64 * 1024
+# Over the request's time limit. No node takes so long on a busy machine.
+ANSWER_SLACK_SECONDS: Final = 10.0
+ROUTE_TIMEOUT_SECONDS: Final = 4.0
+# Before a caller connects again to a node that refused a connection.
+RECONNECT_SECONDS: Final = 0.15
+# Mean time between the requests of one caller.
+THINK_SECONDS: Final = 0.12
+# Longest wait after a refusal; the response may ask for a longer one.
+RETURN_WAIT_SECONDS_MAX: Final = 0.4
+# Pause within a request that is sent in two parts.
+SEND_PAUSE_SECONDS_MAX: Final = 0.4
+BODY_BYTES_MAX: Final = 2000
+LARGE_BODY_BYTES: Final = 300_000
+TENANTS: Final = {"coop": "key-coop", "guild": "key-guild"}
+
+
+@dataclass(frozen=True, slots=True)
+class RouteKind:
+    """A route of the configuration; ``weight`` 0 is one of nested calls."""
+
+    prefix: str
+    service: str
+    method: str
+    weight: int = 0
+
+    @property
+    def idempotent(self) -> bool:
+        """Return whether requests may run more than once."""
+        return self.method == "GET"
+
+    @property
+    def nested(self) -> bool:
+        """Return whether only backend servers send requests."""
+        return not self.weight
+
+
+ROUTES: Final = (
+    RouteKind("/read/", "store", "GET", weight=4),
+    RouteKind("/ship/", "store", "POST", weight=3),
+    RouteKind("/view/", "front", "GET", weight=3),
+    RouteKind("/order/", "front", "POST", weight=4),
+    RouteKind("/stock/", "store", "GET"),
+    RouteKind("/charge/", "store", "POST"),
+)
+ROOT_ROUTES: Final = tuple(route for route in ROUTES if not route.nested)
+NESTED_ROUTES: Final = tuple(route for route in ROUTES if route.nested)
+
+
+class RequestIds:
+    """Ids that are unique within a soak."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._counter: Iterator[int] = itertools.count(1)
+
+    def create(self) -> str:
+        """Return the next id."""
+        return f"{self._seed % 2**32:08x}{next(self._counter):08x}"
+
+
+def encode_request(
+    call: Call, remaining_ms: int, *, chunked: bool = False
+) -> bytes:
+    """Return the bytes of a request."""
+    lines = [
+        f"{call.method} {call.target} HTTP/1.1",
+        "Host: any.example",
+        f"X-Sequoiaseam-Attempt-Id: {call.request_id}",
+        f"X-Sequoiaseam-Deadline-Remaining-Ms: {remaining_ms}",
+    ]
+    if call.tenant:
+        lines.append(f"Authorization: Bearer {TENANTS[call.tenant]}")
+    body = call.body
+    if call.method == "POST" and chunked:
+        lines.append("Transfer-Encoding: chunked")
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    elif call.method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body
+
+
+class CallerConnection:
+    """A connection to a node that carries one request at a time."""
+
+    def __init__(self, record: Record, host: str, port: int) -> None:
+        self._record = record
+        self._host = host
+        self._port = port
+        self._buffer = b""
+        self._closed = False
+        self.used = False
+
+    async def open(self) -> None:
+        """Connect; raise OSError if the node refuses."""
+        self._reader, self._writer = await asyncio.open_connection(
+            self._host, self._port
+        )
+        # ``drain`` then waits until the kernel has all data.
+        self._writer.transport.set_write_buffer_limits(0)
+
+    @property
+    def usable(self) -> bool:
+        """Return whether another request may be sent."""
+        return not (
+            self._closed
+            or self._reader.at_eof()
+            or self._reader.exception() is not None
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._closed = True
+        self._writer.transport.abort()
+
+    async def send(
+        self, call: Call, message: bytes, split: int = 0, pause: float = 0.0
+    ) -> None:
+        """Send a request, await the answer and record how it ends.
+
+        With ``split`` the rest of the message is sent after a pause.
+        """
+        call.connection = "kept" if self.used else "new"
+        self.used = True
+        self._record.start_call(call)
+        end = End.ABANDONED
+        try:
+            async with asyncio.timeout(call.timeout + ANSWER_SLACK_SECONDS):
+                end = await self._exchange(call, message, split, pause)
+        except TimeoutError:
+            end = End.SILENT
+        finally:
+            if end is not End.ANSWERED:
+                self.close()
+            self._record.end_call(call, end)
+
+    async def _exchange(
+        self, call: Call, message: bytes, split: int, pause: float
+    ) -> End:
+        try:
+            if split:
+                self._writer.write(message[:split])
+                await self._writer.drain()
+                await asyncio.sleep(pause)
+            self._writer.write(message[split:])
+            await self._writer.drain()
+        except OSError:
+            return End.UNSENT
+        call.sent_at = self._record.now()
+        try:
+            if await self._read_answer(call):
+                return End.ANSWERED
+        except OSError:
+            # The kernel resets a connection that is closed before the
+            # process has read all.
+            return End.CUT if self._buffer else End.UNREAD
+        return self._classify_close()
+
+    def _classify_close(self) -> End:
+        """Return whether the node had read all when it closed.
+
+        Data that arrives after the close is answered with a reset, which
+        the socket reports as an error.
+        """
+        if self._buffer:
+            return End.CUT
+        error = self._writer.get_extra_info("socket").getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        )
+        return End.UNREAD if error else End.CUT
+
+    async def _read_answer(self, call: Call) -> bool:
+        """Read the answer; return False if the connection ends before it."""
+        while b"\r\n\r\n" not in self._buffer:
+            if not await self._receive():
+                return False
+        head, _, rest = self._buffer.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        fields = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:])
+        }
+        if not lines[0].startswith("HTTP/1.1 ") or "content-length" not in (
+            fields
+        ):
+            self._record.fail(f"bytes that are no answer: {head!r}", call)
+            return False
+        size = int(fields["content-length"])
+        while len(rest) < size:
+            if not await self._receive():
+                return False
+            rest = self._buffer.partition(b"\r\n\r\n")[2]
+        call.status = int(lines[0].split(" ")[1])
+        call.signature = fields.get("x-sequoiaseam-response-signature", "")
+        call.answer, self._buffer = rest[:size], rest[size:]
+        if self._buffer:
+            self._record.fail(f"bytes after an answer: {rest!r}", call)
+        if fields.get("connection", "").lower() == "close":
+            self.close()
+        return True
+
+    async def _receive(self) -> bytes:
+        data = await self._reader.read(CHUNK_BYTES)
+        self._buffer += data
+        return data
+
+
+class Caller:
+    """A caller on one host that sends requests one after the other.
+
+    It uses its connection as long as HTTP allows, or opens one for each
+    request, and keeps on while its node is stopping.
+    """
+
+    def __init__(
+        self,
+        record: Record,
+        rng: random.Random,
+        ids: RequestIds,
+        node: str,
+        port: int,
+        service: str,
+        *,
+        keeps_connection: bool,
+    ) -> None:
+        self._record = record
+        self._rng = rng
+        self._ids = ids
+        self._node = node
+        self._endpoint = (node, port)
+        self._path = ""
+        self._service = service
+        self._keeps_connection = keeps_connection
+        self._connection: CallerConnection | None = None
+        self.stopping = False
+
+    def use_relay(self, name: str, host: str, port: int) -> None:
+        """Reach the node through a relay."""
+        self._path = name
+        self._endpoint = (host, port)
+
+    async def run(self) -> None:
+        """Send requests until the caller is to stop."""
+        while not self.stopping:
+            try:
+                connection = await self._connect()
+            except OSError:
+                await asyncio.sleep(RECONNECT_SECONDS)
+                continue
+            call = await self._send_request(connection)
+            wait = self._rng.expovariate(1 / THINK_SECONDS)
+            if call.status in (429, 503):
+                wait = max(
+                    wait, self._rng.uniform(0.05, RETURN_WAIT_SECONDS_MAX)
+                )
+            await asyncio.sleep(wait)
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _connect(self) -> CallerConnection:
+        connection = self._connection
+        if connection is not None and connection.usable:
+            return connection
+        if connection is not None:
+            connection.close()
+        connection = CallerConnection(self._record, *self._endpoint)
+        self._connection = None
+        await connection.open()
+        self._connection = connection
+        return connection
+
+    async def _send_request(self, connection: CallerConnection) -> Call:
+        rng = self._rng
+        weights = [route.weight for route in ROOT_ROUTES]
+        (route,) = rng.choices(ROOT_ROUTES, weights)
+        request_id = self._ids.create()
+        body = b""
+        if route.method == "POST":
+            size = rng.randrange(1, BODY_BYTES_MAX)
+            body = rng.randbytes(LARGE_BODY_BYTES if size < 20 else size)
+        call = Call(
+            request_id,
+            self._node,
+            route.method,
+            route.prefix + request_id,
+            body,
+            route.idempotent,
+            rng.choice(sorted(TENANTS)),
+            self._service,
+            ROUTE_TIMEOUT_SECONDS,
+            path=self._path,
+        )
+        message = encode_request(
+            call,
+            round(ROUTE_TIMEOUT_SECONDS * 1000),
+            chunked=rng.random() < 0.3,
+        )
+        split = 0
+        if rng.random() < 0.15:
+            split = rng.randrange(1, len(message))
+        await connection.send(
+            call, message, split, rng.uniform(0, SEND_PAUSE_SECONDS_MAX)
+        )
+        if not self._keeps_connection:
+            connection.close()
+        return call
--- /dev/null
+++ b/tests/soak/record.py
@@ -0,0 +1,317 @@
+"""Record of requests and runs, and the promises that are checked on it.
+
+It holds what callers and backend servers saw, and the times at which
+processes were stopped or disturbed.
+"""
+
+import asyncio
+import enum
+import math
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+# Statuses that promise that a request has not run and never will.
+NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+# From SIGTERM to SIGKILL, as PlatformFleet sets it.
+GRACE_PERIOD_SECONDS: Final = 6.0
+# A stop may break off a request that was sent before the first of these and
+# is still in progress at the second, in seconds after SIGTERM.
+STOP_ADMISSION_SECONDS: Final = 3.0
+STOP_LAST_SIXTH_SECONDS: Final = GRACE_PERIOD_SECONDS * 5 / 6
+# How long a fault may still affect requests that are sent after its end.
+FAULT_AFTERMATH_SECONDS: Final = 3.0
+# Fraction of its time after which a request's own time limit may end it.
+TIME_LIMIT_FRACTION: Final = 0.9
+FAILURES_MAX: Final = 40
+
+
+class End(enum.Enum):
+    """How a request ended, as its caller saw it."""
+
+    ANSWERED = "answered"
+    UNSENT = "the connection ended before all was sent"
+    UNREAD = "the connection ended before the node had read all"
+    CUT = "the connection ended after the node had read all"
+    SILENT = "no answer"
+    ABANDONED = "given up by the caller"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A run of a request on a backend server; ``end`` is empty at first."""
+
+    server: str
+    node: str
+    started_at: float
+    ended_at: float = math.inf
+    end: str = ""
+    status: int = 0
+    signature: str = ""
+    body: bytes = b""
+    # Whether the server itself ended its connection to the node.
+    broken_off: bool = False
+    # Name of the relay between the node and the server, if there is one.
+    path: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request of a caller, or of a backend server that serves one.
+
+    ``node`` is the address of the node that it is sent to, ``path`` the
+    name of the relay on the way to it, if there is one.
+    """
+
+    request_id: str
+    node: str
+    method: str
+    target: str
+    body: bytes
+    idempotent: bool
+    tenant: str
+    caller_service: str
+    timeout: float
+    nested: bool = False
+    path: str = ""
+    connection: str = ""
+    started_at: float = math.inf
+    sent_at: float = math.inf
+    ended_at: float = math.inf
+    end: End | None = None
+    status: int = 0
+    signature: str = ""
+    answer: bytes = b""
+    runs: list[Run] = field(default_factory=list)
+
+    @property
+    def served(self) -> bool:
+        """Return whether the request was successful."""
+        return self.end is End.ANSWERED and 200 <= self.status < 300
+
+
+@dataclass(slots=True, eq=False)
+class Period:
+    """A stop or a fault, from its start to its end."""
+
+    what: str
+    start: float
+    end: float = math.inf
+
+
+class Record:
+    """All requests and their runs; checks each as soon as it can."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, Call] = {}
+        self.failures: list[str] = []
+        self.failed_ids: list[str] = []
+        # By address of a process or name of a relay.
+        self.faults: dict[str, list[Period]] = {}
+        self.stops: dict[str, list[Period]] = {}
+        # Times in texts count from here.
+        self.started_at = self.now()
+
+    @staticmethod
+    def now() -> float:
+        """Return the time of the event loop."""
+        return asyncio.get_running_loop().time()
+
+    def fail(self, text: str, call: Call | None = None) -> None:
+        """Record a broken promise."""
+        if call is not None:
+            text = f"{text}\n{self.describe(call)}"
+            self.failed_ids.append(call.request_id)
+        if len(self.failures) < FAILURES_MAX:
+            self.failures.append(text)
+
+    # Stops and faults.
+
+    def add_fault(self, name: str, what: str) -> Period:
+        """Record the start of a fault of a process or a relay."""
+        period = Period(what, self.now())
+        self.faults.setdefault(name, []).append(period)
+        return period
+
+    def add_stop(self, address: str) -> Period:
+        """Record the start of a planned stop."""
+        period = Period("stop", self.now())
+        self.stops.setdefault(address, []).append(period)
+        return period
+
+    def is_stopped(self, name: str, start: float, end: float) -> bool:
+        """Return whether a process was stopped, or restarted since."""
+        return any(
+            period.start <= end and start <= period.end
+            for period in self.stops.get(name, ())
+        )
+
+    def is_disturbed(
+        self,
+        names: Iterable[str],
+        start: float,
+        end: float,
+        aftermath: float = 0.0,
+    ) -> bool:
+        """Return whether a fault of any of these was in effect."""
+        return any(
+            period.start <= end and start <= period.end + aftermath
+            for name in names
+            for period in self.faults.get(name, ())
+        )
+
+    # Requests.
+
+    def start_call(self, call: Call) -> None:
+        """Record that a request is about to be sent."""
+        call.started_at = self.now()
+        self.calls[call.request_id] = call
+
+    def end_call(self, call: Call, end: End) -> None:
+        """Record the end of a request and check what it tells."""
+        call.ended_at = self.now()
+        call.end = end
+        if end is End.ANSWERED:
+            self._check_answer(call)
+        elif end is not End.ABANDONED:
+            self._check_missing_answer(call)
+
+    def _check_answer(self, call: Call) -> None:
+        if call.status in NOT_RUN_STATUSES and call.runs:
+            self.fail("a request was refused as not run, but has run", call)
+        if not (call.signature or call.served):
+            return
+        answer = (call.status, call.signature, call.answer)
+        if answer not in [(r.status, r.signature, r.body) for r in call.runs]:
+            self.fail("an answer isn't the one to its request", call)
+
+    def _check_missing_answer(self, call: Call) -> None:
+        lost = call.end in (End.CUT, End.SILENT) or call.runs
+        if lost and not self.is_disturbed(
+            (call.node, call.path), call.started_at, call.ended_at
+        ):
+            self.fail("a request that was read got no answer", call)
+
+    def start_run(self, request_id: str, run: Run) -> Call | None:
+        """Record that a backend server runs a request; None if unknown."""
+        call = self.calls.get(request_id)
+        if call is None:
+            self.fail(f"a request that nobody sent has run: {request_id}")
+            return None
+        call.runs.append(run)
+        if not call.idempotent and len(call.runs) > 1:
+            self.fail("a request that isn't idempotent ran twice", call)
+        if call.end is End.ANSWERED and call.status in NOT_RUN_STATUSES:
+            self.fail("a request runs that was refused as not run", call)
+        return call
+
+    def end_run(self, run: Run, end: str) -> None:
+        """Record the end of a run."""
+        run.ended_at = self.now()
+        run.end = end
+
+    # Checks of the whole.
+
+    def check_all(self) -> None:
+        """Check what is known only at the end."""
+        for call in self.calls.values():
+            if call.end is None:
+                self.fail("a request has no end", call)
+            elif self._is_answer_replaced(call):
+                self.fail("a run's answer was replaced by another", call)
+
+    def _is_answer_replaced(self, call: Call) -> bool:
+        """Return whether a stop ended a request that was being run.
+
+        The node answered by itself, although a backend server's answer was
+        ready or would have been within the time limits.
+        """
+        if (
+            call.end is not End.ANSWERED
+            or call.served
+            or call.signature
+            or not call.runs
+            or any(run.broken_off for run in call.runs)
+        ):
+            return False
+        if call.ended_at - call.started_at > TIME_LIMIT_FRACTION * (
+            call.timeout
+        ):
+            return False
+        nodes = self._list_parties(call)
+        return not (
+            self._is_in_last_sixth(call, nodes)
+            or self.is_disturbed(
+                nodes,
+                call.started_at,
+                call.ended_at,
+                FAULT_AFTERMATH_SECONDS,
+            )
+        )
+
+    @staticmethod
+    def _list_parties(call: Call) -> set[str]:
+        """Return the nodes and relays that a request went through."""
+        parties = {call.node, call.path}
+        for run in call.runs:
+            parties |= {run.node, run.path}
+        return parties
+
+    def _is_in_last_sixth(self, call: Call, nodes: Iterable[str]) -> bool:
+        return any(
+            call.sent_at <= stop.start + STOP_ADMISSION_SECONDS
+            and call.ended_at >= stop.start + STOP_LAST_SIXTH_SECONDS
+            for node in nodes
+            for stop in self.stops.get(node, ())
+        )
+
+    # Texts.
+
+    def describe(self, call: Call) -> str:
+        """Return what is known of a request, with times since the start."""
+        lines = [
+            (
+                f"  {call.request_id} {call.method} {call.target} at "
+                f"{call.node} {call.connection} {call.path}: "
+                f"{self._format(call.started_at)}, sent "
+                f"{self._format(call.sent_at)}, ended "
+                f"{self._format(call.ended_at)}: "
+                f"{call.end.value if call.end else 'in progress'} "
+                f"{call.status or ''} {call.answer[:60]!r}"
+            )
+        ]
+        lines += [
+            f"  run by {run.server} at {run.node}: "
+            f"{self._format(run.started_at)} to "
+            f"{self._format(run.ended_at)}, {run.end or 'in progress'} "
+            f"{run.status or ''} {run.body[:60]!r}"
+            for run in call.runs
+        ]
+        nodes = self._list_parties(call)
+        lines += [
+            f"  {node}: {period.what} {self._format(period.start)} to "
+            f"{self._format(period.end)}"
+            for node in sorted(nodes)
+            for periods in (self.stops, self.faults)
+            for period in periods.get(node, ())
+        ]
+        return "\n".join(lines)
+
+    def _format(self, time: float) -> str:
+        return f"{time - self.started_at:.3f}" if time < math.inf else "-"
+
+    def summarize(self) -> str:
+        """Return how many requests ended how."""
+        ends = Counter(
+            f"{'nested ' if call.nested else ''}"
+            + (
+                str(call.status)
+                if call.end is End.ANSWERED
+                else (call.end.name.lower() if call.end else "open")
+            )
+            for call in self.calls.values()
+        )
+        runs = sum(len(call.runs) for call in self.calls.values())
+        parts = [f"{name}: {count}" for name, count in sorted(ends.items())]
+        return f"{len(self.calls)} requests, {runs} runs; {', '.join(parts)}"
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,357 @@
+"""One soak: a fleet, its load and the actions of a schedule."""
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+
+from tests.platform_fleet import CONTROL_ADDRESSES, PlatformFleet
+from tests.soak.callers import ROOT_ROUTES, Caller, RequestIds
+from tests.soak.operator import Operator, wait_until
+from tests.soak.record import Record
+from tests.soak.schedule import Action, Kind, build_schedule
+from tests.soak.servers import BackendServer, Place
+
+SERVICES: Final = {
+    "127.0.2.1": "front",
+    "127.0.2.2": "front",
+    "127.0.2.3": "store",
+    "127.0.2.4": "store",
+    "127.0.2.5": "store",
+}
+NODES: Final = tuple(SERVICES)
+CALLERS_PER_NODE: Final = 5
+# Part of the callers that open a connection for each request.
+OPENING_CALLERS_PER_NODE: Final = 2
+# A process that is asked to stop ends within its grace period. The verdict
+# leaves it more, as the machine may be busy.
+EXIT_SECONDS: Final = 30.0
+# Time to find control hosts and backend servers again after a restart.
+SETTLE_SECONDS: Final = 5.0
+# Each node that can serves a request in this time.
+WINDOW_SECONDS: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The outcome of one soak."""
+
+    seed: int
+    schedule: str
+    summary: str
+    failures: tuple[str, ...]
+
+    def format(self) -> str:
+        """Return the outcome, with the schedule if something failed."""
+        verdict = "failed" if self.failures else "passed"
+        lines = [f"seed {self.seed} {verdict}: {self.summary}"]
+        if self.failures:
+            lines += [*self.failures, self.schedule]
+        return "\n".join(lines)
+
+
+class Soak:
+    """The processes, callers and backend servers of one soak."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self._seed = seed
+        self._schedule = build_schedule(
+            seed, seconds, NODES, CONTROL_ADDRESSES
+        )
+        self._fleet = PlatformFleet(folder)
+        self._fleet.services = dict(SERVICES)
+        self._record = Record()
+        self._ids = RequestIds(seed)
+        self._locks = {
+            address: asyncio.Lock() for address in (*NODES, *CONTROL_ADDRESSES)
+        }
+        self._waiting: set[str] = set()
+        self._session = aiohttp.ClientSession()
+        self._operator = Operator(
+            self._record,
+            self._create_rng("operator"),
+            self._session,
+            CONTROL_ADDRESSES,
+            self._fleet.api_port,
+        )
+        self._servers: dict[str, BackendServer] = {}
+        self._server_count = 0
+        self._callers: list[Caller] = []
+        self._longest_stop = 0.0
+
+    def _create_rng(self, name: str) -> random.Random:
+        return random.Random(f"{self._seed} {name}")
+
+    async def run(self) -> Report:
+        """Run the schedule and return what was seen."""
+        try:
+            await self._start()
+            await self._play()
+        finally:
+            await self._session.close()
+            for server in self._servers.values():
+                await server.close()
+            try:
+                await self._fleet.close()
+            except AssertionError as error:
+                self._record.fail(str(error))
+        failures = self._record.failures
+        return Report(
+            self._seed,
+            self._schedule.format(),
+            f"{self._record.summarize()}; longest stop "
+            f"{self._longest_stop:.2f} s",
+            (*failures, *self._read_log_lines()),
+        )
+
+    # Start.
+
+    async def _start(self) -> None:
+        for address in (*CONTROL_ADDRESSES, *NODES):
+            await self._fleet.start(address)
+        await self._operator.edit()
+        for node in NODES:
+            await self._start_server(node)
+        for node, service in SERVICES.items():
+            for index in range(CALLERS_PER_NODE):
+                self._callers.append(
+                    Caller(
+                        self._record,
+                        self._create_rng(f"caller {node} {index}"),
+                        self._ids,
+                        node,
+                        self._fleet.outbound_port,
+                        service,
+                        keeps_connection=index >= OPENING_CALLERS_PER_NODE,
+                    )
+                )
+
+    async def _start_server(self, node: str) -> None:
+        self._server_count += 1
+        server_id = f"i-{self._server_count}"
+        server = BackendServer(
+            self._record,
+            self._create_rng(f"server {server_id}"),
+            self._ids,
+            Place(
+                node,
+                SERVICES[node],
+                self._fleet.api_port,
+                self._fleet.outbound_port,
+            ),
+            server_id,
+            self._session,
+        )
+        await server.listen()
+        server.announce(born=time.time_ns() // 1_000_000)
+        self._servers[node] = server
+
+    # The schedule.
+
+    async def _play(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            senders = [
+                group.create_task(caller.run()) for caller in self._callers
+            ]
+            await self._wait_until_served("at the start")
+            self._record.started_at = self._record.now()
+            async with asyncio.TaskGroup() as actions:
+                for action in self._schedule.actions:
+                    wait = action.at - (
+                        self._record.now() - self._record.started_at
+                    )
+                    await asyncio.sleep(max(0.0, wait))
+                    actions.create_task(self._perform(action))
+            await self._wait_until_served("after all")
+            for caller in self._callers:
+                caller.stopping = True
+            await asyncio.gather(*senders)
+        await self._operator.check_read_back()
+        for server in self._servers.values():
+            await server.finish()
+        self._record.check_all()
+        self._check_served()
+
+    def _check_served(self) -> None:
+        """Check that each node serves requests while it can.
+
+        It can if neither it, nor the control hosts, nor all other nodes of
+        its kind have been stopped or disturbed for some time.
+        """
+        served = [
+            (call.node, call.started_at)
+            for call in self._record.calls.values()
+            if call.served and not call.nested
+        ]
+        start = self._record.started_at
+        while start + WINDOW_SECONDS < self._record.now():
+            calm = {
+                address
+                for address in (*NODES, *CONTROL_ADDRESSES)
+                if self._is_calm(address, start)
+            }
+            served_nodes = {
+                node for node, at in served if 0 < at - start < WINDOW_SECONDS
+            }
+            if calm.issuperset(CONTROL_ADDRESSES) and len(
+                {SERVICES[node] for node in calm & SERVICES.keys()}
+            ) == len(set(SERVICES.values())):
+                for node in (calm & SERVICES.keys()) - served_nodes:
+                    self._record.fail(
+                        f"{node} served no request in {WINDOW_SECONDS} s from "
+                        f"{start - self._record.started_at:.1f} on"
+                    )
+            start += WINDOW_SECONDS / 2
+
+    def _is_calm(self, address: str, start: float) -> bool:
+        span = (start - SETTLE_SECONDS, start + WINDOW_SECONDS)
+        return not (
+            self._record.is_stopped(address, *span)
+            or self._record.is_disturbed((address,), *span)
+        )
+
+    async def _wait_until_served(self, when: str) -> None:
+        """Check that each node serves requests of each kind from now on."""
+        since = self._record.now()
+
+        async def is_served() -> bool:
+            return not self._find_unserved(since)
+
+        if not await wait_until(is_served):
+            self._record.fail(
+                f"requests aren't served {when}: {self._find_unserved(since)}"
+            )
+
+    def _find_unserved(self, since: float) -> set[tuple[str, str]]:
+        unserved = {
+            (node, route.prefix) for node in NODES for route in ROOT_ROUTES
+        }
+        for call in self._record.calls.values():
+            if call.served and call.started_at >= since:
+                prefix = f"/{call.target.split('/')[1]}/"
+                unserved.discard((call.node, prefix))
+        return unserved
+
+    async def _perform(self, action: Action) -> None:
+        if action.kind is Kind.EDIT:
+            await self._operator.edit()
+        elif action.kind is Kind.REPLACE_SERVER:
+            await self._replace_server(action)
+        elif action.kind is Kind.STOP:
+            await self._stop(action)
+        elif action.kind is Kind.KILL:
+            await self._kill(action)
+        elif action.kind is Kind.PAUSE:
+            await self._pause(action)
+
+    async def _replace_server(self, action: Action) -> None:
+        former = self._servers[action.address]
+        if former.leaving:
+            return
+        await former.leave(action.duration)
+        await self._start_server(action.address)
+
+    async def _stop(self, action: Action) -> None:
+        """Stop a process as planned and start it again.
+
+        A stop that comes while others wait for the same process is left out.
+        """
+        address = action.address
+        if address in self._waiting:
+            return
+        self._waiting.add(address)
+        async with self._locks[address]:
+            self._waiting.discard(address)
+            process = self._fleet.processes[address]
+            period = self._record.add_stop(address)
+            process.send_signal(signal.SIGTERM)
+            try:
+                async with asyncio.timeout(EXIT_SECONDS):
+                    code = await process.wait()
+            except TimeoutError:
+                self._record.fail(f"{address} didn't end after SIGTERM")
+                process.kill()
+                code = await process.wait()
+            now = self._record.now()
+            if not self._record.is_disturbed((address,), period.start, now):
+                self._longest_stop = max(
+                    self._longest_stop, now - period.start
+                )
+                if code:
+                    self._record.fail(f"{address} ended with status {code}")
+            await self._restart(address, action.duration)
+            period.end = self._record.now()
+
+    async def _kill(self, action: Action) -> None:
+        """Kill a process; one that is stopping is started by its stop."""
+        address = action.address
+        if self._locks[address].locked():
+            process = self._fleet.processes.get(address)
+            if process is not None and process.returncode is None:
+                fault = self._record.add_fault(address, "killed")
+                process.kill()
+                await process.wait()
+                fault.end = self._record.now()
+            return
+        async with self._locks[address]:
+            process = self._fleet.processes[address]
+            fault = self._record.add_fault(address, "killed")
+            process.kill()
+            await process.wait()
+            await self._restart(address, action.duration)
+            fault.end = self._record.now()
+
+    async def _restart(self, address: str, wait: float) -> None:
+        """Start a process that has ended, and wait until it listens."""
+        del self._fleet.processes[address]
+        await asyncio.sleep(wait)
+        await self._fleet.start(address)
+        is_node = address in SERVICES
+        port = self._fleet.outbound_port if is_node else self._fleet.api_port
+
+        async def is_listening() -> bool:
+            process = self._fleet.processes[address]
+            try:
+                _, writer = await asyncio.open_connection(address, port)
+            except OSError:
+                return process.returncode is not None
+            writer.close()
+            return True
+
+        if not await wait_until(is_listening):
+            self._record.fail(f"{address} doesn't listen after its start")
+        elif self._fleet.processes[address].returncode is not None:
+            # Killed by another action as it started.
+            await self._restart(address, 0)
+
+    async def _pause(self, action: Action) -> None:
+        process = self._fleet.processes.get(action.address)
+        if process is None or process.returncode is not None:
+            return
+        fault = self._record.add_fault(action.address, "paused")
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(action.duration)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        fault.end = self._record.now()
+
+    # Logs.
+
+    def _read_log_lines(self) -> Iterator[str]:
+        """Yield the processes' log lines on the first requests that failed."""
+        for request_id in dict.fromkeys(self._record.failed_ids[:3]):
+            for address in (*NODES, *CONTROL_ADDRESSES):
+                for line in self._fleet.read_log(address).splitlines():
+                    if request_id in line:
+                        yield f"{address}: {line}"
+
+
+async def run_soak(seed: int, seconds: float, folder: Path) -> Report:
+    """Run the soak of one seed with the processes' logs in a folder."""
+    return await Soak(seed, seconds, folder).run()
--- /dev/null
+++ b/tests/soak/schedule.py
@@ -0,0 +1,153 @@
+"""Schedules of stops, faults and edits, made from a seed alone."""
+
+import enum
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+# Time within which a stopped process has ended and started again, as far as
+# the schedule is concerned.
+STOP_SECONDS: Final = 8.0
+
+
+class Kind(enum.Enum):
+    """What is done to the process of an address."""
+
+    STOP = "stop"
+    KILL = "kill"
+    PAUSE = "pause"
+    EDIT = "edit"
+    REPLACE_SERVER = "replace server"
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """One step of a schedule.
+
+    ``duration`` is how long a process stays stopped or paused, or how long
+    a server that leaves still serves.
+    """
+
+    at: float
+    kind: Kind
+    address: str
+    duration: float
+
+
+@dataclass(frozen=True, slots=True)
+class Schedule:
+    """Actions in the order of their times."""
+
+    planned_only: bool
+    actions: tuple[Action, ...]
+
+    def format(self) -> str:
+        """Return one line for each action."""
+        title = "planned stops only" if self.planned_only else "with faults"
+        return "\n".join(
+            (
+                title,
+                *(
+                    f"{action.at:7.3f} {action.kind.value} {action.address} "
+                    f"{action.duration:.3f}"
+                    for action in self.actions
+                ),
+            )
+        )
+
+
+def build_schedule(
+    seed: int,
+    seconds: float,
+    nodes: Sequence[str],
+    controls: Sequence[str],
+) -> Schedule:
+    """Build the schedule of a seed."""
+    rng = random.Random(seed)
+    planned_only = rng.random() < 0.5
+    actions = _build_stop_series(rng, seconds, nodes)
+    actions += _build_control_actions(
+        rng, seconds, controls, planned_only=planned_only
+    )
+    for at in _draw_times(rng, seconds, rng.uniform(3, 8)):
+        actions.append(Action(at, Kind.EDIT, "", 0))
+    for at in _draw_times(rng, seconds, rng.uniform(6, 20)):
+        actions.append(
+            Action(
+                at,
+                Kind.REPLACE_SERVER,
+                rng.choice(nodes),
+                rng.uniform(0.5, 3),
+            )
+        )
+    if not planned_only:
+        actions += _build_node_faults(rng, seconds, nodes)
+    actions.sort(key=lambda action: action.at)
+    return Schedule(planned_only, tuple(actions))
+
+
+def _draw_times(
+    rng: random.Random, seconds: float, mean: float
+) -> list[float]:
+    """Return random times that are ``mean`` apart on average."""
+    times = []
+    at = rng.expovariate(1 / mean)
+    while at < seconds:
+        times.append(at)
+        at += rng.expovariate(1 / mean)
+    return times
+
+
+def _build_stop_series(
+    rng: random.Random, seconds: float, nodes: Sequence[str]
+) -> list[Action]:
+    """Stop nodes one after the other, the stops overlapping."""
+    actions = []
+    at = rng.uniform(0.5, 2)
+    while at < seconds:
+        interval = rng.choice((0.0, 0.4, 0.8, 1.6, 3.2))
+        for node in rng.sample(nodes, len(nodes)):
+            if at < seconds:
+                duration = rng.uniform(0, 1.5)
+                actions.append(Action(at, Kind.STOP, node, duration))
+            at += interval * rng.uniform(0.8, 1.2)
+        # A node is stopped again soon after its restart in some series.
+        at += rng.uniform(0, 1.5 * STOP_SECONDS)
+    return actions
+
+
+def _build_control_actions(
+    rng: random.Random,
+    seconds: float,
+    controls: Sequence[str],
+    *,
+    planned_only: bool,
+) -> list[Action]:
+    """Stop, kill or pause control hosts, one at a time."""
+    actions = []
+    kinds = [Kind.STOP]
+    if not planned_only:
+        kinds += [Kind.KILL, Kind.PAUSE]
+    at = rng.uniform(2, 12)
+    while at < seconds:
+        duration = rng.uniform(0, 3)
+        actions.append(
+            Action(at, rng.choice(kinds), rng.choice(controls), duration)
+        )
+        at += rng.uniform(STOP_SECONDS, 2 * STOP_SECONDS)
+    return actions
+
+
+def _build_node_faults(
+    rng: random.Random, seconds: float, nodes: Sequence[str]
+) -> list[Action]:
+    return [
+        Action(
+            at,
+            rng.choice((Kind.KILL, Kind.PAUSE)),
+            rng.choice(nodes),
+            rng.uniform(0.05, 3),
+        )
+        for at in _draw_times(rng, seconds, rng.uniform(2, 8))
+    ]
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,192 @@
+"""Short soaks with fixed seeds, and tests of what the soak can see."""
+
+import asyncio
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+from tests.soak.callers import CallerConnection, encode_request
+from tests.soak.record import Call, End, Record, Run
+from tests.soak.run import run_soak
+
+LOOPBACK: Final = "127.0.0.1"
+SECONDS: Final = 12.0
+
+
+class SoakTest(unittest.TestCase):
+    """Guards against requests that are lost, repeated or mixed up.
+
+    Nodes and control hosts are stopped, killed and paused under load. Each
+    seed that ever failed is added with a line on its cause.
+    """
+
+    def check_seed(self, seed: int, seconds: float = SECONDS) -> None:
+        """Run the soak of a seed."""
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run_soak(seed, seconds, Path(folder)))
+        self.assertFalse(report.failures, report.format())
+
+    def test_seed_1_with_planned_stops_only(self) -> None:
+        self.check_seed(1)
+
+    def test_seed_5_with_faults(self) -> None:
+        self.check_seed(5)
+
+
+def create_call(*, idempotent: bool = False) -> Call:
+    """Return a request of a caller."""
+    target = "/order/7"
+    return Call(
+        "7", "node", "POST", target, b"x", idempotent, "", "front", 5.0
+    )
+
+
+class ClosingServer(asyncio.Protocol):
+    """A server that closes a connection once it has received a request."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        del data
+        self.transport.close()
+
+
+class EarlyClosingServer(ClosingServer):
+    """A server that closes a connection before it receives a request."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.close()
+
+
+class UnreadingServer(ClosingServer):
+    """A server that closes a connection without reading a request."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.pause_reading()
+        asyncio.get_running_loop().call_later(0.2, self.transport.close)
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak that takes a cut request for an unread one."""
+
+    async def send(
+        self, server: Callable[[], asyncio.Protocol], wait: float = 0.0
+    ) -> Record:
+        """Send a request to a server that doesn't answer."""
+        record = Record()
+        listener = await asyncio.get_running_loop().create_server(
+            server, LOOPBACK, 0
+        )
+        port = listener.sockets[0].getsockname()[1]
+        connection = CallerConnection(record, LOOPBACK, port)
+        await connection.open()
+        await asyncio.sleep(wait)
+        call = create_call()
+        await connection.send(call, encode_request(call, 5000))
+        listener.close()
+        return record
+
+    async def test_a_request_that_was_read_is_missed(self) -> None:
+        record = await self.send(ClosingServer)
+        self.assertIs(record.calls["7"].end, End.CUT)
+        self.assertEqual(len(record.failures), 1)
+
+    async def test_a_request_that_was_not_read_is_not(self) -> None:
+        for server, wait in (
+            (UnreadingServer, 0.0),
+            (EarlyClosingServer, 0.0),
+            (EarlyClosingServer, 0.1),
+        ):
+            with self.subTest(server=server.__name__, wait=wait):
+                record = await self.send(server, wait)
+                self.assertIn(record.calls["7"].end, (End.UNREAD, End.UNSENT))
+                self.assertFalse(record.failures)
+
+
+class RecordTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak that doesn't notice a broken promise."""
+
+    async def asyncSetUp(self) -> None:
+        self.record = Record()
+        self.call = create_call()
+        self.record.start_call(self.call)
+        self.call.sent_at = self.record.now()
+
+    def start_run(self) -> Run:
+        """Record a run of the request."""
+        run = Run("i-1", "runner", self.record.now())
+        self.record.start_run("7", run)
+        return run
+
+    def end(self, end: End, status: int = 0, answer: bytes = b"") -> None:
+        """Record the end of the request."""
+        self.call.status, self.call.answer = status, answer
+        self.record.end_call(self.call, end)
+        self.record.check_all()
+
+    def check_failure(self, text: str) -> None:
+        """Check that exactly this failure was recorded."""
+        self.assertEqual(len(self.record.failures), 1)
+        self.assertIn(text, self.record.failures[0])
+
+    async def test_an_unknown_request(self) -> None:
+        self.record.start_run("8", Run("i-1", "runner", 0.0))
+        self.check_failure("nobody sent")
+
+    async def test_a_second_run(self) -> None:
+        self.start_run()
+        self.start_run()
+        self.check_failure("ran twice")
+
+    async def test_a_refusal_after_a_run(self) -> None:
+        self.start_run().broken_off = True
+        self.end(End.ANSWERED, 503)
+        self.check_failure("has run")
+
+    async def test_a_run_after_a_refusal(self) -> None:
+        self.end(End.ANSWERED, 429)
+        self.start_run()
+        self.check_failure("refused as not run")
+
+    async def test_an_answer_of_another_request(self) -> None:
+        run = self.start_run()
+        run.status, run.body = 200, b"whole"
+        self.end(End.ANSWERED, 200, b"who")
+        self.check_failure("isn't the one")
+
+    async def test_a_replaced_answer(self) -> None:
+        self.record.end_run(self.start_run(), "answered")
+        self.end(End.ANSWERED, 502)
+        self.check_failure("replaced")
+
+    async def test_a_cut_request_that_ran(self) -> None:
+        self.start_run()
+        self.end(End.UNREAD)
+        self.check_failure("no answer")
+
+    async def test_a_stop_excuses_nothing(self) -> None:
+        self.record.add_stop("node")
+        self.end(End.CUT)
+        self.check_failure("no answer")
+
+    async def test_a_kill_excuses_a_cut_request(self) -> None:
+        self.start_run()
+        self.record.add_fault("node", "killed")
+        self.end(End.CUT)
+        self.assertFalse(self.record.failures)
+
+    async def test_a_kill_excuses_no_second_run(self) -> None:
+        self.record.add_fault("node", "killed")
+        self.start_run()
+        self.start_run()
+        self.check_failure("ran twice")
+
+
+if __name__ == "__main__":
+    unittest.main()
