--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -92,6 +92,15 @@
     return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body
 
 
+def parse_head(head: bytes) -> tuple[str, dict[str, str]]:
+    """Return the first line and the fields, with names in lower case."""
+    first_line, *lines = head.decode("latin-1").split("\r\n")
+    parts = (line.partition(":") for line in lines)
+    return first_line, {
+        name.lower(): value.strip() for name, _, value in parts
+    }
+
+
 class CallerConnection:
     """A connection to a node that carries one request at a time."""
 
@@ -187,13 +196,9 @@
             if not await self._receive():
                 return False
         head, _, rest = self._buffer.partition(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        fields = {
-            name.lower(): value.strip()
-            for name, _, value in (line.partition(":") for line in lines[1:])
-        }
-        if not lines[0].startswith("HTTP/1.1 ") or "content-length" not in (
-            fields
+        first_line, fields = parse_head(head)
+        if not first_line.startswith("HTTP/1.1 ") or (
+            "content-length" not in fields
         ):
             self._record.fail(f"bytes that are no answer: {head!r}", call)
             return False
@@ -202,7 +207,7 @@
             if not await self._receive():
                 return False
             rest = self._buffer.partition(b"\r\n\r\n")[2]
-        call.status = int(lines[0].split(" ")[1])
+        call.status = int(first_line.split(" ")[1])
         call.signature = fields.get("x-sequoiaseam-response-signature", "")
         call.answer, self._buffer = rest[:size], rest[size:]
         if self._buffer:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,7 @@
 from tests.platform_fleet import CONTROL_ADDRESSES, PlatformFleet
 from tests.soak.callers import ROOT_ROUTES, Caller, RequestIds
 from tests.soak.operator import Operator, wait_until
-from tests.soak.record import Record
+from tests.soak.record import GRACE_PERIOD_SECONDS, Period, Record
 from tests.soak.relay import LOOPBACK, Fault, FaultRelay
 from tests.soak.schedule import (
     Action,
@@ -40,8 +40,8 @@
 # that opens a connection for each request and one that keeps its own.
 RELAYED_CALLERS: Final = (1, 3)
 # A process that is asked to stop ends within its grace period. The verdict
-# leaves it more, as the machine may be busy.
-EXIT_SECONDS: Final = 30.0
+# leaves it twice as long, as the machine may be busy.
+EXIT_SECONDS: Final = 2 * GRACE_PERIOD_SECONDS
 # Start, last restarts and final checks together end a soak that hangs.
 OVERHEAD_SECONDS_MAX: Final = 300.0
 # Time to find control hosts and backend servers again after a restart.
@@ -264,25 +264,26 @@
         return unserved
 
     async def _perform(self, action: Action) -> None:
-        if action.kind is Kind.EDIT:
+        kind = action.kind
+        if isinstance(kind, Fault):
+            await self._disturb(action.address, kind, action.duration)
+        elif kind is Kind.EDIT:
             await self._operator.edit()
-        elif action.kind is Kind.REPLACE_SERVER:
+        elif kind is Kind.REPLACE_SERVER:
             await self._replace_server(action)
-        elif action.kind is Kind.STOP:
+        elif kind is Kind.STOP:
             await self._stop(action)
-        elif action.kind is Kind.KILL:
+        elif kind is Kind.KILL:
             await self._kill(action)
-        elif action.kind is Kind.PAUSE:
-            await self._pause(action)
         else:
-            await self._disturb(action)
+            await self._pause(action)
 
-    async def _disturb(self, action: Action) -> None:
+    async def _disturb(self, name: str, kind: Fault, seconds: float) -> None:
         """Have a relay inject a fault, unless it already has one."""
-        relay = self._relays[action.address]
+        relay = self._relays[name]
         if relay.fault is None:
-            fault = self._record.add_fault(action.address, action.kind.value)
-            await relay.inject(Fault(action.kind.value), action.duration)
+            fault = self._record.add_fault(name, kind.value)
+            await relay.inject(kind, seconds)
             fault.end = self._record.now()
 
     async def _replace_server(self, action: Action) -> None:
@@ -329,21 +330,22 @@
         """Kill a process; one that is stopping is started by its stop."""
         address = action.address
         if self._locks[address].locked():
-            process = self._fleet.processes.get(address)
-            if process is not None and process.returncode is None:
-                fault = self._record.add_fault(address, "killed")
-                process.kill()
-                await process.wait()
-                fault.end = self._record.now()
+            await self._kill_process(address)
             return
         async with self._locks[address]:
-            process = self._fleet.processes[address]
-            fault = self._record.add_fault(address, "killed")
-            process.kill()
-            await process.wait()
+            fault = await self._kill_process(address)
             await self._restart(address, action.duration)
             fault.end = self._record.now()
 
+    async def _kill_process(self, address: str) -> Period:
+        fault = self._record.add_fault(address, "killed")
+        process = self._fleet.processes.get(address)
+        if process is not None and process.returncode is None:
+            process.kill()
+            await process.wait()
+        fault.end = self._record.now()
+        return fault
+
     async def _restart(self, address: str, wait: float) -> None:
         """Start a process that has ended, and wait until it listens."""
         del self._fleet.processes[address]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -6,34 +6,21 @@
 from dataclasses import dataclass
 from typing import Final
 
+from tests.soak.relay import Fault
+
 # Time within which a stopped process has ended and started again, as far as
 # the schedule is concerned.
 STOP_SECONDS: Final = 8.0
 
 
 class Kind(enum.Enum):
-    """What is done to a process, a relay or the configuration."""
+    """What is done to a process or to the configuration."""
 
     STOP = "stop"
     KILL = "kill"
     PAUSE = "pause"
     EDIT = "edit"
     REPLACE_SERVER = "replace server"
-    DELAY = "delay"
-    HOLD_REQUESTS = "hold requests"
-    HOLD_ANSWERS = "hold answers"
-    SILENCE = "silence"
-    RESET = "reset"
-
-
-# By the value of the fault that the relay injects.
-RELAY_KINDS: Final = (
-    Kind.DELAY,
-    Kind.HOLD_REQUESTS,
-    Kind.HOLD_ANSWERS,
-    Kind.SILENCE,
-    Kind.RESET,
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +33,7 @@
     """
 
     at: float
-    kind: Kind
+    kind: Kind | Fault
     address: str
     duration: float
 
@@ -186,7 +173,7 @@
     return [
         Action(
             at,
-            rng.choice(RELAY_KINDS),
+            rng.choice(tuple(Fault)),
             rng.choice((name_caller_relay, name_server_relay))(
                 rng.choice(nodes)
             ),
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -15,6 +15,7 @@
     CallerConnection,
     RequestIds,
     encode_request,
+    parse_head,
 )
 from tests.soak.record import Call, Record, Run
 from tests.soak.relay import LOOPBACK, FaultRelay
@@ -249,11 +250,7 @@
         head, end, rest = self._data.partition(b"\r\n\r\n")
         if not end:
             return
-        first, *lines = head.decode("latin-1").split("\r\n")
-        fields = {
-            name.lower(): value.strip()
-            for name, _, value in (line.partition(":") for line in lines)
-        }
+        first_line, fields = parse_head(head)
         size = int(fields.get("content-length", 0))
         if len(rest) < size:
             return
@@ -261,7 +258,7 @@
         server = self._server
         if self._task is not None or self._data:
             server.record.fail(f"a request before the last answer: {head!r}")
-        method, target, _ = first.split(" ")
+        method, target, _ = first_line.split(" ")
         self._start(method, target, fields, body)
 
     def _start(
