--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from tests.test_platform_system import (
+from tests.platform_fleet import (
     CONTROL_ADDRESSES,
     WAIT_TIMEOUT,
     PlatformFleet,
