--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -15,12 +15,8 @@
 
 import aiohttp
 
-from tests.platform_fleet import (
-    CONTROL_ADDRESSES,
-    WAIT_TIMEOUT,
-    PlatformFleet,
-    build_document,
-)
+from tests.platform_fleet import CONTROL_ADDRESSES, PlatformFleet
+from tests.test_platform_system import WAIT_TIMEOUT, build_document
 
 POLL_INTERVAL: Final = 0.05
 # From SIGTERM to SIGKILL, as the settings of the processes say.
