Send responses in transit in the rest of a stop's time limit

Callers saw: none has reported it. Cause: after DRAIN_TIME_FRACTION of the time limit, HostNode.drain waits 50 ms for its leave, and close then aborts all connections, whatever they still have to send. The rest of the limit (0.8 s of 6 s) isn't used. Change: after the leave, the node waits until nothing is unsent, up to 0.92 of the limit.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -63,8 +63,11 @@
 DRAIN_ADMISSION_TIME: Final = DRAIN_NOTICE_TIME + timedelta(milliseconds=250)
 DRAIN_ADMISSION_FRACTION: Final = 0.5
 # Fraction of the shutdown time limit after which requests in progress are
-# refused. The rest is for closing connections and the end of the process.
+# refused.
 DRAIN_TIME_FRACTION: Final = 0.86
+# Fraction of it after which unsent responses are dropped. The rest is for
+# closing connections and the end of the process.
+DRAIN_SENDING_FRACTION: Final = 0.92
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
@@ -248,6 +251,8 @@
                 MemberGone(self._settings.name, self._incarnation)
             )
         await asyncio.sleep(LEAVE_FLUSH_TIME.total_seconds())
+        # Responses and refusals may still be in transit to slow readers.
+        await self._wait_idle(started_at + DRAIN_SENDING_FRACTION * time_limit)
 
     def _refuse_unfinished(self) -> None:
         """Refuse what is still in progress at the end of a drain.
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -36,6 +36,8 @@
 LATEST_ADMISSION_SECONDS: Final = 3.0
 # Ends shortly after callers and nodes have learned of the drain.
 SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
+# Part of the time limit in which responses in transit are sent.
+SENDING_FRACTION: Final = 0.9
 SLOTS: Final = 8
 QUEUED_CALLS: Final = 2
 CALL: Final = RunCall(
@@ -429,6 +431,27 @@
         self.assertEqual(len(body), len(LARGE_BODY))
         writer.close()
 
+    async def test_a_response_in_transit_gets_most_of_the_time_limit(
+        self,
+    ) -> None:
+        """Don't read on, so that the response stays in transit."""
+        cluster = await self.start_cluster(
+            respond_with_large_body, time_limit=SHORT_TIME_LIMIT
+        )
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0], limit=1024
+        )
+        self.addCleanup(writer.close)
+        writer.write(format_request("/read/1"))
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await reader.readuntil(b"\r\n\r\n")
+        started_at = asyncio.get_running_loop().time()
+        await self.stop(cluster)
+        duration = asyncio.get_running_loop().time() - started_at
+        self.assertGreaterEqual(
+            duration, SENDING_FRACTION * SHORT_TIME_LIMIT.total_seconds()
+        )
+
 
 class PipelinedRequestTest(DrainTestCase):
     """Guards against pipelined requests that end without an answer."""
