Close a service whose drain fails

Cause: run_service called close only after drain had returned. Change: it is called in any case; the error still ends the program with a traceback and a status other than 0. Result: tests.test_program.FailingDrainTest failed before (AssertionError: False is not true) and passes.

--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -74,8 +74,10 @@
         log_event(Level.INFO, "started", host=name)
         await stop_requested.wait()
     log_event(Level.INFO, "draining", host=name)
-    await service.drain()
-    await service.close()
+    try:
+        await service.drain()
+    finally:
+        await service.close()
     log_event(Level.INFO, "stopped", host=name)
 
 
