Limit bodies to what a message between nodes can hold

Callers saw: none has reported it. Cause: the platform's document sets the limit for bodies without an upper bound, and a frame holds 72 MiB. Change: the node uses at most BODY_LIMIT_MAX_BYTES (64 MiB), the bound of the product's own tables, and answers 413 to what is larger. Result: tests.test_host_node.BodyLimitTest failed before (TimeoutError: the body was waited for) and passes.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
 from random import Random
 from typing import Any, Final
@@ -44,7 +44,7 @@
     QuotaGrant,
 )
 from sequoiaseam._settings import Endpoint, parse_endpoint
-from sequoiaseam._tables import Pool
+from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES, Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._uplink import Uplink, UplinkHooks
 
@@ -439,7 +439,10 @@
         self._mesh.retire_links_except(set(view.members))
         if view.tables is not previous_tables:
             self._ingress.update_tables()
-            self._http_server.limits = view.tables.limits
+            limits = view.tables.limits
+            # A message between nodes can't hold a larger body.
+            body_limit = min(limits.body, BODY_LIMIT_MAX_BYTES)
+            self._http_server.limits = replace(limits, body=body_limit)
             log_event(Level.INFO, "tables in force", revision=view.revision)
 
     def _follow_former_incarnation(self) -> None:
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -16,7 +16,11 @@
 )
 from sequoiaseam._ingress import choose_status, compute_slot_wait_limit
 from sequoiaseam._pressure import LEVEL_MAX, PoolPressure
-from sequoiaseam._tables import Workspace
+from sequoiaseam._tables import (
+    BODY_LIMIT_MAX_BYTES,
+    CallerLimits,
+    Workspace,
+)
 from sequoiaseam.errors import ErrorCode
 from tests.hosts import (
     API_KEY,
@@ -429,6 +433,28 @@
                 self.assertEqual(session.admission.running, 0)
 
 
+class BodyLimitTest(HostTestCase):
+    """Guards against bodies that no message between nodes can hold.
+
+    Such a message closed the link, with all other calls on it.
+    """
+
+    async def test_a_larger_limit_of_the_tables_is_not_used(self) -> None:
+        limits = CallerLimits(body=2 * BODY_LIMIT_MAX_BYTES)
+        cluster = HostCluster((echo_body,), replace(TABLES, limits=limits))
+        await cluster.start()
+        self.addAsyncCleanup(cluster.close)
+        reader, writer = await asyncio.open_connection(
+            LOCALHOST, cluster.ports[0]
+        )
+        self.addCleanup(writer.close)
+        length_line = f"Content-Length: {BODY_LIMIT_MAX_BYTES + 1}"
+        writer.write(format_request("/read/1", length_line, method="POST"))
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            status_line = await reader.readline()
+        self.assertEqual(status_line, b"HTTP/1.1 413 Content Too Large\r\n")
+
+
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
 
