Report a drain order whose answer is lost as unknown, not as failed

Seen: 'sequoiaseam drain' reports NOT_FOUND for an order that was executed, if the control host that the node is attached to is lost or answers late. Cause: RpcOperatorClient.drain asks the control hosts in turn and raised the error of the last one. The hosts that the node isn't attached to answer NOT_FOUND, which replaced OUTCOME_UNKNOWN. Change: an unknown outcome is kept over later errors. submit_edit then repeats the order, as for other edits.

--- a/src/sequoiaseam/_operator_client.py
+++ b/src/sequoiaseam/_operator_client.py
@@ -159,13 +159,18 @@
         return await self._request_any_host(request, EditAnswer)
 
     async def drain(self, request: DrainRequest) -> EditAnswer:
-        """Drain a node's backend server."""
+        """Drain a node's backend server.
+
+        Only the control host that the node is attached to can order it, and
+        that one may have done so although its answer is lost.
+        """
         error = SeamError(ErrorCode.NOT_FOUND, "no such host")
         for channel in self._channels:
             try:
                 answer = await self._call(channel, request)
             except SeamError as caught:
-                error = caught
+                if error.code is not ErrorCode.OUTCOME_UNKNOWN:
+                    error = caught
                 continue
             if isinstance(answer, EditAnswer):
                 return answer
