Refuse reports of backend servers once the node has left the fleet

A backend server's leave was acknowledged, and after the node's restart a late report made the server look in use again. Cause: between MemberGone and the end of the process, 50 ms and more, the node went on accepting reports. What it posts then is dropped by the leader, as the member is gone, so that no row names the leaving server.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -47,6 +47,7 @@
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES, Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._uplink import Uplink, UplinkHooks
+from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
 # Each step of a drain comes after its time, or after its fraction of the
@@ -114,6 +115,8 @@
         self._clock = clock
         self._rng = rng
         self._closing = False
+        # Set when this node has left the fleet, at the end of a drain.
+        self._left = False
         self._incarnation = create_incarnation(clock.now(), rng)
         self._view = NodeView()
         self._access = TrustedNetwork(settings.name)
@@ -247,6 +250,7 @@
         if self._create_member().leaving_server is None:
             # Otherwise the member stays until its lease ends, so that the
             # node still knows after a restart that its server is leaving.
+            self._left = True
             self._uplink.post(
                 MemberGone(self._settings.name, self._incarnation)
             )
@@ -296,7 +300,9 @@
         """Apply a report of the backend server, ignoring a stale one.
 
         A leaving server gets no new requests after this method returns.
+        Raise SeamError if this node has left the fleet.
         """
+        self._require_membership()
         now = self._clock.now()
         if not self._stale_report_filter.accept(report):
             log_event(
@@ -313,7 +319,18 @@
         """Record that a backend server leaves.
 
         ``started_at_ms`` is the server's start time, 0 if not given.
+        Raise SeamError if this node has left the fleet.
         """
+        self._require_membership()
+        self._record_leave(server_id, started_at_ms)
+
+    def _require_membership(self) -> None:
+        # What a server reports now couldn't be passed on, and would be
+        # unknown after a restart of this node.
+        if self._left:
+            raise SeamError(ErrorCode.DRAINING, "the node has left the fleet")
+
+    def _record_leave(self, server_id: str, started_at_ms: int) -> None:
         report = self._stale_report_filter.record_leave(
             server_id, started_at_ms
         )
@@ -453,7 +470,7 @@
         server = member.leaving_server
         if server is not None and server != self._former_server:
             self._former_server = server
-            self.accept_server_leave(server.server_id, server.started_at_ms)
+            self._record_leave(server.server_id, server.started_at_ms)
 
 
 def find_local_hosts(message: ControlHosts, domain: str) -> frozenset[str]:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -18,6 +18,7 @@
 from sequoiaseam._members import MemberGone
 from sequoiaseam._mesh_frames import RunCall, RunRefusal, RunResult
 from sequoiaseam._tables import Importance
+from sequoiaseam.errors import ErrorCode, SeamError
 from tests.hosts import (
     API_KEY,
     LOCALHOST,
@@ -390,6 +391,34 @@
                 self.assertEqual((await sender).status, 502)
 
 
+class LateLeaveTest(DrainTestCase):
+    """Guards against a server's leave that is accepted and then forgotten.
+
+    Members that have left the fleet can't pass it on.
+    """
+
+    async def test_reports_are_refused_once_the_node_has_left(self) -> None:
+        cluster = await self.start_cluster(respond_later)
+        node = cluster.nodes[0]
+        posted: list[Any] = []
+
+        def post(message: Any) -> bool:
+            posted.append(message)
+            return True
+
+        node._uplink.post = post  # type: ignore[method-assign]
+        await self.stop(cluster)
+        self.assertIsInstance(posted[-1], MemberGone)
+        for report in (
+            partial(cluster.report_server, 0, 2, leaving=True),
+            partial(node.accept_server_leave, "server-0", 1),
+        ):
+            with self.assertRaises(SeamError) as raised:
+                report()
+            self.assertIs(raised.exception.code, ErrorCode.DRAINING)
+        self.assertIsInstance(posted[-1], MemberGone)
+
+
 class MemberGoneTest(DrainTestCase):
     """Guards against calls cut when their node is removed from the view."""
 
