--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,8 +16,9 @@
 ROUTE_TIMEOUT_SECONDS: Final = 4.0
 # Before a caller connects again to a node that refused a connection.
 RECONNECT_SECONDS: Final = 0.15
-# Mean time between the requests of one caller.
-THINK_SECONDS: Final = 0.12
+# Mean times between the requests of a caller, one of which it has. Short ones
+# send often as a node closes, long ones leave connections idle.
+THINK_SECONDS: Final = (0.01, 0.05, 0.2, 1.0)
 # Longest wait after a refusal; the response may ask for a longer one.
 RETURN_WAIT_SECONDS_MAX: Final = 0.4
 # Pause within a request that is sent in two parts.
@@ -248,6 +249,7 @@
         self._path = ""
         self._service = service
         self._keeps_connection = keeps_connection
+        self._think_seconds = rng.choice(THINK_SECONDS)
         self._connection: CallerConnection | None = None
         self.stopping = False
 
@@ -265,7 +267,7 @@
                 await asyncio.sleep(RECONNECT_SECONDS)
                 continue
             call = await self._send_request(connection)
-            wait = self._rng.expovariate(1 / THINK_SECONDS)
+            wait = self._rng.expovariate(1 / self._think_seconds)
             if call.status in (429, 503):
                 wait = max(
                     wait, self._rng.uniform(0.05, RETURN_WAIT_SECONDS_MAX)
