--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -42,6 +42,8 @@
 # A process that is asked to stop ends within its grace period. The verdict
 # leaves it twice as long, as the machine may be busy.
 EXIT_SECONDS: Final = 2 * GRACE_PERIOD_SECONDS
+# Log lines of a stop that took longer than the grace period.
+NOTED_LINES: Final = 5
 # Start, last restarts and final checks together end a soak that hangs.
 OVERHEAD_SECONDS_MAX: Final = 300.0
 # Time to find control hosts and backend servers again after a restart.
@@ -58,11 +60,12 @@
     schedule: str
     summary: str
     failures: tuple[str, ...]
+    notes: tuple[str, ...]
 
     def format(self) -> str:
         """Return the outcome, with the schedule if something failed."""
         verdict = "failed" if self.failures else "passed"
-        lines = [f"seed {self.seed} {verdict}: {self.summary}"]
+        lines = [f"seed {self.seed} {verdict}: {self.summary}", *self.notes]
         if self.failures:
             lines += [*self.failures, self.schedule]
         return "\n".join(lines)
@@ -97,6 +100,8 @@
         self._callers: list[Caller] = []
         self._relays: dict[str, FaultRelay] = {}
         self._longest_stop = 0.0
+        # What isn't a failure, as it depends on the speed of the machine.
+        self._notes: list[str] = []
 
     def _create_rng(self, name: str) -> random.Random:
         return random.Random(f"{self._seed} {name}")
@@ -123,6 +128,7 @@
             f"{self._record.summarize()}; longest stop "
             f"{self._longest_stop:.2f} s",
             (*failures, *self._read_log_lines()),
+            tuple(self._notes),
         )
 
     # Start.
@@ -318,14 +324,22 @@
                 code = await process.wait()
             now = self._record.now()
             if not self._record.is_disturbed((address,), period.start, now):
-                self._longest_stop = max(
-                    self._longest_stop, now - period.start
-                )
+                self._note_duration(address, now - period.start)
                 if code:
                     self._record.fail(f"{address} ended with status {code}")
             await self._restart(address, action.duration)
             period.end = self._record.now()
 
+    def _note_duration(self, address: str, seconds: float) -> None:
+        """Keep the end of the log of a stop that took too long."""
+        self._longest_stop = max(self._longest_stop, seconds)
+        if seconds > GRACE_PERIOD_SECONDS:
+            lines = self._fleet.read_last_run(address).splitlines()
+            self._notes.append(
+                f"{address} ended {seconds:.2f} s after SIGTERM"
+            )
+            self._notes += lines[-NOTED_LINES:]
+
     async def _kill(self, action: Action) -> None:
         """Kill a process; one that is stopping is started by its stop."""
         address = action.address
