--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -17,9 +17,8 @@
 # From SIGTERM to SIGKILL, as PlatformFleet sets it.
 GRACE_PERIOD_SECONDS: Final = 6.0
 # A stop may break off a request that was sent before the first of these and
-# is still in progress at the second, in seconds after SIGTERM. The first is
-# 3 s and one more, as a process on a busy machine sees the signal late.
-STOP_ADMISSION_SECONDS: Final = 4.0
+# is still in progress at the second, in seconds after SIGTERM.
+STOP_ADMISSION_SECONDS: Final = 3.0
 STOP_LAST_SIXTH_SECONDS: Final = GRACE_PERIOD_SECONDS * 5 / 6
 # How long a fault may still affect requests that are sent after its end.
 FAULT_AFTERMATH_SECONDS: Final = 3.0
