Stall the disk of a group's member after the group has formed

Cause, traced in both logs: the test stalled the disk of a control host while the group was forming for the first time. If that host forms it first, the other two wait for it, as it may have accepted something. Change: the disk is stalled after a configuration was accepted, an edit follows, and a file that the stalled sync writes shows that a write is in progress, instead of a wait. Both tests ask the same of the stop as before.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -57,6 +57,23 @@
         self.assertEqual(code, 0)
         self.assertLess(time.monotonic() - started_at, GRACE_PERIOD_SECONDS)
 
+    async def put_until_accepted(self, body: bytes) -> None:
+        """Send a configuration to the hosts until one accepts it."""
+        async with (
+            asyncio.timeout(WAIT_TIMEOUT),
+            aiohttp.ClientSession() as session,
+        ):
+            for address in itertools.cycle(CONTROL_ADDRESSES):
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.post(
+                        f"http://{address}:{self.fleet.api_port}"
+                        "/sequoiaseam/rpc?call=configuration.put",
+                        data=body,
+                    ) as response:
+                        if response.status == 200:
+                            return
+                await asyncio.sleep(POLL_INTERVAL)
+
 
 class StopDuringStartTest(StopTestCase):
     """Guards against programs that can't be stopped before they serve."""
@@ -74,12 +91,14 @@
 
 
 # Run by Python before the program: syncing a file blocks while the file that
-# the variable names exists.
+# the variable names exists, and another file tells that it does.
 STALLING_SYNC: Final = """
 import os, time
 real_fsync = os.fsync
 def fsync(descriptor):
-    while os.path.exists(os.environ["STALL_FLAG"]):
+    flag = os.environ["STALL_FLAG"]
+    while os.path.exists(flag):
+        open(flag + ".reached", "w").close()
         time.sleep(0.02)
     real_fsync(descriptor)
 os.fsync = fsync
@@ -92,6 +111,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.flag = self.fleet.folder / "stalled"
+        self.reached_flag = self.fleet.folder / "stalled.reached"
         hook_folder = self.fleet.folder / "hook"
         hook_folder.mkdir()
         (hook_folder / "sitecustomize.py").write_text(STALLING_SYNC)
@@ -116,20 +136,20 @@
         await self.assert_stops_in_time(CONTROL_ADDRESS)
 
     async def test_while_entries_are_written(self) -> None:
-        """Stall the disk of a host as its group elects a leader."""
+        """Stall the disk of a member of a group, and make an edit."""
         await self.start_with_hook(CONTROL_ADDRESS)
-        await self.wait_until_logged(CONTROL_ADDRESS, '"started"')
-        self.flag.touch()
         for address in CONTROL_ADDRESSES[1:]:
             await self.fleet.start(address)
+        await self.put_until_accepted(build_document(3, 0))
+        self.flag.touch()
+        edit = asyncio.create_task(
+            self.put_until_accepted(build_document(5, 3))
+        )
         async with asyncio.timeout(WAIT_TIMEOUT):
-            while not any(  # noqa: ASYNC110
-                '"role": "leader"' in self.fleet.read_log(address)
-                for address in CONTROL_ADDRESSES[1:]
-            ):
+            while not self.reached_flag.exists():  # noqa: ASYNC110
                 await asyncio.sleep(POLL_INTERVAL)
-        await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
         await self.assert_stops_in_time(CONTROL_ADDRESS)
+        await edit
 
 
 class OperatorConnectionTest(StopTestCase):
@@ -170,23 +190,6 @@
         await asyncio.sleep(REQUEST_DELIVERY_SECONDS)
         await self.assert_stops_in_time(CONTROL_ADDRESS)
 
-    async def put_until_accepted(self, body: bytes) -> None:
-        """Send a configuration to the hosts until one accepts it."""
-        async with (
-            asyncio.timeout(WAIT_TIMEOUT),
-            aiohttp.ClientSession() as session,
-        ):
-            for address in itertools.cycle(CONTROL_ADDRESSES):
-                with contextlib.suppress(aiohttp.ClientError):
-                    async with session.post(
-                        f"http://{address}:{self.fleet.api_port}"
-                        "/sequoiaseam/rpc?call=configuration.put",
-                        data=body,
-                    ) as response:
-                        if response.status == 200:
-                            return
-                await asyncio.sleep(POLL_INTERVAL)
-
 
 class EditDuringStopTest(StopTestCase):
     """Guards against operators' calls that end without an answer."""
