Share a call of the tests between nodes, and name workspaces as such

test_peers and test_node_drain had the same message twice; it is a builder now. The soak's names for workspaces were those of the platform; only what is on the wire keeps them. No change of any check; test_peers, test_node_drain pass.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._frames import CallFrame
 from sequoiaseam._metrics import RequestSample
 from sequoiaseam._tables import Importance, Pool, Route, Tables, Workspace
 from sequoiaseam._verdict import Verdict
@@ -114,3 +115,25 @@
         )
         characters[start : start + length] = replacement or characters[:30]
     return "".join(characters)
+
+
+def build_call_frame(route: str, pool: str, path: str) -> CallFrame:
+    """Return a call that isn't idempotent, as nodes send it to each other."""
+    return CallFrame(
+        call_id=1,
+        route=route,
+        pool=pool,
+        method="POST",
+        path=path,
+        headers=(),
+        body=b"x",
+        workspace="coop",
+        importance=Importance.NORMAL,
+        weight=1.0,
+        remaining_us=60_000_000,
+        begun=False,
+        budget=0,
+        root_id="root",
+        depth=0,
+        idempotent=False,
+    )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -25,7 +25,7 @@
 SEND_PAUSE_SECONDS_MAX: Final = 0.4
 BODY_BYTES_MAX: Final = 2000
 LARGE_BODY_BYTES: Final = 300_000
-TENANTS: Final = {"coop": "key-coop", "guild": "key-guild"}
+API_KEYS: Final = {"coop": "key-coop", "guild": "key-guild"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,8 +82,8 @@
         f"X-Sequoiaseam-Attempt-Id: {call.request_id}",
         f"X-Sequoiaseam-Deadline-Remaining-Ms: {remaining_ms}",
     ]
-    if call.tenant:
-        lines.append(f"Authorization: Bearer {TENANTS[call.tenant]}")
+    if call.workspace:
+        lines.append(f"Authorization: Bearer {API_KEYS[call.workspace]}")
     body = call.body
     if call.method == "POST" and chunked:
         lines.append("Transfer-Encoding: chunked")
@@ -304,7 +304,7 @@
             route.prefix + request_id,
             body,
             route.idempotent,
-            rng.choice(sorted(TENANTS)),
+            rng.choice(sorted(API_KEYS)),
             self._service,
             ROUTE_TIMEOUT_SECONDS,
             path=self._path,
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from tests.soak.callers import ROUTE_TIMEOUT_SECONDS, ROUTES, TENANTS
+from tests.soak.callers import API_KEYS, ROUTE_TIMEOUT_SECONDS, ROUTES
 from tests.soak.record import Record
 
 CALL_TIMEOUT_SECONDS: Final = 3.0
@@ -146,12 +146,12 @@
                     for service in ("store", "front")
                 },
                 "tenants": {
-                    tenant: {
+                    workspace: {
                         "api-keys": [key],
                         "rate-per-s": rng.choice((0, 100, 1000)),
                         "burst": 50,
                     }
-                    for tenant, key in TENANTS.items()
+                    for workspace, key in API_KEYS.items()
                 },
             }
         ).encode()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -70,7 +70,7 @@
     target: str
     body: bytes
     idempotent: bool
-    tenant: str
+    workspace: str
     caller_service: str
     timeout: float
     nested: bool = False
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -299,7 +299,7 @@
         )
         sent = (
             *(call.method, call.target, call.body),
-            *(call.caller_service, call.tenant, ""),
+            *(call.caller_service, call.workspace, ""),
         )
         if received != sent:
             server.record.fail(f"a request was changed: {fields}", call)
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -15,14 +15,15 @@
 from sequoiaseam._clock import ProcessClock
 from sequoiaseam._commands import Member, MemberState
 from sequoiaseam._feed import FeedSnapshot
-from sequoiaseam._frames import CallFrame, RefusalFrame, create_frame_codec
+from sequoiaseam._frames import RefusalFrame, create_frame_codec
 from sequoiaseam._members import MemberGone
 from sequoiaseam._node import Node
 from sequoiaseam._peers import PEER_PATH, PROOF_HEADER
 from sequoiaseam._settings import Endpoint, NodeSettings, Secrets
-from sequoiaseam._tables import Importance, Pool, Route, Tables
+from sequoiaseam._tables import Pool, Route, Tables
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.errors import ErrorCode
+from tests.builders import build_call_frame
 from tests.hosts import (
     HOUR,
     LOCALHOST,
@@ -63,24 +64,7 @@
 )
 QUEUED_CALLS: Final = 2
 REQUEST: Final = format_request("/slow/1", method="POST", body=b"x", key=None)
-CALL: Final = CallFrame(
-    call_id=1,
-    route="slow",
-    pool="store",
-    method="POST",
-    path="/slow/1",
-    headers=(),
-    body=b"x",
-    workspace="coop",
-    importance=Importance.NORMAL,
-    weight=1.0,
-    remaining_us=60_000_000,
-    begun=False,
-    budget=0,
-    root_id="root",
-    depth=0,
-    idempotent=False,
-)
+CALL: Final = build_call_frame("slow", "store", "/slow/1")
 
 
 class NodeDrainTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,31 +23,14 @@
 )
 from sequoiaseam._peer_links import PeerLinkHooks, PeerLinkPool
 from sequoiaseam._peers import PeerServer
-from sequoiaseam._tables import Importance
+from tests.builders import build_call_frame
 
 HOST: Final = "127.0.0.1"
 WAIT_LIMIT_SECONDS: Final = 10.0
 POLL_INTERVAL_SECONDS: Final = 0.01
 # Longer than a node takes to notice that a connection is closed.
 NOTICE_SECONDS: Final = 0.2
-CALL: Final = CallFrame(
-    call_id=1,
-    route="orders",
-    pool="store",
-    method="POST",
-    path="/orders/1",
-    headers=(),
-    body=b"",
-    workspace="coop",
-    importance=Importance.NORMAL,
-    weight=1.0,
-    remaining_us=60_000_000,
-    begun=False,
-    budget=0,
-    root_id="root",
-    depth=0,
-    idempotent=False,
-)
+CALL: Final = build_call_frame("orders", "store", "/orders/1")
 
 
 class PeerTestCase(unittest.IsolatedAsyncioTestCase):
