--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -50,8 +50,9 @@
 from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
-# Each step of a drain comes after its time, or after its fraction of the
+# Steps of a drain. Each comes after its time, or after its fraction of the
 # shutdown time limit if that is earlier.
+
 # Until then, calls by nodes that haven't learned of the drain yet are served,
 # so that the capacity of the backend server is used.
 DRAIN_SERVING_TIME: Final = timedelta(seconds=1.5)
