--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -307,7 +307,7 @@
             f"{method} {target}"
         )
         await asyncio.sleep(self.work_s)
-        self._write(writer, 200, attempt_id, b"done " + body)
+        self._write(writer, 200, attempt_id, b"done %d" % len(body))
         await writer.drain()
 
     def _write(
@@ -633,6 +633,26 @@
     return fields
 
 
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process in MiB, 0 if it has ended."""
+    return _read_status_mb(pid, "VmRSS:")
+
+
+def read_peak_memory_mb(pid: int) -> float:
+    """Return the highest resident memory of a process so far, in MiB."""
+    return _read_status_mb(pid, "VmHWM:")
+
+
+def _read_status_mb(pid: int, name: str) -> float:
+    try:
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith(name):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
 def run_case(
     folder: Path, case: Callable[[Record], Awaitable[bool]], limit: float
 ) -> None:
