--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import shutil
 import signal
@@ -56,13 +57,20 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("0.0.0.0", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports that are free on every loopback address.
+
+    They lie below those that the system gives to outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(10_000, 30_000)
+        with socket.socket() as one:
+            try:
+                one.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
