--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
     build_manifest,
     build_request_fields,
     build_route,
+    read_memory_mb,
     run_case,
 )
 
@@ -66,17 +67,6 @@
             await self._deployment.start_process(address)
 
 
-def read_memory_mb(pid: int) -> float:
-    """Return the resident memory of a process in MiB, 0 if it has ended."""
-    try:
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
-
-
 def build(version: int, base: int, route_count: int) -> dict[str, Any]:
     """Return a manifest; each version changes a tenant's cap."""
     routes = {
