Add a review case: two lost disks end the core after a cut beside a replacement

A host that was cut off or frozen while another one was replaced never votes again, the one that is gone stays a voter. With two disks lost later no manifest comes.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -668,13 +668,24 @@
     record = Record(folder / "record.txt")
 
     async def run_limited() -> bool:
+        task = asyncio.current_task()
+        if task is not None:
+            # Ends the started processes, too.
+            asyncio.get_running_loop().add_signal_handler(
+                signal.SIGTERM, task.cancel
+            )
         async with asyncio.timeout(limit):
             return await case(record)
 
     try:
         is_broken = asyncio.run(run_limited())
         code = 1 if is_broken else 0
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (
+        CannotRun,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record.say(f"the case could not run: {error!r}")
         code = 2
     record.say(f"exit {code}")
