--- a/review/7/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/bash
-cd "$(dirname "$0")" && exec python3 case.py
