--- a/review/1/case.py
+++ b/review/1/case.py
@@ -139,4 +139,4 @@
     return newest
 
 
-run_case(FOLDER, case, 110.0)
+run_case(FOLDER / "record.txt", case, 110.0)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -191,4 +191,4 @@
     record.say(f"a client with a key gets {statuses}")
 
 
-run_case(FOLDER, case, 118.0)
+run_case(FOLDER / "record.txt", case, 118.0)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -97,4 +97,4 @@
     return abs(share - 0.5) > 0.2
 
 
-run_case(FOLDER, case, 110.0)
+run_case(FOLDER / "record.txt", case, 110.0)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -27,6 +27,10 @@
 HOST = "shop.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_INTERVAL = 1.5
+PORT_ADDRESSES = (
+    "127.0.0.1",
+    *(f"127.0.{network}.{host}" for network in (1, 2) for host in range(1, 8)),
+)
 RESTART_DELAY = 0.5
 BOUNDS = {
     "seed-lag-s": "3",
@@ -57,23 +61,30 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address.
+    """Return ports that are free on all addresses that a case may use.
 
     They lie below those that the system gives to outgoing connections.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(10_000, 30_000)
-        with socket.socket() as one:
-            try:
-                one.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-        if port not in ports:
+        if port not in ports and all(
+            is_port_free(address, port) for address in PORT_ADDRESSES
+        ):
             ports.append(port)
     return ports
 
 
+def is_port_free(address: str, port: int) -> bool:
+    """Return whether nothing listens on a port of a loopback address."""
+    with socket.socket() as one:
+        try:
+            one.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 class Record:
     """File with what was sent, answered and run."""
 
@@ -662,10 +673,13 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Record], Awaitable[bool]], limit: float
+    path: Path, case: Callable[[Record], Awaitable[bool]], limit: float
 ) -> None:
-    """Run a case and exit: 1 if the rule was broken, 0 if it held."""
-    record = Record(folder / "record.txt")
+    """Run a case and exit: 1 if the rule was broken, 0 if it held.
+
+    ``path`` is the file for what was sent, answered and run.
+    """
+    record = Record(path)
 
     async def run_limited() -> bool:
         task = asyncio.current_task()
