Let a host that the group replaced while it was lost join again

Cause: a leader sends nothing to a voter that it has removed. A host that was cut off or suspended at that moment keeps a log that lists it as a voter, and only a host whose own log doesn't list it asked to join. It asked for votes instead, which are refused beside an active leader. Nobody waited to join then, and the host that was gone for good stayed one of five voters.

Change: a replica that hears from no leader sends Hello whatever its log says. A member that doesn't count it as a member records a join request and answers with the group's hosts, so that it reaches the leader; the leader adds it under its identity, in place of a lost voter or as an additional one. Its votes and log are on its disk, so nothing of Raft's rules changes. The host logs its exclusion and its return, and "control status" lists waiting hosts.

Open: a host whose former peers and configured hosts are all gone finds nobody.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -91,6 +91,7 @@
         self._authenticator = create_authenticator(settings, clock)
         self._repair_planner: RepairPlanner | None = None
         self._logged_membership: Membership | None = None
+        self._logged_exclusion = False
         self._codec = create_control_codec()
         self._tasks = TaskGroup()
         self._links = ControlLinks(
@@ -214,6 +215,7 @@
         """Send the group's hosts to the nodes; repair the group as leader."""
         status = self._replica_runner.replica.status()
         self._log_membership(status)
+        self._log_exclusion(status)
         if status.membership is not None:
             self._announce_hosts(
                 tuple(voter.host for voter in status.membership.voters)
@@ -265,6 +267,20 @@
             outgoing=outgoing.host if outgoing else "",
         )
 
+    def _log_exclusion(self, status: ReplicaStatus) -> None:
+        """Log that the group removed this host, or admitted it again."""
+        if status.excluded == self._logged_exclusion:
+            return
+        self._logged_exclusion = status.excluded
+        if status.excluded:
+            log_event(
+                Level.WARNING,
+                "group has removed this host; asking to join again",
+                commit_index=status.commit_index,
+            )
+        else:
+            log_event(Level.INFO, "group admitted this host again")
+
     def _report_active_nodes(self, now: datetime) -> None:
         since, self._last_alive_report_at = self._last_alive_report_at, now
         batch = AliveBatch(
--- a/src/sequoiaseam/_group_repair.py
+++ b/src/sequoiaseam/_group_repair.py
@@ -1,9 +1,10 @@
 """Automatic repair of the replica group on the control hosts.
 
-The leader compares the group's voters with the empty replicas that wait
-to join. A wiped host that comes back replaces its own former replica. A
-new host replaces the host that has been lost longest, or joins as an
-additional voter while all voters respond. If no replica waits, a group
+The leader compares the group's voters with the replicas that wait to
+join: empty ones, and those that were removed while they were lost. A
+wiped host that comes back replaces its own former replica. Another one
+replaces the host that has been lost longest, or joins as an additional
+voter while all voters respond. If no replica waits, a group
 with an even number of voters removes a lost one, because its quorum is
 as large as that of the next larger odd group.
 """
--- a/src/sequoiaseam/_operator_messages.py
+++ b/src/sequoiaseam/_operator_messages.py
@@ -159,9 +159,10 @@
 class ReplicaStatus:
     """State of a control host's replica as seen by the leader.
 
-    ``role`` is leader, voter, learner or lost. ``heard`` is the time
-    since the leader last received an acknowledgement from it, None if it
-    never did.
+    ``role`` is leader, voter, learner, lost or waiting, which means that
+    the host isn't a member and asks to join. ``heard`` is the time since
+    the leader last received an acknowledgement from it, None if it never
+    did.
     """
 
     name: str
--- a/src/sequoiaseam/_operator_requests.py
+++ b/src/sequoiaseam/_operator_requests.py
@@ -363,10 +363,15 @@
         if status.membership is None:
             return ()
         now = self._clock.now()
-        return tuple(
+        members = tuple(
             describe_replica(now, status, replica)
             for replica in status.membership.replicas
         )
+        waiting = tuple(
+            ReplicaStatus(replica.host, replica.identity, "waiting", 0, None)
+            for replica in status.waiting
+        )
+        return members + waiting
 
     @_handle.register
     async def _(self, request: DrainRequest) -> object:
--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -257,6 +257,7 @@
                 (one.replica.host, one.acked_sent_time) for one in progress
             ),
             waiting=self._list_join_candidates(),
+            excluded=self._is_excluded,
         )
 
     # Messages.
--- a/src/sequoiaseam/_replica_core.py
+++ b/src/sequoiaseam/_replica_core.py
@@ -94,6 +94,9 @@
         self._verified_index = self._commit_index
         self._role = Role.FOLLOWER
         self._leader: ReplicaId | None = None
+        # Whether a member of the group has answered that this host isn't a
+        # member, and no leader has been heard from since.
+        self._is_excluded = False
         self._disk_failed = False
         self._saving_snapshot = False
         # Before a restart this replica may have acknowledged a leader
--- a/src/sequoiaseam/_replica_election.py
+++ b/src/sequoiaseam/_replica_election.py
@@ -47,10 +47,10 @@
     def _start_pre_vote(self, now: datetime) -> None:
         """Ask for pre-votes, which don't start a new term."""
         self._election_deadline = self._draw_election_deadline(now)
-        if self._id not in self._membership().voters:
-            # A new leader may have truncated the entry that added this
-            # replica as a learner, and then doesn't know of it.
-            self._send_hellos()
+        # The group may have removed this replica while it was lost, and the
+        # leader sends nothing to a removed one, so its own log can't tell.
+        # A new leader may also have truncated the entry that added it.
+        self._send_hellos()
         if (
             not self._is_electable()
             or self._hard_state != self._synced_hard_state
--- a/src/sequoiaseam/_replica_follower.py
+++ b/src/sequoiaseam/_replica_follower.py
@@ -43,6 +43,7 @@
             or self._leader != header.sender
         ):
             self._become_follower(now, header.term, header.sender)
+        self._is_excluded = False
         self._last_leader_contact = now
         self._election_deadline = self._draw_election_deadline(now)
         return True
--- a/src/sequoiaseam/_replica_joining.py
+++ b/src/sequoiaseam/_replica_joining.py
@@ -106,6 +106,8 @@
         if message.group:
             self._found_group = True
             self._hello_hosts.update(message.hosts)
+        if message.group and message.group == self._hard_state.group:
+            self._is_excluded = self._id.host not in message.hosts
         same_hosts = set(message.hosts) == set(self._config.hosts)
         if self._hard_state.group or message.group or not same_hosts:
             self._empty_replicas.pop(sender, None)
--- a/src/sequoiaseam/_replica_messages.py
+++ b/src/sequoiaseam/_replica_messages.py
@@ -157,7 +157,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Question of an empty replica whether the receiver is empty too."""
+    """Question whether the receiver is empty too, or request to join.
+
+    Empty replicas send it, and those that hear from no leader.
+    """
 
     asker: ReplicaId
 
@@ -423,7 +426,9 @@
     other replica is known to have synced, and ``acked_at`` the time at
     which the leader sent the newest message that the replica has
     answered, or None before its first answer. Both are empty on other
-    replicas. ``waiting`` lists the empty replicas that asked to join.
+    replicas. ``waiting`` lists the replicas that asked to join: empty ones,
+    and those that the group removed while they were lost. ``excluded``
+    tells whether this replica is such a removed one.
     """
 
     replica: ReplicaId
@@ -438,3 +443,4 @@
     match_indexes: tuple[tuple[str, int], ...]
     acked_at: tuple[tuple[str, datetime | None], ...]
     waiting: tuple[ReplicaId, ...]
+    excluded: bool = False
--- a/tests/test_group_repair.py
+++ b/tests/test_group_repair.py
@@ -1,5 +1,7 @@
 """Tests of the automatic repair of the replica group."""
 
+import itertools
+import random
 import unittest
 from datetime import datetime, timedelta
 from typing import Final
@@ -18,6 +20,7 @@
     ReplicaStatus,
     Role,
 )
+from tests.replica_fakes import FakeFleet, FakeHost
 
 NOW: Final = EPOCH + timedelta(seconds=60)
 LOST_AT: Final = NOW - timedelta(seconds=3)
@@ -142,5 +145,208 @@
         self.assertEqual(planner.decide(later, status), GiveUp())
 
 
+REPAIR_INTERVAL_S: Final = 0.1
+# Maximum time until a host that is back is caught up again.
+CATCH_UP_LIMIT_S: Final = 4.0
+
+
+class RepairedFleet(FakeFleet):
+    """Simulated hosts whose leader repairs the group by itself."""
+
+    def __init__(self, seed: int, size: int, spares: int) -> None:
+        super().__init__(seed, size, spares)
+        self._planners: dict[str, tuple[int, RepairPlanner]] = {}
+        self.call_later(REPAIR_INTERVAL_S, self._repair)
+
+    def start_hosts(self, count: int) -> "RepairedFleet":
+        """Start the first hosts and wait until they have a leader."""
+        for number in range(count):
+            self.hosts[f"h{number}"].start()
+        assert self.run_until(self.leader)
+        self.run(1.0)
+        return self
+
+    def _repair(self) -> None:
+        self.call_later(REPAIR_INTERVAL_S, self._repair)
+        for host in self.running_hosts():
+            if not host.is_leader:
+                self._planners.pop(host.name, None)
+                continue
+            term, planner = self._planners.get(host.name, (0, None))
+            if planner is None or term != host.replica.term:
+                planner = RepairPlanner(host.now)
+                self._planners[host.name] = (host.replica.term, planner)
+            step = planner.decide(host.now, host.replica.status())
+            if step is not None:
+                self._start_step(host, step)
+
+    def _start_step(self, host: FakeHost, step: RepairStep) -> None:
+        replica, now = host.replica, host.now
+        match step:
+            case Exchange(old, new):
+                host.run(replica.replace(now, old, new, None))
+            case Retire(name):
+                host.run(replica.remove_voter(now, name, None))
+            case GiveUp():
+                host.run(replica.cancel_replacement(now, None))
+
+    def list_voters(self) -> set[str]:
+        """Return the names of the voters."""
+        return {host.name for host in self.voting_hosts()}
+
+    def list_followers(self) -> list[FakeHost]:
+        """Return the running hosts that don't lead."""
+        leader = self.require_leader()
+        return [host for host in self.running_hosts() if host is not leader]
+
+    def expect_voters(self, expected: set[str]) -> None:
+        """Fail unless exactly these hosts vote within the time limit."""
+        self.run_until(
+            lambda: self.list_voters() == expected, CATCH_UP_LIMIT_S
+        )
+        assert self.list_voters() == expected, (
+            f"{sorted(self.list_voters())} vote, not {sorted(expected)}"
+        )
+
+    def expect_survival_of_two_wiped_hosts(self) -> None:
+        """Fail if a commit is lost with the disks of two hosts at once."""
+        command = b"acknowledged last"
+        leader = self.require_leader()
+        self.propose(leader, command)
+        assert self.run_until(lambda: command in self.acked)
+        for host in (leader, self.list_followers()[0]):
+            host.wipe()
+            host.start()
+        assert self.run_until(self.leader), "no leader was elected"
+        voters = {host.name for host in self.running_hosts()}
+        self.run_until(lambda: self.list_voters() == voters)
+        assert self.run_until(self.has_converged)
+        self.check_agreement()
+
+
+class ReturningHostTest(unittest.TestCase):
+    """Guards against hosts that run but never vote again.
+
+    A voter that is lost while another host is replaced is removed in place
+    of that host, and the one that is gone for good stays a voter. If the
+    removed host doesn't join again, two lost disks end the group.
+    """
+
+    SEEDS: Final = range(5)
+
+    def replace_beside_lost_host(
+        self, fleet: RepairedFleet, lost: FakeHost, new_name: str = "h5"
+    ) -> None:
+        """Replace one host for good while another one is isolated."""
+        fleet.isolate(lost.name)
+        fleet.run(1.0)
+        gone = next(
+            host
+            for host in fleet.running_hosts()
+            if host is not lost and not host.is_leader
+        )
+        gone.stop()
+        fleet.run(1.0)
+        fleet.hosts[new_name].start()
+        assert fleet.run_until(lambda: new_name in fleet.list_voters())
+        fleet.blocked_links.clear()
+
+    def expect_full_group(self, fleet: RepairedFleet) -> None:
+        """Expect all running hosts to vote, and two to be expendable."""
+        fleet.expect_voters({host.name for host in fleet.running_hosts()})
+        fleet.expect_survival_of_two_wiped_hosts()
+
+    def test_isolated_host_joins_again(self) -> None:
+        for seed, leads in itertools.product(self.SEEDS, (False, True)):
+            with self.subTest(seed=seed, leads=leads):
+                fleet = RepairedFleet(seed, 5, 1).start_hosts(5)
+                lost = fleet.list_followers()[0]
+                if leads:
+                    lost = fleet.require_leader()
+                self.replace_beside_lost_host(fleet, lost)
+                self.expect_full_group(fleet)
+
+    def test_host_with_kept_disk_joins_again_after_a_restart(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = RepairedFleet(seed, 5, 1).start_hosts(5)
+                lost = fleet.list_followers()[0]
+                self.replace_beside_lost_host(fleet, lost)
+                lost.stop(power=False)
+                lost.start()
+                self.expect_full_group(fleet)
+
+    def test_host_joins_again_after_a_second_round(self) -> None:
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = RepairedFleet(seed, 5, 2).start_hosts(5)
+                lost = fleet.list_followers()[0]
+                self.replace_beside_lost_host(fleet, lost)
+                fleet.expect_voters({h.name for h in fleet.running_hosts()})
+                self.replace_beside_lost_host(fleet, lost, "h6")
+                self.expect_full_group(fleet)
+
+    def test_host_removed_from_an_even_group_joins_again(self) -> None:
+        voters = {f"h{number}" for number in range(6)}
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = RepairedFleet(seed, 5, 1).start_hosts(6)
+                fleet.expect_voters(voters)
+                lost = fleet.list_followers()[0]
+                fleet.isolate(lost.name)
+                fleet.run(4.0)
+                self.assertEqual(voters - {lost.name}, fleet.list_voters())
+                fleet.blocked_links.clear()
+                fleet.expect_voters(voters)
+
+    def test_any_kind_of_loss_beside_a_replacement(self) -> None:
+        """Guard against kinds of loss that the host isn't told about."""
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                fleet = RepairedFleet(seed, 5, 1).start_hosts(5)
+                lost, gone = rng.sample(fleet.running_hosts(), 2)
+                others = set(fleet.hosts) - {lost.name}
+                match seed % 4:
+                    case 0:
+                        fleet.blocked_links = {(o, lost.name) for o in others}
+                    case 1:
+                        fleet.blocked_links = {(lost.name, o) for o in others}
+                    case 2:
+                        lost.max_disk_delay = 8.0
+                    case _:
+                        lost.stop()
+                fleet.run(rng.uniform(0.0, 2.5))
+                gone.stop()
+                fleet.run(rng.uniform(0.0, 2.0))
+                fleet.hosts["h5"].start()
+                fleet.run(rng.uniform(0.0, 5.0))
+                fleet.blocked_links.clear()
+                lost.max_disk_delay = 0.002
+                lost.start()
+                fleet.run(CATCH_UP_LIMIT_S)
+                self.expect_full_group(fleet)
+
+    def test_removed_host_reports_its_exclusion(self) -> None:
+        """Guard against a removed host that operators can't see."""
+        fleet = FakeFleet(1, 4).start()
+        assert fleet.run_until(fleet.leader)
+        fleet.run(1.0)
+        leader = fleet.require_leader()
+        lost = next(h for h in fleet.running_hosts() if h is not leader)
+        fleet.isolate(lost.name)
+        leader.run(leader.replica.remove_voter(leader.now, lost.name, None))
+        fleet.run(3.0)
+        self.assertFalse(lost.replica.status().excluded)
+        fleet.blocked_links.clear()
+        fleet.run(2.0)
+        self.assertTrue(lost.replica.status().excluded)
+        waiting = leader.replica.status().waiting
+        self.assertEqual((lost.identity,), waiting)
+        leader.run(leader.replica.replace(leader.now, "", lost.name, None))
+        self.assertTrue(fleet.run_until(lambda: lost in fleet.voting_hosts()))
+        self.assertFalse(lost.replica.status().excluded)
+
+
 if __name__ == "__main__":
     unittest.main()
