Limit what control hosts keep of edits by bytes, not by their number

A start read the log file as one piece, decoded it and encoded all entries into one frame again, about five copies. In operation each host also kept the decoded tables of the newest 1,000 edits for followers.

While the log holds 32 MiB, large commands are rejected with OVERLOAD, as not accepted; commands up to 8 KiB go on. Retained events are encoded and limited to 4 MiB, change records to 50,000 rows, revision indices to 10,000.

Open: what decoding eight large documents at once takes isn't limited.

--- a/bench/_control_plane.py
+++ b/bench/_control_plane.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import io
 import itertools
 import time
 from collections.abc import Callable
@@ -248,9 +249,9 @@
             if path.startswith(prefix)
         )
 
-    def read(self, path: str) -> bytes:
-        """Return the contents of a file."""
-        return bytes(self._files[path])
+    def open(self, path: str) -> io.BytesIO:
+        """Open a file for reading."""
+        return io.BytesIO(self._files[path])
 
     def append(self, path: str, data: bytes) -> None:
         """Append to a file, creating it if it is missing."""
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -74,6 +74,8 @@
 # for a majority first.
 OPERATOR_CALL_TIME_LIMIT: Final = QUORUM_TIMEOUT + timedelta(seconds=0.5)
 IDENTITY_BYTES: Final = 16
+# Revisions whose log indices are kept; older ones are in force everywhere.
+REVISION_INDICES_MAX: Final = 10_000
 
 
 class Control:
@@ -109,7 +111,7 @@
         self._leader: str | None = None
         self._entry_applied = asyncio.Event()
         self._last_alive_report_at = clock.now()
-        # Log index of each revision applied since startup.
+        # Log indices of the newest revisions applied since startup.
         self._revision_indices: dict[int, int] = {}
         self._sessions = NodeSessions(
             FeedSource(self._state),
@@ -311,7 +313,7 @@
                 revision=result.revision,
                 index=index,
             )
-            self._revision_indices.setdefault(result.revision, index)
+            self._record_revision(result.revision, index)
         if isinstance(command, ControlAddressSet):
             self._update_links()
         if self._leadership is not None:
@@ -319,6 +321,12 @@
         self._entry_applied.set()
         self._entry_applied = asyncio.Event()
 
+    def _record_revision(self, revision: int, index: int) -> None:
+        """Keep the index of a revision; drop the oldest beyond the limit."""
+        self._revision_indices.setdefault(revision, index)
+        if len(self._revision_indices) > REVISION_INDICES_MAX:
+            del self._revision_indices[next(iter(self._revision_indices))]
+
     def _update_links(self) -> None:
         """Update the links; addresses in the log override the settings."""
         if self._settings.automatic_repair:
@@ -503,9 +511,9 @@
             return
         last_sent_index = request.after_index
         while True:
-            for event in await self._event_log.wait(last_sent_index):
-                await stream.send_message(event)
-                last_sent_index = event.index
+            event = await self._event_log.wait(last_sent_index)
+            await stream.send_message(event)
+            last_sent_index = event.index
 
 
 class _Authenticator(ProofChecker, Protocol):
--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -37,6 +37,9 @@
 # at 1,400 edits and 95 membership events a day this is more than half a
 # day.
 CHANGE_RECORDS_MAX: Final = 1000
+# Number of changed rows in those changes. A node that lags behind more gets a
+# snapshot.
+CHANGED_ROWS_MAX: Final = 50_000
 PENDING_DELTAS_MAX: Final = 64
 PENDING_PONGS_MAX: Final = 16
 
@@ -136,6 +139,16 @@
     # follow the pools of all routes.
     added_pools: frozenset[str]
 
+    def count_rows(self) -> int:
+        """Return the number of rows that are named in this record."""
+        return (
+            (self.tables.count_rows() if self.tables is not None else 0)
+            + len(self.keys)
+            + len(self.members)
+            + len(self.shards)
+            + len(self.crashes)
+        )
+
 
 @dataclass(slots=True)
 class _Subscriber:
@@ -163,9 +176,8 @@
     def __init__(self, state: FleetState) -> None:
         self._state = state
         self._subscribers: dict[str, _Subscriber] = {}
-        self._change_records: deque[_ChangeRecord] = deque(
-            maxlen=CHANGE_RECORDS_MAX
-        )
+        self._change_records: deque[_ChangeRecord] = deque()
+        self._changed_row_count = 0
         self._save_baseline()
 
     def subscribe(
@@ -208,7 +220,7 @@
         Each is paired with the name of the node that it goes to.
         """
         record = self._build_change_record(index, command)
-        self._change_records.append(record)
+        self._add_change_record(record)
         self._save_baseline()
         messages: list[tuple[str, FeedMessage]] = []
         cache: dict[tuple[frozenset[str] | None, int], FeedMessage] = {}
@@ -233,8 +245,20 @@
         """
         self._state = state
         self._change_records.clear()
+        self._changed_row_count = 0
         self._save_baseline()
 
+    def _add_change_record(self, record: _ChangeRecord) -> None:
+        """Append a record; remove the oldest ones beyond the limits."""
+        records = self._change_records
+        records.append(record)
+        self._changed_row_count += record.count_rows()
+        while (
+            len(records) > CHANGE_RECORDS_MAX
+            or self._changed_row_count > CHANGED_ROWS_MAX
+        ):
+            self._changed_row_count -= records.popleft().count_rows()
+
     def _save_baseline(self) -> None:
         """Save the state that the next command's effect is compared with."""
         state = self._state
--- a/src/sequoiaseam/_files.py
+++ b/src/sequoiaseam/_files.py
@@ -2,7 +2,7 @@
 
 import os
 from pathlib import Path
-from typing import Protocol
+from typing import BinaryIO, Protocol
 
 
 class FileSystem(Protocol):
@@ -18,8 +18,8 @@
     def list_names(self, folder: str) -> tuple[str, ...]:
         """Return the names of the files in the folder."""
 
-    def read(self, path: str) -> bytes:
-        """Return the contents of the file."""
+    def open(self, path: str) -> BinaryIO:
+        """Open the file for reading."""
 
     def append(self, path: str, data: bytes) -> None:
         """Append to the file, creating it if necessary."""
@@ -55,9 +55,9 @@
         """Return the names of the files in the folder, sorted."""
         return tuple(sorted(os.listdir(folder)))  # noqa: PTH208
 
-    def read(self, path: str) -> bytes:
-        """Return the contents of the file."""
-        return Path(path).read_bytes()
+    def open(self, path: str) -> BinaryIO:
+        """Open the file for reading."""
+        return Path(path).open("rb")
 
     def append(self, path: str, data: bytes) -> None:
         """Append to the file, creating it if necessary."""
--- a/src/sequoiaseam/_journal.py
+++ b/src/sequoiaseam/_journal.py
@@ -5,14 +5,18 @@
 payload, a MessagePack array of encoded records. A frame is written with
 one call and synced before the next one is written, so a crash can
 damage only the last frame. A new log file replaces the old one at each
-start and with each snapshot.
+start and with each snapshot. Its initial frames are synced before the file
+gets its name, so a crash can't damage them. Entries are read and written in
+frames of limited size, so that no copy of the whole log is needed.
 """
 
+import itertools
+import os
 import re
 import struct
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
-from typing import Any, Final
+from typing import Any, BinaryIO, Final
 
 import msgspec
 import xxhash
@@ -25,6 +29,7 @@
     Entry,
     HardState,
     IdentityRecord,
+    LogFileHeader,
     Record,
     RestoredState,
     Snapshot,
@@ -39,6 +44,8 @@
 LOG_FILE_PATTERN: Final = re.compile(r"log-[0-9]+")
 SNAPSHOT_FILE_PREFIX: Final = "snapshot-"
 TEMPORARY_FILE_SUFFIX: Final = ".tmp"
+# An initial frame has at most this many bytes of commands, or one entry.
+INITIAL_FRAME_MAX_BYTES: Final = 1024 * 1024
 
 RECORD_CODEC: Final = Codec(RECORD_TYPES)
 SNAPSHOT_CODEC: Final = Codec((Snapshot,))
@@ -58,31 +65,54 @@
     return FRAME_HEADER.pack(FRAME_MAGIC, len(payload), checksum) + payload
 
 
-def unpack_frame(data: bytes, offset: int) -> bytes | None:
-    """Return the payload of the frame at ``offset``.
+def read_frame(file: BinaryIO) -> bytes | None:
+    """Return the payload of the frame at the file's position.
 
     Return None if the frame is incomplete or damaged.
     """
-    start = offset + FRAME_HEADER.size
-    if start > len(data):
+    header = file.read(FRAME_HEADER.size)
+    if len(header) < FRAME_HEADER.size:
         return None
-    magic, length, checksum = FRAME_HEADER.unpack_from(data, offset)
-    payload = data[start : start + length]
-    if magic != FRAME_MAGIC or len(payload) != length:
+    magic, length, checksum = FRAME_HEADER.unpack(header)
+    start = file.tell()
+    # A damaged length may be that of no frame.
+    if magic != FRAME_MAGIC or length > file.seek(0, os.SEEK_END) - start:
         return None
+    file.seek(start)
+    payload = file.read(length)
     return payload if compute_checksum(payload) == checksum else None
 
 
-def has_valid_frame_after(data: bytes, offset: int) -> bool:
+def has_valid_frame_after(file: BinaryIO, offset: int) -> bool:
     """Return whether a valid frame starts after ``offset``."""
-    position = data.find(FRAME_MAGIC, offset + 1)
+    file.seek(offset)
+    data = file.read()
+    position = data.find(FRAME_MAGIC, 1)
     while position >= 0:
-        if unpack_frame(data, position) is not None:
+        file.seek(offset + position)
+        if read_frame(file) is not None:
             return True
         position = data.find(FRAME_MAGIC, position + 1)
     return False
 
 
+def split_entries(entries: Iterable[Entry]) -> Iterator[Entries]:
+    """Yield the entries in records of at most INITIAL_FRAME_MAX_BYTES.
+
+    A larger entry gets a record of its own.
+    """
+    batch: list[Entry] = []
+    size_bytes = 0
+    for entry in entries:
+        size_bytes += len(entry.command)
+        if batch and size_bytes > INITIAL_FRAME_MAX_BYTES:
+            yield Entries(tuple(batch))
+            batch, size_bytes = [], len(entry.command)
+        batch.append(entry)
+    if batch:
+        yield Entries(tuple(batch))
+
+
 def encode_records(records: tuple[Record, ...]) -> bytes:
     """Return a frame with the records as payload."""
     encoded = tuple(RECORD_CODEC.encode(record) for record in records)
@@ -102,6 +132,7 @@
         self._files = files
         self._failed = False
         self._log_number = 0
+        self._initial_frames = 1
         self._identity = ""
         self._hard_state = HardState()
         self._snapshot: Snapshot | None = None
@@ -163,7 +194,7 @@
         name = f"{SNAPSHOT_FILE_PREFIX}{snapshot.index}"
         frame = pack_frame(SNAPSHOT_CODEC.encode(snapshot))
         old = self._snapshot_reference
-        self._write_file_atomically(name, frame)
+        self._write_file_atomically(name, (frame,))
         self._entries = self._find_entries_after(snapshot)
         self._snapshot = snapshot
         self._snapshot_reference = SnapshotReference(
@@ -208,14 +239,17 @@
                 location=self._folder,
             ) from error
 
-    def _write_file_atomically(self, name: str, data: bytes) -> None:
+    def _write_file_atomically(
+        self, name: str, frames: Iterable[bytes]
+    ) -> None:
         """Create or replace a file atomically, also if the host crashes."""
         with self._handle_disk_errors():
             temporary = self._build_path(name + TEMPORARY_FILE_SUFFIX)
             names = self._files.list_names(self._folder)
             if name + TEMPORARY_FILE_SUFFIX in names:
                 self._files.remove(temporary)
-            self._files.append(temporary, data)
+            for frame in frames:
+                self._files.append(temporary, frame)
             self._files.sync(temporary)
             self._files.rename(temporary, self._build_path(name))
             self._files.sync_folder(self._folder)
@@ -223,16 +257,22 @@
     def _replace_log_file(self) -> None:
         """Write the current contents to a new log file; remove the old one."""
         old = self._log_number
+        batches = tuple(split_entries(self._entries))
         records: list[Record] = [
+            LogFileHeader(1 + len(batches)),
             IdentityRecord(self._identity),
             self._hard_state,
         ]
         if self._snapshot_reference is not None:
             records.append(self._snapshot_reference)
-        if self._entries:
-            records.append(Entries(tuple(self._entries)))
         name = f"{LOG_FILE_PREFIX}{old + 1}"
-        self._write_file_atomically(name, encode_records(tuple(records)))
+        self._write_file_atomically(
+            name,
+            itertools.chain(
+                (encode_records(tuple(records)),),
+                (encode_records((batch,)) for batch in batches),
+            ),
+        )
         self._log_number = old + 1
         if old:
             with self._handle_disk_errors():
@@ -252,30 +292,33 @@
 
     def _load_log(self) -> None:
         path = self._build_path(self._log_file_name)
-        data = self._files.read(path)
-        offset = 0
-        while offset < len(data):
-            payload = unpack_frame(data, offset)
-            if payload is None:
-                self._check_torn_tail(data, offset)
-                break
-            for encoded in PAYLOAD_DECODER.decode(payload):
-                self._apply_record(self._decode(RECORD_CODEC, encoded))
-            offset += FRAME_HEADER.size + len(payload)
+        self._initial_frames = 1
+        with self._files.open(path) as file:
+            for frame_count in itertools.count():
+                offset = file.tell()
+                payload = read_frame(file)
+                if payload is None:
+                    self._check_torn_tail(file, offset, frame_count)
+                    break
+                for encoded in PAYLOAD_DECODER.decode(payload):
+                    self._apply_record(self._decode(RECORD_CODEC, encoded))
         if not self._identity:
             raise self._create_damage_error("the log has no identity")
 
-    def _check_torn_tail(self, data: bytes, offset: int) -> None:
+    def _check_torn_tail(
+        self, file: BinaryIO, offset: int, frame_count: int
+    ) -> None:
         """Raise JOURNAL_DAMAGED unless the rest can be a torn last write."""
-        # The first frame is synced before the file is renamed to its
-        # final name, so a crash can't have damaged it.
-        if offset == 0 or has_valid_frame_after(data, offset):
+        is_incomplete = frame_count < self._initial_frames
+        if is_incomplete or has_valid_frame_after(file, offset):
             raise self._create_damage_error(
                 f"checksum mismatch at byte {offset}"
             )
 
     def _apply_record(self, record: Record) -> None:
         match record:
+            case LogFileHeader(initial_frames):
+                self._initial_frames = initial_frames
             case IdentityRecord(identity):
                 self._identity = identity
             case HardState():
@@ -310,8 +353,8 @@
         names = self._files.list_names(self._folder)
         if reference.name not in names:
             raise self._create_damage_error(f"{reference.name} is missing")
-        data = self._files.read(self._build_path(reference.name))
-        payload = unpack_frame(data, 0)
+        with self._files.open(self._build_path(reference.name)) as file:
+            payload = read_frame(file)
         if payload is None:
             raise self._create_damage_error(
                 f"checksum mismatch in {reference.name}"
--- a/src/sequoiaseam/_operator_requests.py
+++ b/src/sequoiaseam/_operator_requests.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from sequoiaseam._clock import Clock
+from sequoiaseam._codec import Codec, EncodedMessage
 from sequoiaseam._commands import (
     AddKey,
     Command,
@@ -59,6 +60,9 @@
 from sequoiaseam.errors import ErrorCode, SeamError
 
 MAX_RETAINED_EVENTS: Final = 1000
+# Total size of the retained events, encoded.
+RETAINED_EVENTS_MAX_BYTES: Final = 4 * 1024 * 1024
+FOLLOW_EVENT_CODEC: Final = Codec((FollowEvent,))
 # A replica that has not acknowledged a message for this long is reported as
 # lost; the leader sends a heartbeat every 150 ms.
 REPLICA_LOST_TIMEOUT: Final = ELECTION_TIMEOUT_MAX
@@ -87,32 +91,61 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class _RetainedEvent:
+    """An encoded event, which takes far less memory than its tables."""
+
+    index: int
+    encoded: EncodedMessage
+
+
 class FollowEventLog:
-    """The newest committed changes, for the operators who follow them."""
+    """The newest committed changes, for the operators who follow them.
+
+    Both the number of events and their total size are limited.
+    """
 
     def __init__(self) -> None:
-        self._events: deque[FollowEvent] = deque(maxlen=MAX_RETAINED_EVENTS)
+        self._events: deque[_RetainedEvent] = deque()
+        self._size_bytes = 0
         self._changed = asyncio.Event()
 
     def record(self, state: FleetState, command: Command) -> None:
         """Append the event of an applied command, if it had an effect."""
         event = describe_command(state, command)
-        if event is not None:
-            self._events.append(event)
-            self._changed.set()
-            self._changed = asyncio.Event()
+        if event is None:
+            return
+        encoded = FOLLOW_EVENT_CODEC.encode_compressed(event)
+        self._events.append(_RetainedEvent(event.index, encoded))
+        self._size_bytes += len(encoded.content)
+        while len(self._events) > 1 and (
+            len(self._events) > MAX_RETAINED_EVENTS
+            or self._size_bytes > RETAINED_EVENTS_MAX_BYTES
+        ):
+            removed = self._events.popleft()
+            self._size_bytes -= len(removed.encoded.content)
+        self._changed.set()
+        self._changed = asyncio.Event()
 
-    async def wait(self, after_index: int) -> list[FollowEvent]:
-        """Return the events after a log index, waiting until there is one."""
+    async def wait(self, after_index: int) -> FollowEvent:
+        """Return the first event after a log index, waiting for one."""
         while True:
-            found = [
-                event for event in self._events if event.index > after_index
-            ]
-            if found:
-                return found
+            for event in self._events:
+                if event.index > after_index:
+                    return _decode_event(event.encoded)
             await self._changed.wait()
 
 
+def _decode_event(encoded: EncodedMessage) -> FollowEvent:
+    decode = (
+        FOLLOW_EVENT_CODEC.decode_compressed
+        if encoded.compressed
+        else FOLLOW_EVENT_CODEC.decode
+    )
+    event: FollowEvent = decode(encoded.content)
+    return event
+
+
 def describe_command(
     state: FleetState,
     command: Command,
--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -13,6 +13,7 @@
 from functools import singledispatchmethod
 from typing import Final
 
+from sequoiaseam._replica_core import SMALL_COMMAND_MAX_BYTES
 from sequoiaseam._replica_core import ReplicaConfig as ReplicaConfig
 from sequoiaseam._replica_election import ReplicaElection
 from sequoiaseam._replica_leader import PendingRead
@@ -115,7 +116,7 @@
         """
         if self._reject_unless_leader(token):
             return self._take_actions()
-        if len(self._pending_proposals) >= PENDING_PROPOSALS_MAX:
+        if not self._has_room(command):
             self._reject(token, ErrorCode.OVERLOAD)
             return self._take_actions()
         index = self._log.last_index + 1
@@ -124,6 +125,19 @@
         self._replicate_to_all(now)
         return self._take_actions()
 
+    def _has_room(self, command: bytes) -> bool:
+        """Return whether the log can take another command.
+
+        Commands of this fleet's members are small and go on while the log
+        is too large for another edit.
+        """
+        size_bytes = self._log.size_bytes
+        return len(self._pending_proposals) < PENDING_PROPOSALS_MAX and (
+            size_bytes + len(command) <= self._config.log_max_bytes
+            or len(command) <= SMALL_COMMAND_MAX_BYTES
+            or size_bytes <= self._config.trailing_bytes
+        )
+
     def confirm(
         self,
         now: datetime,
@@ -165,8 +179,13 @@
         self._saving_snapshot = False
         if self._snapshot is None or snapshot.index > self._snapshot.index:
             self._snapshot = snapshot
-            keep = self._config.trailing_entries
-            self._log.compact(snapshot.index - keep)
+            self._log.compact(
+                self._log.find_trailing_start(
+                    snapshot.index,
+                    self._config.trailing_entries,
+                    self._config.trailing_bytes,
+                )
+            )
         self._synced_index = max(self._synced_index, snapshot.index)
         self._after_sync(now)
         return self._take_actions()
--- a/src/sequoiaseam/_replica_core.py
+++ b/src/sequoiaseam/_replica_core.py
@@ -34,9 +34,17 @@
 from sequoiaseam.errors import ErrorCode
 
 SNAPSHOT_INTERVAL_ENTRIES: Final = 1000
+# Size of the commands since the last snapshot at which the next one is due.
+SNAPSHOT_INTERVAL_BYTES: Final = 8 * 1024 * 1024
 # Entries kept in memory after a snapshot, so that a replica that lags
 # slightly needs no snapshot transfer.
 TRAILING_ENTRIES: Final = 256
+TRAILING_BYTES: Final = 2 * 1024 * 1024
+# Large commands are rejected while the log holds more, for example because
+# the disk is too slow to save a snapshot.
+LOG_MAX_BYTES: Final = 32 * 1024 * 1024
+# Larger than all commands but edits.
+SMALL_COMMAND_MAX_BYTES: Final = 8 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +61,9 @@
     snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES
     trailing_entries: int = TRAILING_ENTRIES
     snapshot_chunk_bytes: int = 64 * 1024
+    snapshot_interval_bytes: int = SNAPSHOT_INTERVAL_BYTES
+    trailing_bytes: int = TRAILING_BYTES
+    log_max_bytes: int = LOG_MAX_BYTES
     bootstrap: bool = True
 
 
@@ -99,6 +110,8 @@
         self._is_excluded = False
         self._disk_failed = False
         self._saving_snapshot = False
+        # Size of the commands committed since the last snapshot was taken.
+        self._bytes_since_snapshot = 0
         # Before a restart this replica may have acknowledged a leader
         # that still holds its lease, so it starts as if it had just
         # heard from one.
@@ -247,6 +260,7 @@
         while self._commit_index < index:
             self._commit_index += 1
             entry = self._log.get(self._commit_index)
+            self._bytes_since_snapshot += len(entry.command)
             self._actions.append(Apply(entry.index, entry.command))
             token = self._pending_proposals.pop(entry.index, None)
             if token is not None:
@@ -258,6 +272,8 @@
         snapshot_due = (
             snapshot_index + self._config.snapshot_interval_entries
             <= self._commit_index
+            or self._bytes_since_snapshot
+            >= self._config.snapshot_interval_bytes
         )
         membership = self._log.find_membership(self._commit_index)
         term = self._log.find_term(self._commit_index)
@@ -269,6 +285,7 @@
         ):
             return
         self._saving_snapshot = True
+        self._bytes_since_snapshot = 0
         self._actions.append(
             SaveSnapshot(self._commit_index, term, membership),
         )
--- a/src/sequoiaseam/_replica_follower.py
+++ b/src/sequoiaseam/_replica_follower.py
@@ -173,5 +173,6 @@
             self._unsaved_changes.clear()
             self._lower_synced_index(commit_index)
         self._commit_index = snapshot.index
+        self._bytes_since_snapshot = 0
         self._verified_index = max(self._verified_index, snapshot.index)
         self._actions.append(InstallSnapshot(snapshot))
--- a/src/sequoiaseam/_replica_log.py
+++ b/src/sequoiaseam/_replica_log.py
@@ -20,6 +20,8 @@
         self._base_index = 0
         self._base_term = 0
         self._entries: list[Entry] = []
+        # Total size of the commands in ``_entries``.
+        self._size_bytes = 0
         self._memberships: list[tuple[int, Membership]] = []
         if snapshot is not None:
             self._reset(snapshot)
@@ -31,6 +33,11 @@
         """Return the index before the first entry in memory."""
         return self._base_index
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the total size of the commands in memory."""
+        return self._size_bytes
+
     @property
     def last_index(self) -> int:
         """Return the index of the last entry."""
@@ -97,12 +104,13 @@
                 f"entry {entry.index} doesn't follow the last entry",
             )
         self._entries.append(entry)
+        self._size_bytes += len(entry.command)
         if entry.membership is not None:
             self._memberships.append((entry.index, entry.membership))
 
     def truncate(self, start: int) -> None:
         """Discard the entries from ``start`` on."""
-        del self._entries[max(0, start - self._base_index - 1) :]
+        self._remove_entries(slice(max(0, start - self._base_index - 1), None))
         while self._memberships and self._memberships[-1][0] >= start:
             self._memberships.pop()
 
@@ -122,7 +130,7 @@
         if term is None or index <= self._base_index:
             return
         membership = self.find_membership(index)
-        del self._entries[: index - self._base_index]
+        self._remove_entries(slice(index - self._base_index))
         self._base_index = index
         self._base_term = term
         later_memberships = [
@@ -132,6 +140,23 @@
             later_memberships.insert(0, (index, membership))
         self._memberships = later_memberships
 
+    def find_trailing_start(
+        self, index: int, max_entries: int, max_bytes: int
+    ) -> int:
+        """Return the index before the newest entries up to ``index``.
+
+        They are at most ``max_entries`` entries and ``max_bytes`` bytes of
+        commands.
+        """
+        start = index
+        oldest = max(self._base_index, index - max_entries)
+        while start > oldest:
+            max_bytes -= len(self.get(start).command)
+            if max_bytes < 0:
+                break
+            start -= 1
+        return start
+
     def install_snapshot(self, snapshot: Snapshot) -> bool:
         """Continue from the snapshot; return whether entries were kept.
 
@@ -148,4 +173,10 @@
         self._base_index = snapshot.index
         self._base_term = snapshot.term
         self._entries = []
+        self._size_bytes = 0
         self._memberships = [(snapshot.index, snapshot.membership)]
+
+    def _remove_entries(self, positions: slice) -> None:
+        for entry in self._entries[positions]:
+            self._size_bytes -= len(entry.command)
+        del self._entries[positions]
--- a/src/sequoiaseam/_replica_messages.py
+++ b/src/sequoiaseam/_replica_messages.py
@@ -93,6 +93,13 @@
 # Records of the journal.
 
 
+@dataclass(frozen=True, slots=True)
+class LogFileHeader:
+    """Number of frames that a log file had when it was created."""
+
+    initial_frames: int
+
+
 @dataclass(frozen=True, slots=True)
 class IdentityRecord:
     """Identity of the data folder."""
@@ -132,8 +139,16 @@
     term: int
 
 
-Record = IdentityRecord | HardState | Entries | Truncated | SnapshotReference
+Record = (
+    LogFileHeader
+    | IdentityRecord
+    | HardState
+    | Entries
+    | Truncated
+    | SnapshotReference
+)
 RECORD_TYPES: Final = (
+    LogFileHeader,
     IdentityRecord,
     HardState,
     Entries,
--- a/src/sequoiaseam/_tables_delta.py
+++ b/src/sequoiaseam/_tables_delta.py
@@ -17,6 +17,10 @@
     pools: frozenset[str]
     workspaces: frozenset[str]
 
+    def count_rows(self) -> int:
+        """Return the number of rows."""
+        return len(self.routes) + len(self.pools) + len(self.workspaces)
+
 
 @dataclass(frozen=True, slots=True)
 class TablesDelta:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -97,6 +97,14 @@
         process.send_signal(signal_number)
         return await process.wait()
 
+    def read_peak_memory(self, address: str) -> int:
+        """Return the peak resident size of a running process in bytes."""
+        status = Path(f"/proc/{self.processes[address].pid}/status")
+        for line in status.read_text().splitlines():
+            if line.startswith("VmHWM"):
+                return int(line.split()[1]) * 1024
+        raise AssertionError(f"no peak memory of {address} is known")
+
     def wipe_data(self, address: str) -> None:
         """Remove the data directory of a host."""
         shutil.rmtree(self.folder / address / "data")
--- a/tests/replica_fakes.py
+++ b/tests/replica_fakes.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+import io
 import random
 from collections.abc import Callable
 from datetime import datetime, timedelta
@@ -51,8 +52,8 @@
     def list_names(self, _folder: str) -> tuple[str, ...]:
         return tuple(sorted(path.split("/")[-1] for path in self.files))
 
-    def read(self, path: str) -> bytes:
-        return self.files[path].data
+    def open(self, path: str) -> io.BytesIO:
+        return io.BytesIO(self.files[path].data)
 
     def append(self, path: str, data: bytes) -> None:
         if path not in self.files:
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -19,6 +19,10 @@
 WAIT_TIMEOUT: Final = 40.0
 POLL_INTERVAL: Final = 0.2
 API_KEYS: Final = ("key-one", "key-two")
+# Memory of the smallest hosts that run a control host.
+CONTROL_MEMORY_MAX_BYTES: Final = 296 * 1024 * 1024
+LARGE_EDIT_COUNT: Final = 200
+LARGE_DOCUMENT_ROUTES: Final = 720
 
 
 def build_document(
@@ -54,6 +58,17 @@
     ).encode()
 
 
+def build_large_document(version: int) -> bytes:
+    """Return an indented configuration with many routes."""
+    document = json.loads(build_document(version, version - 1))
+    (route,) = document["routes"].values()
+    document["routes"] = {
+        f"r-{row}": {**route, "path-prefix": f"/path{row}/"}
+        for row in range(LARGE_DOCUMENT_ROUTES)
+    }
+    return json.dumps(document, indent=4).encode()
+
+
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a fleet that doesn't start, agree or recover.
 
@@ -292,6 +307,29 @@
                     await self.read_configuration(address), documents[1]
                 )
 
+    async def test_hosts_restart_after_many_edits_of_a_large_document(
+        self,
+    ) -> None:
+        """Guard against control hosts that exceed their memory at a start."""
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address)
+        await self.put_configuration(build_document(1, 0))
+        document = b""
+        for version in range(2, 2 + LARGE_EDIT_COUNT):
+            document = build_large_document(version)
+            await self.put_configuration(document)
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.stop(address)
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address, bootstrap=False)
+        for address in CONTROL_ADDRESSES:
+            with self.subTest(address=address):
+                self.assertEqual(
+                    await self.read_configuration(address), document
+                )
+                peak = self.fleet.read_peak_memory(address)
+                self.assertLess(peak, CONTROL_MEMORY_MAX_BYTES)
+
     async def wait_until_voter(self, address: str) -> None:
         """Wait until a host has logged that it is a voter again.
 
