Send nodes the members of every part of a split

Cause: collect_route_pools took route.pool, the first part of a split, for all of a route's pools. Control hosts sent no members of a later part, and nodes dropped those that they had.

Change: Route.pools names all parts; the feed and the check of references use it.

--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -161,8 +161,10 @@
 
 
 def collect_route_pools(tables: Tables) -> frozenset[str]:
-    """Return the pools used by routes."""
-    return frozenset(route.pool for route in tables.routes.values())
+    """Return the pools used by routes, all parts of a split included."""
+    return frozenset(
+        pool for route in tables.routes.values() for pool in route.pools
+    )
 
 
 def collect_witnesses(groups: Iterable[WitnessGroup]) -> frozenset[str]:
--- a/src/sequoiaseam/_tables.py
+++ b/src/sequoiaseam/_tables.py
@@ -88,6 +88,13 @@
     shares: tuple[Share, ...] = ()
     objective: timedelta | None = None
 
+    @property
+    def pools(self) -> tuple[str, ...]:
+        """Return the names of all pools that the route's requests go to."""
+        if not self.shares:
+            return (self.pool,)
+        return tuple(share.pool for share in self.shares)
+
 
 @dataclass(frozen=True, slots=True)
 class Pool:
@@ -345,7 +352,7 @@
     """Check that routes name existing pools and don't match alike."""
     routes_by_match: dict[tuple[str, str, str], str] = {}
     for key, route in tables.routes.items():
-        for pool in (route.pool, *(share.pool for share in route.shares)):
+        for pool in route.pools:
             if pool not in tables.pools:
                 yield TableProblem(
                     "route",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,7 +6,14 @@
 from sequoiaseam._commands import Member, MemberState
 from sequoiaseam._frames import CallFrame
 from sequoiaseam._metrics import RequestSample
-from sequoiaseam._tables import Importance, Pool, Route, Tables, Workspace
+from sequoiaseam._tables import (
+    Importance,
+    Pool,
+    Route,
+    Share,
+    Tables,
+    Workspace,
+)
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.errors import ErrorCode
 
@@ -22,6 +29,7 @@
     idempotent: bool = True,
     timeout: timedelta = timedelta(seconds=2),
     retries: int = 2,
+    shares: tuple[Share, ...] = (),
 ) -> Route:
     """Return a valid route."""
     return Route(
@@ -34,6 +42,7 @@
         idempotent=idempotent,
         timeout=timeout,
         retries=retries,
+        shares=shares,
     )
 
 
@@ -43,11 +52,15 @@
         Workspace(name="coop", rate=100.0, burst=200),
     ),
 ) -> Tables:
-    """Return valid tables with a pool for each route."""
+    """Return valid tables with the pools of all routes."""
     table_routes = routes or (build_route(),)
     return Tables(
         routes={route.name: route for route in table_routes},
-        pools={route.pool: Pool(name=route.pool) for route in table_routes},
+        pools={
+            pool: Pool(name=pool)
+            for route in table_routes
+            for pool in (route.pool, *(share.pool for share in route.shares))
+        },
         workspaces={workspace.name: workspace for workspace in workspaces},
     )
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -30,6 +30,7 @@
     collect_witnesses,
 )
 from sequoiaseam._state import FleetState
+from sequoiaseam._tables import Share
 from sequoiaseam.const import CONFIGURATION_LEASE
 from tests.builders import build_member, build_route, build_tables
 from tests.seeds import iterate_seeds
@@ -107,6 +108,37 @@
         self.view.apply(EPOCH, self.apply_and_publish(edit))
         self.assertEqual(set(self.view.members), {"two"})
 
+    def test_members_of_each_part_of_a_split_are_known(self) -> None:
+        """Guard against a split whose later parts get no requests."""
+        one, two = build_member("one"), build_member("two", pool="billing")
+        self.state.apply(2, MembersChanged((one, two)))
+        self.source = FeedSource(self.state)
+        self.subscribe(None)
+        self.assertEqual({"one"}, set(self.view.members))
+        halves = (Share("history", 50), Share("billing", 50))
+        swapped = (Share("billing", 1), Share("history", 99))
+        edits = (
+            ("part added", build_route(shares=halves), {"one", "two"}),
+            (
+                "weights changed",
+                build_route(pool="billing", shares=swapped),
+                {"one", "two"},
+            ),
+            ("part removed", build_route(pool="billing"), {"two"}),
+            ("part moved", build_route(shares=halves), {"one", "two"}),
+            ("split ended", build_route(), {"one"}),
+        )
+        for revision, (name, route, expected) in enumerate(edits, start=1):
+            with self.subTest(name):
+                edit = EditTables(name, "ana", revision, build_tables(route))
+                self.view.apply(EPOCH, self.apply_and_publish(edit))
+                self.assertEqual(expected, set(self.view.members))
+                snapshot = self.source.subscribe("other", 0, None)
+                self.source.unsubscribe("other")
+                assert isinstance(snapshot, FeedSnapshot)
+                names = {member.name for member in snapshot.members}
+                self.assertEqual(expected, names)
+
     def test_gap_requires_resync_and_duplicates_are_ignored(self) -> None:
         self.subscribe()
         first = self.apply_and_publish(AddKey("a", "x", None, make_key(1)))
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -237,6 +237,45 @@
         ]
         self.assertEqual(exit_codes, [0, 0])
 
+    async def test_each_part_of_a_split_gets_requests(self) -> None:
+        """Guard against a service that is only a later part of a split."""
+        servers = []
+        self.fleet.services[NODE_ADDRESSES[1]] = "store-2"
+        for address in (*CONTROL_ADDRESSES, *NODE_ADDRESSES):
+            await self.fleet.start(address)
+        document = json.loads(build_document(3, 0))
+        document["services"]["store-2"] = {"max-connections": 100}
+        await self.put_configuration(json.dumps(document).encode())
+        for address, service in zip(
+            NODE_ADDRESSES, ("store", "store-2"), strict=True
+        ):
+            server = ScriptedServer(answer_with_attempt_id)
+            servers.append(server)
+            await server.start()
+            self.addCleanup(server.close)
+            await self.send_heartbeat(address, server, service=service)
+        for address in NODE_ADDRESSES:
+            await self.wait_until_status(address, API_KEYS[0], 200)
+        document |= {"version": "00000004", "base-version": "00000003"}
+        route = document["routes"]["r-1"]
+        del route["service"]
+        route["weighted-services"] = [
+            {"service": "store", "weight": 50},
+            {"service": "store-2", "weight": 50},
+        ]
+        await self.put_configuration(json.dumps(document).encode())
+
+        async def have_both_served() -> bool:
+            statuses = [
+                await self.request_status(address, API_KEYS[0])
+                for address in NODE_ADDRESSES * 10
+            ]
+            return servers[1].received != [] and set(statuses) == {200}
+
+        await self.wait_until(
+            have_both_served, "the second part of the split isn't served"
+        )
+
     async def test_a_node_attaches_to_the_control_host_of_its_domain(
         self,
     ) -> None:
