Drop log lines that the output has no room for instead of waiting

A node whose standard output is a pipe that nobody reads stopped serving: callers and readiness checks got no answer, and it didn't end on SIGTERM. Whether it is what the users saw isn't known.

Cause: the log handler's write waits while the pipe is full, in the event loop. If the reader is gone, a planned stop ended with status 120.

Change: LogOutput writes a line if the output has room for it, or drops and counts it; the next line written is preceded by one with the number. Errors of the reader are no errors of the process.

--- a/src/sequoiaseam/_logs.py
+++ b/src/sequoiaseam/_logs.py
@@ -12,6 +12,7 @@
 from absl import logging as absl_logging
 
 from sequoiaseam._clock import Clock
+from sequoiaseam._log_output import open_log_output
 
 # Fields whose name contains one of these parts may hold a credential.
 SECRET_NAME_PARTS: Final = frozenset(
@@ -170,6 +171,19 @@
         count[2] = 0
 
 
+def _format_loss(line_count: int) -> str:
+    """Return the line that reports dropped lines."""
+    record = logging.makeLogRecord(
+        {
+            "name": absl_logging.get_absl_logger().name,
+            "levelname": logging.getLevelName(logging.WARNING),
+            "msg": "log lines dropped; the reader of the output is too slow",
+            RECORD_FIELDS_ATTRIBUTE: {"lines": line_count},
+        }
+    )
+    return JsonFormatter().format(record) + "\n"
+
+
 ABSL_VERBOSITIES: Final = {
     Level.DEBUG: absl_logging.DEBUG,
     Level.INFO: absl_logging.INFO,
@@ -179,14 +193,20 @@
 
 
 def configure_logging(level: Level, stream: TextIO | None = None) -> None:
-    """Write all logs as JSON lines to ``stream`` or standard error."""
+    """Write all logs as JSON lines to ``stream`` or standard error.
+
+    Lines that the stream's reader has no room for are dropped, counted
+    and reported in the next line.
+    """
     if not flags.FLAGS.is_parsed():
         # Otherwise absl prints a plain-text warning and ignores the stream.
         flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(JsonFormatter())
-    handler.python_handler.stream = stream or sys.stderr
+    handler.python_handler.stream = open_log_output(
+        stream or sys.stderr, _format_loss
+    )
     absl_logging.set_verbosity(ABSL_VERBOSITIES[level])
     # These libraries log each request at INFO, so only warnings are kept.
     for name in LIBRARY_LOGGERS:
