--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -15,6 +15,7 @@
 
 EXIT_SETTINGS_INVALID: Final = 2
 EXIT_STARTUP_FAILED: Final = 3
+HANDLED_SIGNALS: Final = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 GC_THRESHOLDS: Final = (20_000, 20, 50)
 
 
@@ -102,9 +103,17 @@
 
 
 def run_embedded(create: Callable[[], Service], name: str) -> None:
-    """Run a service embedded in another program; log to standard output."""
+    """Run a service embedded in another program; log to standard output.
+
+    From the end of the event loop on, signals are ignored, so that one that
+    is repeated doesn't change the exit status.
+    """
     configure_logging(Level.INFO, sys.stdout)
-    uvloop.run(run_service(create(), name))
+    try:
+        uvloop.run(run_service(create(), name))
+    finally:
+        for signal_number in HANDLED_SIGNALS:
+            signal.signal(signal_number, signal.SIG_IGN)
 
 
 def run_program(
