Wait at a start for addresses that another process still holds

A program that was started while its former process was stopping, or while anything else held one of its ports, ended with status 1 at once. The users saw that the system didn't start or that processes ended by themselves; whether in this way isn't known.

Cause: each listener was opened once, and a planned stop keeps its listeners for up to 5.5 s.

Change: opening a listener is repeated for at most 10 s while the address is in use, with one line in the log; other errors end the start as before.

--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -24,6 +24,7 @@
 from sequoiaseam._clock import Clock
 from sequoiaseam._exchange import Exchange, Handler, Response
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam._sites import open_site
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
     CODE_HEADER,
@@ -333,6 +334,5 @@
     """Start an HTTP server; return its runner and the bound port."""
     runner = web.ServerRunner(EdgeServer(handler), handle_signals=False)
     await runner.setup()
-    site = web.TCPSite(runner, host, port, backlog=1024)
-    await site.start()
+    await open_site(runner, host, port, backlog=1024)
     return runner, runner.addresses[0][1]
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+import errno
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from datetime import timedelta
+from typing import Any, Final, TypeVar
+
+from sequoiaseam._logs import Level, log_event
 
 DEFAULT_BACKLOG: Final = 128  # pending connections
+# A former process of this host may hold the address until it has stopped.
+ADDRESS_WAIT_MAX: Final = timedelta(seconds=10)
+ADDRESS_RETRY_INTERVAL: Final = timedelta(milliseconds=100)
+
+ResultT = TypeVar("ResultT")
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,17 +36,48 @@
     port: int,
     backlog: int = DEFAULT_BACKLOG,
 ) -> Listener:
-    """Listen on an address; port 0 selects a free port."""
+    """Listen on an address; port 0 selects a free port.
+
+    Wait at most ADDRESS_WAIT_MAX while another process holds the address.
+    """
     loop = asyncio.get_running_loop()
-    server: Any = await loop.create_server(
-        create_protocol,
-        host,
-        port,
-        backlog=backlog,
-    )
+
+    async def listen() -> Any:
+        return await loop.create_server(
+            create_protocol, host, port, backlog=backlog
+        )
+
+    server: Any = await retry_while_in_use(listen, host, port)
     return Listener(server, int(server.sockets[0].getsockname()[1]))
 
 
+async def retry_while_in_use(
+    listen: Callable[[], Awaitable[ResultT]], host: str, port: int
+) -> ResultT:
+    """Return the result of ``listen``, repeating it while it fails so.
+
+    Raise its OSError after ADDRESS_WAIT_MAX, and at once if it isn't that
+    another process holds the address.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + ADDRESS_WAIT_MAX.total_seconds()
+    waiting = False
+    while True:
+        try:
+            return await listen()
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or loop.time() >= deadline:
+                raise
+        if not waiting:
+            waiting = True
+            log_event(
+                Level.WARNING,
+                "address is in use; waiting for it",
+                address=f"{host}:{port}",
+            )
+        await asyncio.sleep(ADDRESS_RETRY_INTERVAL.total_seconds())
+
+
 async def accepts_connections(
     host: str, port: int, timeout_seconds: float
 ) -> bool:
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -65,6 +65,7 @@
     QuotaGrant,
 )
 from sequoiaseam._settings import Endpoint, NodeSettings
+from sequoiaseam._sites import open_site
 from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._uplink import Uplink, UplinkHooks
@@ -283,7 +284,7 @@
         )
         await runner.setup()
         endpoint = self._settings.peers
-        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+        await open_site(runner, endpoint.host, endpoint.port)
         self._peer_port = runner.addresses[0][1]
         self._runners.append(runner)
 
@@ -295,7 +296,7 @@
         app.router.add_get("/metrics", self._handle_metrics)
         runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await runner.setup()
-        await web.TCPSite(runner, endpoint.host, endpoint.port).start()
+        await open_site(runner, endpoint.host, endpoint.port)
         self._runners.append(runner)
 
     async def _handle_metrics(self, _: web.Request) -> web.Response:
--- a/src/sequoiaseam/embed_control.py
+++ b/src/sequoiaseam/embed_control.py
@@ -3,3 +3,4 @@
 from sequoiaseam._control import Control as Control
 from sequoiaseam._operator_messages import EditOutcome as EditOutcome
 from sequoiaseam._settings import ControlSettings as ControlSettings
+from sequoiaseam._sites import open_site as open_site
