Raise the soft limit of open files at the start of a program

Cause: the programs kept the soft limit; beyond it the event loop closes what it accepts.

Change: each program raises the soft limit to the hard limit, or logs that it can't.

DescriptorLimitTest: ConnectionResetError before, passes now.

--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -47,12 +48,33 @@
 SettingsT = TypeVar("SettingsT", bound=Settings)
 
 
+def raise_descriptor_limit() -> None:
+    """Raise the soft limit of open files to the hard limit.
+
+    A common soft limit is 1,024. Beyond it, the event loop closes each new
+    connection, whatever the caller has sent.
+    """
+    soft_limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == hard_limit:
+        return
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard_limit, hard_limit))
+    except (ValueError, OSError) as error:
+        log_event(
+            Level.WARNING,
+            "cannot raise the limit of open files",
+            limit=soft_limit,
+            reason=str(error),
+        )
+
+
 async def run_service(service: Service, name: str) -> None:
     """Run until SIGTERM or SIGINT, then drain and close.
 
     A signal during startup ends the startup. SIGHUP doesn't stop the
     service; settings are read only at startup.
     """
+    raise_descriptor_limit()
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -86,5 +87,41 @@
             self.assertEqual(0, status)
 
 
+class DescriptorLimitTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against connections that are closed for want of descriptors."""
+
+    SOFT_LIMIT: Final = 64
+
+    async def test_more_connections_than_the_soft_limit(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = PlatformFleet(Path(folder.name))
+        self.addAsyncCleanup(fleet.close)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(
+            resource.RLIMIT_NOFILE, (self.SOFT_LIMIT, limits[1])
+        )
+        try:
+            await fleet.start("127.0.2.1")
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        async with asyncio.timeout(20):
+            while '"started"' not in fleet.read_log("127.0.2.1"):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        connections = []
+        for _ in range(2 * self.SOFT_LIMIT):
+            reader, writer = await asyncio.open_connection(
+                "127.0.2.1", fleet.outbound_port
+            )
+            self.addCleanup(writer.close)
+            writer.write(b"GET /read/1 HTTP/1.1\r\nHost: any\r\n\r\n")
+            connections.append(reader)
+        async with asyncio.timeout(20):
+            answers = [await reader.readline() for reader in connections]
+        self.assertEqual(
+            {b"HTTP/1.1 503 Service Unavailable\r\n"}, set(answers)
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
