Check edits before they are proposed; compare the longest durations

Cause: _check_objective adds a minute to the timeout, which overflows, and the check ran only as the entry was applied, on each host and at each start.

Change: the check subtracts from the objective. _commit_edit checks tables before it proposes them, so that an unexpected error reaches the sender and not the log.

--- a/src/sequoiaseam/_operator_requests.py
+++ b/src/sequoiaseam/_operator_requests.py
@@ -55,7 +55,7 @@
 from sequoiaseam._sessions import NodeSessions
 from sequoiaseam._settings import parse_endpoint
 from sequoiaseam._state import Edit, EditStatus, FleetState
-from sequoiaseam._tables import KeyRecord
+from sequoiaseam._tables import KeyRecord, find_problems
 from sequoiaseam.const import ELECTION_TIMEOUT_MAX
 from sequoiaseam.errors import ErrorCode, SeamError
 
@@ -314,6 +314,10 @@
 
     async def _commit_edit(self, command: Edit) -> EditAnswer:
         """Commit an edit; a repeat of its edit ID returns the first result."""
+        if isinstance(command, EditTables | Restore | ReplaceDocument):
+            # An unexpected error must occur here and not when each host
+            # applies the entry, which would end all of them at every start.
+            find_problems(command.tables)
         try:
             async with asyncio.timeout(QUORUM_TIMEOUT.total_seconds()):
                 index = await self._replica_runner.propose(command)
--- a/src/sequoiaseam/_tables.py
+++ b/src/sequoiaseam/_tables.py
@@ -290,8 +290,10 @@
 
 def _check_objective(route: Route) -> Iterator[TableProblem]:
     objective = route.objective
+    # The excess is subtracted, as a sum with the longest timeout overflows.
     if objective is not None and not (
-        timedelta(0) < objective < route.timeout + OBJECTIVE_EXCESS_MAX
+        timedelta(0) < objective
+        and objective - OBJECTIVE_EXCESS_MAX < route.timeout
     ):
         yield TableProblem(
             "route",
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -52,6 +52,17 @@
         )
         self.assertEqual(find_problems(tables)[0].column, "path")
 
+    def test_the_longest_durations_are_compared(self) -> None:
+        """Guard against an error of the check, which ends control hosts."""
+        longest = replace(
+            build_route(), timeout=timedelta.max, objective=timedelta.max
+        )
+        problems = find_problems(build_tables(longest))
+        self.assertEqual({"timeout"}, {p.column for p in problems})
+        too_long = replace(build_route(), objective=timedelta.max)
+        problems = find_problems(build_tables(too_long))
+        self.assertEqual({"objective"}, {p.column for p in problems})
+
     def test_refuses_nan(self) -> None:
         tables = Tables(pools={"p": Pool("p", retry_share=float("nan"))})
         self.assertEqual(find_problems(tables)[0].column, "retry_share")
