Free the bodies of requests and responses when the request ends

Uploads one after the other raised a node's memory with each of them, until the platform would end it and cut all requests in progress. The users saw processes end by themselves and requests without an answer; whether their bodies were that large isn't known.

Cause: a request to the backend server and its callback's owner referred to each other, with the formatted message and the caller's body, and a garbage collection is due only after 20,000 new objects. A caller's connection kept the parts of its last body, an idle connection to the backend server its last response, twice.

Change: a request to the backend server drops message and callback when it ends; connections drop the parts of a complete body and a response that is handed over.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -81,18 +81,33 @@
     def finish(self, outcome: Outcome) -> None:
         """Report the outcome, unless the request has already ended."""
         if not self.ended:
-            self.ended = True
-            self.on_outcome(outcome)
+            on_outcome = self.on_outcome
+            self._end()
+            on_outcome(outcome)
 
     def cancel(self) -> None:
         """Close the connection, which tells the server to stop.
 
         No outcome is reported.
         """
-        self.ended = True
+        self._end()
         if self.connection is not None:
             self.connection.abort()
 
+    def _end(self) -> None:
+        """Release the message and what the callback refers to.
+
+        The callback's owner refers to this request. Such a cycle, and the
+        body in it, would stay in memory until the next garbage collection.
+        """
+        self.ended = True
+        self.message = b""
+        self.on_outcome = _ignore_outcome
+
+
+def _ignore_outcome(outcome: Outcome) -> None:
+    """Ignore the outcome of a request that has ended."""
+
 
 class BackendPool:
     """Connection pool of one backend server."""
@@ -406,13 +421,16 @@
     def _finish_request(self, failure: Failure) -> None:
         """Report the response, or ``failure`` if there is none."""
         request, self._request = self._request, None
-        if self._response is None:
+        response = self._response
+        if response is None:
             self.abort()
         else:
             self._pool.record_body(self, 0)
             self._release_or_close()
+        # An idle connection would keep the body in memory.
+        self._reset_response()
         if request is not None:
-            request.finish(self._response or failure)
+            request.finish(response or failure)
 
     def _release_or_close(self) -> None:
         """Return the connection to the pool, or close it."""
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -252,6 +252,7 @@
         del exc
         self._server.connections.discard(self)
         self._waiting.clear()
+        self._reset_request()
         in_progress, self._in_progress = self._in_progress, deque()
         for request in in_progress:
             if request.on_disconnect is not None:
@@ -396,6 +397,9 @@
             self._parser.should_keep_alive(),
             self,
         )
+        # The parser refers back to this connection, so the parts would stay
+        # in memory until the next request or garbage collection.
+        self._body_parts = []
         self._waiting.append(request)
 
     def _start_waiting(self) -> None:
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -1,12 +1,16 @@
 """Tests of nodes over TCP connections with scripted servers."""
 
 import asyncio
+import gc
+import tracemalloc
 import unittest
 from collections.abc import Sequence
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
+from typing import Final
 
+import tests.hosts
 from sequoiaseam._announcements import ServerReport
 from sequoiaseam._commands import LeavingServer, MemberState
 from sequoiaseam._feed import FeedDelta
@@ -455,6 +459,54 @@
         self.assertEqual(status_line, b"HTTP/1.1 413 Content Too Large\r\n")
 
 
+class BodyMemoryTest(HostTestCase):
+    """Guards against bodies that stay in memory after their requests.
+
+    Objects that refer to each other are freed by the garbage collector only,
+    which may not run for hundreds of requests.
+    """
+
+    BODY_BYTES: Final = 256 * 1024
+    REQUEST_COUNT: Final = 8
+
+    async def asyncSetUp(self) -> None:
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    def count_bodies(self) -> int:
+        """Return the number of allocations of nodes as large as a body."""
+        snapshot = tracemalloc.take_snapshot().filter_traces(
+            (tracemalloc.Filter(False, tests.hosts.__file__),)  # noqa: FBT003
+        )
+        return sum(trace.size >= self.BODY_BYTES for trace in snapshot.traces)
+
+    async def expect_no_bodies(self, *, host: int) -> None:
+        """Expect that bodies don't remain after requests to a host."""
+        cluster = await self.start_cluster((echo_body,) * (host + 1))
+        if host:
+            # Its own server leaves, so that calls go to the first host.
+            cluster.report_server(host, 2, leaving=True)
+        for _ in range(self.REQUEST_COUNT):
+            response = await cluster.send_request(
+                "/order/1",
+                method="POST",
+                body=bytes(self.BODY_BYTES),
+                host=host,
+            )
+            self.assertEqual(200, response.status)
+        await asyncio.sleep(0.1)
+        self.assertLessEqual(self.count_bodies(), 2)
+
+    async def test_after_runs_on_the_same_host(self) -> None:
+        await self.expect_no_bodies(host=0)
+
+    async def test_after_runs_on_another_host(self) -> None:
+        await self.expect_no_bodies(host=1)
+
+
 class StatusTest(unittest.TestCase):
     """Guards against statuses that misstate whether a request ran."""
 
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -21,6 +21,10 @@
 API_KEYS: Final = ("key-one", "key-two")
 # Memory of the smallest hosts that run a control host.
 CONTROL_MEMORY_MAX_BYTES: Final = 296 * 1024 * 1024
+# Memory of the smallest hosts that run a node, and the largest body that the
+# platform's clients send.
+NODE_MEMORY_MAX_BYTES: Final = 300 * 1024 * 1024
+LARGEST_BODY_BYTES: Final = 67_108_864
 LARGE_EDIT_COUNT: Final = 200
 LARGE_DOCUMENT_ROUTES: Final = 720
 
@@ -276,6 +280,42 @@
             have_both_served, "the second part of the split isn't served"
         )
 
+    async def test_two_uploads_of_the_largest_size_fit_into_memory(
+        self,
+    ) -> None:
+        """Guard against uploads that end the node and what it serves."""
+        server = ScriptedServer(answer_with_attempt_id)
+        await server.start()
+        self.addCleanup(server.close)
+        node = NODE_ADDRESSES[0]
+        for address in (*CONTROL_ADDRESSES, node):
+            await self.fleet.start(address)
+        document = json.loads(build_document(3, 0))
+        document["limits"] = {"max-body-bytes": LARGEST_BODY_BYTES}
+        document["routes"]["r-1"]["timeout-s"] = 30
+        await self.put_configuration(json.dumps(document).encode())
+        await self.send_heartbeat(node, server)
+        await self.wait_until_status(node, API_KEYS[0], 200)
+
+        async def upload(attempt_id: str) -> int:
+            async with self.session.post(
+                f"http://{node}:{self.fleet.outbound_port}/read/1",
+                data=bytes(LARGEST_BODY_BYTES),
+                headers={
+                    "Host": "any.example",
+                    "Authorization": f"Bearer {API_KEYS[0]}",
+                    "X-Sequoiaseam-Attempt-Id": attempt_id,
+                },
+                timeout=aiohttp.ClientTimeout(total=30),
+            ) as response:
+                return response.status
+
+        # One of them may be refused, but neither may end the node.
+        statuses = await asyncio.gather(upload("8"), upload("9"))
+        self.assertIn(200, statuses)
+        peak = self.fleet.read_peak_memory(node)
+        self.assertLess(peak, NODE_MEMORY_MAX_BYTES)
+
     async def test_a_node_attaches_to_the_control_host_of_its_domain(
         self,
     ) -> None:
