Free bodies that closures of compiled modules kept in memory

Change: a request lets go of its body when it is answered or abandoned, a run when it ends, is cancelled or refused. Retries use the request's body, which lives until then.

Evidence: BodyMemoryTest passes with the compiled modules.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Final
 
+import msgspec
+
 from sequoiaseam._admission import Admission, AdmissionAction, Refuse, Start
 from sequoiaseam._announcements import ServerReport
 from sequoiaseam._call_attribution import CallAttribution, ParentRun
@@ -66,6 +68,11 @@
     ticket_id: int
     server_request: PendingRequest | None = None
 
+    def release_body(self) -> None:
+        """Release the body, which the run's closures would keep in memory."""
+        if self.call.body:
+            self.call = msgspec.structs.replace(self.call, body=b"")
+
 
 @dataclass(frozen=True, slots=True)
 class _CachedPressures:
@@ -298,6 +305,7 @@
     def _cancel(self, run: _Run) -> None:
         if self._runs.pop(run.ticket_id, None) is None:
             return
+        run.release_body()
         if run.server_request is not None:
             self.attribution.end_run(run.ticket_id)
             self._crash_guard.end_run(run.ticket_id, complete=False)
@@ -386,6 +394,7 @@
         self, session: _Session, run: _Run, outcome: Outcome
     ) -> None:
         now = self._clock.now()
+        run.release_body()
         self.attribution.end_run(run.ticket_id)
         if outcome is Failure.BROKEN:
             self._crash_guard.end_broken_run(
@@ -522,6 +531,7 @@
         retry_after: timedelta = timedelta(0),
     ) -> None:
         self._runs.pop(run.ticket_id, None)
+        run.release_body()
         now = self._clock.now()
         run.on_result(self._create_refusal(now, run, code, retry_after))
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -628,6 +628,9 @@
         pending.finished = True
         self._pending_requests.discard(pending)
         pending.request.on_disconnect = None
+        # The closures of its attempts refer to each other and to the request
+        # until a garbage collection.
+        pending.request.body = b""
         if pending.parent_run_id is not None:
             self._attribution.end_call(
                 self._clock.now(), pending.parent_run_id
