--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -128,8 +128,8 @@
     def _has_room(self, command: bytes) -> bool:
         """Return whether the log can take another command.
 
-        Commands of this fleet's members are small and go on while the log
-        is too large for another edit.
+        Small commands, such as changes of members, go on while the log is
+        too large for another edit.
         """
         size_bytes = self._log.size_bytes
         return len(self._pending_proposals) < PENDING_PROPOSALS_MAX and (
--- a/src/sequoiaseam/_replica_core.py
+++ b/src/sequoiaseam/_replica_core.py
@@ -43,7 +43,7 @@
 # Large commands are rejected while the log holds more, for example because
 # the disk is too slow to save a snapshot.
 LOG_MAX_BYTES: Final = 32 * 1024 * 1024
-# Larger than all commands but edits.
+# Smaller commands, such as changes of members, are exempt from that limit.
 SMALL_COMMAND_MAX_BYTES: Final = 8 * 1024
 
 
