Log late event loops, the steps of a stop and why a connection ended

Cause: requests end without an answer on machines of the users, and the logs can't tell whether a process was late, at which step of a stop it closed a connection, or whether the caller closed its sending side, reset the connection, or was cut off. Change: the events "event loop late" of every program and "drain step" of nodes; "drain ended" tells the connections, "request cancelled; its connection was closed" the cause. No behaviour changes. tests.test_drain, test_program, test_http_server and test_docs pass (54).

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -226,21 +226,22 @@
             DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
         )
         await asyncio.sleep(serving_time.total_seconds())
+        self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
         await asyncio.sleep((notice_time - serving_time).total_seconds())
         self._http_server.closing = True
         self._http_server.close_idle()
+        self._log_drain_step("closed idle connections", started_at)
         await self._wait_idle(started_at + admission_time)
         self._ingress.closing = True
+        self._log_drain_step("refusing callers", started_at)
         await self._wait_idle(started_at + DRAIN_TIME_FRACTION * time_limit)
         log_event(
             Level.INFO,
             "drain ended",
             host=self._settings.name,
-            duration=self._clock.now() - started_at,
-            requests=self._ingress.pending_request_count,
-            calls=self._executor.call_count,
+            **self._measure_drain(started_at),
         )
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
@@ -259,6 +260,24 @@
         # Responses and refusals may still be in transit to slow readers.
         await self._wait_idle(started_at + DRAIN_SENDING_FRACTION * time_limit)
 
+    def _log_drain_step(self, step: str, started_at: datetime) -> None:
+        log_event(
+            Level.INFO,
+            "drain step",
+            host=self._settings.name,
+            step=step,
+            **self._measure_drain(started_at),
+        )
+
+    def _measure_drain(self, started_at: datetime) -> dict[str, object]:
+        """Return the age of a drain and what is in progress, for logs."""
+        return {
+            "duration": self._clock.now() - started_at,
+            "requests": self._ingress.pending_request_count,
+            "calls": self._executor.call_count,
+            "connections": len(self._http_server.connections),
+        }
+
     def _refuse_unfinished(self) -> None:
         """Refuse what is still in progress at the end of a drain.
 
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -218,6 +218,8 @@
         self._reading_paused = False
         self._phase_started_at = server.last_swept_at
         self._reading = False
+        # Why the connection ended, for logs.
+        self.end_cause = ""
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -249,7 +251,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler of the disconnect."""
-        del exc
+        if exc is not None:
+            self.end_cause = type(exc).__name__
         self._server.connections.discard(self)
         self._waiting.clear()
         self._reset_request()
@@ -260,6 +263,7 @@
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed ones are not supported."""
+        self.end_cause = "end of stream"
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -617,6 +621,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
+        self.end_cause = "aborted"
         self._transport.abort()
 
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -661,6 +661,7 @@
             "request cancelled; its connection was closed",
             request_id=pending.request_id,
             route=pending.route.name if pending.route else "",
+            cause=pending.request.connection.end_cause,
             may_have_run=(
                 pending.may_have_run or pending.cancel_attempt is not None
             ),
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -6,18 +6,24 @@
 import signal
 import sys
 from collections.abc import Callable
+from datetime import timedelta
 from pathlib import Path
 from typing import Final, Protocol, TypeVar
 
 import uvloop
 
 from sequoiaseam._logs import Level, configure_logging, log_event
+from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import SeamError
 
 EXIT_SETTINGS_INVALID: Final = 2
 EXIT_STARTUP_FAILED: Final = 3
 HANDLED_SIGNALS: Final = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 GC_THRESHOLDS: Final = (20_000, 20, 50)
+LAG_CHECK_INTERVAL: Final = timedelta(milliseconds=100)
+# Callers may notice an event loop that is this late. Shorter delays are
+# common on a busy machine.
+LAG_LOGGED_MIN: Final = timedelta(milliseconds=200)
 
 
 class Service(Protocol):
@@ -68,6 +74,18 @@
         )
 
 
+async def log_lag(name: str) -> None:
+    """Log each time at which the event loop was late."""
+    loop = asyncio.get_running_loop()
+    interval = LAG_CHECK_INTERVAL.total_seconds()
+    while True:
+        expected_at = loop.time() + interval
+        await asyncio.sleep(interval)
+        lag = timedelta(seconds=loop.time() - expected_at)
+        if lag >= LAG_LOGGED_MIN:
+            log_event(Level.WARNING, "event loop late", host=name, lag=lag)
+
+
 async def run_service(service: Service, name: str) -> None:
     """Run until SIGTERM or SIGINT, then drain and close.
 
@@ -87,6 +105,8 @@
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    monitoring = TaskGroup()
+    monitoring.start(log_lag(name))
     if await _start(service, stop_requested):
         # Objects allocated during startup are long-lived. Excluding them
         # from later collections shortens the pauses that add to tail
@@ -101,6 +121,7 @@
         await service.drain()
     finally:
         await service.close()
+        await monitoring.cancel()
     log_event(Level.INFO, "stopped", host=name)
 
 
