Add failing tests of requests that a stop resets unread

Cause: a stop closes idle connections and its listener although requests wait there in the kernel, which then resets the connections. While an event loop is late by tenths of a second, as on a machine whose processor is short, a caller sees its request, sent long before, end without an answer.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import socket
 import sys
 import unittest
 from collections.abc import Callable
@@ -27,6 +28,7 @@
     HostCluster,
     ReceivedRequest,
     Response,
+    echo_body,
     format_request,
     read_response,
 )
@@ -204,6 +206,85 @@
         self.assertEqual(statuses.count(200), self.count_runs(cluster))
 
 
+class UnreadRequestTest(DrainTestCase):
+    """Guards against requests that a stop resets before they are read.
+
+    While the event loop is behind, as on a busy machine, requests wait in
+    the kernel, also those on connections that it has yet to accept.
+    """
+
+    def open_connection(self, cluster: HostCluster) -> socket.socket:
+        """Connect to the first node without letting the event loop run."""
+        connection = socket.create_connection((LOCALHOST, cluster.ports[0]))
+        self.addCleanup(connection.close)
+        return connection
+
+    async def read_responses(self, connection: socket.socket) -> list[int]:
+        """Return the statuses of all responses up to the close."""
+        reader, writer = await asyncio.open_connection(sock=connection)
+        self.addCleanup(writer.close)
+        statuses = []
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while True:
+                try:
+                    statuses.append((await read_response(reader)).status)
+                except asyncio.IncompleteReadError:
+                    return statuses
+
+    async def send_at_the_last_check(
+        self, cluster: HostCluster, *, accepted: bool
+    ) -> list[int]:
+        """Stop the node; a request arrives as it checks for work at the end.
+
+        Its connection has been accepted before or not. Return the statuses
+        of all responses.
+        """
+        node = cluster.nodes[0]
+        connections: list[socket.socket] = []
+        original_is_busy = node._is_busy
+        sent = False
+
+        def is_busy() -> bool:
+            nonlocal sent
+            if sent or not node._ingress.closing:
+                return original_is_busy()
+            if not connections:
+                connections.append(self.open_connection(cluster))
+                if accepted:
+                    return True
+            connections[0].sendall(format_request("/read/1"))
+            sent = True
+            return original_is_busy()
+
+        with patch.object(node, "_is_busy", is_busy):
+            await self.stop(cluster)
+        return await self.read_responses(connections[0])
+
+    async def test_a_request_on_a_connection_that_is_closed_as_idle(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster(echo_body)
+        server = cluster.nodes[0]._http_server
+        connection = self.open_connection(cluster)
+        await self.wait_until(lambda: server.connections)
+        connection.sendall(format_request("/read/1"))
+        server.closing = True
+        server.close_idle()
+        self.assertEqual(await self.read_responses(connection), [200])
+
+    async def test_a_request_at_the_last_check(self) -> None:
+        cluster = await self.start_cluster(echo_body)
+        statuses = await self.send_at_the_last_check(cluster, accepted=True)
+        self.assertEqual(statuses, [503])
+
+    async def test_a_request_on_a_connection_that_is_not_accepted(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster(echo_body)
+        statuses = await self.send_at_the_last_check(cluster, accepted=False)
+        self.assertEqual(statuses, [503])
+
+
 class LateNestedCallTest(DrainTestCase):
     """Guards against nested calls that are sent as their node closes."""
 
