Answer requests that wait in the kernel when a stop closes connections

Callers saw: a request on a kept connection, or on one that the process hadn't accepted yet, ended with a reset over 0.2 s after it had been sent, around a stop. Cause: a stop closed idle connections and the listener by what the event loop had read; what the kernel held was reset. The longer a loop is late, the more requests wait there. Class: a decision to close that looks only at what the process has read. Change: a connection that is idle, or the listener, counts as busy while it has unread input; close_idle and the idle timeout leave it open; at the end of a drain all that is read is refused until nothing is unread, in the same step as the end of accepting. Why it works: the check asks the kernel in the step of the close, so only what arrives after it can cross.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -243,10 +243,12 @@
             host=self._settings.name,
             **self._measure_drain(started_at),
         )
+        self._refuse_unfinished()
+        # Requests that waited in the kernel until now are read and refused.
+        await self._wait_idle(started_at + DRAIN_SENDING_FRACTION * time_limit)
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
-        self._refuse_unfinished()
         self._http_server.stop_accepting()
         self._quota_gate.close()
         if self._create_member().leaving_server is None:
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -7,8 +7,9 @@
 
 import asyncio
 import re
+import select
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Any, Final, Protocol
@@ -156,19 +157,40 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request or a response is in progress."""
-        return any(connection.busy for connection in self.connections)
+        """Return whether a request or a response is in progress.
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        A request may also wait in the kernel, on an idle connection or one
+        that isn't accepted yet.
+        """
+        if any(connection.busy for connection in self.connections):
+            return True
+        descriptors = set(self._list_idle())
+        if self._accepting and self._listener is not None:
+            descriptors.add(self._listener.server.sockets[0].fileno())
+        return bool(find_readable(descriptors))
+
+    def _list_idle(self) -> "dict[int, ServerConnection]":
+        """Return the connections without a request, by file descriptor."""
+        return {
+            connection.descriptor: connection
+            for connection in self.connections
+            if connection.idle
+        }
 
-    def stop_accepting(self) -> None:
-        """Stop listening, and close the idle connections.
+    def close_idle(self) -> None:
+        """Close the connections without a request.
 
-        Callers may repeat a request that they sent but that was not read.
+        Those with input that isn't read yet stay open: the kernel would
+        reset them, although the caller may have sent a request long ago.
         """
+        idle_connections = self._list_idle()
+        unread = find_readable(idle_connections)
+        for descriptor, connection in idle_connections.items():
+            if descriptor not in unread:
+                connection.close_if_idle()
+
+    def stop_accepting(self) -> None:
+        """Stop listening, and close the idle connections."""
         self._accepting = False
         if self._listener is not None:
             self._listener.server.close()
@@ -241,6 +263,16 @@
             or self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def idle(self) -> bool:
+        """Return whether the connection waits for a request."""
+        return not self.busy and not self._ended
+
+    @property
+    def descriptor(self) -> int:
+        """Return the file descriptor of the socket."""
+        return int(self._transport.get_extra_info("socket").fileno())
+
     # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -611,12 +643,12 @@
                 self._refuse(
                     MalformedRequestError(408, "request not received in time")
                 )
-        elif age > limits.idle_time:
+        elif age > limits.idle_time and not find_readable((self.descriptor,)):
             self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not self.busy and not self._ended:
+        if self.idle:
             self._close()
 
     def abort(self) -> None:
@@ -625,6 +657,17 @@
         self._transport.abort()
 
 
+def find_readable(descriptors: Iterable[int]) -> frozenset[int]:
+    """Return those of the file descriptors that have unread input.
+
+    An end of the stream counts as input, and so does a new connection.
+    """
+    poll = select.poll()
+    for descriptor in descriptors:
+        poll.register(descriptor, select.POLLIN)
+    return frozenset(descriptor for descriptor, _ in poll.poll(0))
+
+
 def check_framing(fields: HeaderFields, version: str) -> int:
     """Return the Content-Length, or 0; reject ambiguous requests.
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,11 +1,13 @@
 """Tests of the HTTP/1.1 server for callers."""
 
 import asyncio
+import os
 import re
 import unittest
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
+from unittest.mock import Mock
 
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_server import (
@@ -32,6 +34,10 @@
 )
 
 
+# Stands for the socket of fake transports. It never has unread input.
+IDLE_DESCRIPTOR: Final = os.pipe()[0]
+
+
 class FakeTransport:
     """A transport that records what is written.
 
@@ -64,6 +70,11 @@
         """Return 0, as everything counts as sent at once."""
         return 0
 
+    def get_extra_info(self, name: str) -> Any:
+        """Return a socket without unread input."""
+        del name
+        return Mock(fileno=lambda: IDLE_DESCRIPTOR)
+
     abort = close
 
 
@@ -838,6 +849,31 @@
         self.assertEqual(len(recorder.requests), 1)
 
 
+class UnreadRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against idle timeouts that reset a request that waits unread.
+
+    While the event loop is late, requests wait in the kernel.
+    """
+
+    async def test_a_request_as_the_idle_timeout_ends_is_answered(
+        self,
+    ) -> None:
+        server = HttpServer(ProcessClock(), RequestRecorder(responds=True))
+        port = await server.start(LOCALHOST, 0, 1)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not server.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            (connection,) = server.connections
+            writer.write(GET_LINE + HOST_FIELD + CRLF)
+            connection.check_timeout(
+                server.clock.now() + 2 * server.limits.idle_time
+            )
+            self.assertTrue(await reader.readuntil(b"whole"))
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
