--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """One soak: a fleet, its load and the actions of a schedule."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -97,6 +98,7 @@
         self._callers: list[Caller] = []
         self._relays: dict[str, FaultRelay] = {}
         self._longest_stop = 0.0
+        self._sending_ends_at = math.inf
         self._notes: list[str] = []
 
     def _create_rng(self, name: str) -> random.Random:
@@ -195,6 +197,7 @@
                     await asyncio.sleep(max(0.0, wait))
                     actions.create_task(self._perform(action))
             await self._wait_until_served("after all")
+            self._sending_ends_at = self._record.now()
             for caller in self._callers:
                 caller.stopping = True
             await asyncio.gather(*senders)
@@ -216,7 +219,7 @@
             if call.served and not call.nested
         ]
         start = self._record.started_at
-        while start + WINDOW_SECONDS < self._record.now():
+        while start + WINDOW_SECONDS < self._sending_ends_at:
             calm = {
                 address
                 for address in (*NODES, *CONTROL_ADDRESSES)
