Test that the soak notices what real processes lose on purpose

A checker that has never reported a loss is no evidence. Four ways: a process is killed in place of a planned stop (cut requests), its routes have a shorter timeout than callers and servers know (runs broken off with an answer of the node's own), and a stand-in that acknowledges edits returns an older one, or none.

--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -108,7 +108,7 @@
                 )
                 return answers[-1][0] == 200
 
-            await wait_until(is_read)
+            await wait_until(is_read, WAIT_SECONDS)
             if answers[-1] != (200, self._document):
                 self._record.fail(
                     f"{control} returns {answers[-1]!r} and not the last "
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,145 @@
+"""Tests that the soak notices each way in which something can be lost.
+
+The real programs lose it on purpose here, or a stand-in does.
+"""
+
+import asyncio
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+from typing import Final
+from unittest.mock import patch
+
+import aiohttp
+from aiohttp import web
+
+from tests.soak.operator import Operator
+from tests.soak.record import Record
+from tests.soak.run import Soak
+from tests.soak.schedule import Action, Kind, Schedule
+
+LOOPBACK: Final = "127.0.0.1"
+NODE: Final = "127.0.2.3"
+# Callers send during this time before the stop.
+CALM_SECONDS: Final = 2.0
+# Shorter than some runs of the soak take.
+SHORT_TIMEOUT_SECONDS: Final = 0.5
+PLAY_SECONDS_MAX: Final = 120.0
+SEED: Final = 1
+
+
+class KillingSoak(Soak):
+    """A soak that kills a process where it should stop it as planned."""
+
+    async def _stop(self, action: Action) -> None:
+        process = self._fleet.processes[action.address]
+        process.kill()
+        await process.wait()
+        await self._restart(action.address, 0)
+
+
+class ImpatientSoak(Soak):
+    """A soak whose routes have a shorter timeout than its callers know."""
+
+    async def _start(self) -> None:
+        build_document = self._operator._build_document
+
+        def build_impatient_document(version: int) -> bytes:
+            document = json.loads(build_document(version))
+            for route in document["routes"].values():
+                route["timeout-s"] = SHORT_TIMEOUT_SECONDS
+            return json.dumps(document).encode()
+
+        with patch.object(
+            self._operator, "_build_document", build_impatient_document
+        ):
+            await super()._start()
+
+
+class LossTest(unittest.TestCase):
+    """Guards against a soak that misses what the real programs lose."""
+
+    def run_soak(self, create: type[Soak]) -> str:
+        """Run a soak with one planned stop; return its failures."""
+        schedule = Schedule(
+            planned_only=True,
+            actions=(Action(CALM_SECONDS, Kind.STOP, NODE, 0),),
+        )
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            patch("tests.soak.run.build_schedule", return_value=schedule),
+        ):
+            return asyncio.run(self.play(create, Path(folder)))
+
+    async def play(self, create: type[Soak], folder: Path) -> str:
+        """Run a soak in this event loop; return its failures."""
+        async with asyncio.timeout(PLAY_SECONDS_MAX):
+            report = await create(SEED, CALM_SECONDS, folder).run()
+        return "\n".join(report.failures)
+
+    def test_nothing_is_lost_in_a_planned_stop(self) -> None:
+        self.assertEqual(self.run_soak(Soak), "")
+
+    def test_requests_that_a_killed_process_cuts(self) -> None:
+        self.assertIn("got no answer", self.run_soak(KillingSoak))
+
+    def test_runs_that_a_node_breaks_off_with_an_answer_of_its_own(
+        self,
+    ) -> None:
+        self.assertIn("answer was replaced", self.run_soak(ImpatientSoak))
+
+
+class ReadBackTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak that misses a lost configuration."""
+
+    async def asyncSetUp(self) -> None:
+        self.documents: list[bytes] = []
+        app = web.Application()
+        app.router.add_post("/sequoiaseam/rpc", self.handle_call)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        site = web.TCPSite(runner, LOOPBACK, 0)
+        await site.start()
+        (address,) = runner.addresses
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        self.record = Record()
+        self.operator = Operator(
+            self.record, Random(SEED), session, (LOOPBACK,), address[1]
+        )
+
+    async def handle_call(self, request: web.Request) -> web.Response:
+        """Acknowledge each edit; return the last one that is kept."""
+        if request.query["call"] == "configuration.put":
+            document = await request.read()
+            if document not in self.documents:
+                self.documents.append(document)
+            return web.Response()
+        if not self.documents:
+            return web.Response(status=503)
+        return web.Response(body=self.documents[-1])
+
+    async def edit_and_lose(self, kept: int) -> str:
+        """Make two edits, of which only the first ones are kept."""
+        await self.operator.edit()
+        await self.operator.edit()
+        del self.documents[kept:]
+        with patch("tests.soak.operator.WAIT_SECONDS", 1.0):
+            await self.operator.check_read_back()
+        return "\n".join(self.record.failures)
+
+    async def test_the_last_edit_is_read_back(self) -> None:
+        self.assertEqual(await self.edit_and_lose(2), "")
+
+    async def test_an_older_edit_is_read_back(self) -> None:
+        self.assertIn("not the last", await self.edit_and_lose(1))
+
+    async def test_nothing_is_read_back(self) -> None:
+        self.assertIn("not the last", await self.edit_and_lose(0))
+
+
+if __name__ == "__main__":
+    unittest.main()
