Keep, lose or tear each unsynced write and name on simulated disks

Cause: the simulated disk restored the folder's listing as of one moment and kept a prefix of the unsynced data. A platform's disk may keep each name that was created, renamed or removed without a sync of the folder, and each write since the last sync, independently of the others; at some losses of power none of them is kept. Change: files keep their unsynced writes, the folder its unsynced names; a crash decides for each. On half of the disks the sync of a new file makes its name durable as well. copy_durable returns a disk with only what is durable; ignores_sync makes a disk that reports syncs it doesn't do, for tests of the checks.

--- a/tests/replica_fakes.py
+++ b/tests/replica_fakes.py
@@ -26,25 +26,48 @@
 class FakeFile:
     """Current contents of a file and its contents at the last sync.
 
+    ``unsynced_writes`` has the offset and data of each write since then.
     After a failed sync, no later sync makes the contents durable,
     because an operating system may mark the lost pages as written.
     """
 
-    def __init__(self) -> None:
-        self.data = b""
-        self.durable = b""
+    def __init__(self, durable: bytes = b"") -> None:
+        self.data = durable
+        self.durable = durable
+        self.unsynced_writes: list[tuple[int, bytes]] = []
         self.sync_failed = False
 
+    def write(self, data: bytes) -> None:
+        """Append data that isn't durable yet."""
+        self.unsynced_writes.append((len(self.data), data))
+        self.data += data
+
+    def make_durable(self) -> None:
+        """Make the contents durable, as a sync does."""
+        self.durable = self.data
+        self.unsynced_writes = []
+
 
 class FakeDisk:
-    """File system that loses unsynced data when ``crash`` is called."""
+    """File system that loses unsynced data when ``crash`` is called.
+
+    Each unsynced write is then kept, lost or torn, and each name that was
+    created or removed without a sync of the folder is kept or lost, each
+    independently of the others.
+    """
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
         self.files: dict[str, FakeFile] = {}
-        self.listing_history: list[dict[str, FakeFile]] = [{}]
+        self.durable_names: dict[str, FakeFile] = {}
+        # The file of each name changed since then, None if it was removed.
+        self.unsynced_names: list[tuple[str, FakeFile | None]] = []
         # Called before each operation; may raise OSError or CrashError.
         self.fault: Callable[[str], object] = str
+        # Whether the sync of a new file makes its name durable too.
+        self.sync_covers_name = rng.random() < 0.5
+        # Returns whether to report a sync of the path without doing it.
+        self.ignores_sync: Callable[[str], bool] = lambda _path: False
 
     def make_folder(self, _folder: str) -> None:
         self.fault("make_folder")
@@ -57,15 +80,14 @@
 
     def append(self, path: str, data: bytes) -> None:
         if path not in self.files:
-            self.files[path] = FakeFile()
-            self.listing_history.append(dict(self.files))
+            self._set_name(path, FakeFile())
         file = self.files[path]
         try:
             self.fault("append")
         except (OSError, CrashError):
-            file.data += data[: self.rng.randrange(len(data) + 1)]
+            file.write(data[: self.rng.randrange(len(data) + 1)])
             raise
-        file.data += data
+        file.write(data)
 
     def sync(self, path: str) -> None:
         file = self.files[path]
@@ -74,39 +96,94 @@
         except OSError:
             file.sync_failed = True
             raise
-        if not file.sync_failed:
-            file.durable = file.data
+        if self.ignores_sync(path) or file.sync_failed:
+            return
+        file.make_durable()
+        if self.sync_covers_name and path not in self.durable_names:
+            self.durable_names[path] = file
+            self.unsynced_names = [
+                change for change in self.unsynced_names if change[0] != path
+            ]
 
     def rename(self, old: str, new: str) -> None:
         self.fault("rename")
-        self.files[new] = self.files.pop(old)
-        self.listing_history.append(dict(self.files))
+        file = self.files[old]
+        self._set_name(new, file)
+        self._set_name(old, None)
 
     def remove(self, path: str) -> None:
         self.fault("remove")
-        del self.files[path]
-        self.listing_history.append(dict(self.files))
+        self._set_name(path, None)
 
     def sync_folder(self, _folder: str) -> None:
         self.fault("sync_folder")
-        self.listing_history = [dict(self.files)]
+        self.durable_names = dict(self.files)
+        self.unsynced_names = []
 
     def crash(self) -> None:
-        """Lose a random part of the unsynced data."""
-        self.files = dict(self.rng.choice(self.listing_history))
-        self.listing_history = [dict(self.files)]
-        for file in self.files.values():
-            self._tear_unsynced_data(file)
-
-    def _tear_unsynced_data(self, file: FakeFile) -> None:
-        tail = file.data[len(file.durable) :]
-        tail = tail[: self.rng.randrange(len(tail) + 1)]
-        if tail and self.rng.random() < 0.5:
-            zeroed_from = self.rng.randrange(len(tail))
-            tail = tail[:zeroed_from] + b"\0" * (len(tail) - zeroed_from)
-        file.data = file.durable + tail
-        file.durable = file.data
-        file.sync_failed = False
+        """Lose a random part of the unsynced data and names.
+
+        At some losses of power all unsynced data is lost.
+        """
+        loses_all = self.rng.random() < 0.3
+        self.files = dict(self.durable_names)
+        for path, file in self.unsynced_names:
+            if self.rng.random() < 0.5:
+                self._assign_name(self.files, path, file)
+        self.durable_names = dict(self.files)
+        self.unsynced_names = []
+        for file in dict.fromkeys(self.files.values()):
+            if not loses_all:
+                self._keep_some_writes(file)
+            file.data = file.durable
+            file.unsynced_writes = []
+            file.sync_failed = False
+
+    def copy_durable(self) -> "FakeDisk":
+        """Return a disk with only what is durable on this one."""
+        disk = FakeDisk(random.Random(0))
+        disk.files = {
+            path: FakeFile(file.durable)
+            for path, file in self.durable_names.items()
+        }
+        disk.durable_names = dict(disk.files)
+        return disk
+
+    def _set_name(self, path: str, file: FakeFile | None) -> None:
+        self._assign_name(self.files, path, file)
+        self.unsynced_names.append((path, file))
+
+    @staticmethod
+    def _assign_name(
+        names: dict[str, FakeFile], path: str, file: FakeFile | None
+    ) -> None:
+        if file is None:
+            names.pop(path, None)
+        else:
+            names[path] = file
+
+    def _keep_some_writes(self, file: FakeFile) -> None:
+        """Keep, lose or tear each unsynced write; fill gaps with zeros."""
+        data = bytearray(file.durable)
+        for offset, written in file.unsynced_writes:
+            kept = self._tear(written)
+            if kept:
+                data.extend(bytes(max(0, offset - len(data))))
+                data[offset : offset + len(kept)] = kept
+        file.durable = bytes(data)
+
+    def _tear(self, written: bytes) -> bytes:
+        """Return what is kept of a write: all, nothing or a part."""
+        outcome = self.rng.random()
+        if outcome < 0.25:
+            return written
+        if outcome < 0.5:
+            return b""
+        kept = written[: self.rng.randrange(len(written) + 1)]
+        if kept and self.rng.random() < 0.5:
+            zeroed_from = self.rng.randrange(len(kept))
+            kept = kept[:zeroed_from] + bytes(len(kept) - zeroed_from)
+        return kept
 
 
 class FakeHost:
