--- a/src/sequoiaseam/_journal.py
+++ b/src/sequoiaseam/_journal.py
@@ -380,8 +380,16 @@
         keep = {self._log_file_name}
         if self._snapshot_reference is not None:
             keep.add(self._snapshot_reference.name)
-        for name in names:
-            if name not in keep and name.startswith(
-                (LOG_FILE_PREFIX, SNAPSHOT_FILE_PREFIX),
-            ):
-                self._files.remove(self._build_path(name))
+        stale = [
+            name
+            for name in names
+            if name not in keep
+            and name.startswith((LOG_FILE_PREFIX, SNAPSHOT_FILE_PREFIX))
+        ]
+        if stale:
+            # The process may have been killed, or have had a disk error,
+            # between a rename and the sync of the folder. The stale files
+            # are then all that a loss of power would leave.
+            self._files.sync_folder(self._folder)
+        for name in stale:
+            self._files.remove(self._build_path(name))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,8 +1,11 @@
 """Tests of the journal with crashes, torn writes and disk errors."""
 
+import contextlib
+import itertools
 import random
 import tempfile
 import unittest
+from collections.abc import Callable
 
 from sequoiaseam._files import DiskFileSystem
 from sequoiaseam._journal import FRAME_HEADER, FRAME_MAGIC, Journal
@@ -189,6 +192,55 @@
         )
         reopen(self.disk)
 
+    def test_interrupted_starts_keep_synced_records(self) -> None:
+        """Guard against a start that removes what isn't replaced for good.
+
+        Each start ends at a random operation, by a kill, a loss of power
+        or a disk error, and the next one finds what it left behind.
+        """
+        for seed in range(600):
+            with self.subTest(seed=seed):
+                self.interrupt_starts(random.Random(seed))
+
+    def interrupt_starts(self, rng: random.Random) -> None:
+        """Interrupt a write and some starts; check the restored state."""
+        self.disk = FakeDisk(rng)
+        self.journal = Journal("data", self.disk)
+        self.journal.open(lambda: "first")
+        self.journal.append((HardState(2), make_entries(1, 4)))
+        if rng.random() < 0.5:
+            self.journal.save_snapshot(make_snapshot(2))
+        actions: list[Callable[[], object]] = [
+            lambda: self.journal.save_snapshot(make_snapshot(4))
+        ]
+        actions += [lambda: reopen(self.disk)] * rng.randint(1, 3)
+        for action in actions:
+            self.interrupt(action, rng.randrange(14), rng)
+        self.disk.crash()
+        restored = reopen(self.disk)
+        self.assertEqual("first", restored.identity)
+        self.assertEqual(HardState(2), restored.hard_state)
+        snapshot_index = restored.snapshot.index if restored.snapshot else 0
+        self.assertEqual(4, snapshot_index + len(restored.entries))
+
+    def interrupt(
+        self, action: Callable[[], object], step: int, rng: random.Random
+    ) -> None:
+        """Fail one operation of the disk, and perhaps lose power."""
+        remaining = itertools.count(step, -1)
+        error = rng.choice((CrashError(), OSError(5, "Input/output error")))
+
+        def fail(_operation: str) -> None:
+            if not next(remaining):
+                raise error
+
+        self.disk.fault = fail
+        with contextlib.suppress(CrashError, SeamError):
+            action()
+        self.disk.fault = str
+        if rng.random() < 0.4:
+            self.disk.crash()
+
     def test_empty_folder_gets_a_new_identity(self) -> None:
         """Guard against a wiped replica that votes under its old identity."""
         self.assertEqual("first", reopen(self.disk).identity)
