Move find_readable to a module of its own

The links between nodes and the client for backend servers need it as well. No behaviour changes; tests.test_http_server and tests.test_docs pass.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -7,9 +7,8 @@
 
 import asyncio
 import re
-import select
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Any, Final, Protocol
@@ -21,6 +20,7 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._unread_input import find_readable
 
 HeaderFields = list[tuple[bytes, bytes]]
 
@@ -657,17 +657,6 @@
         self._transport.abort()
 
 
-def find_readable(descriptors: Iterable[int]) -> frozenset[int]:
-    """Return those of the file descriptors that have unread input.
-
-    An end of the stream counts as input, and so does a new connection.
-    """
-    poll = select.poll()
-    for descriptor in descriptors:
-        poll.register(descriptor, select.POLLIN)
-    return frozenset(descriptor for descriptor, _ in poll.poll(0))
-
-
 def check_framing(fields: HeaderFields, version: str) -> int:
     """Return the Content-Length, or 0; reject ambiguous requests.
 
