Keep connections to other nodes that only a late loop takes for silent

Callers saw: 502 for all requests that a node had sent to another node, although their servers were at work, after the node had been late or suspended for over 2.5 s. Cause: MeshLink.tick compared the time of the last data that was read with its own clock. A late loop reads nothing and sends no pings, so its first tick found the connection unresponsive while the answers waited in the kernel; a call that followed an idle tick hadn't even been pinged for. Change: SilenceTimer counts a late check as one interval, and a connection with unread data isn't closed. Why it works: a verdict then needs three ticks with a ping each, and the loop reads between them; the kernel is asked in the step of the close.

Evidence: tests.test_mesh.LateLoopTest (2 tests) failed before, with the connection aborted, and passes; tests.test_mesh and tests.test_containment pass (24).

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -32,7 +32,9 @@
     encode_frame,
 )
 from sequoiaseam._settings import Endpoint
+from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._unread_input import has_unread_input
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode
 
@@ -156,6 +158,13 @@
         """Return the posted frames of which nothing was written."""
         return self._outgoing_frames
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether data waits in the kernel for the event loop."""
+        return self._transport is not None and has_unread_input(
+            self._transport
+        )
+
     @property
     def has_unsent_data(self) -> bool:
         """Return whether posted frames are not yet in the socket's buffer."""
@@ -203,7 +212,9 @@
         self._unsent: dict[int, RunCall] = {}
         self._next_id = 0
         self._ping_count = 0
-        self._last_activity = clock.now()
+        self._silence = SilenceTimer(
+            clock.now(), CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+        )
         self._last_call_at = clock.now()
 
     def call(self, call: RunCall, on_result: ResultCallback) -> int:
@@ -267,7 +278,7 @@
         else:
             self._connection = connection
             self._unreachable = self._peer_leaves = False
-            self._last_activity = self._clock.now()
+            self._silence.restart(self._clock.now())
             self._on_reachability_change(True)  # noqa: FBT003
             unsent, self._unsent = self._unsent, {}
             for call in unsent.values():
@@ -346,10 +357,10 @@
         if connection.received_data:
             # Any received data proves as much as a returned ping.
             connection.received_data = False
-            self._last_activity = now
+            self._silence.restart(now)
             if not self._pending:
                 return
-        elif now - self._last_activity > CONNECTION_TIMEOUT:
+        elif self._silence.check(now) and not connection.has_unread_data:
             log_event(
                 Level.WARNING,
                 "closing unresponsive connection to node",
--- a/src/sequoiaseam/_unread_input.py
+++ b/src/sequoiaseam/_unread_input.py
@@ -6,6 +6,7 @@
 
 import select
 from collections.abc import Iterable
+from typing import Any
 
 
 def find_readable(descriptors: Iterable[int]) -> frozenset[int]:
@@ -17,3 +18,9 @@
     for descriptor in descriptors:
         poll.register(descriptor, select.POLLIN)
     return frozenset(descriptor for descriptor, _ in poll.poll(0))
+
+
+def has_unread_input(transport: Any) -> bool:
+    """Return whether a transport's socket has unread input."""
+    socket = transport.get_extra_info("socket")
+    return bool(find_readable((socket.fileno(),)))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,7 @@
 """Tests of the links between nodes."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Callable
 from datetime import timedelta
@@ -35,6 +36,9 @@
     *(Importance.NORMAL, 1.0, 10, 1000, False, True, False),
 )
 
+# Stands for the socket of fake transports. It never has unread input.
+IDLE_SOCKET, IDLE_PEER_SOCKET = socket.socketpair()
+
 
 class RecordingTransport:
     """A transport that records what is written and whether it is aborted."""
@@ -42,6 +46,7 @@
     def __init__(self) -> None:
         self.aborted = False
         self.written = b""
+        self.socket = IDLE_SOCKET
 
     def write(self, data: bytes) -> None:
         self.written += data
@@ -49,6 +54,11 @@
     def abort(self) -> None:
         self.aborted = True
 
+    def get_extra_info(self, name: str) -> socket.socket:
+        """Return the socket, of which nothing is read."""
+        assert name == "socket"
+        return self.socket
+
 
 class RecordingConnection(FrameConnection):
     """A connection that records the frames to send."""
@@ -149,6 +159,33 @@
         self.assertEqual(harness.connecting_count, 1)
 
 
+class LateLoopTest(unittest.TestCase):
+    """Guards against calls lost because this node's event loop is late.
+
+    The other node is at work on them, and its answers wait in the kernel.
+    """
+
+    def test_a_late_check_is_no_proof_of_silence(self) -> None:
+        """Delay the loop between a call and the first ping after it."""
+        harness = OpenLink()
+        harness.run_ticks(3 * CONNECTION_PING_INTERVAL)
+        harness.connection.received_data = False
+        harness.link.call(CALL, lambda _: None)
+        harness.link.tick(harness.clock.advance(2 * CONNECTION_TIMEOUT))
+        self.assertFalse(harness.transport.aborted)
+        self.assertIsInstance(harness.connection.posted[-1], MeshPing)
+
+    def test_a_connection_with_unread_data_is_not_silent(self) -> None:
+        harness = OpenLink()
+        harness.link.call(CALL, lambda _: None)
+        harness.transport.socket, peer_socket = socket.socketpair()
+        self.addCleanup(harness.transport.socket.close)
+        self.addCleanup(peer_socket.close)
+        peer_socket.send(b"an echo")
+        harness.run_ticks(2 * CONNECTION_TIMEOUT, echo=False)
+        self.assertFalse(harness.transport.aborted)
+
+
 class RemovedMemberTest(unittest.IsolatedAsyncioTestCase):
     """Guards against calls without a result when a member is removed."""
 
