Keep the control host that only a late loop takes for silent

Seen by operators: a node that was late or suspended left a healthy control host for another, and had no lease until it was attached again. Cause: _monitor compared the time of the last pong that was read with its own clock; pings and pongs that a late loop has yet to send and read count as silence. Change: the SilenceTimer, which counts a late check as one interval. Why it works: a verdict needs three checks with a ping each.

Evidence: test_stays_attached_after_its_event_loop_was_late failed before (2 attachments) and passes; test_leaves_a_host_that_is_silent, a new test of what has to stay, passes before and after. tests.test_uplink, test_docs and test_host_node pass.

--- a/src/sequoiaseam/_uplink.py
+++ b/src/sequoiaseam/_uplink.py
@@ -14,6 +14,7 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._rpc import Channel, Stream, StreamEndedError
 from sequoiaseam._settings import Endpoint
+from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import (
     ATTACH_TIMEOUT,
@@ -64,7 +65,9 @@
         self._attached_host: str | None = None
         self._preferred_hosts: frozenset[str] = frozenset()
         self._preferred_tried_at = clock.now() - PREFERRED_HOST_RETRY_INTERVAL
-        self._last_pong_at = clock.now()
+        self._silence = SilenceTimer(
+            clock.now(), NODE_PING_INTERVAL, UPLINK_TIMEOUT
+        )
         self._attached_at = clock.now()
         self._confirmation_age = timedelta(0)
 
@@ -167,7 +170,8 @@
             async with asyncio.timeout(timeout_seconds):
                 await stream.send_message(self._hooks.create_hello())
             self._queue = asyncio.Queue(MAX_QUEUED_MESSAGES)
-            self._last_pong_at = self._attached_at = self._clock.now()
+            self._attached_at = self._clock.now()
+            self._silence.restart(self._attached_at)
             self._confirmation_age = timedelta(0)
             self._attached_host = name
             log_event(Level.INFO, "control host attached", control=name)
@@ -181,7 +185,7 @@
     async def _receive_messages(self, stream: Stream) -> None:
         async for message in stream:
             if isinstance(message, Pong):
-                self._last_pong_at = self._clock.now()
+                self._silence.restart(self._clock.now())
                 self._confirmation_age = message.age
             self._hooks.handle_message(message)
             if self._is_outdated():
@@ -226,6 +230,5 @@
                 raise TimeoutError
             if done or self._should_switch_host():
                 return
-            silence = self._clock.now() - self._last_pong_at
-            if silence > UPLINK_TIMEOUT:
+            if self._silence.check(self._clock.now()):
                 raise TimeoutError
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from sequoiaseam._access import Identity, TrustedNetwork
-from sequoiaseam._clock import ProcessClock
+from sequoiaseam._clock import Clock, ProcessClock
 from sequoiaseam._commands import Member, MemberState
 from sequoiaseam._control_messages import (
     ATTACH_PATH,
@@ -28,7 +28,7 @@
     Uplink,
     UplinkHooks,
 )
-from sequoiaseam.const import NODE_PING_INTERVAL
+from sequoiaseam.const import NODE_PING_INTERVAL, UPLINK_TIMEOUT
 from tests.hosts import LOCALHOST
 
 WAIT_LIMIT_SECONDS: Final = 20.0
@@ -49,11 +49,24 @@
     return Ping(now, 0)
 
 
+class SuspendedClock:
+    """A process clock after a time in which the process didn't run."""
+
+    def __init__(self) -> None:
+        self._clock = ProcessClock()
+        self.suspension = timedelta(0)
+
+    def now(self) -> datetime:
+        """Return the time including the suspension."""
+        return self._clock.now() + self.suspension
+
+
 class ScriptedControlHost:
     """A control host that answers pings with a confirmation of any age."""
 
     def __init__(self) -> None:
         self.confirmation_age = timedelta(0)
+        self.answers = True
         self.attached = asyncio.Event()
         self.attached_count = 0
         self._server = RpcServer(
@@ -77,7 +90,7 @@
         self.attached_count += 1
         self.attached.set()
         async for message in stream:
-            if isinstance(message, Ping):
+            if isinstance(message, Ping) and self.answers:
                 await stream.send_message(
                     Pong(message.sent, 0, self.confirmation_age)
                 )
@@ -96,13 +109,16 @@
             self.addAsyncCleanup(control.close)
 
     async def start_uplink(
-        self, *names: str, handle_message: Any = lambda _: None
+        self,
+        *names: str,
+        handle_message: Any = lambda _: None,
+        clock: Clock | None = None,
     ) -> Uplink:
         """Start an uplink that first knows only the named hosts."""
         uplink = Uplink(
             {name: self.endpoints[name] for name in names},
             create_control_codec(),
-            ProcessClock(),
+            clock or ProcessClock(),
             Random(1),
             UplinkHooks(
                 create_hello,
@@ -145,6 +161,31 @@
         await self.wait_until_attached("near")
         await self.wait_until_attached("far")
 
+    async def test_stays_attached_after_its_event_loop_was_late(self) -> None:
+        """Suspend the process between two pings."""
+        clock = SuspendedClock()
+        pong_count = 0
+
+        def handle_message(message: Any) -> None:
+            nonlocal pong_count
+            pong_count += isinstance(message, Pong)
+            if pong_count == 1:
+                clock.suspension = 4 * UPLINK_TIMEOUT
+
+        await self.start_uplink(
+            "near", handle_message=handle_message, clock=clock
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while pong_count < 3:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.controls["near"].attached_count, 1)
+
+    async def test_leaves_a_host_that_is_silent(self) -> None:
+        self.controls["near"].answers = False
+        await self.start_uplink("near")
+        await self.wait_until_attached("near")
+        await self.wait_until_attached("near")
+
     def test_a_node_moves_on_before_an_edit_has_to_be_in_force(self) -> None:
         """Bound the time at a control host that is cut off from the others.
 
