Keep the sessions of nodes that only a late control host takes for silent

Seen by operators: after a control host had been late or suspended, it closed the streams of its nodes although their pings waited in the kernel, and each had to attach again. Cause: the time limit of a session was compared with the host's own clock. Change: the SilenceTimer of the nodes' side. Why it works: a verdict needs several checks between which the loop reads.

Evidence: tests.test_sessions.SilenceTest.test_a_late_check_is_no_proof_of_silence failed before (with the interval as a constant of its own) and passes; test_a_silent_node_is_disconnected, which guards what has to stay, passes before and after. tests.test_confirmation and test_uplink pass.

--- a/src/sequoiaseam/_sessions.py
+++ b/src/sequoiaseam/_sessions.py
@@ -25,12 +25,14 @@
 from sequoiaseam._pending import PendingFutures
 from sequoiaseam._replica_runner import Confirmation
 from sequoiaseam._rpc import Stream
+from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import CONFIGURATION_LEASE
 
 SEND_QUEUE_MAX_MESSAGES: Final = 10_000
 # A node that sends nothing for this long has stopped or is unreachable.
 NODE_SILENCE_TIMEOUT: Final = timedelta(seconds=4)
+SILENCE_CHECK_INTERVAL: Final = timedelta(seconds=1)
 REPORT_PULL_TIMEOUT: Final = timedelta(seconds=1.5)
 
 
@@ -129,17 +131,23 @@
         session: NodeSession,
         *tasks: "asyncio.Task[Any]",
     ) -> None:
-        while (
-            self._clock.now() - session.last_received_at
-            <= NODE_SILENCE_TIMEOUT
-        ):
+        silence = SilenceTimer(
+            session.last_received_at,
+            SILENCE_CHECK_INTERVAL,
+            NODE_SILENCE_TIMEOUT,
+        )
+        last_received_at = session.last_received_at
+        while not silence.check(self._clock.now()):
             done, _ = await asyncio.wait(
                 tasks,
-                timeout=1.0,
+                timeout=SILENCE_CHECK_INTERVAL.total_seconds(),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if done:
                 return
+            if session.last_received_at > last_received_at:
+                last_received_at = session.last_received_at
+                silence.restart(last_received_at)
         log_event(Level.INFO, "node timed out", node=session.name)
 
     async def _read(self, stream: Stream, session: NodeSession) -> None:
