Keep links between control hosts that only a late loop takes for silent

Seen by operators: edits and leases waited for new links after a control host had been late for over 2.5 s within a ping's round trip. Cause: a timer of the late loop expired before the answer to the ping, which waited in the kernel, was read. Change: pings every second and the SilenceTimer instead of a time limit for each ping; an end of the stream between two pings is now noticed at once as well. Why it works: a verdict needs three checks with a ping each, and the loop reads between them.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -99,6 +99,7 @@
         self._links = ControlLinks(
             PeerHello(settings.name, settings.domain),
             self._codec,
+            clock,
             rng,
             self._authenticator.create_proof,
         )
--- a/src/sequoiaseam/_control_links.py
+++ b/src/sequoiaseam/_control_links.py
@@ -12,11 +12,13 @@
 from random import Random
 from typing import Any, Final
 
+from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
 from sequoiaseam._control_messages import PEER_PATH, PeerHello, PeerPing
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._rpc import Channel, Stream, StreamEndedError
 from sequoiaseam._settings import Endpoint, parse_endpoint
+from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import SeamError
@@ -41,6 +43,7 @@
         peer: str,
         endpoint: Endpoint,
         codec: Codec,
+        clock: Clock,
         rng: Random,
         create_proof: Callable[[], str],
     ) -> None:
@@ -48,10 +51,13 @@
         self._peer = peer
         self._endpoint = endpoint
         self._codec = codec
+        self._clock = clock
         self._rng = rng
         self._create_proof = create_proof
         self._send_queue: asyncio.Queue[Any] | None = None
-        self._echo_received = asyncio.Event()
+        self._silence = SilenceTimer(
+            clock.now(), CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+        )
         # Messages posted without a stream, with the event loop's time.
         self._unsent: deque[tuple[float, object]] = deque(
             maxlen=UNSENT_MAX_MESSAGES
@@ -127,7 +133,7 @@
 
     async def _read(self, stream: Stream) -> None:
         async for _ in stream:
-            self._echo_received.set()
+            self._silence.restart(self._clock.now())
 
     async def _send(self, stream: Stream, queue: "asyncio.Queue[Any]") -> None:
         while True:
@@ -138,25 +144,20 @@
         reader: "asyncio.Task[Any]",
         sender: "asyncio.Task[Any]",
     ) -> None:
-        """Send pings until the stream ends or an echo is late."""
-        interval = CONNECTION_PING_INTERVAL.total_seconds()
-        timeout = CONNECTION_TIMEOUT.total_seconds()
+        """Send pings until the stream ends or the other host is silent."""
+        self._silence.restart(self._clock.now())
         for number in itertools.count():
-            self._echo_received.clear()
             self.post(PeerPing(number))
-            async with asyncio.timeout(timeout):
-                echo_waiter = asyncio.ensure_future(self._echo_received.wait())
-                try:
-                    done, _ = await asyncio.wait(
-                        (reader, sender, echo_waiter),
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
-                finally:
-                    echo_waiter.cancel()
-            for task in done - {echo_waiter}:
+            done, _ = await asyncio.wait(
+                (reader, sender),
+                timeout=CONNECTION_PING_INTERVAL.total_seconds(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
                 task.result()
                 return
-            await asyncio.sleep(interval)
+            if self._silence.check(self._clock.now()):
+                raise TimeoutError
 
 
 class ControlLinks:
@@ -166,11 +167,13 @@
         self,
         hello: PeerHello,
         codec: Codec,
+        clock: Clock,
         rng: Random,
         create_proof: Callable[[], str],
     ) -> None:
         self._hello = hello
         self._codec = codec
+        self._clock = clock
         self._rng = rng
         self._create_proof = create_proof
         self._links: dict[str, tuple[Endpoint, ControlLink]] = {}
@@ -196,6 +199,7 @@
             peer,
             endpoint,
             self._codec,
+            self._clock,
             self._rng,
             self._create_proof,
         )
