Send no request on a kept connection whose end waits unread

Callers saw: 502 for a request that isn't idempotent, and a retry spent on others, after their server had closed the connection. Change: the connection is polled in the step of the send, and the time is that of the clock; one with unread input is closed. Why it works: no response is due there, so any input ends the connection; what comes after the poll can't be told apart.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -17,6 +17,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
+from sequoiaseam._unread_input import has_unread_input
 
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
 # A server may close an idle connection just as a request is sent. A request
@@ -115,7 +116,9 @@
     def __init__(self, host: str, port: int, clock: Clock) -> None:
         self._host = host
         self._port = port
-        # Serves as the current time, precise enough for idle times.
+        self._clock = clock
+        # Time of the last sweep. Connections that count as idle since then
+        # seem idle for longer than they are.
         self.last_sweep = clock.now()
         self._idle: list[BackendConnection] = []
         # Connections on which a part of a body has been received.
@@ -142,10 +145,11 @@
         if request.correlation_field is None:
             # A late response to an earlier request could not be told apart.
             return None
-        now = self.last_sweep
+        # The last sweep may be long ago if the event loop is late.
+        now = self._clock.now()
         while self._idle:
             connection = self._idle[-1]
-            if not connection.is_usable(now):
+            if not connection.is_usable(now) or connection.has_unread_input:
                 self._idle.pop()
                 connection.abort()
                 continue
@@ -254,6 +258,14 @@
         """Return whether the server probably still accepts requests."""
         return not self._closed and now - self.idle_since < self._idle_timeout
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether the end of the stream, or bytes, wait unread.
+
+        No response is due on an idle connection, so it can't be used again.
+        """
+        return has_unread_input(self._transport)
+
     def send(self, request: PendingRequest) -> None:
         """Send a request; the connection must be idle."""
         self._request = request
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,11 +1,13 @@
 """Tests of the HTTP/1.1 client for the backend server."""
 
+import asyncio
+import socket
 import unittest
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, cast
 
-from sequoiaseam._clock import ManualClock
+from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_client import (
     INCOMPLETE_BODIES_MAX_BYTES,
     OVERHEAD_MAX_BYTES,
@@ -16,7 +18,11 @@
     Outcome,
     PendingRequest,
 )
+from tests.hosts import LOCALHOST, ReceivedRequest, ScriptedServer, echo_body
 
+WAIT_LIMIT_SECONDS: Final = 20.0
+# Stands for the socket of fake transports. It never has unread input.
+IDLE_SOCKET, IDLE_PEER_SOCKET = socket.socketpair()
 CORRELATION_FIELD: Final = (b"x-id", b"7")
 RESPONSE_HEAD: Final = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
 RESPONSE: Final = RESPONSE_HEAD + b"Content-Length: 2\r\n\r\nab"
@@ -38,6 +44,11 @@
     def abort(self) -> None:
         self.closed = True
 
+    def get_extra_info(self, name: str) -> socket.socket:
+        """Return a socket without unread input."""
+        assert name == "socket"
+        return IDLE_SOCKET
+
 
 def build_request(
     correlation_field: tuple[bytes, bytes] | None,
@@ -352,5 +363,60 @@
         self.assertEqual(len(harness.outcomes), 1)
 
 
+class UnreadEndTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests on connections whose end waits unread.
+
+    While the event loop is late, the end of the stream, or bytes that are
+    no response, wait in the kernel. Such a request counts as possibly run.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.server = ScriptedServer(echo_body)
+        await self.server.start()
+        self.addCleanup(self.server.close)
+        self.pool = BackendPool(LOCALHOST, self.server.port, ProcessClock())
+        self.addCleanup(self.pool.close)
+
+    def send(self, request_id: int) -> asyncio.Future[Outcome]:
+        """Send a request that isn't idempotent; return its outcome."""
+        outcome: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.pool.send(
+            PendingRequest(
+                b"POST / HTTP/1.1\r\nX-Id: %d\r\n\r\n" % request_id,
+                (b"x-id", b"%d" % request_id),
+                head_only=False,
+                idempotent=False,
+                on_outcome=outcome.set_result,
+            )
+        )
+        return outcome
+
+    def end_stream(self, request: ReceivedRequest) -> None:
+        """Close the server's side without letting the event loop run."""
+        request.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
+
+    def send_surplus_bytes(self, request: ReceivedRequest) -> None:
+        """Send bytes that belong to no request."""
+        request.transport.write(
+            b"HTTP/1.1 408 Any\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    async def test_the_next_request_uses_another_connection(self) -> None:
+        for name, disturb in (
+            ("end of stream", self.end_stream),
+            ("surplus bytes", self.send_surplus_bytes),
+        ):
+            with self.subTest(name=name):
+                self.server.received.clear()
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    first = await self.send(1)
+                    self.assertIsInstance(first, BackendResponse)
+                    disturb(self.server.received[0])
+                    second = await self.send(2)
+                self.assertIsInstance(second, BackendResponse)
+
+
 if __name__ == "__main__":
     unittest.main()
