Begin the timeouts of callers' connections when their phase begins

Callers saw: 408, or a closed connection, as soon as a node had been late or suspended for as long as a timeout, for requests and connections that began after that; the last response of a stop had no time to be read. Change: a phase begins at the time of the clock.

Evidence: LateSweepTest (4 tests) failed before and passes; tests.test_http_server passes.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -134,9 +134,6 @@
         self.clock = clock
         self.handler = handler
         self.limits = CallerLimits()
-        # Time of the last sweep, accurate enough for timeouts that are
-        # seconds long.
-        self.last_swept_at = clock.now()
         # Set during shutdown: each response then closes its connection.
         self.closing = False
         self._accepting = True
@@ -214,7 +211,7 @@
         return self._accepting
 
     def _sweep(self) -> None:
-        self.last_swept_at = now = self.clock.now()
+        now = self.clock.now()
         for connection in list(self.connections):
             connection.check_timeout(now)
 
@@ -238,7 +235,7 @@
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
         self._reading_paused = False
-        self._phase_started_at = server.last_swept_at
+        self._phase_started_at = server.clock.now()
         self._reading = False
         # Why the connection ended, for logs.
         self.end_cause = ""
@@ -337,7 +334,7 @@
         """Start a new request."""
         self._reset_request()
         self._reading = True
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -519,7 +516,7 @@
         that was read. During shutdown no more are read after a response,
         so that a caller can't prolong it.
         """
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
         is_last_read = not self._in_progress and not self._waiting
         should_close = not request.keep_alive or (
             self._server.closing and is_last_read
@@ -551,7 +548,7 @@
         """
         self._ended = True
         self._reading = False
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
         if self._reading_paused:
             self._reading_paused = False
             self._transport.resume_reading()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -874,6 +874,52 @@
             self.assertTrue(await reader.readuntil(b"whole"))
 
 
+class LateSweepTest(unittest.TestCase):
+    """Guards against timeouts that begin before what they bound.
+
+    While the event loop is late, the last sweep is long ago.
+    """
+
+    def setUp(self) -> None:
+        self.recorder = RequestRecorder()
+        self.server, self.connection, self.transport = open_connection(
+            self.recorder
+        )
+        clock = self.server.clock
+        assert isinstance(clock, ManualClock)
+        self.clock = clock
+
+    def test_a_request_that_begins_after_it_is_not_late(self) -> None:
+        self.clock.advance(2 * self.server.limits.headers_time)
+        self.connection.data_received(GET_LINE)
+        self.connection.check_timeout(self.clock.now())
+        self.assertEqual(self.transport.written, b"")
+        self.assertFalse(self.transport.closed)
+
+    def test_a_connection_that_was_just_answered_is_not_idle(self) -> None:
+        self.connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        self.clock.advance(2 * self.server.limits.idle_time)
+        self.recorder.requests[0].respond(200, b"", b"whole")
+        self.connection.check_timeout(self.clock.now())
+        self.assertFalse(self.transport.closed)
+
+    def test_a_new_connection_is_not_idle(self) -> None:
+        self.clock.advance(2 * self.server.limits.idle_time)
+        connection = ServerConnection(self.server)
+        transport: Any = FakeTransport()
+        connection.connection_made(transport)
+        connection.check_timeout(self.clock.now())
+        self.assertFalse(transport.closed)
+
+    def test_the_caller_has_time_to_read_the_last_response(self) -> None:
+        self.server.closing = True
+        self.connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        self.clock.advance(2 * CLOSE_TIMEOUT)
+        self.recorder.requests[0].respond(200, b"", b"whole")
+        self.connection.check_timeout(self.clock.now())
+        self.assertFalse(self.transport.released)
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
