Refuse no request as too slow whose rest waits unread

Callers saw: 408 for a request of which the node had read a part before it was late or suspended, although all of it had been sent. Cause: check_timeout looked only at what the loop had read. Change: a connection with unread input isn't refused, as it isn't closed as idle. The request's size stays bounded, so that a caller can't go on forever.

Evidence: test_a_request_whose_end_waits_unread_is_answered failed before (408) and passes; tests.test_http_server passes.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -20,7 +20,7 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import find_readable
+from sequoiaseam._unread_input import find_readable, has_unread_input
 
 HeaderFields = list[tuple[bytes, bytes]]
 
@@ -270,6 +270,11 @@
         """Return the file descriptor of the socket."""
         return int(self._transport.get_extra_info("socket").fileno())
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether input waits in the kernel for the event loop."""
+        return has_unread_input(self._transport)
+
     # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -636,11 +641,11 @@
             return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
-            if slow or age > limits.idle_time:
+            if (slow or age > limits.idle_time) and not self.has_unread_input:
                 self._refuse(
                     MalformedRequestError(408, "request not received in time")
                 )
-        elif age > limits.idle_time and not find_readable((self.descriptor,)):
+        elif age > limits.idle_time and not self.has_unread_input:
             self._close()
 
     def close_if_idle(self) -> None:
