--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import socket
 import unittest
 from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 from typing import Any, ClassVar, Final
+from unittest.mock import patch
 
 import aiohttp
 from bench.processes import find_free_ports
@@ -258,6 +260,67 @@
         self.assertEqual(len(self.server.received), 1 + int(status == 200))
 
 
+class UnreadRequestTest(NodeDrainTestCase):
+    """Guards against requests that a stop resets before they are read.
+
+    While the event loop is late, requests wait in the kernel, also those on
+    connections that it has yet to accept.
+    """
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.server.handler = respond_later
+
+    def open_connection(self) -> socket.socket:
+        """Connect as a caller without letting the event loop run."""
+        connection = socket.create_connection((LOCALHOST, self.callers.port))
+        self.addCleanup(connection.close)
+        return connection
+
+    async def stop_after(
+        self, step: str, connection: socket.socket | None
+    ) -> int:
+        """Stop the node and send a request right before a step of the stop.
+
+        It is sent on a new connection if there is none. Return the status of
+        the response.
+        """
+        original = getattr(self.node, step)
+        connections = [connection] if connection is not None else []
+
+        async def send_first() -> None:
+            if not connections:
+                connections.append(self.open_connection())
+            connections[0].sendall(REQUEST)
+            await original()
+
+        with patch.object(self.node, step, send_first):
+            await self.stop()
+        reader, _ = await asyncio.open_connection(sock=connections[0])
+        return (await read_response(reader)).status
+
+    async def test_a_request_on_a_connection_that_is_not_accepted(
+        self,
+    ) -> None:
+        status = await self.stop_after("_stop_accepting_callers", None)
+        self.assertEqual(status, 503)
+
+    async def test_a_request_on_a_connection_that_is_closed_as_idle(
+        self,
+    ) -> None:
+        connection = self.open_connection()
+        await self.wait_until(lambda: self.count_caller_connections() == 1)
+        status = await self.stop_after("_close_listeners", connection)
+        self.assertEqual(status, 503)
+
+    def count_caller_connections(self) -> int:
+        """Return the number of callers' connections that are accepted."""
+        runner = self.node._caller_runner
+        assert runner is not None
+        assert runner.server is not None
+        return len(runner.server.connections)
+
+
 class OpenConnectionTest(NodeDrainTestCase):
     """Guards against stops that wait for connections to be closed."""
 
