Answer a first request that sequoiaseam-node reads late

Callers saw: a connection closed without an answer 10 s after its start, though their first request had been sent before, if the node was late then. Cause: the timeout looked only at what the handler had started; a request that was parsed in the same iteration, or waited in the kernel, didn't count. Change: a complete head counts as soon as it is parsed, and a connection with unread input is looked at again 0.1 s later.

Evidence: test_a_first_request_as_the_loop_is_late_is_answered failed before (3 of 3 runs, closed) and passes (3 of 3); tests.test_edge and test_docs pass.

--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -25,6 +25,7 @@
 from sequoiaseam._exchange import Exchange, Handler, Response
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._sites import open_site
+from sequoiaseam._unread_input import has_unread_input
 from sequoiaseam._verdict import Verdict
 from sequoiaseam.const import (
     CODE_HEADER,
@@ -45,6 +46,8 @@
 # A connection that has not sent a complete request head within this time
 # is closed.
 FIRST_REQUEST_TIMEOUT_SECONDS: Final = 10.0
+# Time to read what waits in the kernel at the end of that time.
+UNREAD_CHECK_DELAY_SECONDS: Final = 0.1
 
 
 def create_refusal_response(
@@ -94,13 +97,12 @@
 class EdgeProtocol(RequestHandler):
     """HTTP connection that answers malformed requests with a refusal."""
 
-    __slots__ = ("_server", "received_request")
+    __slots__ = ("_received_request", "_server")
 
     def __init__(self, server: "EdgeServer", **options: Any) -> None:
         super().__init__(server, **options)
         self._server = server
-        # Whether a request has arrived on this connection.
-        self.received_request = False
+        self._received_request = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit the connections and the wait for the first request."""
@@ -119,8 +121,21 @@
         self._server.open_connections -= 1
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Parse received data, and note whether it completes a head."""
+        super().data_received(data)
+        if self._messages:
+            self._received_request = True
+
     def _close_if_unused(self) -> None:
-        if not self.received_request:
+        if self._received_request or self.transport is None:
+            return
+        if has_unread_input(self.transport):
+            # The event loop is late; the request may have come long ago.
+            asyncio.get_running_loop().call_later(
+                UNREAD_CHECK_DELAY_SECONDS, self._close_if_unused
+            )
+        else:
             self.force_close()
 
     def handle_error(
@@ -228,8 +243,6 @@
         """Return the response to one request."""
         task = asyncio.current_task()
         self._active_requests.add(task)
-        if isinstance(request.protocol, EdgeProtocol):
-            request.protocol.received_request = True
         try:
             response = await self._run(request)
         finally:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -14,6 +15,11 @@
 HOST = "127.0.0.1"
 
 
+def block_event_loop(seconds: float) -> None:
+    """Delay the event loop, as a suspension of the process does."""
+    time.sleep(seconds)
+
+
 async def handle_exchange(exchange: Exchange) -> Response:
     """Echo the request body, but refuse the path ``/refused``."""
     if exchange.path == "/refused":
@@ -88,3 +94,18 @@
             writer.write(b"GET / HT")
             self.assertEqual(await reader.read(), b"")
             writer.close()
+
+    async def test_a_first_request_as_the_loop_is_late_is_answered(
+        self,
+    ) -> None:
+        """Delay the loop from before the request until after the timeout."""
+        timeout_seconds = 0.05
+        with mock.patch.object(
+            _edge, "FIRST_REQUEST_TIMEOUT_SECONDS", timeout_seconds
+        ):
+            reader, writer = await asyncio.open_connection(HOST, self.port)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+            block_event_loop(2 * timeout_seconds)
+            response = await reader.readline()
+            writer.close()
+        self.assertEqual(response, b"HTTP/1.1 200 OK\r\n")
