--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -7,9 +7,8 @@
 
 import asyncio
 import re
-import select
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Any, Final, Protocol
@@ -21,6 +20,7 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._unread_input import find_readable, has_unread_input
 
 HeaderFields = list[tuple[bytes, bytes]]
 
@@ -134,9 +134,6 @@
         self.clock = clock
         self.handler = handler
         self.limits = CallerLimits()
-        # Time of the last sweep, accurate enough for timeouts that are
-        # seconds long.
-        self.last_swept_at = clock.now()
         # Set during shutdown: each response then closes its connection.
         self.closing = False
         self._accepting = True
@@ -214,7 +211,7 @@
         return self._accepting
 
     def _sweep(self) -> None:
-        self.last_swept_at = now = self.clock.now()
+        now = self.clock.now()
         for connection in list(self.connections):
             connection.check_timeout(now)
 
@@ -238,7 +235,7 @@
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
         self._reading_paused = False
-        self._phase_started_at = server.last_swept_at
+        self._phase_started_at = server.clock.now()
         self._reading = False
         # Why the connection ended, for logs.
         self.end_cause = ""
@@ -273,6 +270,11 @@
         """Return the file descriptor of the socket."""
         return int(self._transport.get_extra_info("socket").fileno())
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether input waits in the kernel for the event loop."""
+        return has_unread_input(self._transport)
+
     # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -337,7 +339,7 @@
         """Start a new request."""
         self._reset_request()
         self._reading = True
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
@@ -519,7 +521,7 @@
         that was read. During shutdown no more are read after a response,
         so that a caller can't prolong it.
         """
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
         is_last_read = not self._in_progress and not self._waiting
         should_close = not request.keep_alive or (
             self._server.closing and is_last_read
@@ -551,7 +553,7 @@
         """
         self._ended = True
         self._reading = False
-        self._phase_started_at = self._server.last_swept_at
+        self._phase_started_at = self._server.clock.now()
         if self._reading_paused:
             self._reading_paused = False
             self._transport.resume_reading()
@@ -639,11 +641,11 @@
             return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
-            if slow or age > limits.idle_time:
+            if (slow or age > limits.idle_time) and not self.has_unread_input:
                 self._refuse(
                     MalformedRequestError(408, "request not received in time")
                 )
-        elif age > limits.idle_time and not find_readable((self.descriptor,)):
+        elif age > limits.idle_time and not self.has_unread_input:
             self._close()
 
     def close_if_idle(self) -> None:
@@ -657,17 +659,6 @@
         self._transport.abort()
 
 
-def find_readable(descriptors: Iterable[int]) -> frozenset[int]:
-    """Return those of the file descriptors that have unread input.
-
-    An end of the stream counts as input, and so does a new connection.
-    """
-    poll = select.poll()
-    for descriptor in descriptors:
-        poll.register(descriptor, select.POLLIN)
-    return frozenset(descriptor for descriptor, _ in poll.poll(0))
-
-
 def check_framing(fields: HeaderFields, version: str) -> int:
     """Return the Content-Length, or 0; reject ambiguous requests.
 
--- /dev/null
+++ b/src/sequoiaseam/_unread_input.py
@@ -0,0 +1,26 @@
+"""Checks for input that the event loop hasn't read yet.
+
+While an event loop is late, data and connections wait in the kernel. A
+decision to close must not look only at what the process has read.
+"""
+
+import select
+from collections.abc import Iterable
+from typing import Any
+
+
+def find_readable(descriptors: Iterable[int]) -> frozenset[int]:
+    """Return those of the file descriptors that have unread input.
+
+    An end of the stream counts as input, and so does a new connection.
+    """
+    poll = select.poll()
+    for descriptor in descriptors:
+        poll.register(descriptor, select.POLLIN)
+    return frozenset(descriptor for descriptor, _ in poll.poll(0))
+
+
+def has_unread_input(transport: Any) -> bool:
+    """Return whether a transport's socket has unread input."""
+    socket = transport.get_extra_info("socket")
+    return bool(find_readable((socket.fileno(),)))
