Add a failing test of calls of a server that a stop breaks off

Cause: a stop refuses callers from 2.75 s on, but admits calls that the host's own server makes until its end, and refuses those in progress at 0.86 of its time limit with 502. One sent over 3 s after SIGTERM is then broken off while its server works, and nothing excuses that. Change: a test that counts what was sent over 3 s after the start of a stop, or ended before its last sixth, ran and got no answer of its server.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -39,6 +39,12 @@
 LATEST_ADMISSION_SECONDS: Final = 3.0
 # Ends shortly after callers and nodes have learned of the drain.
 SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
+# What a supervisor allows from SIGTERM to SIGKILL.
+GRACE_PERIOD: Final = timedelta(seconds=6)
+# A stop may break off a request that was sent before the first of these and
+# is still in progress at the second, in seconds after SIGTERM.
+ADMISSION_SECONDS: Final = 3.0
+LAST_SIXTH_SECONDS: Final = GRACE_PERIOD.total_seconds() * 5 / 6
 # Part of the time limit in which responses in transit are sent.
 SENDING_FRACTION: Final = 0.9
 SLOTS: Final = 8
@@ -64,6 +70,7 @@
 )
 RESPONSE_DELAY_SECONDS: Final = 0.3
 POLL_INTERVAL_SECONDS: Final = 0.01
+SERVER_BODY: Final = b"ended by the server"
 # More than the socket buffers on both sides hold.
 LARGE_BODY: Final = b"a" * (24 * 1024 * 1024)
 
@@ -85,6 +92,16 @@
     request.respond(200, LARGE_BODY)
 
 
+def work_until_deadline(request: ReceivedRequest) -> None:
+    """Respond when the time that the server was allowed has passed."""
+    asyncio.get_running_loop().call_later(
+        int(request.find_field("x-left-ms") or 0) / 1000,
+        request.respond,
+        504,
+        SERVER_BODY,
+    )
+
+
 class DrainTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that drain one node."""
 
@@ -324,6 +341,84 @@
         )
 
 
+class LateCallTest(DrainTestCase):
+    """Guards against late calls of a server that a stop breaks off.
+
+    A stop may end a request while its server works on it only late, and
+    only if the request was sent early in the stop.
+    """
+
+    async def start_stop(self) -> HostCluster:
+        """Begin to stop a node whose server runs a request of another."""
+        routes = {
+            name: replace(route, timeout=timedelta(minutes=1))
+            for name, route in TABLES.routes.items()
+        }
+        cluster = HostCluster(
+            (ignore_request, work_until_deadline),
+            replace(TABLES, routes=routes),
+            shutdown_time_limit=GRACE_PERIOD,
+        )
+        await cluster.start()
+        self.addAsyncCleanup(cluster.close)
+        cluster.nodes[1]._start_call("host-0", CALL, lambda _: None)
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        self.stop_task = asyncio.create_task(self.stop(cluster))
+        self.stop_started_at = asyncio.get_running_loop().time()
+        return cluster
+
+    def measure_stop(self) -> float:
+        """Return the seconds since the start of the stop."""
+        return asyncio.get_running_loop().time() - self.stop_started_at
+
+    async def send_call(
+        self, cluster: HostCluster, seconds: float
+    ) -> tuple[Response, bool]:
+        """Send a call at a time of the stop.
+
+        Return the response, and whether the stop broke off the call.
+        """
+        await asyncio.sleep(seconds)
+        sent_at = self.measure_stop()
+        server = cluster.servers[1]
+        path = f"/open/{seconds}"
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await cluster.send_request(
+                path, "X-Left-Ms: 20000", key=None
+            )
+        ended_at = self.measure_stop()
+        ran = any(
+            request.head.startswith(f"GET {path} ".encode())
+            for request in server.received
+        )
+        excused = (
+            sent_at <= ADMISSION_SECONDS and ended_at >= LAST_SIXTH_SECONDS
+        )
+        broken_off = ran and response.body != SERVER_BODY and not excused
+        return response, broken_off
+
+    async def test_calls_are_ended_by_their_servers_or_not_run(self) -> None:
+        """Send calls that would last for longer than the stop."""
+        times = (0.5, 2.9, 3.1, 4.0, 4.6, 4.9, 5.1)
+        cluster = await self.start_stop()
+        outcomes = await asyncio.gather(
+            *(self.send_call(cluster, seconds) for seconds in times)
+        )
+        await self.stop_task
+        broken_off = {
+            seconds: response.status
+            for seconds, (response, broken) in zip(
+                times, outcomes, strict=True
+            )
+            if broken
+        }
+        self.assertEqual(broken_off, {})
+        # Also a run that makes a call gets the server's answer.
+        answers = [response.body for response, _ in outcomes[2:4]]
+        self.assertEqual(answers, [SERVER_BODY] * 2)
+        self.assertEqual(outcomes[-1][0].status, 503)
+
+
 class LateAdmissionTest(DrainTestCase):
     """Guards against requests that are let in too late to be finished."""
 
