End calls that a server makes late in a stop in time

Callers saw: a request whose run made a call over 3 s after the SIGTERM of its node got the failure of that call: the node ended the call itself, with 502 at 0.86 of its time limit, while the call's server was at work. Cause: calls of the node's own server are admitted until the end of a stop, with all the time that their run has left. Change: a call that is sent from 2.75 s on (0.5 of the time limit) gets a remaining time that ends at 0.8 of the limit; one with under 100 ms left up to then is refused as not run (503). A retry of a call has the same bound. Why it works: a server stops work at the time that it gets and answers, so the run gets the server's own answer before 0.86. The call's deadline isn't changed, only the time that is passed on: the node doesn't expire the call before the server's answer arrives, and calls are attributed to runs as before. Calls sent before 2.75 s keep their time; a stop may break these off in its last sixth.

Weighed: refusing all calls from 2.75 s on would fail runs that have 2.4 s left to end; waiting longer for late calls only moves the limit; shortening the deadline itself would have the node answer 504 just before the server does. Runs for other nodes are admitted up to 1.5 s after SIGTERM, so those that are in progress at the end were sent in time to be broken off there.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -29,7 +29,7 @@
 from sequoiaseam._header_names import HeaderNames
 from sequoiaseam._host_call_executor import HostCallExecutor
 from sequoiaseam._http_server import HttpServer
-from sequoiaseam._ingress import Ingress
+from sequoiaseam._ingress import Ingress, StopTimes
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._mesh import Mesh, MeshServer
@@ -64,6 +64,12 @@
 # those in progress.
 DRAIN_ADMISSION_TIME: Final = DRAIN_NOTICE_TIME + timedelta(milliseconds=250)
 DRAIN_ADMISSION_FRACTION: Final = 0.5
+# Fraction of the shutdown time limit by which backend servers end the calls
+# that are sent after the admission time. Without it, calls that were sent too
+# late for a stop to break them off would be in progress at its end. The rest
+# up to DRAIN_TIME_FRACTION is for the answers to arrive, also while processes
+# are late by some tenths of a second.
+LATE_CALL_TIME_FRACTION: Final = 0.8
 # Fraction of the shutdown time limit after which requests in progress are
 # refused.
 DRAIN_TIME_FRACTION: Final = 0.86
@@ -225,6 +231,10 @@
         admission_time = min(
             DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
         )
+        self._ingress.stop_times = StopTimes(
+            started_at + admission_time,
+            started_at + LATE_CALL_TIME_FRACTION * time_limit,
+        )
         await asyncio.sleep(serving_time.total_seconds())
         self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -56,6 +56,9 @@
 # Mean value, before jitter. Failing backend servers take longer to recover
 # than full queues.
 FAILING_ROUTE_RETRY_AFTER: Final = timedelta(seconds=1)
+# Calls that a stop leaves less time than this are refused: a backend server
+# would hardly begin to work on them.
+LATE_CALL_TIME_MIN: Final = timedelta(milliseconds=100)
 # A reroute follows a refusal that only shows that this host's view was
 # stale. The backend server didn't get the call, so it isn't a retry.
 REROUTES_MAX: Final = 2
@@ -116,6 +119,18 @@
     finished: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a stop that bound what is sent during it."""
+
+    # From then on, calls of backend servers are sent only for as long as
+    # ``late_calls_end_at`` allows.
+    admission_ends_at: datetime
+    # Time by which the backend servers that run these calls end them, so
+    # that their answers arrive before the stop refuses what is left.
+    late_calls_end_at: datetime
+
+
 # Sends a call to a host by name; returns a callback that cancels it.
 CallSender = Callable[
     [str, RunCall, Callable[[RunResult | None], None]],
@@ -166,6 +181,8 @@
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
+        # Set at the start of a drain.
+        self.stop_times: StopTimes | None = None
         # Cleared at the end of a drain, when nothing that is sent can finish.
         self.sending_enabled = True
 
@@ -403,8 +420,41 @@
 
     # Attempts.
 
-    def _forward(self, pending: PendingRequest, now: datetime) -> None:
+    def _find_attempt_deadline(
+        self, pending: PendingRequest, now: datetime
+    ) -> datetime | None:
+        """Return the deadline of an attempt, None if it comes too late.
+
+        A stop refuses what is in progress at its end. The server of a call
+        that was sent late in a stop gets less time than the call has, so
+        that the server ends it by itself before.
+        """
         deadline = pending.deadline or now
+        times = self.stop_times
+        if (
+            times is None
+            or not pending.nested
+            or now < times.admission_ends_at
+            or deadline <= times.late_calls_end_at
+        ):
+            return deadline
+        if now + LATE_CALL_TIME_MIN > times.late_calls_end_at:
+            return None
+        return times.late_calls_end_at
+
+    def _has_time_to_send(self, pending: PendingRequest) -> bool:
+        """Return whether a stop allows another attempt."""
+        now = self._clock.now()
+        return (
+            self.sending_enabled
+            and self._find_attempt_deadline(pending, now) is not None
+        )
+
+    def _forward(self, pending: PendingRequest, now: datetime) -> None:
+        deadline = self._find_attempt_deadline(pending, now)
+        if deadline is None:
+            self._refuse(pending, ErrorCode.DRAINING)
+            return
         host_name = self._balancer.choose(
             now, pending.pool, pending.tried_hosts
         )
@@ -561,7 +611,7 @@
         may_have_run: bool,
     ) -> bool:
         route = pending.route
-        if route is None or not self.sending_enabled:
+        if route is None or not self._has_time_to_send(pending):
             return False
         if may_have_run and not route.idempotent:
             return False
