Refuse callers by the time of a stop also while the node is late

Callers saw: a request sent 3.1 s after the SIGTERM of a node that was held up just then got 502 at 5.16 s while its server was at work. Cause: a node refuses callers from 2.75 s on, but the step of the drain that starts this waits for the event loop, which reads first what has come in meanwhile. Such a request is admitted however late it was sent. Class: a time limit that holds only once a task has run. Change: the time itself is checked for each request; the flag stays for drains that have nothing in progress before. Why it works: a request that is read after the admission time is refused, and one that is read before was sent before.

Evidence: LateCallTest.test_requests_that_wait_while_the_node_is_late (the loop is blocked from 2.6 to 3.1 s) failed before ((502, 1) instead of (503, 0)), passes; test_drain: 22 passed.

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -123,8 +123,8 @@
 class StopTimes:
     """Times of a stop that bound what is sent during it."""
 
-    # From then on, calls of backend servers are sent only for as long as
-    # ``late_calls_end_at`` allows.
+    # From then on, callers' requests are refused, and calls of backend
+    # servers are sent only for as long as ``late_calls_end_at`` allows.
     admission_ends_at: datetime
     # Time by which the backend servers that run these calls end them, so
     # that their answers arrive before the stop refuses what is left.
@@ -340,7 +340,13 @@
         A request without a key on an open route is a call of the backend
         server only if that runs something.
         """
-        if not self.closing:
+        times = self.stop_times
+        # The time counts also before ``closing`` is set, which a late event
+        # loop does after it has read requests that were sent long after it.
+        is_over = times is not None and (
+            self._clock.now() >= times.admission_ends_at
+        )
+        if not (self.closing or is_over):
             return True
         may_be_call = pending.nested and self._attribution.has_runs
         return self.sending_enabled and may_be_call
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import sys
+import time
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -430,6 +431,33 @@
             GRACE_PERIOD / timedelta(milliseconds=1),
         )
 
+    async def test_requests_that_wait_while_the_node_is_late(self) -> None:
+        """Send a caller's request while the event loop is behind.
+
+        It is read in the step of the loop in which admission would end.
+        """
+        cluster = await self.start_stop()
+        # Idle connections are closed before.
+        await asyncio.sleep(2.6)
+        http_server = cluster.nodes[0]._http_server
+        connection = socket.create_connection((LOCALHOST, cluster.ports[0]))
+        self.addCleanup(connection.close)
+        await self.wait_until(lambda: http_server.connections)
+        # No event loop runs until the request is sent.
+        time.sleep(ADMISSION_SECONDS + 0.1 - self.measure_stop())  # noqa: ASYNC251
+        connection.sendall(
+            format_request("/slow/1", "X-Left-Ms: 20000", method="POST")
+        )
+        time.sleep(POLL_INTERVAL_SECONDS)  # noqa: ASYNC251
+        reader, writer = await asyncio.open_connection(sock=connection)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await read_response(reader)
+            await self.stop_task
+        self.assertEqual(
+            (response.status, len(cluster.servers[1].received)), (503, 0)
+        )
+
     async def test_a_short_time_limit_leaves_calls_less_time(self) -> None:
         cluster = await self.start_stop(SHORT_TIME_LIMIT)
         await asyncio.sleep(0.6 * SHORT_TIME_LIMIT.total_seconds())
