--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import sys
+import time
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -15,6 +16,7 @@
 
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._feed import FeedDelta
+from sequoiaseam._host_node import DRAIN_TIME_FRACTION
 from sequoiaseam._logs import Level, configure_logging
 from sequoiaseam._members import MemberGone
 from sequoiaseam._mesh_frames import RunCall, RunRefusal, RunResult
@@ -39,6 +41,12 @@
 LATEST_ADMISSION_SECONDS: Final = 3.0
 # Ends shortly after callers and nodes have learned of the drain.
 SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
+# What a supervisor allows from SIGTERM to SIGKILL.
+GRACE_PERIOD: Final = timedelta(seconds=6)
+# A stop may break off a request that was sent before the first of these and
+# is still in progress at the second, in seconds after SIGTERM.
+ADMISSION_SECONDS: Final = 3.0
+LAST_SIXTH_SECONDS: Final = GRACE_PERIOD.total_seconds() * 5 / 6
 # Part of the time limit in which responses in transit are sent.
 SENDING_FRACTION: Final = 0.9
 SLOTS: Final = 8
@@ -64,6 +72,7 @@
 )
 RESPONSE_DELAY_SECONDS: Final = 0.3
 POLL_INTERVAL_SECONDS: Final = 0.01
+SERVER_BODY: Final = b"ended by the server"
 # More than the socket buffers on both sides hold.
 LARGE_BODY: Final = b"a" * (24 * 1024 * 1024)
 
@@ -85,6 +94,16 @@
     request.respond(200, LARGE_BODY)
 
 
+def work_until_deadline(request: ReceivedRequest) -> None:
+    """Respond when the time that the server was allowed has passed."""
+    asyncio.get_running_loop().call_later(
+        int(request.find_field("x-left-ms") or 0) / 1000,
+        request.respond,
+        504,
+        SERVER_BODY,
+    )
+
+
 class DrainTestCase(unittest.IsolatedAsyncioTestCase):
     """Base of tests that drain one node."""
 
@@ -324,6 +343,134 @@
         )
 
 
+class LateCallTest(DrainTestCase):
+    """Guards against late calls of a server that a stop breaks off.
+
+    A stop may end a request while its server works on it only late, and
+    only if the request was sent early in the stop.
+    """
+
+    async def start_stop(
+        self, time_limit: timedelta = GRACE_PERIOD
+    ) -> HostCluster:
+        """Begin to stop a node whose server runs a request of another."""
+        routes = {
+            name: replace(route, timeout=timedelta(minutes=1))
+            for name, route in TABLES.routes.items()
+        }
+        cluster = HostCluster(
+            (ignore_request, work_until_deadline),
+            replace(TABLES, routes=routes),
+            shutdown_time_limit=time_limit,
+        )
+        await cluster.start()
+        self.addAsyncCleanup(cluster.close)
+        cluster.nodes[1]._start_call("host-0", CALL, lambda _: None)
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        self.stop_task = asyncio.create_task(self.stop(cluster))
+        self.stop_started_at = asyncio.get_running_loop().time()
+        return cluster
+
+    def measure_stop(self) -> float:
+        """Return the seconds since the start of the stop."""
+        return asyncio.get_running_loop().time() - self.stop_started_at
+
+    async def send_call(
+        self, cluster: HostCluster, seconds: float
+    ) -> tuple[Response, bool]:
+        """Send a call at a time of the stop.
+
+        Return the response, and whether the stop broke off the call.
+        """
+        await asyncio.sleep(seconds)
+        sent_at = self.measure_stop()
+        server = cluster.servers[1]
+        path = f"/open/{seconds}"
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await cluster.send_request(
+                path, "X-Left-Ms: 20000", key=None
+            )
+        ended_at = self.measure_stop()
+        ran = any(
+            request.head.startswith(f"GET {path} ".encode())
+            for request in server.received
+        )
+        excused = (
+            sent_at <= ADMISSION_SECONDS and ended_at >= LAST_SIXTH_SECONDS
+        )
+        broken_off = ran and response.body != SERVER_BODY and not excused
+        return response, broken_off
+
+    async def test_calls_are_ended_by_their_servers_or_not_run(self) -> None:
+        """Send calls that would last for longer than the stop."""
+        times = (0.5, 2.4, 3.1, 4.0, 4.6, 4.9, 5.1)
+        cluster = await self.start_stop()
+        outcomes = await asyncio.gather(
+            *(self.send_call(cluster, seconds) for seconds in times)
+        )
+        await self.stop_task
+        broken_off = {
+            seconds: response.status
+            for seconds, (response, broken) in zip(
+                times, outcomes, strict=True
+            )
+            if broken
+        }
+        self.assertEqual(broken_off, {})
+        # Also a run that makes a call gets the server's answer.
+        answers = [response.body for response, _ in outcomes[2:4]]
+        self.assertEqual(answers, [SERVER_BODY] * 2)
+        self.assertEqual(outcomes[-1][0].status, 503)
+        (early,) = [
+            request
+            for request in cluster.servers[1].received
+            if request.head.startswith(b"GET /open/2.4 ")
+        ]
+        self.assertGreater(
+            int(early.find_field("x-left-ms") or 0),
+            GRACE_PERIOD / timedelta(milliseconds=1),
+        )
+
+    async def test_requests_that_wait_while_the_node_is_late(self) -> None:
+        """Send a caller's request while the event loop is behind.
+
+        It is read in the step of the loop in which admission would end.
+        """
+        cluster = await self.start_stop()
+        # Idle connections are closed before.
+        await asyncio.sleep(2.6)
+        http_server = cluster.nodes[0]._http_server
+        connection = socket.create_connection((LOCALHOST, cluster.ports[0]))
+        self.addCleanup(connection.close)
+        await self.wait_until(lambda: http_server.connections)
+        # No event loop runs until the request is sent.
+        time.sleep(ADMISSION_SECONDS + 0.1 - self.measure_stop())  # noqa: ASYNC251
+        connection.sendall(
+            format_request("/slow/1", "X-Left-Ms: 20000", method="POST")
+        )
+        time.sleep(POLL_INTERVAL_SECONDS)  # noqa: ASYNC251
+        reader, writer = await asyncio.open_connection(sock=connection)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await read_response(reader)
+            await self.stop_task
+        self.assertEqual(
+            (response.status, len(cluster.servers[1].received)), (503, 0)
+        )
+
+    async def test_a_short_time_limit_leaves_calls_less_time(self) -> None:
+        cluster = await self.start_stop(SHORT_TIME_LIMIT)
+        await asyncio.sleep(0.6 * SHORT_TIME_LIMIT.total_seconds())
+        sent_at = self.measure_stop()
+        await self.send_call(cluster, 0)
+        await self.stop_task
+        (received,) = cluster.servers[1].received
+        ends_at = sent_at + int(received.find_field("x-left-ms") or 0) / 1000
+        self.assertLess(
+            ends_at, DRAIN_TIME_FRACTION * SHORT_TIME_LIMIT.total_seconds()
+        )
+
+
 class LateAdmissionTest(DrainTestCase):
     """Guards against requests that are let in too late to be finished."""
 
