Measure a stop from SIGTERM, so that late steps don't add up

Cause: a drain was measured from its own start; it waited 1.0 s more after a first step that had come late; the time for the last message, the close and, on control hosts, the calls passed on by others had durations of their own. Past the time limit for sending, a node that had been held up closed without a pass of the event loop, so that requests in the kernel were reset. Change: the signal handler takes the time, drain gets what has passed since then, and each step waits for a time on that scale. What is ready in the kernel is still read, refused and written after each limit, in up to 6 passes of the loop. The time up to which requests may be in progress stays: 0.86 of the limit. The line stopped has the duration. Why it works: no wait begins after its end on the scale has passed, so one pause of a process delays the stop once.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -73,6 +73,8 @@
 # Time for the answers to operators' calls in a planned stop. An edit waits
 # for a majority first.
 OPERATOR_CALL_TIME_LIMIT: Final = QUORUM_TIMEOUT + timedelta(seconds=0.5)
+# Includes the time for disk work in progress.
+CLOSE_TIME_LIMIT: Final = OPERATOR_CALL_TIME_LIMIT + timedelta(seconds=2)
 IDENTITY_BYTES: Final = 16
 # Revisions whose log indices are kept; older ones are in force everywhere.
 REVISION_INDICES_MAX: Final = 10_000
@@ -179,14 +181,24 @@
         self._update_links()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
 
-    async def drain(self) -> None:
+    @property
+    def close_time_limit(self) -> timedelta:
+        """Return the time from SIGTERM after which ``close`` is cancelled."""
+        return CLOSE_TIME_LIMIT
+
+    async def drain(
+        self,
+        elapsed: timedelta = timedelta(0),
+        time_limit: timedelta = OPERATOR_CALL_TIME_LIMIT,
+    ) -> None:
         """Answer the operators' calls in progress, and refuse later ones.
 
-        Nodes and replicas fail over on their own.
+        Nodes and replicas fail over on their own. The time limit is
+        measured from the request to stop, ``elapsed`` ago.
         """
         if self._rpc_server is not None:
             self._rpc_server.stop_accepting()
-        deadline = self._clock.now() + OPERATOR_CALL_TIME_LIMIT
+        deadline = self._clock.now() - elapsed + time_limit
         while self._calls_in_progress and self._clock.now() < deadline:
             await asyncio.wait(
                 self._calls_in_progress,
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -73,9 +73,14 @@
 # Fraction of the shutdown time limit after which requests in progress are
 # refused.
 DRAIN_TIME_FRACTION: Final = 0.86
-# Fraction of it after which unsent responses are dropped. The rest is for
-# closing connections and the end of the process.
+# Fraction of it after which unsent responses are dropped.
 DRAIN_SENDING_FRACTION: Final = 0.92
+# Fraction of it after which connections that still wait to be closed are left
+# to the end of the process.
+CLOSE_TIME_FRACTION: Final = 0.96
+# Passes of the event loop in which requests that wait in the kernel, also on
+# connections that aren't accepted yet, are read, refused and written.
+LOOP_PASSES_MIN: Final = 6
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
@@ -88,7 +93,8 @@
 
     ``pool`` is the pool of this host's backend server,
     ``control_endpoints`` are the control hosts to connect to at first.
-    ``shutdown_time_limit`` bounds the time from the start of a drain.
+    ``shutdown_time_limit`` bounds the time from the request to stop to the
+    end of the process.
     """
 
     name: str
@@ -216,11 +222,20 @@
         """Return whether callers should send requests here."""
         return not self._closing and self._view.revision > 0
 
-    async def drain(self) -> None:
-        """Finish requests in progress while callers move to other hosts."""
+    @property
+    def close_time_limit(self) -> timedelta:
+        """Return the time from SIGTERM after which ``close`` is cancelled."""
+        return CLOSE_TIME_FRACTION * self._settings.shutdown_time_limit
+
+    async def drain(self, elapsed: timedelta = timedelta(0)) -> None:
+        """Finish requests in progress while callers move to other hosts.
+
+        ``elapsed`` is the time since the stop was requested, from which all
+        steps are measured.
+        """
         self._closing = True
         self._send_report()
-        started_at = self._clock.now()
+        started_at = self._clock.now() - elapsed
         time_limit = self._settings.shutdown_time_limit
         serving_time = min(
             DRAIN_SERVING_TIME, DRAIN_SERVING_FRACTION * time_limit
@@ -231,15 +246,16 @@
         admission_time = min(
             DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
         )
+        sending_ends_at = started_at + DRAIN_SENDING_FRACTION * time_limit
         self._ingress.stop_times = StopTimes(
             started_at + admission_time,
             started_at + LATE_CALL_TIME_FRACTION * time_limit,
         )
-        await asyncio.sleep(serving_time.total_seconds())
+        await self._sleep_until(started_at + serving_time)
         self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
-        await asyncio.sleep((notice_time - serving_time).total_seconds())
+        await self._sleep_until(started_at + notice_time)
         self._http_server.closing = True
         self._http_server.close_idle()
         self._log_drain_step("closed idle connections", started_at)
@@ -255,7 +271,7 @@
         )
         self._refuse_unfinished()
         # Requests that waited in the kernel until now are read and refused.
-        await self._wait_idle(started_at + DRAIN_SENDING_FRACTION * time_limit)
+        await self._wait_idle(sending_ends_at)
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
@@ -268,9 +284,11 @@
             self._uplink.post(
                 MemberGone(self._settings.name, self._incarnation)
             )
-        await asyncio.sleep(LEAVE_FLUSH_TIME.total_seconds())
+        await self._sleep_until(
+            min(self._clock.now() + LEAVE_FLUSH_TIME, sending_ends_at)
+        )
         # Responses and refusals may still be in transit to slow readers.
-        await self._wait_idle(started_at + DRAIN_SENDING_FRACTION * time_limit)
+        await self._wait_idle(sending_ends_at)
 
     def _log_drain_step(self, step: str, started_at: datetime) -> None:
         log_event(
@@ -300,11 +318,22 @@
         self._executor.refuse_all()
         self._ingress.refuse_pending()
 
+    async def _sleep_until(self, time: datetime) -> None:
+        """Wait until a time, and for one pass of the event loop at least."""
+        remaining = time - self._clock.now()
+        await asyncio.sleep(max(0.0, remaining.total_seconds()))
+
     async def _wait_idle(self, deadline: datetime) -> None:
-        """Wait until nothing is in progress, at most until the deadline."""
+        """Wait until nothing is in progress, at most until the deadline.
+
+        What is ready to be read or written is handled also after it.
+        """
         # Transports have no event for the moment when all data is sent.
         while self._is_busy() and self._clock.now() < deadline:  # noqa: ASYNC110
             await asyncio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
+        for _ in range(LOOP_PASSES_MIN):
+            if self._is_busy():
+                await asyncio.sleep(0)
 
     def _is_busy(self) -> bool:
         return (
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -84,6 +84,9 @@
 DRAIN_PROPAGATION_DELAY: Final = timedelta(seconds=2)
 # Time for the last responses when drain_timeout has passed.
 CLOSE_TIME_MIN: Final = timedelta(seconds=1)
+# Time after the end of a drain for refusals, last responses and the end of
+# all connections.
+CLOSE_TIME_MAX: Final = 3 * CLOSE_TIME_MIN
 HANDLE_RANDOM_BYTES: Final = 24
 
 
@@ -303,12 +306,22 @@
         text = format_metrics(self.metrics, self._clock.now())
         return web.Response(body=text, content_type="text/plain")
 
-    async def drain(self) -> None:
-        """Refuse new calls and finish the requests in progress."""
+    @property
+    def close_time_limit(self) -> timedelta:
+        """Return the time from SIGTERM after which ``close`` is cancelled."""
+        drain_time = max(self._settings.drain_timeout, DRAIN_PROPAGATION_DELAY)
+        return drain_time + CLOSE_TIME_MAX
+
+    async def drain(self, elapsed: timedelta = timedelta(0)) -> None:
+        """Refuse new calls and finish the requests in progress.
+
+        ``elapsed`` is the time since the stop was requested, from which
+        ``drain_timeout`` is measured.
+        """
         self._draining = True
         self.executor.drain()
         self._send_report()
-        started_at = self._clock.now()
+        started_at = self._clock.now() - elapsed
         self._drain_deadline = started_at + self._settings.drain_timeout
         await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         self._edge.close_connections = True
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -5,6 +5,7 @@
 import resource
 import signal
 import sys
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -29,11 +30,18 @@
 class Service(Protocol):
     """The main object of a program."""
 
+    @property
+    def close_time_limit(self) -> timedelta:
+        """Return the time from SIGTERM after which ``close`` is cancelled."""
+
     async def start(self) -> None:
         """Start serving."""
 
-    async def drain(self) -> None:
-        """Finish the work in progress."""
+    async def drain(self, elapsed: timedelta) -> None:
+        """Finish the work in progress.
+
+        ``elapsed`` is the time since the stop was requested.
+        """
 
     async def close(self) -> None:
         """Stop serving and release all resources."""
@@ -86,6 +94,29 @@
             log_event(Level.WARNING, "event loop late", host=name, lag=lag)
 
 
+class StopRequest:
+    """The first request to stop, and the time since then."""
+
+    def __init__(self) -> None:
+        self._requested = asyncio.Event()
+        self._requested_at = 0.0
+
+    def set(self) -> None:
+        """Request the stop; ignored if it was requested before."""
+        if not self._requested.is_set():
+            self._requested_at = time.monotonic()
+            self._requested.set()
+
+    async def wait(self) -> None:
+        """Wait until the stop is requested."""
+        await self._requested.wait()
+
+    @property
+    def elapsed(self) -> timedelta:
+        """Return the time since the stop was requested."""
+        return timedelta(seconds=time.monotonic() - self._requested_at)
+
+
 async def run_service(service: Service, name: str) -> None:
     """Run until SIGTERM or SIGINT, then drain and close.
 
@@ -93,7 +124,7 @@
     service; settings are read only at startup.
     """
     raise_descriptor_limit()
-    stop_requested = asyncio.Event()
+    stop_request = StopRequest()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(
         signal.SIGHUP,
@@ -104,10 +135,10 @@
         ),
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+        loop.add_signal_handler(signal_number, stop_request.set)
     monitoring = TaskGroup()
     monitoring.start(log_lag(name))
-    if await _start(service, stop_requested):
+    if await _start(service, stop_request):
         # Objects allocated during startup are long-lived. Excluding them
         # from later collections shortens the pauses that add to tail
         # latency.
@@ -115,24 +146,43 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         log_event(Level.INFO, "started", host=name)
-        await stop_requested.wait()
+        await stop_request.wait()
     log_event(Level.INFO, "draining", host=name)
     try:
-        await service.drain()
+        await service.drain(stop_request.elapsed)
     finally:
-        await service.close()
+        await _close(service, name, stop_request)
         await monitoring.cancel()
-    log_event(Level.INFO, "stopped", host=name)
+    log_event(Level.INFO, "stopped", host=name, duration=stop_request.elapsed)
+
+
+async def _close(
+    service: Service, name: str, stop_request: StopRequest
+) -> None:
+    """Close the service, for as long as its time limit allows."""
+    remaining = service.close_time_limit - stop_request.elapsed
+    try:
+        async with asyncio.timeout(remaining.total_seconds()) as time_limit:
+            await service.close()
+    except TimeoutError:
+        if not time_limit.expired():
+            raise
+        log_event(
+            Level.WARNING,
+            "close took too long",
+            host=name,
+            duration=stop_request.elapsed,
+        )
 
 
-async def _start(service: Service, stop_requested: asyncio.Event) -> bool:
+async def _start(service: Service, stop_request: StopRequest) -> bool:
     """Start the service; return False if a stop was requested meanwhile.
 
     The startup is then cancelled, as it may last for as long as a disk
     fails.
     """
     start_task = asyncio.ensure_future(service.start())
-    stop_task = asyncio.ensure_future(stop_requested.wait())
+    stop_task = asyncio.ensure_future(stop_request.wait())
     await asyncio.wait(
         (start_task, stop_task), return_when=asyncio.FIRST_COMPLETED
     )
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -619,6 +619,79 @@
                 self.assertEqual((await sender).status, 502)
 
 
+class LateStepTest(DrainTestCase):
+    """Guards against stops that end late because each step is late."""
+
+    LATENESS_SECONDS: Final = 0.3
+
+    async def drain_late(self, elapsed: timedelta) -> dict[str, float]:
+        """Drain a busy node; each of its waits takes longer than asked.
+
+        Return the seconds from the signal to each step and to the end.
+        """
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=GRACE_PERIOD
+        )
+        node = cluster.nodes[0]
+        clock = ManualClock()
+        started_at = clock.now() - elapsed
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        await self.wait_until(partial(self.count_runs, cluster))
+        times: dict[str, float] = {}
+
+        async def wait(seconds: float) -> None:
+            late = self.LATENESS_SECONDS if seconds > 0 else 0
+            clock.advance(timedelta(seconds=seconds + late))
+
+        def log_step(step: str, _: Any) -> None:
+            times[step] = (clock.now() - started_at).total_seconds()
+
+        with (
+            patch.object(node, "_clock", clock),
+            patch.object(node, "_log_drain_step", log_step),
+            patch("sequoiaseam._host_node.asyncio") as waits,
+        ):
+            waits.sleep = wait
+            await node.drain(elapsed)
+        self.assertEqual((await sender).status, 502)
+        log_step("end", None)
+        return times
+
+    async def test_no_step_waits_for_the_lateness_of_others(self) -> None:
+        times = await self.drain_late(timedelta(0))
+        self.assertAlmostEqual(
+            times["closed idle connections"], 2.5 + self.LATENESS_SECONDS
+        )
+        self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
+        self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
+
+    async def test_the_time_since_the_signal_counts(self) -> None:
+        times = await self.drain_late(timedelta(seconds=4))
+        self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
+        self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
+
+    async def test_a_stop_that_is_past_its_end_waits_for_nothing(self) -> None:
+        times = await self.drain_late(GRACE_PERIOD)
+        self.assertEqual(times["end"], GRACE_PERIOD.total_seconds())
+
+    async def test_requests_are_read_also_past_the_end(self) -> None:
+        cluster = await self.start_cluster(echo_body)
+        node = cluster.nodes[0]
+        connection = socket.create_connection((LOCALHOST, cluster.ports[0]))
+        self.addCleanup(connection.close)
+        connection.sendall(format_request("/read/1"))
+        node._http_server.closing = True
+        node._ingress.closing = True
+        node._ingress.sending_enabled = False
+        await node._wait_idle(node._clock.now())
+        await node.close()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        self.addCleanup(writer.close)
+        self.assertEqual((await read_response(reader)).status, 503)
+
+
 class LateLeaveTest(DrainTestCase):
     """Guards against a server's leave that is accepted and then forgotten.
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,15 +1,23 @@
 """Tests of the startup and shutdown of programs."""
 
+import asyncio
 import os
 import signal
+import time
 import unittest
+from datetime import timedelta
+from typing import Final
 
 from sequoiaseam._program import run_service
 
+STUCK_SECONDS_MAX: Final = 20.0
+
 
 class FailingService:
     """A service that is stopped at once and whose drain fails."""
 
+    close_time_limit = timedelta(seconds=10)
+
     def __init__(self) -> None:
         self.closed = False
 
@@ -17,7 +25,8 @@
         """Send the signal that ends the program."""
         os.kill(os.getpid(), signal.SIGTERM)
 
-    async def drain(self) -> None:
+    async def drain(self, elapsed: timedelta) -> None:
+        del elapsed
         raise ValueError("unexpected")
 
     async def close(self) -> None:
@@ -34,5 +43,42 @@
         self.assertTrue(service.closed)
 
 
+class SlowToStartService:
+    """A service that is stopped at once and takes long to notice it."""
+
+    close_time_limit = timedelta(seconds=10)
+
+    def __init__(self) -> None:
+        self.stopped_at = 0.0
+        self.elapsed = timedelta(0)
+        self.expected = timedelta(0)
+
+    async def start(self) -> None:
+        """Send the signal that ends the program, and hold up its stop."""
+        self.stopped_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        try:
+            await asyncio.sleep(STUCK_SECONDS_MAX)
+        finally:
+            await asyncio.sleep(0.2)
+
+    async def drain(self, elapsed: timedelta) -> None:
+        self.elapsed = elapsed
+        self.expected = timedelta(seconds=time.monotonic() - self.stopped_at)
+
+    async def close(self) -> None:
+        pass
+
+
+class StopTimeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against processes that are killed as they stop too slowly."""
+
+    async def test_a_drain_is_measured_from_the_signal(self) -> None:
+        service = SlowToStartService()
+        await run_service(service, "host-1")
+        self.assertGreaterEqual(service.elapsed, timedelta(seconds=0.2))
+        self.assertLessEqual(service.elapsed, service.expected)
+
+
 if __name__ == "__main__":
     unittest.main()
