End the process as soon as a program has stopped

Callers saw: nothing by itself; a supervisor killed a node at the end of its grace period whose drain and close had ended. Cause: after the line stopped, the end of the event loop waits for the threads of its executor, and the interpreter frees each object and module. Change: run_embedded and run_program flush the standard streams and call os._exit(0) in the coroutine that has stopped the service; this covers nodes and control hosts of both kinds. It skips the end of the loop (tasks that the close has left), the executor's threads, handlers of atexit (none of our own) and destructors. Log lines are written without a buffer; responses are in the kernel, as the drain and the close each let the loop pass; what disk work hasn't ended isn't acknowledged to anyone. Failures to start exit as before.

--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -1,7 +1,9 @@
 """Startup and shutdown of the long-running programs."""
 
 import asyncio
+import contextlib
 import gc
+import os
 import resource
 import signal
 import sys
@@ -9,7 +11,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
-from typing import Final, Protocol, TypeVar
+from typing import Final, NoReturn, Protocol, TypeVar
 
 import uvloop
 
@@ -195,15 +197,36 @@
     return True
 
 
+def _exit_process() -> NoReturn:
+    """End the process at once with status 0.
+
+    The end of the event loop and of the interpreter would wait for threads
+    and free each object, which takes long on a busy machine and has no
+    effect that lasts: log lines are written unbuffered, and the kernel sends
+    what was written to connections.
+    """
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, ValueError):
+            stream.flush()
+    os._exit(0)
+
+
+async def _run_until_exit(service: Service, name: str) -> NoReturn:
+    """Run a service, and end the process once it has stopped."""
+    await run_service(service, name)
+    _exit_process()
+
+
 def run_embedded(create: Callable[[], Service], name: str) -> None:
     """Run a service embedded in another program; log to standard output.
 
-    From the end of the event loop on, signals are ignored, so that one that
-    is repeated doesn't change the exit status.
+    After a stop, it ends the process. If the service fails, signals are
+    ignored from the end of the event loop on, so that one that is repeated
+    doesn't change the exit status.
     """
     configure_logging(Level.INFO, sys.stdout)
     try:
-        uvloop.run(run_service(create(), name))
+        uvloop.run(_run_until_exit(create(), name))
     finally:
         for signal_number in HANDLED_SIGNALS:
             signal.signal(signal_number, signal.SIG_IGN)
@@ -216,7 +239,8 @@
 ) -> None:
     """Load and validate the settings, then run the service.
 
-    Exit with status 2 if the settings are invalid, 3 if startup fails.
+    After a stop, it ends the process with status 0. Exit with status 2 if
+    the settings are invalid, 3 if startup fails.
     """
     try:
         settings = load(path)
@@ -225,7 +249,7 @@
         sys.exit(EXIT_SETTINGS_INVALID)
     configure_logging(Level(settings.log_level))
     try:
-        asyncio.run(run_service(create(settings), settings.name))
+        asyncio.run(_run_until_exit(create(settings), settings.name))
     except (SeamError, OSError) as error:
         code = error.code.value if isinstance(error, SeamError) else "START"
         log_event(
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 import time
 import unittest
 from datetime import timedelta
@@ -10,6 +12,32 @@
 
 from sequoiaseam._program import run_service
 
+# A service with a connection that it can't close, a thread that doesn't end
+# and objects whose finalization takes long.
+STUCK_PROGRAM: Final = """
+import asyncio, os, signal, sys, time
+from datetime import timedelta
+from sequoiaseam._program import run_embedded
+
+class StuckService:
+    close_time_limit = timedelta(seconds=1)
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        loop.run_in_executor(None, time.sleep, 60)
+        loop.call_later(0.1, os.kill, os.getpid(), signal.SIGTERM)
+
+    async def drain(self, elapsed):
+        print("drained", flush=True)
+
+    async def close(self):
+        await asyncio.sleep(60 * IS_STUCK)
+
+    def __del__(self):
+        time.sleep(60)
+
+run_embedded(StuckService, "host-1")
+"""
 STUCK_SECONDS_MAX: Final = 20.0
 
 
@@ -79,6 +107,23 @@
         self.assertGreaterEqual(service.elapsed, timedelta(seconds=0.2))
         self.assertLessEqual(service.elapsed, service.expected)
 
+    def test_the_exit_needs_nothing_that_is_still_open(self) -> None:
+        for is_stuck in (0, 1):
+            with self.subTest(is_stuck=is_stuck):
+                process = subprocess.run(
+                    (
+                        sys.executable,
+                        "-c",
+                        STUCK_PROGRAM.replace("IS_STUCK", str(is_stuck)),
+                    ),
+                    check=False,
+                    stdout=subprocess.PIPE,
+                    timeout=STUCK_SECONDS_MAX,
+                )
+                self.assertEqual(process.returncode, 0)
+                self.assertIn(b"drained", process.stdout)
+                self.assertIn(b'"event": "stopped"', process.stdout)
+
 
 if __name__ == "__main__":
     unittest.main()
