Accept what waits in the kernel in the step that closes the listener

Cause: since a node listens until nothing is unread, or until 0.92 of its time limit; while its loop is late and callers keep connecting, connections always wait, and those of the last pass are reset. Change: when a stop begins to refuse what is in progress, one step of the loop accepts all connections that wait and closes the listener. They are read and refused in the time that is left. Why it works: nothing lies between the last accept and the close but that step, and later callers are refused a connection, so nothing of theirs is sent.

Evidence: WaitingConnectionTest (8 connections with requests, none accepted), which needs the new method; with a plain close of the listener all are reset, as in UnreadRequestTest before. tests.test_drain, test_program, test_stops and test_docs: 45 passed; test_http_server passes. The time of a stop comes from the event loop's clock.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -270,6 +270,7 @@
             **self._measure_drain(started_at),
         )
         self._refuse_unfinished()
+        self._http_server.stop_listening()
         # Requests that waited in the kernel until now are read and refused.
         await self._wait_idle(sending_ends_at)
         # No event loop iteration may lie between the last check and
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+import os
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -137,6 +139,9 @@
         # Set during shutdown: each response then closes its connection.
         self.closing = False
         self._accepting = True
+        # Connections that ``stop_listening`` has accepted and that aren't
+        # registered yet.
+        self._unregistered_count = 0
         self.connections: set[ServerConnection] = set()
         self._listener: Listener | None = None
         self._tasks = TaskGroup()
@@ -159,11 +164,13 @@
         A request may also wait in the kernel, on an idle connection or one
         that isn't accepted yet.
         """
-        if any(connection.busy for connection in self.connections):
+        if self._unregistered_count or any(
+            connection.busy for connection in self.connections
+        ):
             return True
         descriptors = set(self._list_idle())
-        if self._accepting and self._listener is not None:
-            descriptors.add(self._listener.server.sockets[0].fileno())
+        if self._listener is not None:
+            descriptors.add(self._listener.descriptor)
         return bool(find_readable(descriptors))
 
     def _list_idle(self) -> "dict[int, ServerConnection]":
@@ -186,11 +193,43 @@
             if descriptor not in unread:
                 connection.close_if_idle()
 
+    def stop_listening(self) -> None:
+        """Accept the connections that wait in the kernel and stop listening.
+
+        The kernel would reset them as the listener is closed. Both are one
+        step, as callers may keep connecting while the event loop is late.
+        """
+        if self._listener is None:
+            return
+        with socket.socket(
+            fileno=os.dup(self._listener.descriptor)
+        ) as waiting:
+            waiting.setblocking(False)  # noqa: FBT003
+            while True:
+                try:
+                    accepted, _ = waiting.accept()
+                except OSError:
+                    # None waits, or there are no descriptors for more.
+                    break
+                self._unregistered_count += 1
+                self._tasks.start(self._register_accepted(accepted))
+        self._listener.server.close()
+        self._listener = None
+
+    async def _register_accepted(self, accepted: socket.socket) -> None:
+        """Have the event loop handle a connection."""
+        accepted.setblocking(False)  # noqa: FBT003
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: ServerConnection(self), accepted
+            )
+        finally:
+            self._unregistered_count -= 1
+
     def stop_accepting(self) -> None:
         """Stop listening, and close the idle connections."""
+        self.stop_listening()
         self._accepting = False
-        if self._listener is not None:
-            self._listener.server.close()
         self.close_idle()
 
     async def close(self) -> None:
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -29,6 +29,11 @@
     server: Any
     port: int
 
+    @property
+    def descriptor(self) -> int:
+        """Return the file descriptor of the socket."""
+        return int(self.server.sockets[0].fileno())
+
 
 async def open_listener(
     create_protocol: Callable[[], asyncio.Protocol],
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -7,7 +7,6 @@
 import resource
 import signal
 import sys
-import time
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -106,7 +105,7 @@
     def set(self) -> None:
         """Request the stop; ignored if it was requested before."""
         if not self._requested.is_set():
-            self._requested_at = time.monotonic()
+            self._requested_at = asyncio.get_running_loop().time()
             self._requested.set()
 
     async def wait(self) -> None:
@@ -116,7 +115,8 @@
     @property
     def elapsed(self) -> timedelta:
         """Return the time since the stop was requested."""
-        return timedelta(seconds=time.monotonic() - self._requested_at)
+        now = asyncio.get_running_loop().time()
+        return timedelta(seconds=now - self._requested_at)
 
 
 async def run_service(service: Service, name: str) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import re
+import socket
 import unittest
 from dataclasses import replace
 from datetime import timedelta
@@ -940,6 +941,33 @@
         self.assertFalse(self.transport.released)
 
 
+class WaitingConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that the end of a listener resets.
+
+    While the event loop is late, connections wait in the kernel, and more
+    come each time that it accepts some.
+    """
+
+    async def test_requests_on_waiting_connections_are_answered(self) -> None:
+        server = HttpServer(ProcessClock(), RequestRecorder(responds=True))
+        port = await server.start(LOCALHOST, 0, 16)
+        self.addAsyncCleanup(server.close)
+        connections = [
+            socket.create_connection((LOCALHOST, port)) for _ in range(8)
+        ]
+        for connection in connections:
+            connection.sendall(GET_LINE + HOST_FIELD + CRLF)
+        server.stop_listening()
+        self.assertTrue(server.busy)
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((LOCALHOST, port))
+        for connection in connections:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                self.assertTrue(await reader.readuntil(b"whole"))
+            writer.close()
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
