Take no interim response for a final one when the server breaks off

Callers saw: no answer at all to a request whose backend server had sent an interim response (1xx) with the request's id and closed the connection; if it ran on another node, 502 for all calls between the two nodes as well. Cause: an interim response has no length, so it counted as one that ends with its connection. Its status has no status line, and the error came after the request counted as finished; between nodes it closed the connection. Change: only statuses of final responses end with the connection. Why it works: the request then ends as broken off, with 502.

Evidence: test_an_interim_response_is_no_response failed before on one host and on two (KeyError 103, no response in 20 s) and passes; FieldValueTest and tests.test_http_client pass.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -27,7 +27,9 @@
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
 ANNOUNCED_IDLE_FRACTION: Final = 0.6
-# The parser accepts any three digits (RFC 9110, section 15).
+# Statuses of final responses. The parser accepts any three digits (RFC 9110,
+# section 15).
+STATUS_MIN: Final = 200
 STATUS_MAX: Final = 599
 # Bytes outside of bodies, such as header fields, that a server may send for
 # a request, and the further ones for each byte of the bodies: a chunk of a
@@ -379,10 +381,13 @@
         status = self._parser.get_status_code()
         names = {name for name, _ in self._fields}
         framed = b"content-length" in names or b"transfer-encoding" in names
+        # After an interim response, another one follows.
         self._reads_until_close = (
-            not framed and status not in STATUSES_WITHOUT_BODY
+            not framed
+            and status >= STATUS_MIN
+            and status not in STATUSES_WITHOUT_BODY
         )
-        if self._request.head_only and status >= 200:
+        if self._request.head_only and status >= STATUS_MIN:
             self._closed = True
             self._complete_response()
 
@@ -395,7 +400,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
-        if self._response is None and self._parser.get_status_code() >= 200:
+        status = self._parser.get_status_code()
+        if self._response is None and status >= STATUS_MIN:
             self._complete_response()
 
     # Outcomes.
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -63,6 +63,12 @@
     request.respond(500, b"broken", "X-Stamp: s")
 
 
+def respond_103(request: ReceivedRequest) -> None:
+    """Send an interim response that names its request, and close."""
+    request.transport.write(b"HTTP/1.1 103 Any\r\nX-Id: 7\r\n\r\n")
+    request.transport.close()
+
+
 def respond_700(request: ReceivedRequest) -> None:
     """Respond with a status beyond those of HTTP."""
     request.respond(700, b"broken")
@@ -411,6 +417,17 @@
                     server.received[0].respond(200, b"whole")
                     self.assertEqual((await bystander).status, 200)
 
+    async def test_an_interim_response_is_no_response(self) -> None:
+        """Break off after it, on a server of the same and another host."""
+        for handlers in ((respond_103,), (echo_body, respond_103)):
+            with self.subTest(hosts=len(handlers)):
+                cluster = await self.start_cluster(handlers)
+                if len(handlers) > 1:
+                    cluster.report_server(0, 2, leaving=True)
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    response = await cluster.send_request("/order/1")
+                self.assertEqual(response.status, 502)
+
     async def test_a_request_id_outside_of_ascii_is_found(self) -> None:
         cluster = await self.start_cluster((echo_body,))
         message = format_request("/order/1").replace(b"7", b"\xe4")
