Refuse frames between nodes whose status isn't that of a final response

Cause: a result with another status, of a node with a fault, failed after the caller's request counted as finished: the caller got no answer, ever, and the connection between the nodes was closed anyway. Change: the frame is malformed, like other values out of range. Why it works: the connection is closed before the result is used, so the request ends with 502.

Evidence: two cases of test_fields_out_of_range_are_malformed failed before and pass; tests.test_containment and test_mesh pass.

--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -14,6 +14,8 @@
 DURATION_MAX_MS: Final = int(ROUTE_TIMEOUT_MAX.total_seconds() * 1000)
 # Values outside of these ranges make a frame malformed.
 DurationMs = Annotated[int, msgspec.Meta(ge=0, le=DURATION_MAX_MS)]
+# Others have no status line, and the caller would be left without an answer.
+FinalStatus = Annotated[int, msgspec.Meta(ge=200, le=599)]
 Weight = Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
 
 
@@ -58,7 +60,7 @@
     """
 
     call_id: int
-    status: int
+    status: FinalStatus
     fields: bytes
     body: bytes
     length: int
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -96,6 +96,8 @@
             "negative wait": replace_field(CALL, 13, -1),
             "endless deadline": replace_field(CALL, 14, 2**62),
             "unknown code": replace_field(REFUSAL, 2, "NEW_CODE"),
+            "status of an interim response": replace_field(ANSWER, 2, 103),
+            "status that does not exist": replace_field(ANSWER, 2, 700),
             "code of another type": replace_field(REFUSAL, 2, 5),
             "invalid text": replace_field(CALL, 2, "read").replace(
                 b"read", b"\xff\xfe\xfd\xfc"
