Close for sending first also where the caller has announced the close

Callers saw: a reset in the middle of the response to a request with Connection: close, if they had sent more than the request, such as an empty line, and the event loop hadn't read it. Cause: the connection was closed on both sides after the response, as the caller sends no more by the protocol; the kernel resets one with unread input. Change: such a connection ends like the others, for sending first, and is closed once the caller closes it, or after 2 s.

Evidence: test_a_response_while_surplus_data_waits_unread failed before (ECONNRESET) and passes; tests.test_http_server and test_drain pass.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -536,14 +536,12 @@
         )
         if not should_close and is_last_read:
             should_close = self._refuse_malformed()
-        if not should_close:
-            if self._server.closing:
-                self._pause_reading()
-        elif request.keep_alive or self._malformed is not None:
+        if should_close:
+            # Also if the caller has announced that it sends no more: some
+            # send an empty line after the body.
             self._end()
-        else:
-            # The caller has announced that it sends no more.
-            self._close()
+        elif self._server.closing:
+            self._pause_reading()
         return should_close
 
     def _end(self) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -794,6 +794,23 @@
                     expected,
                 )
 
+    async def test_a_response_while_surplus_data_waits_unread(self) -> None:
+        """Announce the close, and send on while the event loop is late."""
+        recorder = RequestRecorder()
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(GET_LINE + HOST_FIELD + b"Connection: close\r\n\r\n")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not recorder.requests:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            writer.write(CRLF)
+            recorder.requests[0].respond(200, b"", LARGE_BODY)
+            response = await reader.read(-1)
+        self.assertTrue(response.endswith(LARGE_BODY))
+
     async def test_a_stop_sends_the_last_response_whole(self) -> None:
         """Send a next request while the last response is on its way."""
         server = HttpServer(ProcessClock(), LargeBodyHandler())
