Count a connection as idle only once its response is sent

Callers saw: a reset of the next request on a kept connection if they had read the response before for longer than the idle timeout. Cause: the timeout counted from the response's creation, and a connection that is being closed reads no more while the rest of the response is sent. Change: the time counts from when all is sent, as it did after a last response.

Evidence: test_a_connection_is_not_idle_before_its_response_is_sent failed before (closed) and passes; tests.test_http_server passes. It is from reading the code, not from a report.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -631,18 +631,18 @@
         age = now - self._phase_started_at
         if self._in_progress:
             return
-        if self._ended:
-            if self._transport.get_write_buffer_size() > 0:
-                self._phase_started_at = now
-            elif age > CLOSE_TIMEOUT:
-                self._close()
-            return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
             if (slow or age > limits.idle_time) and not self.has_unread_input:
                 self._refuse(
                     MalformedRequestError(408, "request not received in time")
                 )
+        elif self._transport.get_write_buffer_size() > 0:
+            # The caller still reads the last response.
+            self._phase_started_at = now
+        elif self._ended:
+            if age > CLOSE_TIMEOUT:
+                self._close()
         elif age > limits.idle_time and not self.has_unread_input:
             self._close()
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -49,6 +49,7 @@
         self.written = b""
         self.closed = False
         self.released = False
+        self.unsent_size = 0
         self.reading_paused = False
 
     def write(self, data: bytes) -> None:
@@ -67,8 +68,8 @@
         self.reading_paused = False
 
     def get_write_buffer_size(self) -> int:
-        """Return 0, as everything counts as sent at once."""
-        return 0
+        """Return the size of what counts as unsent."""
+        return self.unsent_size
 
     def get_extra_info(self, name: str) -> Any:
         """Return a socket without unread input."""
@@ -744,6 +745,25 @@
                 self.assertTrue(transport.closed)
                 self.assertTrue(transport.written.startswith(expected_start))
 
+    def test_a_connection_is_not_idle_before_its_response_is_sent(
+        self,
+    ) -> None:
+        """Keep it for the next request of a caller that reads slowly."""
+        server, connection, transport = open_connection(
+            RequestRecorder(responds=True)
+        )
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        transport.unsent_size = 1
+        idle_time = server.limits.idle_time
+        now = server.clock.now() + 2 * idle_time
+        connection.check_timeout(now)
+        self.assertFalse(transport.closed)
+        transport.unsent_size = 0
+        connection.check_timeout(now + idle_time / 2)
+        self.assertFalse(transport.closed)
+        connection.check_timeout(now + 2 * idle_time)
+        self.assertTrue(transport.closed)
+
     def test_closes_connections_during_shutdown(self) -> None:
         recorder = RequestRecorder(responds=True)
         server, connection, transport = open_connection(recorder)
