Repeat connection attempts that time out because the loop is late

Callers saw: NO_SERVER or CONNECTION_LOST for requests to a healthy server or node after the node had been late or suspended for over 1 s while it connected; the server then got nothing until its next report. A check of a server after a broken run took it for crashed alike. Cause: the timeout of the attempt fired before the event loop looked at the connection, which the kernel had made. Change: one function opens connections to backend servers, nodes and control hosts, and repeats an attempt whose timeout came 0.1 s late or more. Why it works: with the loop on time, the next attempt has its whole time; nothing was sent on the one before.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -17,6 +17,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
+from sequoiaseam._listeners import connect
 from sequoiaseam._unread_input import has_unread_input
 
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
@@ -167,14 +168,13 @@
         return None
 
     async def _open(self, request: PendingRequest) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                _, connection = await loop.create_connection(
-                    lambda: BackendConnection(self),
-                    self._host,
-                    self._port,
-                )
+            connection = await connect(
+                lambda: BackendConnection(self),
+                self._host,
+                self._port,
+                CONNECT_TIMEOUT.total_seconds(),
+            )
         except (OSError, TimeoutError):
             request.finish(Failure.UNREACHABLE)
             return
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -1,7 +1,6 @@
-"""Listening TCP sockets, and a check whether others listen."""
+"""Listening TCP sockets, and connections to others."""
 
 import asyncio
-import contextlib
 import errno
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -15,7 +14,12 @@
 ADDRESS_WAIT_MAX: Final = timedelta(seconds=10)
 ADDRESS_RETRY_INTERVAL: Final = timedelta(milliseconds=100)
 
+# An event loop that handles a timeout this late has hardly had the chance to
+# handle what came before it.
+LATENESS_MIN_SECONDS: Final = 0.1
+
 ResultT = TypeVar("ResultT")
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,16 +82,55 @@
         await asyncio.sleep(ADDRESS_RETRY_INTERVAL.total_seconds())
 
 
+async def connect(
+    create_protocol: Callable[[], ProtocolT],
+    host: str,
+    port: int,
+    timeout_seconds: float,
+) -> ProtocolT:
+    """Open a connection; raise OSError or TimeoutError if it can't be made.
+
+    An attempt that times out while the event loop is late is repeated, as
+    the kernel may have made the connection long before.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        deadline = loop.time() + timeout_seconds
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                _, protocol = await loop.create_connection(
+                    create_protocol, host, port
+                )
+        except TimeoutError:
+            if loop.time() - deadline < LATENESS_MIN_SECONDS:
+                raise
+        else:
+            return protocol
+
+
 async def accepts_connections(
     host: str, port: int, timeout_seconds: float
 ) -> bool:
     """Return whether an address accepts connections within the time."""
     try:
-        async with asyncio.timeout(timeout_seconds):
-            _, writer = await asyncio.open_connection(host, port)
+        connection = await connect(
+            _ClosingConnection, host, port, timeout_seconds
+        )
     except (OSError, TimeoutError):
         return False
-    writer.close()
-    with contextlib.suppress(OSError):
-        await writer.wait_closed()
+    await connection.closed.wait()
     return True
+
+
+class _ClosingConnection(asyncio.Protocol):
+    """A connection that is closed as soon as it is made."""
+
+    def __init__(self) -> None:
+        self.closed = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        del exc
+        self.closed.set()
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, open_listener
+from sequoiaseam._listeners import Listener, connect, open_listener
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
@@ -255,16 +255,15 @@
             )
 
     async def _connect(self) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                _, connection = await loop.create_connection(
-                    lambda: FrameConnection(
-                        self._handle_frame, self._handle_close
-                    ),
-                    self.endpoint.host,
-                    self.endpoint.port,
-                )
+            connection = await connect(
+                lambda: FrameConnection(
+                    self._handle_frame, self._handle_close
+                ),
+                self.endpoint.host,
+                self.endpoint.port,
+                CONNECT_TIMEOUT.total_seconds(),
+            )
         except (OSError, TimeoutError) as error:
             log_event(
                 Level.WARNING,
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -19,7 +19,7 @@
 from sequoiaseam._access import Identity, ProofChecker
 from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
-from sequoiaseam._listeners import Listener, open_listener
+from sequoiaseam._listeners import Listener, connect, open_listener
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import ErrorCode, SeamError
@@ -306,14 +306,10 @@
 
     async def connect(self, path: str, proof: str) -> Stream:
         """Open a stream; raise OSError if the connection can't be made."""
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    Connection,
-                    self._host,
-                    self._port,
-                )
+            connection = await connect(
+                Connection, self._host, self._port, CONNECT_TIMEOUT_SECONDS
+            )
         except TimeoutError as error:
             # A TimeoutError would look like a lost answer, although no
             # request was sent.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from collections.abc import Callable
 from datetime import timedelta
@@ -9,6 +10,7 @@
 
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_client import (
+    CONNECT_TIMEOUT,
     INCOMPLETE_BODIES_MAX_BYTES,
     OVERHEAD_MAX_BYTES,
     BackendConnection,
@@ -363,12 +365,13 @@
         self.assertEqual(len(harness.outcomes), 1)
 
 
-class UnreadEndTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against requests on connections whose end waits unread.
+def block_event_loop(duration: timedelta) -> None:
+    """Delay the event loop, as a suspension of the process does."""
+    time.sleep(duration.total_seconds())
 
-    While the event loop is late, the end of the stream, or bytes that are
-    no response, wait in the kernel. Such a request counts as possibly run.
-    """
+
+class PoolTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a pool and a scripted server."""
 
     async def asyncSetUp(self) -> None:
         self.server = ScriptedServer(echo_body)
@@ -393,6 +396,28 @@
         )
         return outcome
 
+
+class LateConnectionTest(PoolTestCase):
+    """Guards against servers that only a late loop takes for unreachable."""
+
+    async def test_an_attempt_that_the_loop_finishes_late_is_repeated(
+        self,
+    ) -> None:
+        outcome = self.send(1)
+        # The attempt begins, and the kernel makes the connection.
+        await asyncio.sleep(0)
+        block_event_loop(1.5 * CONNECT_TIMEOUT)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            self.assertIsInstance(await outcome, BackendResponse)
+
+
+class UnreadEndTest(PoolTestCase):
+    """Guards against requests on connections whose end waits unread.
+
+    While the event loop is late, the end of the stream, or bytes that are
+    no response, wait in the kernel. Such a request counts as possibly run.
+    """
+
     def end_stream(self, request: ReceivedRequest) -> None:
         """Close the server's side without letting the event loop run."""
         request.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
