Write no frames on a connection whose end waits unread

Callers saw: 502 for a request that isn't idempotent if the node that it was sent to had closed the connection, as at the end of its stop, and this node was late. Cause: the kernel takes what is written after the other side has closed, so the call counted as sent. Change: the connection is polled for its end in the step of the write; what isn't written is refused as not run, as before, and goes to another server. Why it works: a node that has closed reads no more.

Evidence: test_a_call_after_an_end_that_waits_unread_has_not_run failed before (the call was lost) and passes; tests.test_mesh and test_containment pass (25).

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -34,7 +34,7 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import has_unread_input
+from sequoiaseam._unread_input import has_ended, has_unread_input
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode
 
@@ -150,6 +150,10 @@
     def _flush(self) -> None:
         if self._ending or self._transport is None or not self._outgoing:
             return
+        if has_ended(self._transport):
+            # What is written now would count as sent.
+            self._ending = True
+            return
         outgoing, self._outgoing = self._outgoing, []
         self._outgoing_frames = []
         self._transport.write(b"".join(outgoing))
--- a/src/sequoiaseam/_unread_input.py
+++ b/src/sequoiaseam/_unread_input.py
@@ -24,3 +24,15 @@
     """Return whether a transport's socket has unread input."""
     socket = transport.get_extra_info("socket")
     return bool(find_readable((socket.fileno(),)))
+
+
+def has_ended(transport: Any) -> bool:
+    """Return whether the other side of a connection has closed it.
+
+    The event loop may not have read that yet. Data may come before the end.
+    """
+    poll = select.poll()
+    poll.register(
+        transport.get_extra_info("socket").fileno(), select.POLLRDHUP
+    )
+    return bool(poll.poll(0))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -309,6 +309,16 @@
         self.assertIsNone(await self.wait_for_result(earlier))
         await closing
 
+    async def test_a_call_after_an_end_that_waits_unread_has_not_run(
+        self,
+    ) -> None:
+        """Send it while the event loop is late."""
+        (incoming,) = self.server._connections
+        transport = incoming.connection._transport
+        transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        self.assert_not_run(await self.wait_for_result(self.send_call()))
+        self.assertEqual(len(self.started), 1)
+
     async def test_a_connection_made_after_the_close_runs_no_call(
         self,
     ) -> None:
