Read once more before the last response of a stop closes a connection

Callers that pipeline saw: no answer to a request that they had sent long before a stop's last response, if the event loop was late, or if reading was paused behind four others. Cause: that response closed the connection by what had been read. Change: if input waits unread in the step of the response, the connection is read once more; the next last response closes it. Why it works: the kernel is asked in the step of the close, and a caller that sends without end is bounded to one read.

Evidence: test_a_pipelined_request_behind_the_last_response_is_answered failed before (no second response) and passes; tests.test_http_server (36), PipelinedRequestTest and UnreadRequestTest of tests.test_drain and test_docs pass.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -235,6 +235,8 @@
         # Error in what follows the last complete request.
         self._malformed: MalformedRequestError | None = None
         self._reading_paused = False
+        # Set when the last response of a shutdown waits for one more read.
+        self._last_read_begun = False
         self._phase_started_at = server.clock.now()
         self._reading = False
         # Why the connection ended, for logs.
@@ -508,7 +510,8 @@
             self._in_progress.popleft()
             if self._send(first, next_response):
                 return
-        if self._reading_paused and not self._server.closing:
+        more_read = bool(self._in_progress or self._waiting)
+        if self._reading_paused and not (self._server.closing and more_read):
             self._reading_paused = False
             self._transport.resume_reading()
         self._start_waiting()
@@ -518,13 +521,15 @@
         """Send a response; return whether the connection is then closed.
 
         The last response before a close may not leave behind a request
-        that was read. During shutdown no more are read after a response,
-        so that a caller can't prolong it.
+        that was read, nor one that waited unread. During shutdown no more
+        are read after a response, so that a caller can't prolong it.
         """
         self._phase_started_at = self._server.clock.now()
         is_last_read = not self._in_progress and not self._waiting
         should_close = not request.keep_alive or (
-            self._server.closing and is_last_read
+            self._server.closing
+            and is_last_read
+            and not self._begin_last_read()
         )
         self._write(
             request.method,
@@ -540,10 +545,21 @@
             # Also if the caller has announced that it sends no more: some
             # send an empty line after the body.
             self._end()
-        elif self._server.closing:
+        elif self._server.closing and not is_last_read:
             self._pause_reading()
         return should_close
 
+    def _begin_last_read(self) -> bool:
+        """Return whether to read once more before the close of a shutdown.
+
+        Pipelined requests may have been sent long ago if the event loop is
+        late.
+        """
+        if self._last_read_begun or not self.has_unread_input:
+            return False
+        self._last_read_begun = True
+        return True
+
     def _end(self) -> None:
         """Close the sending side; leave it to the caller to close the other.
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -930,6 +930,31 @@
             response = await reader.readuntil(b"\r\n")
         self.assertEqual(response, b"HTTP/1.1 200 OK\r\n")
 
+    async def test_a_pipelined_request_behind_the_last_response_is_answered(
+        self,
+    ) -> None:
+        """Send it before that response; the stop's bound is one more read."""
+        recorder = RequestRecorder()
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 1)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.close)
+        request = GET_LINE + HOST_FIELD + CRLF
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            writer.write(request)
+            for count in (1, 2):
+                while len(recorder.requests) < count:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                server.closing = True
+                writer.write(request)
+                recorder.requests[-1].respond(200, b"", b"whole")
+            received = await reader.read()
+        self.assertEqual(
+            split_responses(received), [(200, b"whole"), (200, b"whole")]
+        )
+        self.assertEqual(received.count(b"Connection: close"), 1)
+
 
 class LateSweepTest(unittest.TestCase):
     """Guards against timeouts that begin before what they bound.
