Merge further fixes of callers' connections and links

Brings: interim and invalid responses, a close that the caller has announced, idle times, connection attempts that time out because the loop is late, frames written after the other side has closed, and the last read of a stop.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -17,6 +17,7 @@
 
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
+from sequoiaseam._listeners import connect
 from sequoiaseam._unread_input import has_unread_input
 
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
@@ -27,7 +28,9 @@
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
 ANNOUNCED_IDLE_FRACTION: Final = 0.6
-# The parser accepts any three digits (RFC 9110, section 15).
+# Statuses of final responses. The parser accepts any three digits (RFC 9110,
+# section 15).
+STATUS_MIN: Final = 200
 STATUS_MAX: Final = 599
 # Bytes outside of bodies, such as header fields, that a server may send for
 # a request, and the further ones for each byte of the bodies: a chunk of a
@@ -165,14 +168,13 @@
         return None
 
     async def _open(self, request: PendingRequest) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                _, connection = await loop.create_connection(
-                    lambda: BackendConnection(self),
-                    self._host,
-                    self._port,
-                )
+            connection = await connect(
+                lambda: BackendConnection(self),
+                self._host,
+                self._port,
+                CONNECT_TIMEOUT.total_seconds(),
+            )
         except (OSError, TimeoutError):
             request.finish(Failure.UNREACHABLE)
             return
@@ -379,10 +381,13 @@
         status = self._parser.get_status_code()
         names = {name for name, _ in self._fields}
         framed = b"content-length" in names or b"transfer-encoding" in names
+        # After an interim response, another one follows.
         self._reads_until_close = (
-            not framed and status not in STATUSES_WITHOUT_BODY
+            not framed
+            and status >= STATUS_MIN
+            and status not in STATUSES_WITHOUT_BODY
         )
-        if self._request.head_only and status >= 200:
+        if self._request.head_only and status >= STATUS_MIN:
             self._closed = True
             self._complete_response()
 
@@ -395,7 +400,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
-        if self._response is None and self._parser.get_status_code() >= 200:
+        status = self._parser.get_status_code()
+        if self._response is None and status >= STATUS_MIN:
             self._complete_response()
 
     # Outcomes.
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, open_listener
+from sequoiaseam._listeners import Listener, connect, open_listener
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
@@ -34,7 +34,7 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import has_unread_input
+from sequoiaseam._unread_input import has_ended, has_unread_input
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode
 
@@ -150,6 +150,10 @@
     def _flush(self) -> None:
         if self._ending or self._transport is None or not self._outgoing:
             return
+        if has_ended(self._transport):
+            # What is written now would count as sent.
+            self._ending = True
+            return
         outgoing, self._outgoing = self._outgoing, []
         self._outgoing_frames = []
         self._transport.write(b"".join(outgoing))
@@ -255,16 +259,15 @@
             )
 
     async def _connect(self) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
-                _, connection = await loop.create_connection(
-                    lambda: FrameConnection(
-                        self._handle_frame, self._handle_close
-                    ),
-                    self.endpoint.host,
-                    self.endpoint.port,
-                )
+            connection = await connect(
+                lambda: FrameConnection(
+                    self._handle_frame, self._handle_close
+                ),
+                self.endpoint.host,
+                self.endpoint.port,
+                CONNECT_TIMEOUT.total_seconds(),
+            )
         except (OSError, TimeoutError) as error:
             log_event(
                 Level.WARNING,
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -50,6 +50,7 @@
         self.written = b""
         self.closed = False
         self.released = False
+        self.unsent_size = 0
         self.reading_paused = False
 
     def write(self, data: bytes) -> None:
@@ -68,8 +69,8 @@
         self.reading_paused = False
 
     def get_write_buffer_size(self) -> int:
-        """Return 0, as everything counts as sent at once."""
-        return 0
+        """Return the size of what counts as unsent."""
+        return self.unsent_size
 
     def get_extra_info(self, name: str) -> Any:
         """Return a socket without unread input."""
@@ -745,6 +746,25 @@
                 self.assertTrue(transport.closed)
                 self.assertTrue(transport.written.startswith(expected_start))
 
+    def test_a_connection_is_not_idle_before_its_response_is_sent(
+        self,
+    ) -> None:
+        """Keep it for the next request of a caller that reads slowly."""
+        server, connection, transport = open_connection(
+            RequestRecorder(responds=True)
+        )
+        connection.data_received(GET_LINE + HOST_FIELD + CRLF)
+        transport.unsent_size = 1
+        idle_time = server.limits.idle_time
+        now = server.clock.now() + 2 * idle_time
+        connection.check_timeout(now)
+        self.assertFalse(transport.closed)
+        transport.unsent_size = 0
+        connection.check_timeout(now + idle_time / 2)
+        self.assertFalse(transport.closed)
+        connection.check_timeout(now + 2 * idle_time)
+        self.assertTrue(transport.closed)
+
     def test_closes_connections_during_shutdown(self) -> None:
         recorder = RequestRecorder(responds=True)
         server, connection, transport = open_connection(recorder)
@@ -795,6 +815,23 @@
                     expected,
                 )
 
+    async def test_a_response_while_surplus_data_waits_unread(self) -> None:
+        """Announce the close, and send on while the event loop is late."""
+        recorder = RequestRecorder()
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 8)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.transport.abort)
+        writer.write(GET_LINE + HOST_FIELD + b"Connection: close\r\n\r\n")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not recorder.requests:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            writer.write(CRLF)
+            recorder.requests[0].respond(200, b"", LARGE_BODY)
+            response = await reader.read(-1)
+        self.assertTrue(response.endswith(LARGE_BODY))
+
     async def test_a_stop_sends_the_last_response_whole(self) -> None:
         """Send a next request while the last response is on its way."""
         server = HttpServer(ProcessClock(), LargeBodyHandler())
@@ -894,6 +931,31 @@
             response = await reader.readuntil(b"\r\n")
         self.assertEqual(response, b"HTTP/1.1 200 OK\r\n")
 
+    async def test_a_pipelined_request_behind_the_last_response_is_answered(
+        self,
+    ) -> None:
+        """Send it before that response; the stop's bound is one more read."""
+        recorder = RequestRecorder()
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 1)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.close)
+        request = GET_LINE + HOST_FIELD + CRLF
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            writer.write(request)
+            for count in (1, 2):
+                while len(recorder.requests) < count:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+                server.closing = True
+                writer.write(request)
+                recorder.requests[-1].respond(200, b"", b"whole")
+            received = await reader.read()
+        self.assertEqual(
+            split_responses(received), [(200, b"whole"), (200, b"whole")]
+        )
+        self.assertEqual(received.count(b"Connection: close"), 1)
+
 
 class LateSweepTest(unittest.TestCase):
     """Guards against timeouts that begin before what they bound.
