Give the soak a second deployment with deep calls and stops in turn

Lost requests were seen on a deployment with 18 nodes in four zones, five control hosts and calls that are up to six deep, which the soak didn't have. A site now says what a soak runs: hosts, services, routes, work, load and limits. The waymarks site has backend servers with slots, a short queue, load reports and idle closes, callers that leave early, edits that move routes and take keys away, servers that leave with their nodes, and a final loss of all control hosts after an edit, two of them with their data. A supervisor starts processes again that end by themselves or are too large.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,6 +1,7 @@
 """Processes of the platform's programs on loopback, for tests."""
 
 import asyncio
+import json
 import os
 import shutil
 import signal
@@ -40,6 +41,8 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         # Zones of addresses that are not in the zone of the others.
         self.zones: dict[str, str] = {}
+        self.controls: tuple[str, ...] = CONTROL_ADDRESSES
+        self.bounds: tuple[str, ...] = ("grace-period-s=6",)
         # Services of nodes whose backend server is not of the service "store".
         self.services: dict[str, str] = {}
 
@@ -68,7 +71,7 @@
         self, address: str, *, bootstrap: bool, is_control: bool
     ) -> str:
         seeds = ", ".join(
-            f'"{seed}:{self.api_port}"' for seed in CONTROL_ADDRESSES
+            f'"{seed}:{self.api_port}"' for seed in self.controls
         )
         listen = f'control-plane = "{address}:{self.api_port}"\n'
         if not is_control:
@@ -85,7 +88,7 @@
             f"bootstrap = {str(bootstrap).lower()}\n"
             f'service = "{self.services.get(address, "store")}"\n'
             f'data-directory = "{self.folder / address / "data"}"\n'
-            'bounds = ["grace-period-s=6"]\n'
+            f"bounds = {json.dumps(self.bounds)}\n"
             f"[listen-addresses]\n{listen}"
         )
 
@@ -99,11 +102,24 @@
 
     def read_peak_memory(self, address: str) -> int:
         """Return the peak resident size of a running process in bytes."""
+        peak = self._read_memory(address, "VmHWM")
+        if peak is None:
+            raise AssertionError(f"no peak memory of {address} is known")
+        return peak
+
+    def read_memory(self, address: str) -> int:
+        """Return the resident size of a process in bytes, 0 if it ended."""
+        try:
+            return self._read_memory(address, "VmRSS") or 0
+        except OSError:
+            return 0
+
+    def _read_memory(self, address: str, name: str) -> int | None:
         status = Path(f"/proc/{self.processes[address].pid}/status")
         for line in status.read_text().splitlines():
-            if line.startswith("VmHWM"):
+            if line.startswith(name):
                 return int(line.split()[1]) * 1024
-        raise AssertionError(f"no peak memory of {address} is known")
+        return None
 
     def wipe_data(self, address: str) -> None:
         """Remove the data directory of a host."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run the soak of several seeds, one after the other.
 
 For example: python -m tests.soak --seeds 100-149
+or: python -m tests.soak --site waymarks --rate 0.1 --seeds 1-3
 """
 
 import argparse
@@ -11,6 +12,8 @@
 from typing import Final
 
 from tests.soak.run import run_soak
+from tests.soak.site import STORES
+from tests.soak.waymarks import create_site
 
 DEFAULT_SECONDS: Final = 30.0
 
@@ -23,7 +26,14 @@
     parser.add_argument(
         "--logs", type=Path, help="existing folder that keeps all logs"
     )
+    parser.add_argument(
+        "--site", choices=("stores", "waymarks"), default="stores"
+    )
+    parser.add_argument(
+        "--rate", type=float, default=0.1, help="of waymarks, 1 is all of it"
+    )
     options = parser.parse_args()
+    site = STORES if options.site == "stores" else create_site(options.rate)
     first, _, last = options.seeds.partition("-")
     failed = []
     for seed in range(int(first), int(last or first) + 1):
@@ -32,7 +42,7 @@
             if options.logs is not None:
                 folder = options.logs / f"seed-{seed}"
                 folder.mkdir()
-            report = asyncio.run(run_soak(seed, options.seconds, folder))
+            report = asyncio.run(run_soak(seed, options.seconds, folder, site))
         print(report.format(), flush=True)
         if report.failures:
             failed.append(seed)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,18 +2,18 @@
 
 import asyncio
 import itertools
+import math
 import random
 import socket
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Final
 
 from tests.soak.record import Call, End, Record
+from tests.soak.site import Site
 
 CHUNK_BYTES: Final = 64 * 1024
 # Over the request's time limit. No node takes so long on a busy machine.
 ANSWER_SLACK_SECONDS: Final = 10.0
-ROUTE_TIMEOUT_SECONDS: Final = 4.0
 # Before a caller connects again to a node that refused a connection.
 RECONNECT_SECONDS: Final = 0.15
 # Mean times between the requests of a caller, one of which it has. Short ones
@@ -23,41 +23,6 @@
 RETURN_WAIT_SECONDS_MAX: Final = 0.4
 # Pause within a request that is sent in two parts.
 SEND_PAUSE_SECONDS_MAX: Final = 0.4
-BODY_BYTES_MAX: Final = 2000
-LARGE_BODY_BYTES: Final = 300_000
-API_KEYS: Final = {"coop": "key-coop", "guild": "key-guild"}
-
-
-@dataclass(frozen=True, slots=True)
-class RouteKind:
-    """A route of the configuration; ``weight`` 0 is one of nested calls."""
-
-    prefix: str
-    service: str
-    method: str
-    weight: int = 0
-
-    @property
-    def idempotent(self) -> bool:
-        """Return whether requests may run more than once."""
-        return self.method == "GET"
-
-    @property
-    def nested(self) -> bool:
-        """Return whether only backend servers send requests."""
-        return not self.weight
-
-
-ROUTES: Final = (
-    RouteKind("/read/", "store", "GET", weight=4),
-    RouteKind("/ship/", "store", "POST", weight=3),
-    RouteKind("/view/", "front", "GET", weight=3),
-    RouteKind("/order/", "front", "POST", weight=4),
-    RouteKind("/stock/", "store", "GET"),
-    RouteKind("/charge/", "store", "POST"),
-)
-ROOT_ROUTES: Final = tuple(route for route in ROUTES if not route.nested)
-NESTED_ROUTES: Final = tuple(route for route in ROUTES if route.nested)
 
 
 class RequestIds:
@@ -82,13 +47,13 @@
         f"X-Sequoiaseam-Attempt-Id: {call.request_id}",
         f"X-Sequoiaseam-Deadline-Remaining-Ms: {remaining_ms}",
     ]
-    if call.workspace:
-        lines.append(f"Authorization: Bearer {API_KEYS[call.workspace]}")
+    if call.key:
+        lines.append(f"Authorization: Bearer {call.key}")
     body = call.body
-    if call.method == "POST" and chunked:
+    if call.method != "GET" and chunked:
         lines.append("Transfer-Encoding: chunked")
         body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
-    elif call.method == "POST":
+    elif call.method != "GET":
         lines.append(f"Content-Length: {len(body)}")
     return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body
 
@@ -112,6 +77,7 @@
         self._buffer = b""
         self._closed = False
         self.used = False
+        self.idle_since = 0.0
 
     async def open(self) -> None:
         """Connect; raise OSError if the node refuses."""
@@ -136,22 +102,30 @@
         self._writer.transport.abort()
 
     async def send(
-        self, call: Call, message: bytes, split: int = 0, pause: float = 0.0
+        self,
+        call: Call,
+        message: bytes,
+        split: int = 0,
+        pause: float = 0.0,
+        patience: float = math.inf,
     ) -> None:
         """Send a request, await the answer and record how it ends.
 
-        With ``split`` the rest of the message is sent after a pause.
+        With ``split`` the rest of the message is sent after a pause. The
+        caller gives up after ``patience`` seconds.
         """
         call.connection = "kept" if self.used else "new"
         self.used = True
         self._record.start_call(call)
         end = End.ABANDONED
+        limit = call.timeout + ANSWER_SLACK_SECONDS
         try:
-            async with asyncio.timeout(call.timeout + ANSWER_SLACK_SECONDS):
+            async with asyncio.timeout(min(limit, patience)):
                 end = await self._exchange(call, message, split, pause)
         except TimeoutError:
-            end = End.SILENT
+            end = End.SILENT if limit < patience else End.ABANDONED
         finally:
+            self.idle_since = self._record.now()
             if end is not End.ANSWERED:
                 self.close()
             self._record.end_call(call, end)
@@ -235,21 +209,21 @@
         record: Record,
         rng: random.Random,
         ids: RequestIds,
+        site: Site,
         node: str,
         port: int,
-        service: str,
         *,
         keeps_connection: bool,
     ) -> None:
         self._record = record
         self._rng = rng
         self._ids = ids
+        self._site = site
         self._node = node
         self._endpoint = (node, port)
         self._path = ""
-        self._service = service
         self._keeps_connection = keeps_connection
-        self._think_seconds = rng.choice(THINK_SECONDS)
+        self._think_seconds = site.think_seconds or rng.choice(THINK_SECONDS)
         self._connection: CallerConnection | None = None
         self.stopping = False
 
@@ -278,7 +252,12 @@
 
     async def _connect(self) -> CallerConnection:
         connection = self._connection
-        if connection is not None and connection.usable:
+        if (
+            connection is not None
+            and connection.usable
+            and self._record.now() - connection.idle_since
+            < self._site.idle_seconds
+        ):
             return connection
         if connection is not None:
             connection.close()
@@ -290,13 +269,13 @@
 
     async def _send_request(self, connection: CallerConnection) -> Call:
         rng = self._rng
-        weights = [route.weight for route in ROOT_ROUTES]
-        (route,) = rng.choices(ROOT_ROUTES, weights)
+        site = self._site
+        routes = site.root_routes
+        (route,) = rng.choices(routes, [route.weight for route in routes])
         request_id = self._ids.create()
-        body = b""
-        if route.method == "POST":
-            size = rng.randrange(1, BODY_BYTES_MAX)
-            body = rng.randbytes(LARGE_BODY_BYTES if size < 20 else size)
+        body = route.draw_body(rng)
+        workspace = rng.choice(sorted(site.keys))
+        keys = site.keys[workspace]
         call = Call(
             request_id,
             self._node,
@@ -304,22 +283,35 @@
             route.prefix + request_id,
             body,
             route.idempotent,
-            rng.choice(sorted(API_KEYS)),
-            self._service,
-            ROUTE_TIMEOUT_SECONDS,
+            workspace,
+            site.services[self._node],
+            route.timeout,
+            key=keys[0] if len(keys) == 1 else rng.choice(keys),
             path=self._path,
         )
         message = encode_request(
             call,
-            round(ROUTE_TIMEOUT_SECONDS * 1000),
+            round(route.timeout * 1000),
             chunked=rng.random() < 0.3,
         )
         split = 0
         if rng.random() < 0.15:
             split = rng.randrange(1, len(message))
+        pause = rng.uniform(0, SEND_PAUSE_SECONDS_MAX)
         await connection.send(
-            call, message, split, rng.uniform(0, SEND_PAUSE_SECONDS_MAX)
+            call, message, split, pause, self._draw_patience(route.timeout)
         )
         if not self._keeps_connection:
             connection.close()
         return call
+
+    def _draw_patience(self, timeout: float) -> float:
+        """Return how long the caller waits for an answer."""
+        site = self._site
+        if not site.leaving_ratio:
+            return math.inf
+        draw = self._rng.random()
+        if draw < site.leaving_ratio:
+            return timeout * self._rng.random()
+        draw -= site.leaving_ratio
+        return timeout if draw < site.punctual_ratio else math.inf
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -3,19 +3,21 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import aiohttp
 
-from tests.soak.callers import API_KEYS, ROUTE_TIMEOUT_SECONDS, ROUTES
 from tests.soak.record import Record
+from tests.soak.site import RouteKind, Site
 
 CALL_TIMEOUT_SECONDS: Final = 3.0
 RETRY_SECONDS: Final = 0.2
 # More than any repair of the control group takes on a busy machine.
 WAIT_SECONDS: Final = 60.0
 RESEND_RATIO: Final = 0.3
+MOVED_RATIO: Final = 0.3
+REVOKED_RATIO: Final = 0.2
 
 
 async def wait_until(
@@ -39,19 +41,22 @@
         record: Record,
         rng: random.Random,
         session: aiohttp.ClientSession,
-        controls: Sequence[str],
+        site: Site,
         api_port: int,
     ) -> None:
         self._record = record
         self._rng = rng
         self._session = session
-        self._controls = controls
+        self._site = site
+        self._controls = site.controls
         self._api_port = api_port
         self._version = 0
         self._document = b""
         self._lock = asyncio.Lock()
+        # The control host that acknowledged the last edit.
+        self.acknowledged_by = ""
 
-    async def edit(self) -> None:
+    async def edit(self, *, resends: bool = True) -> None:
         """Replace the configuration by one with other figures."""
         async with self._lock:
             version = self._version + self._rng.randint(1, 5)
@@ -59,7 +64,7 @@
             if not await self._put(document):
                 return
             self._version, self._document = version, document
-            if self._rng.random() < RESEND_RATIO:
+            if resends and self._rng.random() < RESEND_RATIO:
                 await self._put(document)
 
     async def _put(self, document: bytes) -> bool:
@@ -72,6 +77,7 @@
                 control, "configuration.put", document
             )
             statuses.append(status)
+            self.acknowledged_by = control
             return 0 < status < 500
 
         answered = await wait_until(is_answered)
@@ -117,23 +123,15 @@
 
     def _build_document(self, version: int) -> bytes:
         rng = self._rng
-        routes: dict[str, Any] = {}
-        for route in ROUTES:
-            name = f"r-{route.prefix.strip('/')}"
-            routes[name] = {
-                "host": "any.example",
-                "path-prefix": route.prefix,
-                "route-type": "safe" if route.idempotent else "unsafe",
-                "timeout-s": ROUTE_TIMEOUT_SECONDS + rng.randint(0, 3),
-                "target-latency-s": rng.uniform(1.5, 3),
-                "max-attempts": rng.randint(1, 3),
-                "priority": rng.randint(0, 2),
-                "service": route.service,
-                "allow-anonymous": route.nested,
-            }
+        site = self._site
+        routes = {
+            f"r-{route.prefix.strip('/')}": self._draw_route(route)
+            for route in site.routes
+        }
+        first_route = next(iter(routes.values()))
         for index in range(rng.randint(0, 5)):
             routes[f"r-added-{index}"] = {
-                **routes["r-read"],
+                **first_route,
                 "path-prefix": f"/added-{index}/",
             }
         return json.dumps(
@@ -142,16 +140,49 @@
                 "base-version": f"{self._version:08x}",
                 "routes": routes,
                 "services": {
-                    service: {"max-connections": rng.randint(60, 100)}
-                    for service in ("store", "front")
+                    service: {
+                        "max-connections": rng.randint(*pool.connections),
+                        **pool.settings,
+                    }
+                    for service, pool in site.pools.items()
                 },
                 "tenants": {
                     workspace: {
-                        "api-keys": [key],
+                        "api-keys": self._draw_keys(keys),
                         "rate-per-s": rng.choice((0, 100, 1000)),
                         "burst": 50,
                     }
-                    for workspace, key in API_KEYS.items()
+                    for workspace, keys in site.keys.items()
                 },
+                **site.settings,
             }
         ).encode()
+
+    def _draw_route(self, route: RouteKind) -> dict[str, Any]:
+        rng = self._rng
+        settings: dict[str, Any] = {
+            "host": "any.example",
+            "path-prefix": route.prefix,
+            "route-type": "safe" if route.idempotent else "unsafe",
+            "timeout-s": route.timeout * (1 + rng.randint(0, 3) / 4),
+            "target-latency-s": rng.uniform(*route.target_latency),
+            "max-attempts": rng.randint(1, 3),
+            "priority": rng.randint(*route.priorities),
+            "service": route.service,
+            "allow-anonymous": route.nested,
+        }
+        if route.other_service and rng.random() < MOVED_RATIO:
+            settings["service"] = route.other_service
+        elif route.other_service and rng.random() < MOVED_RATIO:
+            del settings["service"]
+            settings["weighted-services"] = [
+                {"service": route.service, "weight": 75},
+                {"service": route.other_service, "weight": 25},
+            ]
+        return settings
+
+    def _draw_keys(self, keys: tuple[str, ...]) -> list[str]:
+        """Return the keys in force; callers also use those taken away."""
+        if len(keys) > 1 and self._rng.random() < REVOKED_RATIO:
+            return list(keys[:-1])
+        return list(keys)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -76,6 +76,7 @@
     workspace: str
     caller_service: str
     timeout: float
+    key: str = ""
     nested: bool = False
     path: str = ""
     connection: str = ""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,8 @@
 """One soak: a fleet, its load and the actions of a schedule."""
 
 import asyncio
+import contextlib
+import itertools
 import math
 import random
 import signal
@@ -12,31 +14,23 @@
 
 import aiohttp
 
-from tests.platform_fleet import CONTROL_ADDRESSES, PlatformFleet
-from tests.soak.callers import ROOT_ROUTES, Caller, RequestIds
+from tests.platform_fleet import PlatformFleet
+from tests.soak.callers import Caller, RequestIds
 from tests.soak.operator import Operator, wait_until
 from tests.soak.record import GRACE_PERIOD_SECONDS, Period, Record
 from tests.soak.relay import LOOPBACK, Fault, FaultRelay
 from tests.soak.schedule import (
     Action,
     Kind,
+    Schedule,
     build_schedule,
     name_caller_relay,
     name_server_relay,
 )
 from tests.soak.servers import BackendServer, Place
+from tests.soak.site import STORES, Site
+from tests.soak.waymarks import build_waymarks_schedule
 
-SERVICES: Final = {
-    "127.0.2.1": "front",
-    "127.0.2.2": "front",
-    "127.0.2.3": "store",
-    "127.0.2.4": "store",
-    "127.0.2.5": "store",
-}
-NODES: Final = tuple(SERVICES)
-CALLERS_PER_NODE: Final = 5
-# Part of the callers that open a connection for each request.
-OPENING_CALLERS_PER_NODE: Final = 2
 # Callers that reach their node through a relay, if there are relays: one
 # that opens a connection for each request and one that keeps its own.
 RELAYED_CALLERS: Final = (1, 3)
@@ -46,8 +40,14 @@
 OVERHEAD_SECONDS_MAX: Final = 300.0
 # Time to find control hosts and backend servers again after a restart.
 SETTLE_SECONDS: Final = 5.0
-# Each node that can serves a request in this time.
-WINDOW_SECONDS: Final = 5.0
+# How long a server that is taken away serves after its last heartbeat.
+REMOVED_DRAIN_SECONDS: Final = 2.5
+# How long control hosts are down that were killed together.
+DOWN_SECONDS: Final = 0.7
+WATCH_SECONDS: Final = 0.05
+MEMORY_CHECK_SECONDS: Final = 1.0
+# What a supervisor lets a process use.
+MEMORY_BYTES_MAX: Final = 296 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,17 +72,22 @@
 class Soak:
     """The processes, callers and backend servers of one soak."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, site: Site, schedule: Schedule, folder: Path
+    ) -> None:
         self._seed = seed
-        self._schedule = build_schedule(
-            seed, seconds, NODES, CONTROL_ADDRESSES
-        )
+        self._site = site
+        self._schedule = schedule
         self._fleet = PlatformFleet(folder)
-        self._fleet.services = dict(SERVICES)
+        self._fleet.services = dict(site.services)
+        self._fleet.zones = dict(site.zones)
+        self._fleet.controls = site.controls
+        self._fleet.bounds = site.bounds
         self._record = Record()
         self._ids = RequestIds(seed)
         self._locks = {
-            address: asyncio.Lock() for address in (*NODES, *CONTROL_ADDRESSES)
+            address: asyncio.Lock()
+            for address in (*site.nodes, *site.controls)
         }
         self._waiting: set[str] = set()
         self._session = aiohttp.ClientSession()
@@ -90,7 +95,7 @@
             self._record,
             self._create_rng("operator"),
             self._session,
-            CONTROL_ADDRESSES,
+            site,
             self._fleet.api_port,
         )
         self._servers: dict[str, BackendServer] = {}
@@ -98,6 +103,8 @@
         self._callers: list[Caller] = []
         self._relays: dict[str, FaultRelay] = {}
         self._longest_stop = 0.0
+        # How late the soak itself was, which delays what it sees.
+        self._lateness = 0.0
         self._sending_ends_at = math.inf
         self._notes: list[str] = []
 
@@ -124,7 +131,8 @@
             self._seed,
             self._schedule.format(),
             f"{self._record.summarize()}; longest stop "
-            f"{self._longest_stop:.2f} s",
+            f"{self._longest_stop:.2f} s, the soak was late by at most "
+            f"{self._lateness:.2f} s",
             (*failures, *self._read_log_lines()),
             tuple(self._notes),
         )
@@ -132,25 +140,26 @@
     # Start.
 
     async def _start(self) -> None:
-        for address in (*CONTROL_ADDRESSES, *NODES):
+        site = self._site
+        for address in (*site.controls, *site.nodes):
             await self._fleet.start(address)
         await self._operator.edit()
-        for node in NODES:
+        for node in site.nodes:
             await self._start_server(node)
             if not self._schedule.planned_only:
                 relay = FaultRelay(node, self._fleet.outbound_port)
                 await relay.start()
                 self._relays[name_caller_relay(node)] = relay
-        for node, service in SERVICES.items():
-            for index in range(CALLERS_PER_NODE):
+        for node in site.nodes:
+            for index in range(site.callers_per_node):
                 caller = Caller(
                     self._record,
                     self._create_rng(f"caller {node} {index}"),
                     self._ids,
+                    site,
                     node,
                     self._fleet.outbound_port,
-                    service,
-                    keeps_connection=index >= OPENING_CALLERS_PER_NODE,
+                    keeps_connection=index >= site.opening_callers_per_node,
                 )
                 name = name_caller_relay(node)
                 if name in self._relays and index in RELAYED_CALLERS:
@@ -160,19 +169,24 @@
     async def _start_server(self, node: str) -> None:
         self._server_count += 1
         server_id = f"i-{self._server_count}"
+        relay_name = name_server_relay(node)
+        if self._schedule.planned_only or (
+            relay_name not in self._site.list_server_relays()
+        ):
+            relay_name = ""
         server = BackendServer(
             self._record,
             self._create_rng(f"server {server_id}"),
             self._ids,
             Place(
+                self._site,
                 node,
-                SERVICES[node],
                 self._fleet.api_port,
                 self._fleet.outbound_port,
             ),
             server_id,
             self._session,
-            "" if self._schedule.planned_only else name_server_relay(node),
+            relay_name,
         )
         await server.listen()
         if server.relay is not None:
@@ -187,6 +201,7 @@
             senders = [
                 group.create_task(caller.run()) for caller in self._callers
             ]
+            watch = group.create_task(self._watch())
             await self._wait_until_served("at the start")
             self._record.started_at = self._record.now()
             async with asyncio.TaskGroup() as actions:
@@ -196,11 +211,13 @@
                     )
                     await asyncio.sleep(max(0.0, wait))
                     actions.create_task(self._perform(action))
+            await self._kill_all_controls()
             await self._wait_until_served("after all")
             self._sending_ends_at = self._record.now()
             for caller in self._callers:
                 caller.stopping = True
             await asyncio.gather(*senders)
+            watch.cancel()
         await self._operator.check_read_back()
         for server in self._servers.values():
             await server.finish()
@@ -218,28 +235,34 @@
             for call in self._record.calls.values()
             if call.served and not call.nested
         ]
+        site = self._site
         start = self._record.started_at
-        while start + WINDOW_SECONDS < self._sending_ends_at:
+        while start + site.window_seconds < self._sending_ends_at:
             calm = {
                 address
-                for address in (*NODES, *CONTROL_ADDRESSES)
+                for address in (*site.nodes, *site.controls)
                 if self._is_calm(address, start)
             }
             served_nodes = {
-                node for node, at in served if 0 < at - start < WINDOW_SECONDS
+                node
+                for node, at in served
+                if 0 < at - start < site.window_seconds
             }
-            if calm.issuperset(CONTROL_ADDRESSES) and len(
-                {SERVICES[node] for node in calm & SERVICES.keys()}
-            ) == len(set(SERVICES.values())):
-                for node in (calm & SERVICES.keys()) - served_nodes:
+            calm_nodes = calm & site.services.keys()
+            if calm.issuperset(site.controls) and len(
+                {site.services[node] for node in calm_nodes}
+            ) == len(set(site.services.values())):
+                for node in calm_nodes - served_nodes:
                     self._record.fail(
-                        f"{node} served no request in {WINDOW_SECONDS} s from "
+                        f"{node} served no request in "
+                        f"{site.window_seconds:.1f} s from "
                         f"{start - self._record.started_at:.1f} on"
                     )
-            start += WINDOW_SECONDS / 2
+            start += site.window_seconds / 2
 
     def _is_calm(self, address: str, start: float) -> bool:
-        span = (start - SETTLE_SECONDS, start + WINDOW_SECONDS)
+        end = start + self._site.window_seconds
+        span = (start - SETTLE_SECONDS, end)
         names = (address, name_server_relay(address))
         return not (
             self._record.is_stopped(names, *span)
@@ -247,7 +270,11 @@
         )
 
     async def _wait_until_served(self, when: str) -> None:
-        """Check that each node serves requests of each kind from now on."""
+        """Check that requests are served from now on.
+
+        Each node serves each route, or each node some and each route is
+        served, where a node has too few callers for that in a short time.
+        """
         since = self._record.now()
 
         async def is_served() -> bool:
@@ -259,13 +286,20 @@
             )
 
     def _find_unserved(self, since: float) -> set[tuple[str, str]]:
-        unserved = {
-            (node, route.prefix) for node in NODES for route in ROOT_ROUTES
-        }
+        nodes = self._site.nodes
+        prefixes = [route.prefix for route in self._site.root_routes]
+        unserved = {(node, "") for node in nodes}
+        unserved |= {("", prefix) for prefix in prefixes}
+        if self._site.serves_all_first:
+            unserved |= set(itertools.product(nodes, prefixes))
         for call in self._record.calls.values():
             if call.served and call.started_at >= since:
                 prefix = f"/{call.target.split('/')[1]}/"
-                unserved.discard((call.node, prefix))
+                unserved -= {
+                    (call.node, ""),
+                    ("", prefix),
+                    (call.node, prefix),
+                }
         return unserved
 
     async def _perform(self, action: Action) -> None:
@@ -276,6 +310,8 @@
             await self._operator.edit()
         elif kind is Kind.REPLACE_SERVER:
             await self._replace_server(action)
+        elif kind is Kind.REMOVE_SERVER:
+            await self._remove_server(action)
         elif kind is Kind.STOP:
             await self._stop(action)
         elif kind is Kind.KILL:
@@ -302,6 +338,17 @@
         await self._start_server(action.address)
         period.end = self._record.now()
 
+    async def _remove_server(self, action: Action) -> None:
+        """Take a server and then its node away, and add both again."""
+        former = self._servers[action.address]
+        if former.leaving:
+            return
+        period = self._record.add_stop(name_server_relay(action.address))
+        await former.leave(REMOVED_DRAIN_SECONDS)
+        await self._stop(action)
+        await self._start_server(action.address)
+        period.end = self._record.now()
+
     async def _stop(self, action: Action) -> None:
         """Stop a process as planned and start it again.
 
@@ -365,8 +412,8 @@
         """Start a process that has ended, and wait until it listens."""
         del self._fleet.processes[address]
         await asyncio.sleep(wait)
-        await self._fleet.start(address)
-        is_node = address in SERVICES
+        await self._fleet.start(address, bootstrap=False)
+        is_node = address in self._site.services
         port = self._fleet.outbound_port if is_node else self._fleet.api_port
 
         async def is_listening() -> bool:
@@ -405,18 +452,84 @@
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
+    async def _kill_all_controls(self) -> None:
+        """Kill all control hosts right after an edit, and wipe some.
+
+        The edit, which was acknowledged, has to be in force afterwards.
+        """
+        wiped = self._schedule.wiped
+        if wiped is None:
+            return
+        await self._operator.edit(resends=False)
+        controls = self._site.controls
+        async with contextlib.AsyncExitStack() as stack:
+            for address in controls:
+                await stack.enter_async_context(self._locks[address])
+            faults = [
+                self._record.add_fault(address, "killed")
+                for address in controls
+            ]
+            for address in controls:
+                self._fleet.processes[address].kill()
+            for address in controls:
+                await self._fleet.processes[address].wait()
+            first = controls.index(self._operator.acknowledged_by)
+            for position in wiped:
+                address = controls[(first + position) % len(controls)]
+                self._fleet.wipe_data(address)
+            async with asyncio.TaskGroup() as group:
+                for address in controls:
+                    group.create_task(self._restart(address, DOWN_SECONDS))
+            for fault in faults:
+                fault.end = self._record.now()
+
+    # Supervision.
+
+    async def _watch(self) -> None:
+        """Start processes again that end by themselves or are too large."""
+        loop = asyncio.get_running_loop()
+        checked_at = loop.time()
+        while True:
+            due = loop.time() + WATCH_SECONDS
+            await asyncio.sleep(WATCH_SECONDS)
+            self._lateness = max(self._lateness, loop.time() - due)
+            if loop.time() - checked_at < MEMORY_CHECK_SECONDS:
+                continue
+            checked_at = loop.time()
+            for address, lock in self._locks.items():
+                if not lock.locked():
+                    await self._check_process(address, lock)
+
+    async def _check_process(self, address: str, lock: asyncio.Lock) -> None:
+        process = self._fleet.processes[address]
+        if process.returncode is None:
+            size = self._fleet.read_memory(address)
+            if size <= MEMORY_BYTES_MAX:
+                return
+            process.kill()
+            self._record.fail(f"{address} used {size} bytes")
+        else:
+            self._record.fail(
+                f"{address} ended by itself with status {process.returncode}"
+            )
+        async with lock:
+            await process.wait()
+            await self._restart(address, 0)
+
     # Logs.
 
     def _read_log_lines(self) -> Iterator[str]:
         """Yield the processes' log lines on the first requests that failed."""
         for request_id in dict.fromkeys(self._record.failed_ids[:3]):
-            for address in (*NODES, *CONTROL_ADDRESSES):
+            for address in (*self._site.nodes, *self._site.controls):
                 for line in self._fleet.read_log(address).splitlines():
                     if request_id in line:
                         yield f"{address}: {line}"
 
 
-async def run_soak(seed: int, seconds: float, folder: Path) -> Report:
+async def run_soak(
+    seed: int, seconds: float, folder: Path, site: Site = STORES
+) -> Report:
     """Run the soak of one seed with the processes' logs in a folder.
 
     SIGTERM ends it together with the processes that it has started.
@@ -424,5 +537,9 @@
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    if site is STORES:
+        schedule = build_schedule(seed, seconds, site.nodes, site.controls)
+    else:
+        schedule = build_waymarks_schedule(seed, seconds, site)
     async with asyncio.timeout(seconds + OVERHEAD_SECONDS_MAX):
-        return await Soak(seed, seconds, folder).run()
+        return await Soak(seed, site, schedule, folder).run()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -27,6 +27,8 @@
     DELAY = "delay"
     EDIT = "edit"
     REPLACE_SERVER = "replace server"
+    # Take a server and its node away and add them again.
+    REMOVE_SERVER = "remove server"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,10 +52,15 @@
 
     planned_only: bool
     actions: tuple[Action, ...]
+    # Control hosts whose data is wiped when all are killed at the end, counted
+    # from the one that acknowledged the last edit. None: they aren't killed.
+    wiped: tuple[int, ...] | None = None
 
     def format(self) -> str:
         """Return one line for each action."""
         title = "planned stops only" if self.planned_only else "with faults"
+        if self.wiped is not None:
+            title += f", all control hosts killed, {self.wiped} wiped"
         return "\n".join(
             (
                 title,
@@ -79,9 +86,9 @@
     actions += _build_control_actions(
         rng, seconds, controls, planned_only=planned_only
     )
-    for at in _draw_times(rng, seconds, rng.uniform(3, 8)):
+    for at in draw_times(rng, seconds, rng.uniform(3, 8)):
         actions.append(Action(at, Kind.EDIT, "", 0))
-    for at in _draw_times(rng, seconds, rng.uniform(6, 20)):
+    for at in draw_times(rng, seconds, rng.uniform(6, 20)):
         actions.append(
             Action(
                 at,
@@ -95,14 +102,12 @@
         actions += _build_relay_faults(rng, seconds, nodes)
     # Drawn last, so that the rest of a schedule is the same without delays.
     if rng.random() < DELAYED_RATIO:
-        actions += _build_delays(rng, seconds, nodes)
+        actions += build_delays(rng, seconds, nodes)
     actions.sort(key=lambda action: action.at)
     return Schedule(planned_only, tuple(actions))
 
 
-def _draw_times(
-    rng: random.Random, seconds: float, mean: float
-) -> list[float]:
+def draw_times(rng: random.Random, seconds: float, mean: float) -> list[float]:
     """Return random times that are ``mean`` apart on average."""
     times = []
     at = rng.expovariate(1 / mean)
@@ -162,11 +167,11 @@
             rng.choice(nodes),
             rng.uniform(0.05, 3),
         )
-        for at in _draw_times(rng, seconds, rng.uniform(2, 8))
+        for at in draw_times(rng, seconds, rng.uniform(2, 8))
     ]
 
 
-def _build_delays(
+def build_delays(
     rng: random.Random, seconds: float, nodes: Sequence[str]
 ) -> list[Action]:
     """Delay each node again and again, one independently of the others."""
@@ -202,5 +207,5 @@
             ),
             rng.uniform(0.2, 4),
         )
-        for at in _draw_times(rng, seconds, rng.uniform(0.7, 3))
+        for at in draw_times(rng, seconds, rng.uniform(0.7, 3))
     ]
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -4,14 +4,15 @@
 import contextlib
 import hashlib
 import json
+import math
 import random
+from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
 import aiohttp
 
 from tests.soak.callers import (
-    NESTED_ROUTES,
     CallerConnection,
     RequestIds,
     encode_request,
@@ -19,8 +20,8 @@
 )
 from tests.soak.record import Call, Record, Run
 from tests.soak.relay import LOOPBACK, FaultRelay
+from tests.soak.site import RouteKind, Site
 
-SLOTS: Final = 64
 HEARTBEAT_SECONDS: Final = 0.7
 HEARTBEAT_TIMEOUT_SECONDS: Final = 1.0
 NESTED_CALLS_MAX: Final = 2
@@ -38,8 +39,8 @@
 class Place:
     """Where a backend server runs, and the ports of the node beside it."""
 
+    site: Site
     node: str
-    service: str
     api_port: int
     outbound_port: int
 
@@ -64,10 +65,15 @@
         self.rng = rng
         self.server_id = server_id
         self.place = place
+        self.service = place.site.services[place.node]
+        self.pool = place.site.pools[self.service]
+        self._speed = rng.choice(self.pool.speeds)
+        self._cold_until = 0.0
         self.relay_name = relay_name
         self.relay: FaultRelay | None = None
         self._announced_port = 0
         self.runs_in_progress: set[asyncio.Task[None]] = set()
+        self.waiting: deque[ServerConnection] = deque()
         self._ids = ids
         self._session = session
         self._sequence = 0
@@ -93,6 +99,7 @@
     def announce(self, born: int) -> None:
         """Send heartbeats to the node beside the server from now on."""
         self._born = born
+        self._cold_until = self.record.now() + self.pool.cold_seconds
         self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def _send_heartbeats(self) -> None:
@@ -104,13 +111,13 @@
         """Send a heartbeat; return whether it was acknowledged."""
         self._sequence += 1
         report = {
-            "service": self.place.service,
+            "service": self.service,
             "address": f"{LOOPBACK}:{self._announced_port}",
-            "zone": "north",
+            "zone": self.place.site.zones.get(self.place.node, "north"),
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.pool.slots,
             "state": self._state,
-            "cold-remaining-s": 0,
+            "cold-remaining-s": self._find_cold_seconds(),
             "sequence": self._sequence,
             "born": self._born,
         }
@@ -149,6 +156,8 @@
         """Wait for the requests in progress, which have time limits."""
         while self.runs_in_progress:
             await asyncio.gather(*self.runs_in_progress)
+            # The ends of runs start those that wait.
+            await asyncio.sleep(0)
 
     async def close(self) -> None:
         """Close the listener and all connections."""
@@ -167,7 +176,63 @@
 
     # Runs.
 
-    def choose_delay(self, target: str) -> float:
+    def _find_cold_seconds(self) -> float:
+        return max(0.0, self._cold_until - self.record.now())
+
+    def admit(self, connection: "ServerConnection") -> None:
+        """Run the request of a connection once a slot is free, or shed it."""
+        if len(self.runs_in_progress) < self.pool.slots:
+            connection.begin()
+        elif len(self.waiting) < self.pool.queue:
+            self.waiting.append(connection)
+        else:
+            connection.shed()
+
+    def start_run(self, run: asyncio.Task[None]) -> None:
+        """Hold a slot until the run ends."""
+        self.runs_in_progress.add(run)
+        run.add_done_callback(self._release)
+
+    def _release(self, run: asyncio.Task[None]) -> None:
+        self.runs_in_progress.discard(run)
+        while self.waiting and len(self.runs_in_progress) < self.pool.slots:
+            self.waiting.popleft().begin()
+
+    def format_load(self) -> str:
+        """Return the running and waiting requests and the slots."""
+        running = len(self.runs_in_progress)
+        return f"{running},{len(self.waiting)},{self.pool.slots}"
+
+    async def serve(self, target: str, remaining: float) -> int:
+        """Work on a request and return the status of its answer."""
+        route = self.place.site.find_route(target)
+        if route.work is None:
+            await asyncio.sleep(self._choose_delay(target))
+            if route.nested or not target.startswith(("/view/", "/order/")):
+                return 200
+            nested_routes = self.place.site.nested_routes
+            calls = [
+                self.rng.choice(nested_routes)
+                for _ in range(self.rng.randint(0, NESTED_CALLS_MAX))
+            ]
+        else:
+            factor = self.pool.cold_factor if self._find_cold_seconds() else 1
+            seconds = route.work.draw(self.rng) * factor / self._speed
+            await asyncio.sleep(seconds)
+            if self.rng.random() < route.error_ratio:
+                return 500
+            calls = [
+                self.place.site.find_route(prefix) for prefix in route.calls
+            ]
+        return 200 if await self._make_calls(calls, remaining) else 500
+
+    def draw_answer_size(self, target: str) -> int:
+        """Return the size of an answer without its first words."""
+        mean = self.place.site.find_route(target).answer_bytes
+        size = self.rng.randrange(2 * mean or 200)
+        return LARGE_ANSWER_BYTES if size == 0 and not mean else size
+
+    def _choose_delay(self, target: str) -> float:
         """Return how long an answer takes."""
         if target.startswith(SLOW_PREFIXES) and (
             self.rng.random() < SLOW_RATIO
@@ -178,16 +243,19 @@
         )
         return self.rng.uniform(0, longest)
 
-    async def make_nested_calls(self, remaining: float) -> bool:
+    async def _make_calls(
+        self, routes: list[RouteKind], remaining: float
+    ) -> bool:
         """Send requests through the node; return whether all succeeded."""
         ends_at = self.record.now() + remaining
-        for _ in range(self.rng.randint(0, NESTED_CALLS_MAX)):
-            call = self._create_nested_call(ends_at - self.record.now())
+        for route in routes:
+            remaining = ends_at - self.record.now()
+            call = self._create_nested_call(route, remaining)
             try:
                 connection = await self._connect()
             except OSError:
                 return False
-            remaining_ms = max(0, round(call.timeout * 1000))
+            remaining_ms = max(0, round(remaining * 1000))
             await connection.send(call, encode_request(call, remaining_ms))
             if not call.served:
                 return False
@@ -195,8 +263,7 @@
                 self._own_connections.append(connection)
         return True
 
-    def _create_nested_call(self, remaining: float) -> Call:
-        route = self.rng.choice(NESTED_ROUTES)
+    def _create_nested_call(self, route: RouteKind, remaining: float) -> Call:
         request_id = self._ids.create()
         return Call(
             request_id,
@@ -206,8 +273,8 @@
             self.rng.randbytes(100) if route.method == "POST" else b"",
             route.idempotent,
             "",
-            self.place.service,
-            remaining,
+            self.service,
+            min(remaining, route.timeout),
             nested=True,
         )
 
@@ -224,6 +291,22 @@
         return connection
 
 
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request as a backend server received it."""
+
+    method: str
+    target: str
+    fields: dict[str, str]
+    body: bytes
+    received_at: float
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that its sender gave it."""
+        return self.fields.get("x-sequoiaseam-attempt-id", "")
+
+
 class ServerConnection(asyncio.Protocol):
     """A node's connection to a backend server."""
 
@@ -235,15 +318,30 @@
         self._data = b""
         self._task: asyncio.Task[None] | None = None
         self._run: Run | None = None
+        self._request: Request | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._connections.add(self)
+        self._await_request()
+
+    def _await_request(self) -> None:
+        """Close the connection if no request comes."""
+        seconds = self._server.pool.idle_seconds
+        if seconds < math.inf:
+            self._idle_timer = asyncio.get_running_loop().call_later(
+                seconds, self._transport.close
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
         self._connections.discard(self)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        if self in self._server.waiting:
+            self._server.waiting.remove(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -254,6 +352,8 @@
         self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
         self._data += data
         head, end, rest = self._data.partition(b"\r\n\r\n")
         if not end:
@@ -264,20 +364,39 @@
             return
         body, self._data = rest[:size], rest[size:]
         server = self._server
-        if self._task is not None or self._data:
+        if self._request is not None or self._data:
             server.record.fail(f"a request before the last answer: {head!r}")
         method, target, _ = first_line.split(" ")
-        self._start(method, target, fields, body)
+        self._start(Request(method, target, fields, body, server.record.now()))
 
-    def _start(
-        self, method: str, target: str, fields: dict[str, str], body: bytes
-    ) -> None:
+    def _start(self, request: "Request") -> None:
         """Run a request, unless it is for another server."""
         server = self._server
-        request_id = fields.get("x-sequoiaseam-attempt-id", "")
-        expected_id = fields.get("x-sequoiaseam-expected-instance")
-        if expected_id != server.server_id:
-            self._write(421, request_id, "", b"")
+        expected_id = request.fields.get("x-sequoiaseam-expected-instance")
+        if request.target == "/health":
+            self._write(503 if server.leaving else 200, "", "", b"")
+        elif expected_id != server.server_id:
+            self._write(421, request.request_id, "", b"")
+        else:
+            self._request = request
+            server.admit(self)
+
+    def shed(self) -> None:
+        """Answer that the request hasn't run and won't."""
+        assert self._request is not None
+        request_id, self._request = self._request.request_id, None
+        self._write(503, request_id, "", b"")
+
+    def begin(self) -> None:
+        """Run the request, unless its time is over."""
+        server = self._server
+        request = self._request
+        assert request is not None
+        fields, request_id = request.fields, request.request_id
+        waited = server.record.now() - request.received_at
+        remaining_ms = fields.get("x-sequoiaseam-deadline-remaining-ms", "")
+        if remaining_ms.isdigit() and int(remaining_ms) < waited * 1000:
+            self.shed()
             return
         run = Run(
             server.server_id,
@@ -290,9 +409,9 @@
             self._transport.abort()
             return
         received = (
-            method,
-            target,
-            body,
+            request.method,
+            request.target,
+            request.body,
             fields.get("x-sequoiaseam-caller-service"),
             fields.get("x-sequoiaseam-tenant", ""),
             fields.get("authorization", ""),
@@ -304,39 +423,30 @@
         if received != sent:
             server.record.fail(f"a request was changed: {fields}", call)
         self._run = run
-        remaining_ms = fields.get("x-sequoiaseam-deadline-remaining-ms", "")
         if not remaining_ms.isdigit():
             server.record.fail("a request has no time limit", call)
             remaining_ms = "0"
         self._task = asyncio.create_task(
-            self._answer(run, call, int(remaining_ms) / 1000)
+            self._answer(run, call, int(remaining_ms) / 1000 - waited)
         )
-        server.runs_in_progress.add(self._task)
-        self._task.add_done_callback(server.runs_in_progress.discard)
+        server.start_run(self._task)
 
     async def _answer(self, run: Run, call: Call, remaining: float) -> None:
         server = self._server
-        status = 200
         try:
             async with asyncio.timeout(remaining):
-                await asyncio.sleep(server.choose_delay(call.target))
-                if not call.nested and call.target.startswith(
-                    ("/view/", "/order/")
-                ):
-                    served = await server.make_nested_calls(remaining)
-                    status = 200 if served else 500
+                status = await server.serve(call.target, remaining)
         except TimeoutError:
             status = 504
         except asyncio.CancelledError:
             server.record.end_run(run, "cut by the node")
             return
-        size = server.rng.randrange(200)
-        filler = "x" * (LARGE_ANSWER_BYTES if size == 0 else size)
+        filler = "x" * server.draw_answer_size(call.target)
         run.body = f"{call.request_id} by {run.server} {filler}".encode()
         run.status = status
         run.signature = hashlib.sha256(run.body).hexdigest()
         server.record.end_run(run, "answered")
-        self._task = None
+        self._task = self._request = None
         self._write(status, call.request_id, run.signature, run.body)
 
     def _write(
@@ -351,9 +461,22 @@
         ]
         if signature:
             lines.append(f"X-Sequoiaseam-Response-Signature: {signature}")
+        elif status >= 400:
+            lines.append("X-Sequoiaseam-Not-Executed: 1")
+        pool = self._server.pool
+        if not request_id:
+            server_id = self._server.server_id
+            lines.append(f"X-Sequoiaseam-Instance-Id: {server_id}")
+        if pool.announces_load:
+            load = self._server.format_load()
+            lines.append(f"X-Sequoiaseam-Server-Load: {load}")
+        if pool.idle_seconds < math.inf:
+            lines.append(f"Keep-Alive: timeout={pool.idle_seconds:.0f}")
         if closes:
             lines.append("Connection: close")
         head = "".join(f"{line}\r\n" for line in (*lines, "")).encode()
         self._transport.write(head + body)
         if closes:
             self._transport.close()
+        else:
+            self._await_request()
