--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -71,7 +71,8 @@
         self._cold_until = 0.0
         self.relay_name = relay_name
         self.relay: FaultRelay | None = None
-        self._announced_port = 0
+        # The announced one, which is that of the relay if there is one.
+        self.port = 0
         self.runs_in_progress: set[asyncio.Task[None]] = set()
         self.waiting: deque[ServerConnection] = deque()
         self._ids = ids
@@ -90,11 +91,11 @@
         self._listener = await loop.create_server(
             lambda: ServerConnection(self, self._connections), LOOPBACK, 0
         )
-        self._announced_port = self._listener.sockets[0].getsockname()[1]
+        self.port = self._listener.sockets[0].getsockname()[1]
         if self.relay_name:
-            self.relay = FaultRelay(LOOPBACK, self._announced_port)
+            self.relay = FaultRelay(LOOPBACK, self.port)
             await self.relay.start()
-            self._announced_port = self.relay.port
+            self.port = self.relay.port
 
     def announce(self, born: int) -> None:
         """Send heartbeats to the node beside the server from now on."""
@@ -112,7 +113,7 @@
         self._sequence += 1
         report = {
             "service": self.service,
-            "address": f"{LOOPBACK}:{self._announced_port}",
+            "address": f"{LOOPBACK}:{self.port}",
             "zone": self.place.site.zones.get(self.place.node, "north"),
             "version": "v1",
             "slots": self.pool.slots,
--- a/tests/soak/waymarks.py
+++ b/tests/soak/waymarks.py
@@ -20,29 +20,13 @@
 ZONE_SIZES: Final = (5, 5, 4, 4)
 CONTROL_ZONES: Final = (0, 0, 1, 2, 3)
 CALLERS_PER_NODE: Final = 17
-SERVERS: Final = {
-    "marker-registry": 6,
-    "repair-desk": 4,
-    "closure-office": 4,
-    "hazard-watch": 4,
-}
-SLOTS: Final = {
-    "marker-registry": (173, 108),
-    "repair-desk": (259, 108),
-    "closure-office": (259, 108),
-    "hazard-watch": (29, 87),
-}
-SPEEDS: Final = {
-    "marker-registry": (0.6, 1.0, 1.4),
-    "repair-desk": (0.5, 1.0, 1.0, 1.5),
-    "closure-office": (0.7, 0.7, 1.6),
-    "hazard-watch": (0.5, 1.0, 1.0, 1.5),
-}
-CONNECTIONS: Final = {
-    "marker-registry": 1138,
-    "repair-desk": 1654,
-    "closure-office": 1654,
-    "hazard-watch": 274,
+# Servers, slots, queue and connections of each service, and the speeds among
+# which a server has one.
+SERVICES: Final = {
+    "marker-registry": (6, 173, 108, 1138, (0.6, 1.0, 1.4)),
+    "repair-desk": (4, 259, 108, 1654, (0.5, 1.0, 1.0, 1.5)),
+    "closure-office": (4, 259, 108, 1654, (0.7, 0.7, 1.6)),
+    "hazard-watch": (4, 29, 87, 274, (0.5, 1.0, 1.0, 1.5)),
 }
 ROUTES: Final = (
     RouteKind(
@@ -154,7 +138,7 @@
         for _ in range(size)
     ]
     # Servers of a service are in different zones as far as possible.
-    names = [name for name, count in SERVERS.items() for _ in range(count)]
+    names = [name for name, row in SERVICES.items() for _ in range(row[0])]
     order = sorted(range(len(names)), key=lambda index: index % 4)
     nodes = {
         f"127.0.2.{position + 1}": names[index]
@@ -170,15 +154,17 @@
             name: Pool(
                 slots=max(2, round(slots * rate)),
                 queue=max(2, round(queue * rate)),
-                speeds=SPEEDS[name],
+                speeds=speeds,
                 cold_seconds=3.0,
                 cold_factor=2.0,
                 idle_seconds=10.0,
                 announces_load=True,
-                connections=(CONNECTIONS[name],) * 2,
+                connections=(connections, connections),
                 settings={"health-check-path": "/health"},
             )
-            for name, (slots, queue) in SLOTS.items()
+            for name, (_, slots, queue, connections, speeds) in (
+                SERVICES.items()
+            )
         },
         keys={
             f"team-{n}": (f"key-{n}-first", f"key-{n}-second")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,29 @@
 """Short soaks with fixed seeds, and tests of what the soak can see."""
 
 import asyncio
+import math
+import random
 import tempfile
 import unittest
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
 
-from tests.soak.callers import CallerConnection, encode_request
-from tests.soak.record import Call, End, Record, Run
+import aiohttp
+
+from tests.soak.callers import CallerConnection, RequestIds, encode_request
+from tests.soak.record import (
+    GRACE_PERIOD_SECONDS,
+    STOP_ADMISSION_SECONDS,
+    Call,
+    End,
+    Record,
+    Run,
+)
 from tests.soak.run import run_soak
+from tests.soak.servers import BackendServer, Place
+from tests.soak.site import STORES, Site
+from tests.soak.waymarks import create_site
 
 LOOPBACK: Final = "127.0.0.1"
 SECONDS: Final = 10.0
@@ -22,10 +36,10 @@
     seed that ever failed is added with a line on its cause.
     """
 
-    def check_seed(self, seed: int, seconds: float = SECONDS) -> None:
+    def check_seed(self, seed: int, site: Site = STORES) -> None:
         """Run the soak of a seed."""
         with tempfile.TemporaryDirectory() as folder:
-            report = asyncio.run(run_soak(seed, seconds, Path(folder)))
+            report = asyncio.run(run_soak(seed, SECONDS, Path(folder), site))
         self.assertFalse(report.failures, report.format())
 
     def test_seed_1_with_planned_stops_only(self) -> None:
@@ -34,12 +48,15 @@
     def test_seed_5_with_faults(self) -> None:
         self.check_seed(5)
 
+    def test_seed_1_of_waymarks_at_a_low_rate(self) -> None:
+        self.check_seed(1, create_site(0.02))
 
-def create_call(*, idempotent: bool = False) -> Call:
+
+def create_call(request_id: str = "7") -> Call:
     """Return a request of a caller."""
-    target = "/order/7"
     return Call(
-        "7", "node", "POST", target, b"x", idempotent, "", "front", 5.0
+        *(request_id, "node", "POST", "/order/7", b"x"),
+        *(False, "", "front", 5.0),
     )
 
 
@@ -82,11 +99,21 @@
     delay_seconds = 0.4
 
 
+class SilentServer(ClosingServer):
+    """A server that doesn't answer."""
+
+    def data_received(self, data: bytes) -> None:
+        del data
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that takes a cut request for an unread one."""
 
     async def send(
-        self, server: Callable[[], asyncio.Protocol], wait: float = 0.0
+        self,
+        server: Callable[[], asyncio.Protocol],
+        wait: float = 0.0,
+        patience: float = math.inf,
     ) -> Record:
         """Send a request to a server that doesn't answer."""
         record = Record()
@@ -98,7 +125,8 @@
         await connection.open()
         await asyncio.sleep(wait)
         call = create_call()
-        await connection.send(call, encode_request(call, 5000))
+        message = encode_request(call, 5000)
+        await connection.send(call, message, patience=patience)
         listener.close()
         return record
 
@@ -123,6 +151,59 @@
                 self.assertIn(record.calls["7"].end, (End.UNREAD, End.UNSENT))
                 self.assertFalse(record.failures)
 
+    async def test_a_request_that_its_caller_gives_up_is_not(self) -> None:
+        record = await self.send(SilentServer, patience=0.05)
+        self.assertIs(record.calls["7"].end, End.ABANDONED)
+        self.assertFalse(record.failures)
+
+
+class BackendServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against shed requests that the soak takes for run ones."""
+
+    async def test_requests_beyond_slots_and_queue_are_shed(self) -> None:
+        site = create_site(0.001)
+        node = next(n for n, s in site.services.items() if s == "hazard-watch")
+        pool = site.pools["hazard-watch"]
+        held = pool.slots + int(pool.queue)
+        record = Record()
+        async with aiohttp.ClientSession() as session:
+            server = BackendServer(
+                record,
+                random.Random(1),
+                RequestIds(1),
+                Place(site, node, 0, 0),
+                "i-1",
+                session,
+                "",
+            )
+            await server.listen()
+            calls = [create_call(f"{n}") for n in range(held + 2)]
+            async with asyncio.TaskGroup() as group:
+                for call in calls:
+                    group.create_task(self.send(server, record, call))
+            await server.close()
+        refused = [call for call in calls if call.status == 503]
+        self.assertEqual(len(refused), 2)
+        self.assertFalse([call for call in refused if call.runs])
+        self.assertEqual(sum(len(call.runs) for call in calls), held)
+        self.assertFalse(record.failures)
+
+    async def send(
+        self, server: BackendServer, record: Record, call: Call
+    ) -> None:
+        """Send a request as a node would."""
+        call.target = "/sensor-feed/1"
+        connection = CallerConnection(record, LOOPBACK, server.port)
+        await connection.open()
+        fields = (
+            f"X-Sequoiaseam-Expected-Instance: {server.server_id}\r\n"
+            f"X-Sequoiaseam-Caller-Service: {call.caller_service}\r\n"
+        )
+        head, end, body = encode_request(call, 5000).partition(b"\r\n\r\n")
+        message = b"%b\r\n%b%b%b" % (head, fields.encode(), end[2:], body)
+        await connection.send(call, message)
+        connection.close()
+
 
 class RecordTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that doesn't notice a broken promise."""
@@ -180,6 +261,23 @@
         self.end(End.ANSWERED, 502)
         self.check_failure("replaced")
 
+    async def test_a_nested_call_that_a_stop_ends(self) -> None:
+        """One that is sent late in a stop isn't excused at its end."""
+        self.call.nested = True
+        self.start_run()
+        stop = self.record.add_stop("node")
+        stop.start = self.record.now() - GRACE_PERIOD_SECONDS
+        self.end(End.ANSWERED, 504)
+        self.check_failure("replaced")
+
+    async def test_a_stop_excuses_early_requests_at_its_end(self) -> None:
+        self.start_run()
+        stop = self.record.add_stop("node")
+        stop.start = self.record.now() - GRACE_PERIOD_SECONDS
+        self.call.sent_at = stop.start + STOP_ADMISSION_SECONDS
+        self.end(End.ANSWERED, 504)
+        self.assertFalse(self.record.failures)
+
     async def test_a_cut_request_that_ran(self) -> None:
         self.start_run()
         self.end(End.UNREAD)
