--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -29,6 +29,7 @@
     REPLACE_SERVER = "replace server"
     # Take a server and its node away and add them again.
     REMOVE_SERVER = "remove server"
+    SLOW_SERVER = "slow server"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -31,6 +31,8 @@
 # calls, which are still in progress at the end of a stop.
 DELAYS: Final = ((0.03, 70), (0.4, 25), (1.2, 5))
 SLOW_SECONDS: Final = (2.0, 3.8)
+# How much longer than usual a slow server works.
+SLOWNESS: Final = (4.0, 12.0)
 SLOW_RATIO: Final = 0.08
 SLOW_PREFIXES: Final = ("/read/", "/ship/")
 
@@ -69,6 +71,7 @@
         self.pool = place.site.pools[self.service]
         self._speed = rng.choice(self.pool.speeds)
         self._cold_until = 0.0
+        self._slowness = 1.0
         self.relay_name = relay_name
         self.relay: FaultRelay | None = None
         # The announced one, which is that of the relay if there is one.
@@ -139,6 +142,12 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
 
+    async def slow_down(self, seconds: float) -> None:
+        """Work several times as long for some time."""
+        self._slowness = self.rng.uniform(*SLOWNESS)
+        await asyncio.sleep(seconds)
+        self._slowness = 1.0
+
     @property
     def leaving(self) -> bool:
         """Return whether the server is about to end."""
@@ -219,6 +228,7 @@
         else:
             factor = self.pool.cold_factor if self._find_cold_seconds() else 1
             seconds = route.work.draw(self.rng) * factor / self._speed
+            seconds *= self._slowness
             await asyncio.sleep(seconds)
             if self.rng.random() < route.error_ratio:
                 return 500
