Add a failing test of requests that wait as a late drain ends

Cause: the event loop was 0.48 s late, so that the drain ended at 5.63 s instead of 5.16. The wait for requests in the kernel has a deadline of 0.92 of the time limit, 5.52 s, which had passed, so that stop_accepting reset them at once.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import sys
+import time
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -39,6 +40,9 @@
 LATEST_ADMISSION_SECONDS: Final = 3.0
 # Ends shortly after callers and nodes have learned of the drain.
 SHORT_TIME_LIMIT: Final = timedelta(seconds=3)
+# Parts of it between which a late event loop stands still.
+LATE_CHECK_FRACTION: Final = 0.8
+LATE_END_FRACTION: Final = 0.95
 # Part of the time limit in which responses in transit are sent.
 SENDING_FRACTION: Final = 0.9
 SLOTS: Final = 8
@@ -284,6 +288,36 @@
         statuses = await self.send_at_the_last_check(cluster, accepted=False)
         self.assertEqual(statuses, [503])
 
+    async def test_a_request_that_waits_when_the_end_is_late(self) -> None:
+        """Nothing is left of the time for refusing requests.
+
+        The event loop is behind from the last check to the time at which
+        unsent responses are dropped.
+        """
+        cluster = await self.start_cluster(
+            echo_body, time_limit=SHORT_TIME_LIMIT
+        )
+        node = cluster.nodes[0]
+        connections: list[socket.socket] = []
+        original_is_busy = node._is_busy
+        started_at = node._clock.now()
+
+        def is_busy() -> bool:
+            if not node._ingress.closing or connections:
+                return original_is_busy()
+            age = node._clock.now() - started_at
+            if age >= LATE_CHECK_FRACTION * SHORT_TIME_LIMIT:
+                connections.append(self.open_connection(cluster))
+                connections[0].sendall(format_request("/read/1"))
+                end = LATE_END_FRACTION * SHORT_TIME_LIMIT
+                time.sleep((end - age).total_seconds())
+            return True
+
+        with patch.object(node, "_is_busy", is_busy):
+            await self.stop(cluster)
+        statuses = await self.read_responses(connections[0])
+        self.assertEqual(statuses, [503])
+
 
 class LateNestedCallTest(DrainTestCase):
     """Guards against nested calls that are sent as their node closes."""
