Stop simulated hosts during disk operations and reopen failed journals

An error of a disk operation other than DISK_FAILED now fails the test. RepairedFleet moves here from test_group_repair, unchanged, for use by other tests.

Evidence: tests.test_journal, test_replica, test_group_repair, test_memory_bounds and test_replica_fuzz (500 schedules) pass.

--- a/tests/replica_fakes.py
+++ b/tests/replica_fakes.py
@@ -3,24 +3,42 @@
 An oracle in the simulation checks the safety rules of the replicated log.
 """
 
+import contextlib
 import heapq
 import io
+import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any, Self
+from typing import Any, Final, Self
 
 import msgspec
 
 from sequoiaseam import _replica_messages as messages
 from sequoiaseam._clock import EPOCH
+from sequoiaseam._group_repair import (
+    Exchange,
+    GiveUp,
+    RepairPlanner,
+    RepairStep,
+    Retire,
+)
 from sequoiaseam._journal import Journal
 from sequoiaseam._replica import Replica, ReplicaConfig
-from sequoiaseam.errors import SeamError
+from sequoiaseam.errors import ErrorCode, SeamError
+
+REPAIR_INTERVAL_S: Final = 0.1
+# Within this time a host that is back must vote again.
+CATCH_UP_LIMIT_S: Final = 4.0
+
+
+class ProcessKilledError(Exception):
+    """The process was killed during a file operation."""
 
 
 class CrashError(Exception):
-    """The process or its host stopped during a file operation."""
+    """The host lost its power during a file operation."""
 
 
 class FakeFile:
@@ -66,6 +84,8 @@
         self.fault: Callable[[str], object] = str
         # Whether the sync of a new file makes its name durable too.
         self.sync_covers_name = rng.random() < 0.5
+        # How often a crash loses all unsynced data.
+        self.total_loss_rate = 0.3
         # Returns whether to report a sync of the path without doing it.
         self.ignores_sync: Callable[[str], bool] = lambda _path: False
 
@@ -84,7 +104,7 @@
         file = self.files[path]
         try:
             self.fault("append")
-        except (OSError, CrashError):
+        except (OSError, CrashError, ProcessKilledError):
             file.write(data[: self.rng.randrange(len(data) + 1)])
             raise
         file.write(data)
@@ -125,7 +145,7 @@
 
         At some losses of power all unsynced data is lost.
         """
-        loses_all = self.rng.random() < 0.3
+        loses_all = self.rng.random() < self.total_loss_rate
         self.files = dict(self.durable_names)
         for path, file in self.unsynced_names:
             if self.rng.random() < 0.5:
@@ -186,6 +206,11 @@
         return kept
 
 
+def decode_applied(snapshot: messages.Snapshot) -> list[tuple[int, bytes]]:
+    """Return the index of each command in a snapshot, and the command."""
+    return msgspec.msgpack.decode(snapshot.data, type=list[tuple[int, bytes]])
+
+
 class FakeHost:
     """Host with a replica, its disk, clock and state machine."""
 
@@ -195,9 +220,14 @@
         self.config = config
         self.rng = random.Random(fleet.rng.getrandbits(64))
         self.disk = FakeDisk(self.rng)
+        self.wiped_disks: list[FakeDisk] = []
         self.clock_rate = 1 + fleet.rng.uniform(-0.01, 0.01)
         self.clock_offset = fleet.rng.uniform(0, 1000)
         self.max_disk_delay = 0.002
+        # Time after which a failed journal is opened again; None if the
+        # test restarts the host instead.
+        self.reopen_delay: float | None = None
+        self.disk_operations: deque[Callable[[], messages.Actions]] = deque()
         self.replica: Replica
         self.is_running = False
         self.start_count = 0
@@ -215,13 +245,29 @@
         """Start the replica from the disk, unless it is running."""
         if self.is_running:
             return
-        self.start_count += 1
         self.disk.fault = str
+        self.open_journal()
+
+    def open_journal(self) -> None:
+        """Create the replica from the journal, which a fault may interrupt."""
+        self.start_count += 1
         self.disk_free_at = 0.0
+        self.disk_operations.clear()
         self.applied: list[tuple[int, bytes]] = []
         self.journal = Journal("data", self.disk)
         identity = f"{self.rng.getrandbits(64):x}"
-        restored = self.journal.open(lambda: identity)
+        try:
+            restored = self.journal.open(lambda: identity)
+        except (CrashError, ProcessKilledError) as error:
+            self.stop(power=isinstance(error, CrashError))
+            return
+        except SeamError as error:
+            if self.reopen_delay is None or (
+                error.code is not ErrorCode.DISK_FAILED
+            ):
+                raise
+            self.reopen_journal_later(self.reopen_delay)
+            return
         if restored.snapshot is not None:
             self.load_snapshot(restored.snapshot)
         self.identity = messages.ReplicaId(self.name, restored.identity)
@@ -229,14 +275,41 @@
         self.is_running = True
         self.tick()
 
+    def reopen_journal_later(self, delay: float) -> None:
+        """Open the journal after a delay unless the host is stopped."""
+        self.is_running = False
+        start_count = self.start_count
+
+        def open_unless_stopped() -> None:
+            if self.start_count == start_count:
+                self.open_journal()
+
+        self.fleet.call_later(delay, open_unless_stopped)
+
     def stop(self, *, power: bool = True) -> None:
         """Stop the process; with ``power``, also lose unsynced data."""
         self.is_running = False
+        self.start_count += 1
         if power:
             self.disk.crash()
 
+    def stop_during_disk_operation(self, *, power: bool, step: int) -> None:
+        """Stop while the disk has done a part of the next operation."""
+        if self.is_running and self.disk_operations:
+            remaining = itertools.count(step, -1)
+
+            def fault(_operation: str) -> None:
+                if not next(remaining):
+                    raise ProcessKilledError
+
+            self.disk.fault = fault
+            with contextlib.suppress(ProcessKilledError, SeamError):
+                self.disk_operations[0]()
+        self.stop(power=power)
+
     def wipe(self) -> None:
         self.stop()
+        self.wiped_disks.append(self.disk)
         self.disk = FakeDisk(self.rng)
 
     def call_later(self, delay: float, callback: Callable[[], None]) -> None:
@@ -253,10 +326,43 @@
         self.run(self.replica.tick(self.now))
         self.call_later(0.03 + 0.02 * self.rng.random(), self.tick)
 
-    def load_snapshot(self, snapshot: messages.Snapshot) -> None:
-        self.applied = msgspec.msgpack.decode(
-            snapshot.data, type=list[tuple[int, bytes]]
+    def holds_durably(
+        self, replica: messages.ReplicaId, command: bytes, index: int
+    ) -> bool:
+        """Return whether a loss of power would leave a replica's command.
+
+        A disk counts also after it was wiped, since the host may have
+        reported the command's sync before.
+        """
+        return any(
+            self._finds_durably(disk, replica, command, index)
+            for disk in (self.disk, *self.wiped_disks)
+        )
+
+    @staticmethod
+    def _finds_durably(
+        disk: FakeDisk,
+        replica: messages.ReplicaId,
+        command: bytes,
+        index: int,
+    ) -> bool:
+        journal = Journal("data", disk.copy_durable())
+        try:
+            restored = journal.open(str)
+        except SeamError:
+            return False
+        snapshot = restored.snapshot
+        applied = decode_applied(snapshot) if snapshot else []
+        return restored.identity == replica.identity and (
+            (index, command) in applied
+            or any(
+                entry.index == index and entry.command == command
+                for entry in restored.entries
+            )
         )
+
+    def load_snapshot(self, snapshot: messages.Snapshot) -> None:
+        self.applied = decode_applied(snapshot)
         for index, command in self.applied:
             self.fleet.check_committed(index, command)
 
@@ -285,7 +391,7 @@
             case messages.RoleChanged(messages.Role.LEADER, term, _):
                 self.fleet.check_leader(term, self.identity)
             case messages.ProposalCommitted(token, index):
-                self.fleet.acknowledge(token, index)
+                self.fleet.acknowledge(self, token, index)
             case messages.Confirmed(token, index):
                 self.fleet.check_read(token, index)
 
@@ -296,19 +402,22 @@
         start = max(self.disk_free_at, self.fleet.time)
         self.disk_free_at = start + self.max_disk_delay * self.rng.random()
         delay = self.disk_free_at - self.fleet.time
-        self.call_later(delay, lambda: self.run_disk_operation(operation))
+        self.disk_operations.append(operation)
+        self.call_later(delay, self.run_disk_operation)
 
-    def run_disk_operation(
-        self, operation: Callable[[], messages.Actions]
-    ) -> None:
+    def run_disk_operation(self) -> None:
+        operation = self.disk_operations.popleft()
         try:
             actions = operation()
-        except SeamError:
-            actions = self.replica.disk_failed(self.now)
-        except CrashError:
-            self.stop()
-            return
-        self.run(actions)
+        except SeamError as error:
+            assert error.code is ErrorCode.DISK_FAILED
+            self.run(self.replica.disk_failed(self.now))
+            if self.reopen_delay is not None:
+                self.reopen_journal_later(self.reopen_delay)
+        except (CrashError, ProcessKilledError) as error:
+            self.stop(power=isinstance(error, CrashError))
+        else:
+            self.run(actions)
 
     def persist(self, action: messages.Persist) -> messages.Actions:
         self.journal.append(action.records)
@@ -335,6 +444,9 @@
         self.min_read_indexes: dict[int, int] = {}
         self.confirmed_count = 0
         self.leaders: dict[int, messages.ReplicaId] = {}
+        # Whether to check at each acknowledgement what the disks hold.
+        self.checks_durability = False
+        self.on_acknowledged: Callable[[bytes], object] = lambda _command: None
         names = tuple(f"h{number}" for number in range(size + spares))
         self.hosts: dict[str, FakeHost] = {}
         for number, name in enumerate(names):
@@ -422,6 +534,9 @@
 
     def check_committed(self, index: int, command: bytes) -> None:
         known = self.committed.setdefault(index, command)
+        assert known == command or known not in self.acked, (
+            f"acknowledged command {index} was lost and another one committed"
+        )
         assert known == command, (
             f"different commands committed at index {index}"
         )
@@ -440,10 +555,29 @@
             f"several hosts hold a valid leader lease: {holders}"
         )
 
-    def acknowledge(self, command: Any, index: int) -> None:
+    def acknowledge(self, host: FakeHost, command: Any, index: int) -> None:
         if command:
             assert self.committed[index] == command
+            if self.checks_durability:
+                self.check_durable(host, command, index)
             self.acked[command] = index
+            self.on_acknowledged(command)
+
+    def check_durable(
+        self, host: FakeHost, command: bytes, index: int
+    ) -> None:
+        """Check that a majority's disks would keep a command."""
+        membership = host.replica.status().membership
+        assert membership is not None
+        holders = [
+            voter.host
+            for voter in membership.voters
+            if self.hosts[voter.host].holds_durably(voter, command, index)
+        ]
+        assert len(holders) >= membership.majority, (
+            f"command {index} was acknowledged by {host.name} "
+            f"while only {holders} have synced it"
+        )
 
     def check_read(self, token: Any, index: int) -> None:
         assert index >= self.min_read_indexes[token], (
@@ -479,3 +613,77 @@
             }, f"{host.name} applied other commands than were committed"
             lost = self.acked.items() - {(c, i) for i, c in applied.items()}
             assert not lost, f"{host.name} lost acknowledged commands {lost}"
+
+
+class RepairedFleet(FakeFleet):
+    """Simulated hosts whose leader repairs the group by itself."""
+
+    def __init__(self, seed: int, size: int, spares: int) -> None:
+        super().__init__(seed, size, spares)
+        self._planners: dict[str, tuple[int, RepairPlanner]] = {}
+        self.call_later(REPAIR_INTERVAL_S, self._repair)
+
+    def start_hosts(self, count: int) -> "RepairedFleet":
+        """Start the first hosts and wait until they have a leader."""
+        for number in range(count):
+            self.hosts[f"h{number}"].start()
+        assert self.run_until(self.leader)
+        self.run(1.0)
+        return self
+
+    def _repair(self) -> None:
+        self.call_later(REPAIR_INTERVAL_S, self._repair)
+        for host in self.running_hosts():
+            if not host.is_leader:
+                self._planners.pop(host.name, None)
+                continue
+            term, planner = self._planners.get(host.name, (0, None))
+            if planner is None or term != host.replica.term:
+                planner = RepairPlanner(host.now)
+                self._planners[host.name] = (host.replica.term, planner)
+            step = planner.decide(host.now, host.replica.status())
+            if step is not None:
+                self._start_step(host, step)
+
+    def _start_step(self, host: FakeHost, step: RepairStep) -> None:
+        replica, now = host.replica, host.now
+        match step:
+            case Exchange(old, new):
+                host.run(replica.replace(now, old, new, None))
+            case Retire(name):
+                host.run(replica.remove_voter(now, name, None))
+            case GiveUp():
+                host.run(replica.cancel_replacement(now, None))
+
+    def list_voters(self) -> set[str]:
+        """Return the names of the voters."""
+        return {host.name for host in self.voting_hosts()}
+
+    def list_followers(self) -> list[FakeHost]:
+        """Return the running hosts that don't lead."""
+        leader = self.require_leader()
+        return [host for host in self.running_hosts() if host is not leader]
+
+    def expect_voters(self, expected: set[str]) -> None:
+        """Fail unless exactly these hosts vote within the time limit."""
+        self.run_until(
+            lambda: self.list_voters() == expected, CATCH_UP_LIMIT_S
+        )
+        assert self.list_voters() == expected, (
+            f"{sorted(self.list_voters())} vote, not {sorted(expected)}"
+        )
+
+    def expect_survival_of_two_wiped_hosts(self) -> None:
+        """Fail if a commit is lost with the disks of two hosts at once."""
+        command = b"acknowledged last"
+        leader = self.require_leader()
+        self.propose(leader, command)
+        assert self.run_until(lambda: command in self.acked)
+        for host in (leader, self.list_followers()[0]):
+            host.wipe()
+            host.start()
+        assert self.run_until(self.leader), "no leader was elected"
+        voters = {host.name for host in self.running_hosts()}
+        self.run_until(lambda: self.list_voters() == voters)
+        assert self.run_until(self.has_converged)
+        self.check_agreement()
--- a/tests/test_group_repair.py
+++ b/tests/test_group_repair.py
@@ -20,7 +20,12 @@
     ReplicaStatus,
     Role,
 )
-from tests.replica_fakes import FakeFleet, FakeHost
+from tests.replica_fakes import (
+    CATCH_UP_LIMIT_S,
+    FakeFleet,
+    FakeHost,
+    RepairedFleet,
+)
 
 NOW: Final = EPOCH + timedelta(seconds=60)
 LOST_AT: Final = NOW - timedelta(seconds=3)
@@ -145,83 +150,7 @@
         self.assertEqual(planner.decide(later, status), GiveUp())
 
 
-REPAIR_INTERVAL_S: Final = 0.1
 # Maximum time until a host that is back is caught up again.
-CATCH_UP_LIMIT_S: Final = 4.0
-
-
-class RepairedFleet(FakeFleet):
-    """Simulated hosts whose leader repairs the group by itself."""
-
-    def __init__(self, seed: int, size: int, spares: int) -> None:
-        super().__init__(seed, size, spares)
-        self._planners: dict[str, tuple[int, RepairPlanner]] = {}
-        self.call_later(REPAIR_INTERVAL_S, self._repair)
-
-    def start_hosts(self, count: int) -> "RepairedFleet":
-        """Start the first hosts and wait until they have a leader."""
-        for number in range(count):
-            self.hosts[f"h{number}"].start()
-        assert self.run_until(self.leader)
-        self.run(1.0)
-        return self
-
-    def _repair(self) -> None:
-        self.call_later(REPAIR_INTERVAL_S, self._repair)
-        for host in self.running_hosts():
-            if not host.is_leader:
-                self._planners.pop(host.name, None)
-                continue
-            term, planner = self._planners.get(host.name, (0, None))
-            if planner is None or term != host.replica.term:
-                planner = RepairPlanner(host.now)
-                self._planners[host.name] = (host.replica.term, planner)
-            step = planner.decide(host.now, host.replica.status())
-            if step is not None:
-                self._start_step(host, step)
-
-    def _start_step(self, host: FakeHost, step: RepairStep) -> None:
-        replica, now = host.replica, host.now
-        match step:
-            case Exchange(old, new):
-                host.run(replica.replace(now, old, new, None))
-            case Retire(name):
-                host.run(replica.remove_voter(now, name, None))
-            case GiveUp():
-                host.run(replica.cancel_replacement(now, None))
-
-    def list_voters(self) -> set[str]:
-        """Return the names of the voters."""
-        return {host.name for host in self.voting_hosts()}
-
-    def list_followers(self) -> list[FakeHost]:
-        """Return the running hosts that don't lead."""
-        leader = self.require_leader()
-        return [host for host in self.running_hosts() if host is not leader]
-
-    def expect_voters(self, expected: set[str]) -> None:
-        """Fail unless exactly these hosts vote within the time limit."""
-        self.run_until(
-            lambda: self.list_voters() == expected, CATCH_UP_LIMIT_S
-        )
-        assert self.list_voters() == expected, (
-            f"{sorted(self.list_voters())} vote, not {sorted(expected)}"
-        )
-
-    def expect_survival_of_two_wiped_hosts(self) -> None:
-        """Fail if a commit is lost with the disks of two hosts at once."""
-        command = b"acknowledged last"
-        leader = self.require_leader()
-        self.propose(leader, command)
-        assert self.run_until(lambda: command in self.acked)
-        for host in (leader, self.list_followers()[0]):
-            host.wipe()
-            host.start()
-        assert self.run_until(self.leader), "no leader was elected"
-        voters = {host.name for host in self.running_hosts()}
-        self.run_until(lambda: self.list_voters() == voters)
-        assert self.run_until(self.has_converged)
-        self.check_agreement()
 
 
 class ReturningHostTest(unittest.TestCase):
