Let a wiped control host ask the hosts that write to its former identity

What operators would see: after the loss of two disks beside an earlier replacement, two of five control hosts stay outside the group; if two more disks are lost later, no leader is elected and the configuration can't be read. Cause: an empty replica asks only the hosts of its settings to let it join. Where those were wiped with it or have left, nobody that it asks knows the group, although the leader writes to its former identity all the time; it dropped these messages. Class: a host that is found by the group but finds it only by its settings. Change: a message to another identity of this host adds the sender to the hosts that are asked. Why it works: the leader counts the former identity as a voter and sends it heartbeats until the repair replaces it, and the repair starts when the new identity asks.

--- a/src/sequoiaseam/_replica.py
+++ b/src/sequoiaseam/_replica.py
@@ -291,6 +291,10 @@
         """
         header = message.header
         if header.target != self._id or header.sender.host != sender:
+            if header.target.host == self._id.host:
+                # The group counts this host's former replica as a member.
+                # This host's settings may list no host that still is one.
+                self._hello_hosts.add(sender)
             return False
         if not self._hard_state.group and header.group:
             self._set_hard_state(replace(self._hard_state, group=header.group))
--- a/tests/test_group_repair.py
+++ b/tests/test_group_repair.py
@@ -256,6 +256,30 @@
                 fleet.run(CATCH_UP_LIMIT_S)
                 self.expect_full_group(fleet)
 
+    def test_wiped_hosts_join_if_their_settings_list_no_member(self) -> None:
+        """Guard against wiped hosts that ask only each other to join.
+
+        Their settings list the three hosts that formed the group; the third
+        one was replaced.
+        """
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = RepairedFleet(seed, 3, 3).start_hosts(5)
+                fleet.expect_voters({f"h{number}" for number in range(5)})
+                gone, *wiped = (
+                    fleet.hosts[name] for name in ("h0", "h1", "h2")
+                )
+                gone.stop()
+                fleet.hosts["h5"].start()
+                fleet.run(CATCH_UP_LIMIT_S)
+                fleet.expect_voters({"h1", "h2", "h3", "h4", "h5"})
+                for host in wiped:
+                    host.wipe()
+                    host.start()
+                assert fleet.run_until(fleet.leader)
+                fleet.run(CATCH_UP_LIMIT_S)
+                self.expect_full_group(fleet)
+
     def test_removed_host_reports_its_exclusion(self) -> None:
         """Guard against a removed host that operators can't see."""
         fleet = FakeFleet(1, 4).start()
