Handle what is ready at the end of a stop, however late the node is

Cause: a late loop is past the deadline for reading what waits, so nothing was read; the connections that the end of listening accepts need some passes of the loop, and their set-up was cancelled by the close without closing them. Change: once, in the last wait, the loop gets up to 10 passes while there is something to handle, after its deadline too; it had up to 6 in each wait. A connection whose set-up is cancelled is closed. Why it works: a pass handles all that is ready, whatever its lateness.

LateStepTest and the other tests of UnreadRequestTest pass (8). test_soak_checks follows the soak's new signatures, with the same checks; its tests of the read-back pass.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -78,9 +78,9 @@
 # Fraction of it after which connections that still wait to be closed are left
 # to the end of the process.
 CLOSE_TIME_FRACTION: Final = 0.96
-# Passes of the event loop in which requests that wait in the kernel, also on
-# connections that aren't accepted yet, are read, refused and written.
-LOOP_PASSES_MIN: Final = 6
+# Passes of the event loop that are enough to accept the connections that wait
+# in the kernel, and to read and refuse the requests on them.
+LOOP_PASSES_MAX: Final = 10
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
@@ -273,6 +273,7 @@
         self._http_server.stop_listening()
         # Requests that waited in the kernel until now are read and refused.
         await self._wait_idle(sending_ends_at)
+        await self._handle_ready_input()
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
@@ -325,14 +326,14 @@
         await asyncio.sleep(max(0.0, remaining.total_seconds()))
 
     async def _wait_idle(self, deadline: datetime) -> None:
-        """Wait until nothing is in progress, at most until the deadline.
-
-        What is ready to be read or written is handled also after it.
-        """
+        """Wait until nothing is in progress, at most until the deadline."""
         # Transports have no event for the moment when all data is sent.
         while self._is_busy() and self._clock.now() < deadline:  # noqa: ASYNC110
             await asyncio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
-        for _ in range(LOOP_PASSES_MIN):
+
+    async def _handle_ready_input(self) -> None:
+        """Have the event loop handle what is ready, however late it is."""
+        for _ in range(LOOP_PASSES_MAX):
             if self._is_busy():
                 await asyncio.sleep(0)
 
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -223,6 +223,9 @@
             await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: ServerConnection(self), accepted
             )
+        except (OSError, asyncio.CancelledError):
+            accepted.close()
+            raise
         finally:
             self._unregistered_count -= 1
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -719,6 +719,7 @@
         node._ingress.closing = True
         node._ingress.sending_enabled = False
         await node._wait_idle(node._clock.now())
+        await node._handle_ready_input()
         await node.close()
         reader, writer = await asyncio.open_connection(sock=connection)
         self.addCleanup(writer.close)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,6 +7,7 @@
 import json
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Final
@@ -19,6 +20,7 @@
 from tests.soak.record import Record
 from tests.soak.run import Soak
 from tests.soak.schedule import Action, Kind, Schedule
+from tests.soak.site import STORES
 
 LOOPBACK: Final = "127.0.0.1"
 NODE: Final = "127.0.2.3"
@@ -63,20 +65,17 @@
 
     def run_soak(self, create: type[Soak]) -> str:
         """Run a soak with one planned stop; return its failures."""
-        schedule = Schedule(
-            planned_only=True,
-            actions=(Action(CALM_SECONDS, Kind.STOP, NODE, 0),),
-        )
-        with (
-            tempfile.TemporaryDirectory() as folder,
-            patch("tests.soak.run.build_schedule", return_value=schedule),
-        ):
+        with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(self.play(create, Path(folder)))
 
     async def play(self, create: type[Soak], folder: Path) -> str:
         """Run a soak in this event loop; return its failures."""
+        schedule = Schedule(
+            planned_only=True,
+            actions=(Action(CALM_SECONDS, Kind.STOP, NODE, 0),),
+        )
         async with asyncio.timeout(PLAY_SECONDS_MAX):
-            report = await create(SEED, CALM_SECONDS, folder).run()
+            report = await create(SEED, STORES, schedule, folder).run()
         return "\n".join(report.failures)
 
     def test_nothing_is_lost_in_a_planned_stop(self) -> None:
@@ -107,8 +106,9 @@
         session = aiohttp.ClientSession()
         self.addAsyncCleanup(session.close)
         self.record = Record()
+        site_of_one = replace(STORES, controls=(LOOPBACK,))
         self.operator = Operator(
-            self.record, Random(SEED), session, (LOOPBACK,), address[1]
+            self.record, Random(SEED), session, site_of_one, address[1]
         )
 
     async def handle_call(self, request: web.Request) -> web.Response:
