Have the soak's relay pass on closes, resets and refused connects

Cause: the relay accepted connections while its node was gone and ended them with an end of the stream, read data that it then couldn't pass on, and turned resets into ends of streams. Its callers couldn't tell a request that the node had read from one that it never got.

Change: data stays in the kernel until the other side's kernel takes it; an end of a stream is passed on as such, and a reset as a reset, after what was sent before it. A connection that the target refuses is reset; a caller of the soak waits for the target and gets the refusal as its own.

Evidence: the tests of ConnectionTest run on a direct connection and through a relay, with further servers.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from tests.soak.record import Call, End, Record
+from tests.soak.relay import FaultRelay, RelayedConnection
 
 CHUNK_BYTES: Final = 64 * 1024
 # Over the request's time limit. No node takes so long on a busy machine.
@@ -103,21 +104,39 @@
 
 
 class CallerConnection:
-    """A connection to a node that carries one request at a time."""
+    """A connection to a node that carries one request at a time.
 
-    def __init__(self, record: Record, host: str, port: int) -> None:
+    It goes through the relay if there is one.
+    """
+
+    def __init__(
+        self,
+        record: Record,
+        host: str,
+        port: int,
+        relay: FaultRelay | None = None,
+    ) -> None:
         self._record = record
         self._host = host
         self._port = port
+        self._relay = relay
+        self._relayed: RelayedConnection | None = None
+        self._sent_bytes = 0
         self._buffer = b""
         self._closed = False
         self.used = False
 
     async def open(self) -> None:
         """Connect; raise OSError if the node refuses."""
-        self._reader, self._writer = await asyncio.open_connection(
-            self._host, self._port
-        )
+        if self._relay is None:
+            self._reader, self._writer = await asyncio.open_connection(
+                self._host, self._port
+            )
+        else:
+            opened, self._relayed = await self._relay.connect()
+            self._reader, self._writer = await asyncio.open_connection(
+                sock=opened
+            )
         # ``drain`` then waits until the kernel has all data.
         self._writer.transport.set_write_buffer_limits(0)
 
@@ -159,6 +178,7 @@
     async def _exchange(
         self, call: Call, message: bytes, split: int, pause: float
     ) -> End:
+        self._sent_bytes += len(message)
         try:
             if split:
                 self._writer.write(message[:split])
@@ -182,10 +202,15 @@
         """Return whether the node had read all when it closed.
 
         Data that arrives after the close is answered with a reset, which
-        the socket reports as an error.
+        the socket reports as an error. A relay may still have such data.
         """
         if self._buffer:
             return End.CUT
+        if (
+            self._relayed is not None
+            and self._relayed.passed_bytes < self._sent_bytes
+        ):
+            return End.UNREAD
         error = self._writer.get_extra_info("socket").getsockopt(
             socket.SOL_SOCKET, socket.SO_ERROR
         )
@@ -247,16 +272,17 @@
         self._node = node
         self._endpoint = (node, port)
         self._path = ""
+        self._relay: FaultRelay | None = None
         self._service = service
         self._keeps_connection = keeps_connection
         self._think_seconds = rng.choice(THINK_SECONDS)
         self._connection: CallerConnection | None = None
         self.stopping = False
 
-    def use_relay(self, name: str, host: str, port: int) -> None:
+    def use_relay(self, name: str, relay: FaultRelay) -> None:
         """Reach the node through a relay."""
         self._path = name
-        self._endpoint = (host, port)
+        self._relay = relay
 
     async def run(self) -> None:
         """Send requests until the caller is to stop."""
@@ -282,7 +308,9 @@
             return connection
         if connection is not None:
             connection.close()
-        connection = CallerConnection(self._record, *self._endpoint)
+        connection = CallerConnection(
+            self._record, *self._endpoint, self._relay
+        )
         self._connection = None
         await connection.open()
         self._connection = connection
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,7 +16,7 @@
 from tests.soak.callers import ROOT_ROUTES, Caller, RequestIds
 from tests.soak.operator import Operator, wait_until
 from tests.soak.record import GRACE_PERIOD_SECONDS, Period, Record
-from tests.soak.relay import LOOPBACK, Fault, FaultRelay
+from tests.soak.relay import Fault, FaultRelay
 from tests.soak.schedule import (
     Action,
     Kind,
@@ -154,7 +154,7 @@
                 )
                 name = name_caller_relay(node)
                 if name in self._relays and index in RELAYED_CALLERS:
-                    caller.use_relay(name, LOOPBACK, self._relays[name].port)
+                    caller.use_relay(name, self._relays[name])
                 self._callers.append(caller)
 
     async def _start_server(self, node: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soaks with fixed seeds, and tests of what the soak can see."""
 
 import asyncio
+import socket
 import tempfile
 import unittest
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 
 from tests.soak.callers import CallerConnection, encode_request
 from tests.soak.record import Call, End, Record, Run
+from tests.soak.relay import Fault, FaultRelay, reset_on_close
 from tests.soak.run import run_soak
 
 LOOPBACK: Final = "127.0.0.1"
@@ -82,36 +84,129 @@
     delay_seconds = 0.4
 
 
+class AnsweringServer(ClosingServer):
+    """A server that answers a request, with a large body."""
+
+    answer = b"HTTP/1.1 200 Any\r\nContent-Length: 500000\r\n\r\n"
+    answer += 500_000 * b"x"
+
+    def data_received(self, data: bytes) -> None:
+        if b"\r\n\r\n" in data:
+            self.transport.write(self.answer)
+
+
+class HalfAnsweringServer(ClosingServer):
+    """A server that closes a connection within its answer."""
+
+    def data_received(self, data: bytes) -> None:
+        del data
+        self.transport.write(AnsweringServer.answer[:60])
+        self.transport.close()
+
+
+class EarlyAnsweringServer(UnreadingServer):
+    """A server that answers and closes before it has read a request."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.write(AnsweringServer.answer[:60])
+
+
+class HalfClosingServer(ClosingServer):
+    """A server that answers once the caller's stream has ended."""
+
+    def data_received(self, data: bytes) -> None:
+        pass
+
+    def eof_received(self) -> bool:
+        self.transport.write(AnsweringServer.answer)
+        self.transport.close()
+        return True
+
+
+class EndingServer(ClosingServer):
+    """A server that ends its stream first and then counts what it gets."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.ended = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.write_eof()
+
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        del exc
+        self.ended.set()
+
+
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that takes a cut request for an unread one."""
 
-    async def send(
-        self, server: Callable[[], asyncio.Protocol], wait: float = 0.0
-    ) -> Record:
-        """Send a request to a server that doesn't answer."""
-        record = Record()
+    async def create_relay(self, port: int) -> FaultRelay | None:
+        """Return what the caller's connections go through."""
+        del port
+        return None
+
+    async def listen(self, server: Callable[[], ClosingServer]) -> int:
+        """Return the port of a server."""
+
+        def create() -> ClosingServer:
+            protocol = server()
+            self.addCleanup(lambda: protocol.transport.abort())
+            return protocol
+
         listener = await asyncio.get_running_loop().create_server(
-            server, LOOPBACK, 0
+            create, LOOPBACK, 0
         )
-        port = listener.sockets[0].getsockname()[1]
-        connection = CallerConnection(record, LOOPBACK, port)
+        self.addCleanup(listener.close)
+        port: int = listener.sockets[0].getsockname()[1]
+        return port
+
+    async def open(self, record: Record, port: int) -> CallerConnection:
+        """Open a connection to a port."""
+        relay = await self.create_relay(port)
+        connection = CallerConnection(record, LOOPBACK, port, relay)
         await connection.open()
+        self.addCleanup(connection.close)
+        return connection
+
+    async def send(
+        self,
+        server: Callable[[], ClosingServer],
+        wait: float = 0.0,
+        split: int = 0,
+        body: bytes = b"x",
+    ) -> Record:
+        """Send a request to a server."""
+        record = Record()
+        connection = await self.open(record, await self.listen(server))
         await asyncio.sleep(wait)
         call = create_call()
-        await connection.send(call, encode_request(call, 5000))
-        listener.close()
+        call.body = body
+        await connection.send(call, encode_request(call, 5000), split, 0.1)
         return record
 
     async def test_a_request_that_was_read_is_missed(self) -> None:
-        record = await self.send(ClosingServer)
-        self.assertIs(record.calls["7"].end, End.CUT)
-        self.assertEqual(len(record.failures), 1)
+        for server in (ClosingServer, HalfAnsweringServer):
+            with self.subTest(server=server.__name__):
+                record = await self.send(server)
+                self.assertIs(record.calls["7"].end, End.CUT)
+                self.assertEqual(len(record.failures), 1)
 
     async def test_a_request_that_waited_to_be_read_is_missed(self) -> None:
         record = await self.send(LateServer)
         self.assertIs(record.calls["7"].end, End.UNREAD)
         self.assertEqual(len(record.failures), 1)
 
+    async def test_a_large_request_that_waited_is_missed(self) -> None:
+        record = await self.send(LateServer, body=400_000 * b"x")
+        self.assertIs(record.calls["7"].end, End.UNREAD)
+        self.assertEqual(len(record.failures), 1)
+
     async def test_a_request_that_crosses_a_close_is_not(self) -> None:
         for server, wait in (
             (UnreadingServer, 0.0),
@@ -123,6 +218,162 @@
                 self.assertIn(record.calls["7"].end, (End.UNREAD, End.UNSENT))
                 self.assertFalse(record.failures)
 
+    async def test_a_request_in_two_parts_that_crosses_a_close(self) -> None:
+        record = await self.send(EarlyClosingServer, split=10)
+        self.assertIn(record.calls["7"].end, (End.UNREAD, End.UNSENT))
+        self.assertFalse(record.failures)
+
+    async def test_a_large_answer(self) -> None:
+        record = await self.send(AnsweringServer)
+        self.assertIs(record.calls["7"].end, End.ANSWERED)
+        self.assertEqual(len(record.calls["7"].answer), 500_000)
+
+    async def test_an_answer_before_a_reset(self) -> None:
+        record = await self.send(EarlyAnsweringServer)
+        self.assertIs(record.calls["7"].end, End.CUT)
+
+    async def test_a_port_on_which_nobody_listens(self) -> None:
+        listener = socket.create_server((LOOPBACK, 0))
+        port = listener.getsockname()[1]
+        listener.close()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.open(Record(), port)
+
+    async def connect(
+        self, server: Callable[[], ClosingServer]
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return the streams of a connection to a server."""
+        port = await self.listen(server)
+        relay = await self.create_relay(port)
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, port if relay is None else relay.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_an_answer_to_a_caller_whose_stream_has_ended(self) -> None:
+        reader, writer = await self.connect(HalfClosingServer)
+        writer.write(b"request")
+        writer.write_eof()
+        self.assertEqual(await reader.read(-1), AnsweringServer.answer)
+
+    async def test_data_for_a_server_whose_stream_has_ended(self) -> None:
+        server = EndingServer()
+        reader, writer = await self.connect(lambda: server)
+        self.assertEqual(await reader.read(-1), b"")
+        writer.write(500_000 * b"x")
+        writer.write_eof()
+        await server.ended.wait()
+        self.assertEqual(server.received, 500_000)
+
+    async def test_a_reset_after_the_end_of_the_stream(self) -> None:
+        server = EndingServer()
+        reader, writer = await self.connect(lambda: server)
+        self.assertEqual(await reader.read(-1), b"")
+        reset_on_close(server.transport.get_extra_info("socket"))
+        server.transport.abort()
+        connection = writer.get_extra_info("socket")
+        async with asyncio.timeout(5):
+            while not connection.getsockopt(  # noqa: ASYNC110
+                socket.SOL_SOCKET, socket.SO_ERROR
+            ):
+                await asyncio.sleep(0.01)
+
+    async def test_a_server_whose_caller_leaves_with_data_unread(self) -> None:
+        lost: asyncio.Future[Exception | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        class Server(AnsweringServer):
+            def connection_lost(self, exc: Exception | None) -> None:
+                lost.set_result(exc)
+
+        reader, writer = await self.connect(Server)
+        writer.write(b"request\r\n\r\n")
+        await reader.readexactly(1)
+        writer.transport.abort()
+        self.assertIsInstance(await lost, ConnectionResetError)
+
+
+class RelayedConnectionTest(ConnectionTest):
+    """Guards against a relay that hides how a node ended a connection."""
+
+    async def create_relay(self, port: int) -> FaultRelay | None:
+        relay = FaultRelay(LOOPBACK, port)
+        await relay.start()
+        self.addAsyncCleanup(relay.close)
+        self.relay = relay
+        return relay
+
+    async def test_a_connection_that_awaits_no_acceptance(self) -> None:
+        """A node's connection to a backend server that is gone is reset."""
+        listener = socket.create_server((LOOPBACK, 0))
+        relay = await self.create_relay(listener.getsockname()[1])
+        assert relay is not None
+        listener.close()
+        reader, writer = await asyncio.open_connection(LOOPBACK, relay.port)
+        self.addCleanup(writer.close)
+        with self.assertRaises(ConnectionResetError):
+            await reader.read(1)
+
+    async def test_data_that_meets_a_close_is_at_once_reset(self) -> None:
+        """The caller may look for the reset as soon as data is passed on."""
+        port = await self.listen(EarlyClosingServer)
+        await self.create_relay(port)
+        connection, relayed = await self.relay.connect()
+        self.addCleanup(connection.close)
+        loop = asyncio.get_running_loop()
+        self.assertEqual(await loop.sock_recv(connection, 1), b"")
+        connection.send(b"x")
+        relayed.pass_on()
+        self.assertTrue(
+            connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        )
+
+    async def test_a_held_request_isn_t_read(self) -> None:
+        """A request doesn't reach the node before the node closes."""
+        record = Record()
+        port = await self.listen(UnreadingServer)
+        connection = await self.open(record, port)
+        faults = asyncio.create_task(
+            self.relay.inject(Fault.HOLD_REQUESTS, 0.6)
+        )
+        call = create_call()
+        await connection.send(call, encode_request(call, 5000))
+        self.assertIs(call.end, End.UNREAD)
+        self.assertFalse(record.failures)
+        await faults
+
+    async def test_what_is_held_or_delayed_is_passed_on(self) -> None:
+        for fault in (
+            Fault.DELAY,
+            Fault.HOLD_REQUESTS,
+            Fault.HOLD_ANSWERS,
+        ):
+            with self.subTest(fault=fault):
+                record = Record()
+                port = await self.listen(AnsweringServer)
+                connection = await self.open(record, port)
+                faults = asyncio.create_task(self.relay.inject(fault, 0.3))
+                await asyncio.sleep(0)
+                call = create_call()
+                await connection.send(call, encode_request(call, 5000))
+                self.assertIs(call.end, End.ANSWERED)
+                self.assertEqual(len(call.answer), 500_000)
+                await faults
+
+    async def test_faults_that_end_connections(self) -> None:
+        for fault in (Fault.RESET, Fault.SILENCE):
+            with self.subTest(fault=fault):
+                record = Record()
+                port = await self.listen(LateServer)
+                connection = await self.open(record, port)
+                faults = asyncio.create_task(self.relay.inject(fault, 0.1))
+                call = create_call()
+                await connection.send(call, encode_request(call, 5000))
+                self.assertIs(call.end, End.UNREAD)
+                await faults
+
 
 class RecordTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that doesn't notice a broken promise."""
