Judge the soak's relayed requests like the others

Cause: a request of a caller behind a relay that was cut, or that waited to be read, was a failure only if it had run, as the relay hid how the node had closed. Change: the excuse is gone. A fault of the relay itself still excuses requests in progress. What is still in the relay's kernel buffer when the node closes hasn't reached the node: the relay tells how much it has passed on and when, a request that it hasn't passed on whole counts as unread, and the time that a request waited to be read counts from when its last byte was passed on.

Evidence: four tests in RecordTest.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import socket
 from collections.abc import Iterator
@@ -171,10 +172,20 @@
         except TimeoutError:
             end = End.SILENT
         finally:
+            call.arrived_at = self._find_arrival(call)
             if end is not End.ANSWERED:
                 self.close()
             self._record.end_call(call, end)
 
+    def _find_arrival(self, call: Call) -> float:
+        """Return when all was sent, and passed on by a relay."""
+        relayed = self._relayed
+        if relayed is None:
+            return call.sent_at
+        if relayed.passed_bytes < self._sent_bytes:
+            return math.inf
+        return max(call.sent_at, relayed.passed_at)
+
     async def _exchange(
         self, call: Call, message: bytes, split: int, pause: float
     ) -> End:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -24,7 +24,7 @@
 FAULT_AFTERMATH_SECONDS: Final = 3.0
 # Fraction of its time after which a request's own time limit may end it.
 TIME_LIMIT_FRACTION: Final = 0.9
-# A request that was sent this long before its connection ended didn't cross
+# A request that arrived this long before its connection ended didn't cross
 # a close, also if the process hadn't read it.
 CROSSING_SECONDS_MAX: Final = 0.2
 FAILURES_MAX: Final = 40
@@ -81,6 +81,8 @@
     connection: str = ""
     started_at: float = math.inf
     sent_at: float = math.inf
+    # When a relay had passed all of it on; ``sent_at`` without a relay.
+    arrived_at: float = math.inf
     ended_at: float = math.inf
     end: End | None = None
     status: int = 0
@@ -194,11 +196,9 @@
             self.fail("an answer isn't the one to its request", call)
 
     def _check_missing_answer(self, call: Call) -> None:
-        # A relay doesn't pass on how the node closed its connection.
-        cut = call.end is End.CUT and not call.path
-        waited = call.ended_at - call.sent_at > CROSSING_SECONDS_MAX
-        ignored = call.end is End.UNREAD and waited and not call.path
-        lost = cut or ignored or call.end is End.SILENT or call.runs
+        waited = call.ended_at - call.arrived_at > CROSSING_SECONDS_MAX
+        ignored = call.end is End.UNREAD and waited
+        lost = call.end in (End.CUT, End.SILENT) or ignored or bool(call.runs)
         if lost and not self.is_disturbed(
             (call.node, call.path), call.started_at, call.ended_at
         ):
@@ -289,7 +289,8 @@
                 f"  {call.request_id} {call.method} {call.target} at "
                 f"{call.node} {call.connection} {call.path}: "
                 f"{self._format(call.started_at)}, sent "
-                f"{self._format(call.sent_at)}, ended "
+                f"{self._format(call.sent_at)}, arrived "
+                f"{self._format(call.arrived_at)}, ended "
                 f"{self._format(call.ended_at)}: "
                 f"{call.end.value if call.end else 'in progress'} "
                 f"{call.status or ''} {call.answer[:60]!r}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short soaks with fixed seeds, and tests of what the soak can see."""
 
 import asyncio
+import math
 import socket
 import tempfile
 import unittest
@@ -341,6 +342,7 @@
         call = create_call()
         await connection.send(call, encode_request(call, 5000))
         self.assertIs(call.end, End.UNREAD)
+        self.assertEqual(call.arrived_at, math.inf)
         self.assertFalse(record.failures)
         await faults
 
@@ -382,7 +384,7 @@
         self.record = Record()
         self.call = create_call()
         self.record.start_call(self.call)
-        self.call.sent_at = self.record.now()
+        self.call.sent_at = self.call.arrived_at = self.record.now()
 
     def start_run(self) -> Run:
         """Record a run of the request."""
@@ -447,6 +449,30 @@
         self.end(End.CUT)
         self.assertFalse(self.record.failures)
 
+    async def test_a_cut_request_of_a_relayed_caller(self) -> None:
+        self.call.path = "relay"
+        self.end(End.CUT)
+        self.check_failure("no answer")
+
+    async def test_a_relayed_request_that_waited_to_be_read(self) -> None:
+        self.call.path = "relay"
+        self.call.arrived_at -= 0.3
+        self.end(End.UNREAD)
+        self.check_failure("no answer")
+
+    async def test_a_request_that_did_not_arrive(self) -> None:
+        self.call.path = "relay"
+        self.call.sent_at -= 0.3
+        self.call.arrived_at = math.inf
+        self.end(End.UNREAD)
+        self.assertFalse(self.record.failures)
+
+    async def test_a_fault_of_the_relay_excuses_a_cut_request(self) -> None:
+        self.call.path = "relay"
+        self.record.add_fault("relay", "silence")
+        self.end(End.CUT)
+        self.assertFalse(self.record.failures)
+
     async def test_a_kill_excuses_no_second_run(self) -> None:
         self.record.add_fault("node", "killed")
         self.start_run()
