Look for connections that are being accepted before a stop ends

Cause: an event loop accepts a connection one to three passes before its protocol learns of it. Between, neither the listener nor a connection has input, so a check for work finds nothing. Change: a node is idle once four checks in passes one after the other have found nothing; the last one is still in one step with the end of accepting. Past a time limit there are at most six passes with work in between. Why it works: a connection that was accepted in any of these passes is registered by the last.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -78,9 +78,13 @@
 # Fraction of it after which connections that still wait to be closed are left
 # to the end of the process.
 CLOSE_TIME_FRACTION: Final = 0.96
-# Passes of the event loop in which requests that wait in the kernel, also on
-# connections that aren't accepted yet, are read, refused and written.
-LOOP_PASSES_MIN: Final = 6
+# Passes of the event loop past the end of a wait, in which what is ready to be
+# read or written is handled.
+LATE_PASSES_MAX: Final = 6
+# Checks in passes one after the other that have to find a node idle. An event
+# loop accepts a connection up to three passes before its protocol learns of
+# it; meanwhile neither the listener nor a connection has input.
+IDLE_CHECKS_MIN: Final = 4
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
@@ -328,12 +332,21 @@
 
         What is ready to be read or written is handled also after it.
         """
-        # Transports have no event for the moment when all data is sent.
-        while self._is_busy() and self._clock.now() < deadline:  # noqa: ASYNC110
-            await asyncio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
-        for _ in range(LOOP_PASSES_MIN):
-            if self._is_busy():
-                await asyncio.sleep(0)
+        idle_checks = late_passes = 0
+        while True:
+            pause = 0.0
+            if not self._is_busy():
+                idle_checks += 1
+            elif self._clock.now() < deadline:
+                # Transports have no event for when all data is sent.
+                idle_checks = 0
+                pause = IDLE_CHECK_INTERVAL.total_seconds()
+            else:
+                idle_checks = 0
+                late_passes += 1
+            if idle_checks == IDLE_CHECKS_MIN or late_passes > LATE_PASSES_MAX:
+                return
+            await asyncio.sleep(pause)
 
     def _is_busy(self) -> bool:
         return (
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -14,6 +14,8 @@
 from typing import Any, Final
 from unittest.mock import patch
 
+import uvloop
+
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._feed import FeedDelta
 from sequoiaseam._host_node import DRAIN_TIME_FRACTION
@@ -692,6 +694,42 @@
         self.assertEqual((await read_response(reader)).status, 503)
 
 
+class UnregisteredConnectionTest(unittest.TestCase):
+    """Guards against requests reset on connections just accepted.
+
+    An event loop accepts a connection some passes before its protocol
+    learns of it. Meanwhile neither the listener nor a connection has input.
+    """
+
+    async def send_at_the_end(self, *, late: bool) -> int:
+        """Stop a node as a request waits in the kernel; return its status."""
+        cluster = HostCluster((ignore_request,))
+        await cluster.start()
+        node = cluster.nodes[0]
+        node._ingress.closing = True
+        connection = socket.create_connection((LOCALHOST, cluster.ports[0]))
+        connection.sendall(format_request("/read/1"))
+        now = node._clock.now()
+        await node._wait_idle(now if late else now + GRACE_PERIOD)
+        node._http_server.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            response = await read_response(reader)
+        writer.close()
+        await cluster.close()
+        return response.status
+
+    def test_a_request_on_a_connection_that_is_being_accepted(self) -> None:
+        for create_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            for late in (False, True):
+                with (
+                    self.subTest(loop=create_loop.__module__, late=late),
+                    asyncio.Runner(loop_factory=create_loop) as runner,
+                ):
+                    status = runner.run(self.send_at_the_end(late=late))
+                    self.assertEqual(status, 503)
+
+
 class LateLeaveTest(DrainTestCase):
     """Guards against a server's leave that is accepted and then forgotten.
 
