Give late calls of a stop more time for their answers, and different ends

Callers saw: a call sent 4.0 s after SIGTERM still got 502 at 5.16 s in one run of LateCallTest beside a load of 46. Cause: the remaining time is passed on as a duration, so the server's time starts when the node beside it reads the call; 0.36 s (0.8 to 0.86 of the limit) are less than a busy machine may delay that. And all such calls had the same end, so that a node took the runs of several for one another when these made calls, which it attributes by deadlines. Change: the time ends at 0.75 of the limit (0.66 s before the end at 6 s), and up to 100 ms earlier at random. Why it works: one delay of up to 0.6 s fits in; the ends differ by more than the 3 ms that the attribution takes for equal. Price: a call sent from 2.75 s on that would end between 4.4 and 5.16 s fails.

Evidence: test_shortened_calls_have_different_deadlines failed before, passes.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -67,9 +67,9 @@
 # Fraction of the shutdown time limit by which backend servers end the calls
 # that are sent after the admission time. Without it, calls that were sent too
 # late for a stop to break them off would be in progress at its end. The rest
-# up to DRAIN_TIME_FRACTION is for the answers to arrive, also while processes
-# are late by some tenths of a second.
-LATE_CALL_TIME_FRACTION: Final = 0.8
+# up to DRAIN_TIME_FRACTION, 0.66 s of 6 s, is for the lateness of processes:
+# a server's time counts from when the node beside it reads the call.
+LATE_CALL_TIME_FRACTION: Final = 0.75
 # Fraction of the shutdown time limit after which requests in progress are
 # refused.
 DRAIN_TIME_FRACTION: Final = 0.86
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -59,6 +59,10 @@
 # Calls that a stop leaves less time than this are refused: a backend server
 # would hardly begin to work on them.
 LATE_CALL_TIME_MIN: Final = timedelta(milliseconds=100)
+# Calls that a stop shortens end at random times of this span. With the same
+# deadline, the runs that they start would be taken for one another when these
+# make calls.
+LATE_CALL_SPREAD: Final = timedelta(milliseconds=100)
 # A reroute follows a refusal that only shows that this host's view was
 # stale. The backend server didn't get the call, so it isn't a retry.
 REROUTES_MAX: Final = 2
@@ -444,9 +448,10 @@
             or deadline <= times.late_calls_end_at
         ):
             return deadline
-        if now + LATE_CALL_TIME_MIN > times.late_calls_end_at:
-            return None
-        return times.late_calls_end_at
+        ends_at = times.late_calls_end_at - LATE_CALL_SPREAD * (
+            self._rng.random()
+        )
+        return ends_at if ends_at - now >= LATE_CALL_TIME_MIN else None
 
     def _has_time_to_send(self, pending: PendingRequest) -> bool:
         """Return whether a stop allows another attempt."""
