Merge the checks before a stop ends and the time for answers to late calls

A node is idle once four checks in passes one after the other have found nothing, with up to six passes past a time limit; this replaces the ten passes of the commit before.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -67,9 +67,9 @@
 # Fraction of the shutdown time limit by which backend servers end the calls
 # that are sent after the admission time. Without it, calls that were sent too
 # late for a stop to break them off would be in progress at its end. The rest
-# up to DRAIN_TIME_FRACTION is for the answers to arrive, also while processes
-# are late by some tenths of a second.
-LATE_CALL_TIME_FRACTION: Final = 0.8
+# up to DRAIN_TIME_FRACTION, 0.66 s of 6 s, is for the lateness of processes:
+# a server's time counts from when the node beside it reads the call.
+LATE_CALL_TIME_FRACTION: Final = 0.75
 # Fraction of the shutdown time limit after which requests in progress are
 # refused.
 DRAIN_TIME_FRACTION: Final = 0.86
@@ -78,9 +78,13 @@
 # Fraction of it after which connections that still wait to be closed are left
 # to the end of the process.
 CLOSE_TIME_FRACTION: Final = 0.96
-# Passes of the event loop that are enough to accept the connections that wait
-# in the kernel, and to read and refuse the requests on them.
-LOOP_PASSES_MAX: Final = 10
+# Passes of the event loop past the end of a wait, in which what is ready to be
+# read or written is handled.
+LATE_PASSES_MAX: Final = 6
+# Checks in passes one after the other that have to find a node idle. An event
+# loop accepts a connection up to three passes before its protocol learns of
+# it; meanwhile neither the listener nor a connection has input.
+IDLE_CHECKS_MIN: Final = 4
 IDLE_CHECK_INTERVAL: Final = timedelta(milliseconds=10)
 # Time for the last message to reach the control host.
 LEAVE_FLUSH_TIME: Final = timedelta(milliseconds=50)
@@ -273,7 +277,6 @@
         self._http_server.stop_listening()
         # Requests that waited in the kernel until now are read and refused.
         await self._wait_idle(sending_ends_at)
-        await self._handle_ready_input()
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
@@ -326,16 +329,25 @@
         await asyncio.sleep(max(0.0, remaining.total_seconds()))
 
     async def _wait_idle(self, deadline: datetime) -> None:
-        """Wait until nothing is in progress, at most until the deadline."""
-        # Transports have no event for the moment when all data is sent.
-        while self._is_busy() and self._clock.now() < deadline:  # noqa: ASYNC110
-            await asyncio.sleep(IDLE_CHECK_INTERVAL.total_seconds())
-
-    async def _handle_ready_input(self) -> None:
-        """Have the event loop handle what is ready, however late it is."""
-        for _ in range(LOOP_PASSES_MAX):
-            if self._is_busy():
-                await asyncio.sleep(0)
+        """Wait until nothing is in progress, at most until the deadline.
+
+        What is ready to be read or written is handled also after it.
+        """
+        idle_checks = late_passes = 0
+        while True:
+            pause = 0.0
+            if not self._is_busy():
+                idle_checks += 1
+            elif self._clock.now() < deadline:
+                # Transports have no event for when all data is sent.
+                idle_checks = 0
+                pause = IDLE_CHECK_INTERVAL.total_seconds()
+            else:
+                idle_checks = 0
+                late_passes += 1
+            if idle_checks == IDLE_CHECKS_MIN or late_passes > LATE_PASSES_MAX:
+                return
+            await asyncio.sleep(pause)
 
     def _is_busy(self) -> bool:
         return (
