Keep connections of sequoiaseam-node through a short pause of a process

Cause: aiohttp closes a WebSocket whose ping isn't answered within 0.83 s by a timer of its own loop, which doesn't care whether the answer waits unread or the loop was late. Change: both ends receive with a time limit of 1 s, ping when nothing came, and take the other for silent by the SilenceTimer. Why it works: a verdict needs three such checks. The frames are the same; a node of before gets its pings answered.

SilenceTest and IdleConnectionTest are new tests of the change; tests.test_peers, test_node_drain, test_stops and test_docs pass (29). The capacity measurement of idle links has the new period; it wasn't run.

--- a/bench/_capacity_processes.py
+++ b/bench/_capacity_processes.py
@@ -35,20 +35,20 @@
     create_frame_codec,
 )
 from sequoiaseam._peers import (
-    HEARTBEAT_INTERVAL_SECONDS,
     PEER_PATH,
     PeerLink,
     PeerServer,
 )
 from sequoiaseam._rpc import Channel, RpcServer
+from sequoiaseam.const import CONNECTION_PING_INTERVAL
 
 STREAM_PATH: Final = "/bench/Stream"
 SECRET: Final = b"s" * 32
 MESSAGE_RATES: Final = (25.0, 50.0, 100.0)
 MESSAGE_RUN_SECONDS: Final = 1.2
 LINK_COUNTS: Final = (10, 20, 40)
-# Each end of a link sends one ping in this period.
-LINK_IDLE_SECONDS: Final = HEARTBEAT_INTERVAL_SECONDS
+# The ends of a link exchange one ping in this period.
+LINK_IDLE_SECONDS: Final = CONNECTION_PING_INTERVAL.total_seconds()
 CALL_RATES: Final = (0.0, 60.0, 120.0, 240.0)
 CALL_RUN_SECONDS: Final = 1.7
 # On this host the processor time of other processes is counted in steps
@@ -162,6 +162,7 @@
     codec = create_frame_codec()
     server = PeerServer(
         codec,
+        issuer.clock,
         lambda proof: issuer.verifier.verify(issuer.clock.now(), proof),
         reject_call,
         lambda _: None,
@@ -179,6 +180,7 @@
                     f"http://{LOOPBACK}:{port}{PEER_PATH}",
                     session,
                     codec,
+                    issuer.clock,
                     issuer.create_proof,
                     lambda _: None,
                     lambda: None,
--- a/bench/transports.py
+++ b/bench/transports.py
@@ -140,6 +140,7 @@
 
     server = PeerServer(
         benchmark.codec,
+        benchmark.clock,
         lambda proof: benchmark.verifier.verify(benchmark.clock.now(), proof),
         answer,
         lambda _: None,
@@ -153,6 +154,7 @@
             f"http://{LOOPBACK}:{port}{PEER_PATH}",
             session,
             benchmark.codec,
+            benchmark.clock,
             benchmark.create_proof,
             lambda _: None,
             lambda: None,
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -155,6 +155,7 @@
         self._nested_edge = self._create_nested_edge()
         self._peer_server = PeerServer(
             codec,
+            clock,
             lambda proof: self._verifier.verify(clock.now(), proof),
             self.executor.run,
             self._handle_peer_message,
--- a/src/sequoiaseam/_peer_links.py
+++ b/src/sequoiaseam/_peer_links.py
@@ -105,6 +105,7 @@
             url,
             self._session,
             self._codec,
+            self._clock,
             self._hooks.create_proof,
             self._hooks.handle_message,
             lambda: self._balancer.mark_unreachable(self._clock.now(), name),
--- a/src/sequoiaseam/_peers.py
+++ b/src/sequoiaseam/_peers.py
@@ -7,15 +7,16 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from datetime import timedelta
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import aiohttp
 from aiohttp import web
 
 from sequoiaseam._access import Identity
+from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
 from sequoiaseam._frames import (
     AnswerFrame,
@@ -25,23 +26,32 @@
     compute_checksum,
 )
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._verdict import Verdict
-from sequoiaseam.const import CONNECTION_TIMEOUT
+from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode, RefusalError, SeamError
 
 PROOF_HEADER: Final = "x-sequoiaseam-proof"
 PEER_PATH: Final = "/peer"
 MESSAGE_MAX_BYTES: Final = 72 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS: Final = 1.0
-# aiohttp closes the connection if a ping is not answered within half of
-# the interval, so it detects an unresponsive peer within 1.5 intervals.
-HEARTBEAT_INTERVAL_SECONDS: Final = CONNECTION_TIMEOUT.total_seconds() / 1.5
+# Time for the other node to confirm that a connection is closed.
+CLOSE_TIMEOUT_SECONDS: Final = 0.5
 # Delay before each attempt to reconnect to a node.
 RECONNECT_INTERVAL_SECONDS: Final = 0.5
 # Time to send refusals at the end of a drain.
 REFUSAL_TIMEOUT_SECONDS: Final = 0.5
 
+ENDING_TYPES: Final = frozenset(
+    (
+        aiohttp.WSMsgType.CLOSE,
+        aiohttp.WSMsgType.CLOSING,
+        aiohttp.WSMsgType.CLOSED,
+        aiohttp.WSMsgType.ERROR,
+    )
+)
+
 CallHandler = Callable[[CallFrame], Awaitable[AnswerFrame | RefusalFrame]]
 MessageHandler = Callable[[Any], None]
 
@@ -54,6 +64,55 @@
     )
 
 
+class WebSocket(Protocol):
+    """What both ends of a connection have in common."""
+
+    async def receive(self, timeout: float | None = None) -> Any:  # noqa: ASYNC109
+        """Return the next message; raise TimeoutError if none comes."""
+
+    async def ping(self) -> None:
+        """Send a ping."""
+
+    async def pong(self, message: bytes) -> None:
+        """Send the answer to a ping."""
+
+
+async def iterate_messages(
+    socket: WebSocket, clock: Clock
+) -> AsyncIterator[bytes]:
+    """Yield the messages of the other node until the connection ends.
+
+    It also ends once the other node answers no pings for
+    CONNECTION_TIMEOUT, unless this process itself was late.
+    """
+    interval_seconds = CONNECTION_PING_INTERVAL.total_seconds()
+    silence = SilenceTimer(
+        clock.now(), CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
+    )
+    while True:
+        try:
+            message = await socket.receive(interval_seconds)
+        except TimeoutError:
+            if silence.check(clock.now()):
+                log_event(
+                    Level.WARNING, "closing unresponsive peer connection"
+                )
+                return
+            # Without room to send, the other node is silent as well.
+            with contextlib.suppress(TimeoutError, ConnectionError):
+                async with asyncio.timeout(interval_seconds):
+                    await socket.ping()
+            continue
+        silence.restart(clock.now())
+        if message.type is aiohttp.WSMsgType.PING:
+            with contextlib.suppress(ConnectionError):
+                await socket.pong(message.data)
+        elif message.type is aiohttp.WSMsgType.BINARY:
+            yield message.data
+        elif message.type in ENDING_TYPES:
+            return
+
+
 class PeerLink:
     """Connection of this node to one other node."""
 
@@ -62,6 +121,7 @@
         url: str,
         session: aiohttp.ClientSession,
         codec: Codec,
+        clock: Clock,
         create_proof: Callable[[], str],
         on_message: MessageHandler,
         on_disconnected: Callable[[], None],
@@ -71,6 +131,7 @@
         self._url = url
         self._session = session
         self._codec = codec
+        self._clock = clock
         self._create_proof = create_proof
         self._on_message = on_message
         self._on_disconnected = on_disconnected
@@ -170,7 +231,10 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 self._socket = await self._session.ws_connect(
                     self._url,
-                    heartbeat=HEARTBEAT_INTERVAL_SECONDS,
+                    autoping=False,
+                    timeout=aiohttp.ClientWSTimeout(
+                        ws_close=CLOSE_TIMEOUT_SECONDS
+                    ),
                     max_msg_size=MESSAGE_MAX_BYTES,
                     compress=0,
                     headers={PROOF_HEADER: self._create_proof()},
@@ -191,9 +255,8 @@
 
     async def _read(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         try:
-            async for message in socket:
-                if message.type is aiohttp.WSMsgType.BINARY:
-                    self._receive(self._codec.decode(message.data))
+            async for data in iterate_messages(socket, self._clock):
+                self._receive(self._codec.decode(data))
         except SeamError as error:
             log_event(
                 Level.WARNING,
@@ -203,7 +266,11 @@
             )
         finally:
             try:
-                await socket.close()
+                # A node that doesn't read holds up the frame that announces
+                # the close.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
+                        await socket.close()
             finally:
                 # Also when this task is cancelled, as the calls would wait
                 # until their deadlines.
@@ -284,11 +351,13 @@
     def __init__(
         self,
         codec: Codec,
+        clock: Clock,
         verify: Callable[[str], Identity],
         run_call: CallHandler,
         on_message: MessageHandler,
     ) -> None:
         self._codec = codec
+        self._clock = clock
         self._verify = verify
         self._run_call = run_call
         self._on_message = on_message
@@ -312,7 +381,8 @@
                 status=403,
             )
         socket = web.WebSocketResponse(
-            heartbeat=HEARTBEAT_INTERVAL_SECONDS,
+            timeout=CLOSE_TIMEOUT_SECONDS,
+            autoping=False,
             max_msg_size=MESSAGE_MAX_BYTES,
             compress=False,
         )
@@ -327,10 +397,9 @@
     async def _serve(self, socket: web.WebSocketResponse) -> None:
         calls_in_progress: dict[int, asyncio.Task[Any]] = {}
         try:
-            async for message in socket:
-                if message.type is aiohttp.WSMsgType.BINARY:
-                    frame = self._codec.decode(message.data)
-                    self._dispatch(socket, calls_in_progress, frame)
+            async for data in iterate_messages(socket, self._clock):
+                frame = self._codec.decode(data)
+                self._dispatch(socket, calls_in_progress, frame)
         except SeamError as error:
             log_event(
                 Level.WARNING,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,14 +4,15 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
+from datetime import timedelta
 from random import Random
-from typing import Final
+from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import WSMessage, WSMsgType, web
 
 from sequoiaseam._access import Role, TrustedNetwork
 from sequoiaseam._balancer import Balancer
-from sequoiaseam._clock import ProcessClock
+from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._commands import Member, MemberState
 from sequoiaseam._feed import NodeView
 from sequoiaseam._frames import (
@@ -22,7 +23,8 @@
     create_frame_codec,
 )
 from sequoiaseam._peer_links import PeerLinkHooks, PeerLinkPool
-from sequoiaseam._peers import PeerServer
+from sequoiaseam._peers import PeerServer, iterate_messages
+from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from tests.builders import build_call_frame
 
 HOST: Final = "127.0.0.1"
@@ -45,6 +47,7 @@
         self.finish = asyncio.Event()
         self.server = PeerServer(
             self.codec,
+            self.clock,
             lambda proof: self.access.verify(self.clock.now(), proof),
             self.run_call,
             lambda _: None,
@@ -140,5 +143,65 @@
         await self.wait_until(lambda: len(self.server._sockets) == 1)
 
 
+class ScriptedSocket:
+    """An open connection on which nothing comes, and its pings."""
+
+    def __init__(self) -> None:
+        self.ping_count = 0
+        # The lengths of the waits for a message, each without one.
+        self.waits: list[timedelta] = []
+        self.clock = ManualClock()
+
+    async def receive(self, timeout: float | None = None) -> Any:  # noqa: ASYNC109
+        """Wait in vain, or return the end once there are no more waits."""
+        del timeout
+        if not self.waits:
+            return WSMessage(WSMsgType.CLOSED, None, None)
+        self.clock.advance(self.waits.pop(0))
+        raise TimeoutError
+
+    async def ping(self) -> None:
+        self.ping_count += 1
+
+    async def pong(self, message: bytes) -> None:
+        """Ignore the answer to a ping."""
+
+
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against connections that a late loop takes for silent."""
+
+    async def receive(self, *waits: timedelta) -> ScriptedSocket:
+        """Wait for messages; return the connection after its end."""
+        connection = ScriptedSocket()
+        connection.waits = list(waits)
+        async for _ in iterate_messages(connection, connection.clock):
+            self.fail("there is no message")
+        return connection
+
+    async def test_a_late_wait_is_no_proof_of_silence(self) -> None:
+        connection = await self.receive(
+            10 * CONNECTION_TIMEOUT, CONNECTION_PING_INTERVAL
+        )
+        self.assertEqual((connection.waits, connection.ping_count), ([], 2))
+
+    async def test_a_silent_connection_ends(self) -> None:
+        connection = await self.receive(*(10 * [CONNECTION_PING_INTERVAL]))
+        self.assertEqual(
+            (len(connection.waits), connection.ping_count), (7, 2)
+        )
+
+
+class IdleConnectionTest(PeerTestCase):
+    """Guards against pings that aren't answered on idle connections."""
+
+    async def test_a_long_call_is_finished(self) -> None:
+        call = await self.start_call()
+        await asyncio.sleep(1.5 * CONNECTION_TIMEOUT.total_seconds())
+        self.finish.set()
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            self.assertIsInstance(await call, AnswerFrame)
+        self.assertEqual(self.received, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
