--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -115,6 +115,8 @@
         # server has the name of its relay, also if it has none.
         self.faults: dict[str, list[Period]] = {}
         self.stops: dict[str, list[Period]] = {}
+        # Requests that would be failures if nothing excused them, by excuse.
+        self.excused: Counter[str] = Counter()
         # Times in texts count from here.
         self.started_at = self.now()
 
@@ -200,9 +202,13 @@
         waited = call.ended_at - call.sent_at > CROSSING_SECONDS_MAX
         ignored = call.end is End.UNREAD and waited and not call.path
         lost = cut or ignored or call.end is End.SILENT or call.runs
-        if lost and not self.is_disturbed(
+        if not lost:
+            return
+        if self.is_disturbed(
             (call.node, call.path), call.started_at, call.ended_at
         ):
+            self.excused["no answer, fault"] += 1
+        else:
             self.fail(
                 "a request that was read or waited to be read got no answer",
                 call,
@@ -234,36 +240,39 @@
             if call.end is None:
                 self.fail("a request has no end", call)
             elif self._is_answer_replaced(call):
-                self.fail("a run's answer was replaced by another", call)
+                excuse = self._find_excuse(call)
+                if excuse:
+                    self.excused[f"replaced answer, {excuse}"] += 1
+                else:
+                    self.fail("a run's answer was replaced by another", call)
 
-    def _is_answer_replaced(self, call: Call) -> bool:
-        """Return whether a stop ended a request that was being run.
+    @staticmethod
+    def _is_answer_replaced(call: Call) -> bool:
+        """Return whether a node answered by itself though a server ran it."""
+        return (
+            call.end is End.ANSWERED
+            and not (call.served or call.signature)
+            and bool(call.runs)
+        )
 
-        The node answered by itself, although a backend server's answer was
-        ready or would have been within the time limits.
+    def _find_excuse(self, call: Call) -> str:
+        """Return why a run's answer may be replaced, or an empty text.
+
+        Otherwise it was ready or would have been within the time limits.
         """
-        if (
-            call.end is not End.ANSWERED
-            or call.served
-            or call.signature
-            or not call.runs
-            or any(run.broken_off for run in call.runs)
-        ):
-            return False
-        if call.ended_at - call.started_at > TIME_LIMIT_FRACTION * (
-            call.timeout
-        ):
-            return False
+        if any(run.broken_off for run in call.runs):
+            return "broken off by its server"
+        waited = call.ended_at - call.started_at
+        if waited > TIME_LIMIT_FRACTION * call.timeout:
+            return "time limit"
         nodes = self._list_parties(call)
-        return not (
-            self._is_in_last_sixth(call, nodes)
-            or self.is_disturbed(
-                nodes,
-                call.started_at,
-                call.ended_at,
-                FAULT_AFTERMATH_SECONDS,
-            )
-        )
+        if self._is_in_last_sixth(call, nodes):
+            return "end of a stop"
+        if self.is_disturbed(
+            nodes, call.started_at, call.ended_at, FAULT_AFTERMATH_SECONDS
+        ):
+            return "fault"
+        return ""
 
     @staticmethod
     def _list_parties(call: Call) -> set[str]:
@@ -329,4 +338,8 @@
         )
         runs = sum(len(call.runs) for call in self.calls.values())
         parts = [f"{name}: {count}" for name, count in sorted(ends.items())]
-        return f"{len(self.calls)} requests, {runs} runs; {', '.join(parts)}"
+        excused = [f"{why}: {n}" for why, n in sorted(self.excused.items())]
+        return (
+            f"{len(self.calls)} requests, {runs} runs; {', '.join(parts)}; "
+            f"excused: {', '.join(excused) or 'none'}"
+        )
