Notice callers that leave while reading is paused

Seen by backend servers: requests of a caller that had left ran on, and those that waited behind them were started, if the caller had pipelined more than are handled at a time. Cause: reading is paused then, also during a stop, and the event loop doesn't report an end of the stream that it doesn't read. Why it works: the kernel reports the end (POLLRDHUP) also behind unread requests.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -20,7 +20,11 @@
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import find_readable, has_unread_input
+from sequoiaseam._unread_input import (
+    find_readable,
+    has_ended,
+    has_unread_input,
+)
 
 HeaderFields = list[tuple[bytes, bytes]]
 
@@ -645,6 +649,11 @@
         """Close the connection if the caller is too slow or idle too long."""
         limits = self._server.limits
         age = now - self._phase_started_at
+        if self._reading_paused and has_ended(self._transport):
+            # The event loop doesn't report it while reading is paused.
+            self.end_cause = "end of stream"
+            self._transport.abort()
+            return
         if self._in_progress:
             return
         if self._reading:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -14,6 +14,7 @@
     CLOSE_TIMEOUT,
     CONCURRENT_REQUESTS_MAX,
     CONTINUE_RESPONSE,
+    PIPELINED_REQUESTS_MAX,
     HttpRequest,
     HttpServer,
     ServerConnection,
@@ -956,6 +957,29 @@
         self.assertEqual(received.count(b"Connection: close"), 1)
 
 
+class PausedReadingTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against work for callers that leave while reading is paused."""
+
+    async def test_a_caller_that_leaves_is_noticed(self) -> None:
+        recorder = RequestRecorder()
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 1)
+        self.addAsyncCleanup(server.close)
+        _, writer = await asyncio.open_connection(LOCALHOST, port)
+        writer.write(
+            (GET_LINE + HOST_FIELD + CRLF)
+            * (CONCURRENT_REQUESTS_MAX + PIPELINED_REQUESTS_MAX)
+        )
+        left = asyncio.Event()
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not recorder.requests:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            recorder.requests[0].on_disconnect = left.set
+            writer.close()
+            await left.wait()
+        self.assertEqual(len(recorder.requests), CONCURRENT_REQUESTS_MAX)
+
+
 class LateSweepTest(unittest.TestCase):
     """Guards against timeouts that begin before what they bound.
 
