Accept the connections of other nodes that wait when a node closes

Callers saw: 502 for a request that isn't idempotent, sent on a connection that the other node, which was closing and late, had yet to accept. Cause: the kernel resets what waits as the listener closes, and the call counted as possibly run.

Evidence: test_a_call_on_a_connection_that_is_not_accepted failed before (ECONNRESET) and passes; tests.test_mesh, test_sites, test_node_drain, test_listeners and test_docs pass.

--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -2,18 +2,23 @@
 
 import asyncio
 import errno
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Final, TypeVar
 
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam._unread_input import find_readable
 
 DEFAULT_BACKLOG: Final = 128  # pending connections
 # A former process of this host may hold the address until it has stopped.
 ADDRESS_WAIT_MAX: Final = timedelta(seconds=10)
 ADDRESS_RETRY_INTERVAL: Final = timedelta(milliseconds=100)
 
+ACCEPT_WAIT_INTERVAL: Final = timedelta(milliseconds=10)
+# More than an event loop needs. Others that keep connecting must not hold up
+# a stop.
+ACCEPT_WAITS_MAX: Final = 20
 # An event loop that handles a timeout this late has hardly had the chance to
 # handle what came before it.
 LATENESS_MIN_SECONDS: Final = 0.1
@@ -82,6 +87,20 @@
         await asyncio.sleep(ADDRESS_RETRY_INTERVAL.total_seconds())
 
 
+async def wait_until_accepted(sockets: Sequence[Any]) -> None:
+    """Wait until no connection waits on listening sockets.
+
+    The kernel resets those that wait as their listener is closed, although
+    requests may have been sent on them while the event loop was late. The
+    caller closes it in the step in which this function returns.
+    """
+    descriptors = [socket.fileno() for socket in sockets]
+    for _ in range(ACCEPT_WAITS_MAX):
+        if not find_readable(descriptors):
+            return
+        await asyncio.sleep(ACCEPT_WAIT_INTERVAL.total_seconds())
+
+
 async def connect(
     create_protocol: Callable[[], ProtocolT],
     host: str,
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -17,7 +17,12 @@
 import msgspec
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, connect, open_listener
+from sequoiaseam._listeners import (
+    Listener,
+    connect,
+    open_listener,
+    wait_until_accepted,
+)
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
@@ -454,6 +459,7 @@
         """
         self._closing = True
         if self._listener is not None:
+            await wait_until_accepted(self._listener.server.sockets)
             self._listener.server.close()
         for incoming in self._connections:
             incoming.leave()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -9,6 +9,7 @@
 
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._mesh import (
+    LENGTH_PREFIX,
     LINK_IDLE_TIMEOUT,
     FrameConnection,
     Mesh,
@@ -22,6 +23,7 @@
     RunCall,
     RunRefusal,
     RunResult,
+    encode_frame,
 )
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
@@ -236,10 +238,12 @@
         self.started: list[RunCall] = []
         self.responds = True
         self.server = MeshServer(self.run_call)
-        port = await self.server.start(LOCALHOST, 0)
+        self.port = await self.server.start(LOCALHOST, 0)
         self.reachable: list[bool] = []
         self.link = MeshLink(
-            Endpoint(LOCALHOST, port), ProcessClock(), self.reachable.append
+            Endpoint(LOCALHOST, self.port),
+            ProcessClock(),
+            self.reachable.append,
         )
         self.addCleanup(self.link.close)
         self.addAsyncCleanup(self.server.close)
@@ -336,6 +340,22 @@
         connection.connection.data_received(transport.written)
         self.assert_not_run(await self.wait_for_result(results))
 
+    async def test_a_call_on_a_connection_that_is_not_accepted(self) -> None:
+        """Send it as the node closes while its event loop is late."""
+        sender = OpenLink()
+        results: list[RunResult | None] = []
+        sender.link.call(CALL, results.append)
+        (call,) = sender.connection.posted
+        content = encode_frame(call)
+        with socket.create_connection((LOCALHOST, self.port)) as connection:
+            connection.sendall(LENGTH_PREFIX.pack(len(content)) + content)
+            await self.server.close()
+            reader, writer = await asyncio.open_connection(sock=connection)
+            self.addCleanup(writer.close)
+            async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                sender.connection.data_received(await reader.read())
+        self.assert_not_run(await self.wait_for_result(results))
+
     async def test_a_call_that_was_not_written_has_not_run(self) -> None:
         """Send it before the loss of the connection is reported."""
         for name in ("eof_received", "abort", "connection_lost"):
