Interrupt each start of a host several times in the power loss schedules

Cause: the schedules ended a start at most once a round, by one kind of fault for all hosts, so they rarely reached a start that follows another one that was cut short. Change: each start may fail, be killed or lose power up to three times a round, each at another operation of the disk.

--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -392,29 +392,31 @@
     def interrupt_starts(self) -> None:
         """Start the hosts and stop all of them at once, some while starting.
 
-        A process that is killed while it starts is started again.
+        One that doesn't get through its start is started again some times.
         """
-        error = self.rng.choice((CrashError(), ProcessKilledError()))
         for host in tuple(self.hosts):
-            if host in self.off and self.rng.random() < 0.7:
-                remaining = itertools.count(
-                    self.rng.randrange(START_STEPS), -1
-                )
-
-                def fault(
-                    _operation: str,
-                    remaining: "itertools.count[int]" = remaining,
-                ) -> None:
-                    if not next(remaining):
-                        raise error
-
-                host.disk.fault = fault
-                host.open_journal()
+            for _ in range(self.rng.randint(0, 3)):
+                if host in self.off and not host.is_running:
+                    self.interrupt_start(host)
         self.fleet.run(self.rng.choice((0.0, 0.005, 1.0)))
         power = self.rng.random() < 0.5
         for host in self.hosts:
             self.switch_off(host, power=power)
 
+    def interrupt_start(self, host: FakeHost) -> None:
+        """Start a host; its start may fail, be killed or lose power."""
+        error = self.rng.choice(
+            (CrashError(), ProcessKilledError(), OSError(errno.EIO, "error"))
+        )
+        remaining = itertools.count(self.rng.randrange(START_STEPS), -1)
+
+        def fault(_operation: str) -> None:
+            if not next(remaining):
+                raise error
+
+        host.disk.fault = fault
+        host.open_journal()
+
     def check_recovery(self) -> None:
         """Check that all acknowledged edits are read back in time."""
         fleet = self.fleet
