--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -10,6 +10,8 @@
 from typing import Final
 
 ROOT: Final = Path(__file__).parent.parent
+CONTROL_PROGRAM: Final = ROOT / "platform" / "core.py"
+NODE_PROGRAM: Final = ROOT / "platform" / "sidecar.py"
 CONTROL_ADDRESSES: Final = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 
 
@@ -38,6 +40,7 @@
             _,
         ) = ports
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.control_program = CONTROL_PROGRAM
         # Zones of addresses that are not in the zone of the others.
         self.zones: dict[str, str] = {}
         # Services of nodes whose backend server is not of the service "store".
@@ -54,11 +57,11 @@
                 address, bootstrap=bootstrap, is_control=is_control
             )
         )
-        script = "core.py" if is_control else "sidecar.py"
+        program = self.control_program if is_control else NODE_PROGRAM
         with (host_folder / "log").open("ab") as log:
             self.processes[address] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "platform" / script),
+                str(program),
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "SEQUOIASEAM_CONFIG": str(settings)},
@@ -97,6 +100,15 @@
         process.send_signal(signal_number)
         return await process.wait()
 
+    async def kill_all(self) -> None:
+        """Kill all processes at the same moment and wait for their exits."""
+        processes = tuple(self.processes.values())
+        self.processes.clear()
+        for process in processes:
+            process.kill()
+        for process in processes:
+            await process.wait()
+
     def read_peak_memory(self, address: str) -> int:
         """Return the peak resident size of a running process in bytes."""
         status = Path(f"/proc/{self.processes[address].pid}/status")
