--- a/src/sequoiaseam/_replica_runner.py
+++ b/src/sequoiaseam/_replica_runner.py
@@ -115,11 +115,20 @@
                 "journal damaged; emptying it and starting as a new replica",
                 reason=error.message,
             )
-        for name in files.list_names(self._folder):
-            files.remove(f"{self._folder}/{name}")
+        self._empty_folder(files)
         journal = Journal(self._folder, DiskFileSystem())
         return journal, journal.open(self._create_identity)
 
+    def _empty_folder(self, files: DiskFileSystem) -> None:
+        """Remove all files; raise SeamError DISK_FAILED to be tried again."""
+        try:
+            for name in files.list_names(self._folder):
+                files.remove(f"{self._folder}/{name}")
+        except OSError as error:
+            raise SeamError(
+                ErrorCode.DISK_FAILED, str(error), location=self._folder
+            ) from error
+
 
 class ReplicaRunner:
     """Perform a replica's actions in order, with disk work in a thread."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,6 +6,8 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from pathlib import Path
+from unittest.mock import patch
 
 from sequoiaseam._files import DiskFileSystem
 from sequoiaseam._journal import FRAME_HEADER, FRAME_MAGIC, Journal
@@ -19,6 +21,7 @@
     Snapshot,
     Truncated,
 )
+from sequoiaseam._replica_runner import JournalOpener
 from sequoiaseam.errors import ErrorCode, SeamError
 from tests.replica_fakes import CrashError, FakeDisk
 
@@ -264,3 +267,28 @@
             self.assertEqual(4, len(restored.entries))
             self.assertEqual(("log-3", "snapshot-6"), files.list_names(folder))
             files.close()
+
+
+class JournalOpenerTest(unittest.TestCase):
+    """Guards against replicas that stay failed after a disk error."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.opener = JournalOpener(
+            folder.name, lambda: "first", replaces_damaged=True
+        )
+
+    def test_disk_error_while_a_damaged_journal_is_emptied(self) -> None:
+        """Guard against an error that the replica doesn't try again after."""
+        (self.folder / "log-1").write_bytes(b"damaged")
+        with (
+            patch.object(
+                DiskFileSystem, "remove", side_effect=OSError(5, "I/O error")
+            ),
+            self.assertRaises(SeamError) as caught,
+        ):
+            self.opener.open()
+        self.assertIs(ErrorCode.DISK_FAILED, caught.exception.code)
+        self.assertEqual("first", self.opener.open()[1].identity)
