--- a/src/sequoiaseam/_replica_runner.py
+++ b/src/sequoiaseam/_replica_runner.py
@@ -95,18 +95,18 @@
         self._folder = folder
         self._create_identity = create_identity
         self._replaces_damaged = replaces_damaged
+        self._files = DiskFileSystem()
 
     def open(self) -> tuple[Journal, RestoredState]:
-        """Return the journal and its contents.
+        """Return the journal and its contents; close a former one's files.
 
         Raise SeamError JOURNAL_DAMAGED or DISK_FAILED.
         """
-        files = DiskFileSystem()
-        journal = Journal(self._folder, files)
+        # A removed file that is still open keeps its room on the disk.
+        self._files.close()
         try:
-            return journal, journal.open(self._create_identity)
+            return self._open_journal()
         except SeamError as error:
-            files.close()
             damaged = error.code is ErrorCode.JOURNAL_DAMAGED
             if not (damaged and self._replaces_damaged):
                 raise
@@ -115,15 +115,18 @@
                 "journal damaged; emptying it and starting as a new replica",
                 reason=error.message,
             )
-        self._empty_folder(files)
-        journal = Journal(self._folder, DiskFileSystem())
+        self._empty_folder()
+        return self._open_journal()
+
+    def _open_journal(self) -> tuple[Journal, RestoredState]:
+        journal = Journal(self._folder, self._files)
         return journal, journal.open(self._create_identity)
 
-    def _empty_folder(self, files: DiskFileSystem) -> None:
+    def _empty_folder(self) -> None:
         """Remove all files; raise SeamError DISK_FAILED to be tried again."""
         try:
-            for name in files.list_names(self._folder):
-                files.remove(f"{self._folder}/{name}")
+            for name in self._files.list_names(self._folder):
+                self._files.remove(f"{self._folder}/{name}")
         except OSError as error:
             raise SeamError(
                 ErrorCode.DISK_FAILED, str(error), location=self._folder
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -292,3 +292,16 @@
             self.opener.open()
         self.assertIs(ErrorCode.DISK_FAILED, caught.exception.code)
         self.assertEqual("first", self.opener.open()[1].identity)
+
+    def test_failed_journals_are_closed(self) -> None:
+        """Guard against removed log files that still take up the disk."""
+        counts = []
+        for _ in range(3):
+            journal, _ = self.opener.open()
+            with (
+                patch("os.fsync", side_effect=OSError(5, "I/O error")),
+                self.assertRaises(SeamError),
+            ):
+                journal.append((HardState(2),))
+            counts.append(len(list(Path("/proc/self/fd").iterdir())))
+        self.assertEqual(counts[0], counts[2])
