Make two tests independent of the machine's speed

test_one_change_of_the_view_removes_both_servers failed in 4 of 5 runs at a machine load of 40 to 46 (timeout after 20 s): the responses were sent once, and a call that had been started could reach its server after that, which never responds. Late ones are now answered as well; the count of responses still has to be that of the server's requests. test_requests_behind_the_last_response_do_not_run failed once at a load of 35 to 44 (3 responses, no run): on a late machine the requests come when callers are refused already. Responses have to be 200 or 503, and exactly those with 200 have run, which says more than the count before.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -925,16 +925,17 @@
         await asyncio.sleep(2.3)
         writer.write(format_request("/read/1") * 3)
         await self.wait_until_closing(cluster)
-        answered = 0
+        statuses = []
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
             try:
                 while True:
-                    await read_response(reader)
-                    answered += 1
+                    statuses.append((await read_response(reader)).status)
             except (ConnectionError, asyncio.IncompleteReadError):
                 pass
             await stop
-        self.assertEqual(answered, self.count_runs(cluster))
+        # A late machine sends them when the node refuses callers already.
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertEqual(statuses.count(200), self.count_runs(cluster))
         writer.close()
 
 
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -736,7 +736,9 @@
         node._apply_feed(
             FeedDelta(3, 4, 1, members=(leaving,), left=("host-1",))
         )
-        for request in cluster.servers[0].received:
+        # Calls that have been started may reach the server later.
+        cluster.servers[0].handler = echo_body
+        for request in list(cluster.servers[0].received):
             request.respond(200, b"whole")
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
             statuses = [(await task).status for task in tasks]
