End a soak's heartbeats when the server that sends them leaves

Cause: aiohttp's time limit turns a cancellation that comes in the same turn of the event loop into its own TimeoutError. The server's heartbeats then went on after they had been cancelled, and the soak waited for their end for ever. Change: the limit is asyncio.timeout, which tells the two apart.

Evidence: BackendServerTest has both timers due in one turn; it failed before and passes now.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -122,11 +122,13 @@
             f"?call={call}&of={self.server_id}"
         )
         try:
-            async with self._session.post(
-                url,
-                data=json.dumps(body).encode(),
-                timeout=aiohttp.ClientTimeout(HEARTBEAT_TIMEOUT_SECONDS),
-            ) as response:
+            # aiohttp's own time limit hides a cancellation that comes with it.
+            async with (
+                asyncio.timeout(HEARTBEAT_TIMEOUT_SECONDS),
+                self._session.post(
+                    url, data=json.dumps(body).encode()
+                ) as response,
+            ):
                 return response.status == 200
         except (aiohttp.ClientError, TimeoutError):
             return False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,17 +2,23 @@
 
 import asyncio
 import math
+import random
 import socket
 import tempfile
+import time
 import unittest
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
+from unittest.mock import patch
 
-from tests.soak.callers import CallerConnection, encode_request
+import aiohttp
+
+from tests.soak.callers import CallerConnection, RequestIds, encode_request
 from tests.soak.record import Call, End, Record, Run
 from tests.soak.relay import Fault, FaultRelay, reset_on_close
 from tests.soak.run import run_soak
+from tests.soak.servers import BackendServer, Place
 
 LOOPBACK: Final = "127.0.0.1"
 SECONDS: Final = 10.0
@@ -377,6 +383,36 @@
                 await faults
 
 
+class BackendServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak that waits for ever as a server leaves."""
+
+    async def test_a_heartbeat_that_ends_as_its_time_is_over(self) -> None:
+        """Both timers are due in the same turn of the event loop."""
+        listener = socket.create_server((LOOPBACK, 0))
+        self.addCleanup(listener.close)
+        place = Place(LOOPBACK, "store", listener.getsockname()[1], 0)
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        server = BackendServer(
+            Record(),
+            random.Random(1),
+            RequestIds(1),
+            place,
+            "i-1",
+            session,
+            "",
+        )
+        loop = asyncio.get_running_loop()
+        with patch("tests.soak.servers.HEARTBEAT_TIMEOUT_SECONDS", 0.1):
+            heartbeat = loop.create_task(server.send_heartbeat())
+            # The heartbeat is sent and no answer comes.
+            await asyncio.sleep(0.05)
+            loop.call_later(0.1, heartbeat.cancel)
+            loop.call_soon(time.sleep, 0.2)
+            with self.assertRaises(asyncio.CancelledError):
+                await heartbeat
+
+
 class RecordTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that doesn't notice a broken promise."""
 
