Poll connections without allocations, and between nodes only before calls

Cause: the polls for unread input before each send made a poll object each time, and also before results, where nothing depends on it. Change: a connection keeps its poll object; frames without calls aren't preceded by a poll.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -18,7 +18,7 @@
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
 from sequoiaseam._listeners import connect
-from sequoiaseam._unread_input import has_unread_input
+from sequoiaseam._unread_input import InputPoll
 
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
 # A server may close an idle connection just as a request is sent. A request
@@ -236,6 +236,7 @@
         self._transport: Any = None
         self._request: PendingRequest | None = None
         self._closed = False
+        self._input_poll: InputPoll | None = None
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.idle_since = pool.last_sweep
         # Names the last request that was sent on this connection.
@@ -266,7 +267,9 @@
 
         No response is due on an idle connection, so it can't be used again.
         """
-        return has_unread_input(self._transport)
+        if self._input_poll is None:
+            self._input_poll = InputPoll(self._transport)
+        return self._input_poll.check()
 
     def send(self, request: PendingRequest) -> None:
         """Send a request; the connection must be idle."""
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -39,7 +39,7 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._silence import SilenceTimer
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import has_ended, has_unread_input
+from sequoiaseam._unread_input import InputPoll, has_unread_input
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode
 
@@ -77,6 +77,7 @@
         self._buffer = bytearray()
         self._outgoing: list[bytes] = []
         self._outgoing_frames: list[Frame] = []
+        self._end_poll: InputPoll | None = None
         # Set before ``closed``: nothing more can be written.
         self._ending = False
         self.received_data = False
@@ -155,7 +156,7 @@
     def _flush(self) -> None:
         if self._ending or self._transport is None or not self._outgoing:
             return
-        if has_ended(self._transport):
+        if self._has_calls_to_send and self._has_ended():
             # What is written now would count as sent.
             self._ending = True
             return
@@ -163,6 +164,16 @@
         self._outgoing_frames = []
         self._transport.write(b"".join(outgoing))
 
+    @property
+    def _has_calls_to_send(self) -> bool:
+        return any(isinstance(f, RunCall) for f in self._outgoing_frames)
+
+    def _has_ended(self) -> bool:
+        """Return whether the other side has closed the connection."""
+        if self._end_poll is None:
+            self._end_poll = InputPoll(self._transport, end_only=True)
+        return self._end_poll.check()
+
     def list_unwritten(self) -> list[Frame]:
         """Return the posted frames of which nothing was written."""
         return self._outgoing_frames
--- a/src/sequoiaseam/_unread_input.py
+++ b/src/sequoiaseam/_unread_input.py
@@ -20,19 +20,30 @@
     return frozenset(descriptor for descriptor, _ in poll.poll(0))
 
 
+class InputPoll:
+    """Repeated check of one open connection, without further allocations.
+
+    The check is for unread input, or only for the end of the stream, which
+    the event loop may not have read yet. Data may come before the end.
+    """
+
+    def __init__(self, transport: Any, *, end_only: bool = False) -> None:
+        self._poll = select.poll()
+        self._poll.register(
+            transport.get_extra_info("socket").fileno(),
+            select.POLLRDHUP if end_only else select.POLLIN,
+        )
+
+    def check(self) -> bool:
+        """Return whether there is such input."""
+        return bool(self._poll.poll(0))
+
+
 def has_unread_input(transport: Any) -> bool:
     """Return whether a transport's socket has unread input."""
-    socket = transport.get_extra_info("socket")
-    return bool(find_readable((socket.fileno(),)))
+    return InputPoll(transport).check()
 
 
 def has_ended(transport: Any) -> bool:
-    """Return whether the other side of a connection has closed it.
-
-    The event loop may not have read that yet. Data may come before the end.
-    """
-    poll = select.poll()
-    poll.register(
-        transport.get_extra_info("socket").fileno(), select.POLLRDHUP
-    )
-    return bool(poll.poll(0))
+    """Return whether the other side of a connection has closed it."""
+    return InputPoll(transport, end_only=True).check()
