--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -364,13 +364,13 @@
             self._waiting.discard(address)
             process = self._fleet.processes[address]
             period = self._record.add_stop(address)
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             try:
                 async with asyncio.timeout(GRACE_PERIOD_SECONDS):
                     code = await process.wait()
             except TimeoutError:
                 # As a supervisor does.
-                process.kill()
+                send_signal(process, signal.SIGKILL)
                 code = await process.wait()
             now = self._record.now()
             if not self._record.is_disturbed((address,), period.start, now):
@@ -405,7 +405,7 @@
         fault = self._record.add_fault(address, "killed")
         process = self._fleet.processes.get(address)
         if process is not None and process.returncode is None:
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             await process.wait()
         fault.end = self._record.now()
         return fault
@@ -438,10 +438,9 @@
         if process is None or process.returncode is not None:
             return
         fault = self._record.add_fault(action.address, "paused")
-        process.send_signal(signal.SIGSTOP)
+        send_signal(process, signal.SIGSTOP)
         await asyncio.sleep(action.duration)
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        send_signal(process, signal.SIGCONT)
         fault.end = self._record.now()
 
     async def _delay(self, action: Action) -> None:
@@ -449,10 +448,9 @@
         process = self._fleet.processes.get(action.address)
         if process is None or process.returncode is not None:
             return
-        process.send_signal(signal.SIGSTOP)
+        send_signal(process, signal.SIGSTOP)
         await asyncio.sleep(action.duration)
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
+        send_signal(process, signal.SIGCONT)
 
     async def _kill_all_controls(self) -> None:
         """Kill all control hosts right after an edit, and wipe some.
@@ -472,7 +470,7 @@
                 for address in controls
             ]
             for address in controls:
-                self._fleet.processes[address].kill()
+                send_signal(self._fleet.processes[address], signal.SIGKILL)
             for address in controls:
                 await self._fleet.processes[address].wait()
             first = controls.index(self._operator.acknowledged_by)
@@ -508,7 +506,7 @@
             size = self._fleet.read_memory(address)
             if size <= MEMORY_BYTES_MAX:
                 return
-            process.kill()
+            send_signal(process, signal.SIGKILL)
             self._record.fail(f"{address} used {size} bytes")
         else:
             self._record.fail(
@@ -529,6 +527,12 @@
                         yield f"{address}: {line}"
 
 
+def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
+    """Send a signal to a process, which may have ended meanwhile."""
+    with contextlib.suppress(ProcessLookupError):
+        process.send_signal(number)
+
+
 async def run_soak(
     seed: int, seconds: float, folder: Path, site: Site = STORES
 ) -> Report:
