Spend no late passes of a stop while requests are in progress

Callers would see: a node killed at the end of its grace period. Each wait of a drain went on for up to six passes of the event loop past its end while the node was busy. A node whose server works on a request is busy in each of them, so the waits up to the admission time and up to 0.86 of the limit used up twelve passes for nothing. With passes that are late by 0.1 s, the drain of a node with one request ended 6.48 s after SIGTERM, and callers were refused from 3.42 s on; with 0.05 s, at 5.84 s, after the time limit of the close. Change: no passes past the admission time, three (to read responses that wait) past 0.86, and one idle check in the last wait, after accepting has ended.

Times by the tests' manual clock.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -78,9 +78,12 @@
 # Fraction of it after which connections that still wait to be closed are left
 # to the end of the process.
 CLOSE_TIME_FRACTION: Final = 0.96
-# Passes of the event loop past the end of a wait, in which what is ready to be
-# read or written is handled.
+# Passes of the event loop past the end of the wait before listening ends, in
+# which what is ready to be read or written is handled. Each may be late.
 LATE_PASSES_MAX: Final = 6
+# The same for other waits. An event loop may resume the drain before it reads,
+# and sends frames to other nodes one pass after it has read.
+READ_PASSES: Final = 3
 # Checks in passes one after the other that have to find a node idle. An event
 # loop accepts a connection up to three passes before its protocol learns of
 # it; meanwhile neither the listener nor a connection has input.
@@ -263,10 +266,16 @@
         self._http_server.closing = True
         self._http_server.close_idle()
         self._log_drain_step("closed idle connections", started_at)
-        await self._wait_idle(started_at + admission_time)
+        # Requests in progress keep the node busy, so past their ends these
+        # waits must not use up the passes of the last ones.
+        await self._wait_idle(started_at + admission_time, late_passes=0)
         self._ingress.closing = True
         self._log_drain_step("refusing callers", started_at)
-        await self._wait_idle(started_at + DRAIN_TIME_FRACTION * time_limit)
+        # Responses that wait in the kernel until now are passed on.
+        await self._wait_idle(
+            started_at + DRAIN_TIME_FRACTION * time_limit,
+            late_passes=READ_PASSES,
+        )
         log_event(
             Level.INFO,
             "drain ended",
@@ -293,7 +302,9 @@
             min(self._clock.now() + LEAVE_FLUSH_TIME, sending_ends_at)
         )
         # Responses and refusals may still be in transit to slow readers.
-        await self._wait_idle(sending_ends_at)
+        await self._wait_idle(
+            sending_ends_at, late_passes=READ_PASSES, idle_checks=1
+        )
 
     def _log_drain_step(self, step: str, started_at: datetime) -> None:
         log_event(
@@ -328,24 +339,31 @@
         remaining = time - self._clock.now()
         await asyncio.sleep(max(0.0, remaining.total_seconds()))
 
-    async def _wait_idle(self, deadline: datetime) -> None:
+    async def _wait_idle(
+        self,
+        deadline: datetime,
+        late_passes: int = LATE_PASSES_MAX,
+        idle_checks: int = IDLE_CHECKS_MIN,
+    ) -> None:
         """Wait until nothing is in progress, at most until the deadline.
 
-        What is ready to be read or written is handled also after it.
+        What is ready to be read or written is handled also after it, in
+        ``late_passes`` of the event loop. ``idle_checks`` in passes one after
+        the other have to find the node idle.
         """
-        idle_checks = late_passes = 0
+        idle_count = late_count = 0
         while True:
             pause = 0.0
             if not self._is_busy():
-                idle_checks += 1
+                idle_count += 1
             elif self._clock.now() < deadline:
                 # Transports have no event for when all data is sent.
-                idle_checks = 0
+                idle_count = 0
                 pause = IDLE_CHECK_INTERVAL.total_seconds()
             else:
-                idle_checks = 0
-                late_passes += 1
-            if idle_checks == IDLE_CHECKS_MIN or late_passes > LATE_PASSES_MAX:
+                idle_count = 0
+                late_count += 1
+            if idle_count == idle_checks or late_count > late_passes:
                 return
             await asyncio.sleep(pause)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -339,6 +339,45 @@
         self.assertEqual(statuses, [503])
 
 
+class UnreadResponseTest(DrainTestCase):
+    """Guards against 502 for requests whose response waits to be read.
+
+    The server ended its work in time, but the event loop is late as the
+    drain ends.
+    """
+
+    async def test_a_response_that_waits_as_the_drain_ends(self) -> None:
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=SHORT_TIME_LIMIT
+        )
+        # The node that stops runs the request itself.
+        cluster.report_server(1, 2, leaving=True)
+        node = cluster.nodes[0]
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x")
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        (received,) = cluster.servers[0].received
+        original_is_busy = node._is_busy
+        started_at = node._clock.now()
+        responded = False
+
+        def is_busy() -> bool:
+            nonlocal responded
+            age = node._clock.now() - started_at
+            if not responded and age >= LATE_CHECK_FRACTION * SHORT_TIME_LIMIT:
+                responded = True
+                received.respond(200, SERVER_BODY)
+                end = SENDING_FRACTION * SHORT_TIME_LIMIT
+                time.sleep((end - age).total_seconds())
+            return original_is_busy()
+
+        with patch.object(node, "_is_busy", is_busy):
+            await self.stop(cluster)
+        response = await sender
+        self.assertEqual((response.status, response.body), (200, SERVER_BODY))
+
+
 class LateNestedCallTest(DrainTestCase):
     """Guards against nested calls that are sent as their node closes."""
 
@@ -676,10 +715,13 @@
 
     LATENESS_SECONDS: Final = 0.3
 
-    async def drain_late(self, elapsed: timedelta) -> dict[str, float]:
+    async def drain_late(
+        self, elapsed: timedelta, pass_seconds: float = 0.0
+    ) -> dict[str, float]:
         """Drain a busy node; each of its waits takes longer than asked.
 
-        Return the seconds from the signal to each step and to the end.
+        A wait for one pass of the event loop takes ``pass_seconds``. Return
+        the seconds from the signal to each step and to the end.
         """
         cluster = await self.start_cluster(
             ignore_request, time_limit=GRACE_PERIOD
@@ -695,7 +737,7 @@
 
         async def wait(seconds: float) -> None:
             late = self.LATENESS_SECONDS if seconds > 0 else 0
-            clock.advance(timedelta(seconds=seconds + late))
+            clock.advance(timedelta(seconds=seconds + (pass_seconds or late)))
 
         def log_step(step: str, _: Any) -> None:
             times[step] = (clock.now() - started_at).total_seconds()
@@ -719,6 +761,15 @@
         self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
         self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
 
+    async def test_late_passes_do_not_add_up(self) -> None:
+        """Guard against passes that are spent while requests run.
+
+        A busy node has something in progress in each of them.
+        """
+        times = await self.drain_late(timedelta(0), pass_seconds=0.08)
+        self.assertLess(times["refusing callers"], 2.75 + 0.2)
+        self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
+
     async def test_the_time_since_the_signal_counts(self) -> None:
         times = await self.drain_late(timedelta(seconds=4))
         self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
