Add a failing test of connections that are accepted as listening ends

asyncio's server can't attach a connection once it is closed, so one that the loop accepted two passes before stop_listening hangs: no response, no end. uvloop attaches it when it accepts.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,8 @@
 from typing import Any, Final
 from unittest.mock import Mock
 
+import uvloop
+
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._http_server import (
     CLOSE_TIMEOUT,
@@ -21,6 +23,7 @@
 )
 from tests.hosts import LOCALHOST
 
+ACCEPT_LIMIT_SECONDS: Final = 3.0
 WAIT_LIMIT_SECONDS: Final = 20.0
 LARGE_BODY: Final = b"a" * (8 * 1024 * 1024)
 HOST_FIELD: Final = b"Host: quotes.example\r\n"
@@ -1030,6 +1033,43 @@
             writer.close()
 
 
+class AcceptedConnectionTest(unittest.TestCase):
+    """Guards against callers that wait forever as a listener is closed.
+
+    An event loop accepts a connection some passes before its protocol
+    learns of it.
+    """
+
+    async def send_before_the_close(self, passes: int) -> bytes:
+        """Close the listener some passes after a request was sent."""
+        server = HttpServer(ProcessClock(), RequestRecorder(responds=True))
+        port = await server.start(LOCALHOST, 0, 16)
+        connection = socket.create_connection((LOCALHOST, port))
+        connection.sendall(GET_LINE + HOST_FIELD + CRLF)
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        server.stop_listening()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        try:
+            async with asyncio.timeout(ACCEPT_LIMIT_SECONDS):
+                return await reader.readline()
+        except TimeoutError:
+            return b""
+        finally:
+            writer.close()
+            await server.close()
+
+    def test_a_request_on_a_connection_that_is_being_accepted(self) -> None:
+        for create_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            for passes in range(5):
+                with (
+                    self.subTest(loop=create_loop.__module__, passes=passes),
+                    asyncio.Runner(loop_factory=create_loop) as runner,
+                ):
+                    line = runner.run(self.send_before_the_close(passes))
+                    self.assertEqual(line, b"HTTP/1.1 200 OK\r\n")
+
+
 class LateConnectionTest(unittest.TestCase):
     """Guards against connections accepted at the end of a drain.
 
