End connection attempts also if each timeout comes late

Callers would see: no answer until their deadline, and a task for each of their requests that goes on after it, for a backend server at whose address nothing answers, while the node is late by 0.1 s or more at each timeout. Change: three attempts.

--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -17,6 +17,9 @@
 # An event loop that handles a timeout this late has hardly had the chance to
 # handle what came before it.
 LATENESS_MIN_SECONDS: Final = 0.1
+# Attempts of which each timeout may come late. More would go on for as long as
+# a busy process is late, although nothing answers at the address.
+CONNECT_ATTEMPTS_MAX: Final = 3
 
 ResultT = TypeVar("ResultT")
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
@@ -99,7 +102,9 @@
     the kernel may have made the connection long before.
     """
     loop = asyncio.get_running_loop()
+    attempts = 0
     while True:
+        attempts += 1
         deadline = loop.time() + timeout_seconds
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -107,7 +112,8 @@
                     create_protocol, host, port
                 )
         except TimeoutError:
-            if loop.time() - deadline < LATENESS_MIN_SECONDS:
+            is_late = loop.time() - deadline >= LATENESS_MIN_SECONDS
+            if not is_late or attempts == CONNECT_ATTEMPTS_MAX:
                 raise
         else:
             return protocol
