Announce to other nodes that a node leaves before its close can be cancelled

Callers would see: 502 for requests that aren't idempotent and that nothing ran. The close of a node that is past its time limit is cancelled at its first wait, which came before the connections to other nodes; they saw these end without an announcement, and the calls that waited unread counted as possibly run. Change: the announcement is the first step of the close, and needs no wait.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -376,6 +376,8 @@
 
     async def close(self) -> None:
         """Close listeners and connections."""
+        # Before any wait, as a late close is cancelled at the first one.
+        self._mesh_server.leave()
         await self._http_server.close()
         await self._mesh_server.close()
         await self._tasks.cancel()
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -446,17 +446,26 @@
             for incoming in self._connections
         )
 
-    async def close(self) -> None:
-        """Stop listening and starting calls, and close all connections.
+    def leave(self) -> None:
+        """Stop listening and starting calls, and announce it.
 
-        The other nodes learn which calls weren't started and close the
-        connections. Those that remain after LEAVE_TIMEOUT are aborted.
+        The other nodes learn which calls weren't started.
         """
+        if self._closing:
+            return
         self._closing = True
         if self._listener is not None:
             self._listener.server.close()
         for incoming in self._connections:
             incoming.leave()
+
+    async def close(self) -> None:
+        """Leave, and close all connections.
+
+        The other nodes close the connections as they learn of it. Those that
+        remain after LEAVE_TIMEOUT are aborted.
+        """
+        self.leave()
         if self._connections:
             self._all_closed.clear()
             with contextlib.suppress(TimeoutError):
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
@@ -795,6 +796,34 @@
         self.assertEqual((await read_response(reader)).status, 503)
 
 
+class LateCloseTest(DrainTestCase):
+    """Guards against calls that count as run as a late node closes.
+
+    Its close has no time left and is cancelled at its first wait.
+    """
+
+    async def test_other_nodes_learn_that_their_calls_were_not_started(
+        self,
+    ) -> None:
+        cluster = await self.start_cluster(echo_body)
+        node, other = cluster.nodes
+        results: list[RunResult | None] = []
+        other._start_call("host-0", CALL, results.append)
+        await self.wait_until(lambda: results)
+        # It waits in the kernel when the node closes.
+        other._start_call("host-0", CALL, results.append)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(-1):
+                await node.close()
+        # The process ends.
+        for incoming in node._mesh_server._connections:
+            incoming.connection.abort()
+        await self.wait_until(lambda: len(results) > 1)
+        result = results[-1]
+        assert isinstance(result, RunRefusal), result
+        self.assertFalse(result.may_have_run)
+
+
 class UnregisteredConnectionTest(unittest.TestCase):
     """Guards against requests reset on connections just accepted.
 
