--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -22,6 +22,9 @@
 # An event loop that handles a timeout this late has hardly had the chance to
 # handle what came before it.
 LATENESS_MIN_SECONDS: Final = 0.1
+# Attempts of which each timeout may come late. More would go on for as long as
+# a busy process is late, although nothing answers at the address.
+CONNECT_ATTEMPTS_MAX: Final = 3
 
 ResultT = TypeVar("ResultT")
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
@@ -118,7 +121,9 @@
     the kernel may have made the connection long before.
     """
     loop = asyncio.get_running_loop()
+    attempts = 0
     while True:
+        attempts += 1
         deadline = loop.time() + timeout_seconds
         try:
             async with asyncio.timeout(timeout_seconds):
@@ -126,7 +131,8 @@
                     create_protocol, host, port
                 )
         except TimeoutError:
-            if loop.time() - deadline < LATENESS_MIN_SECONDS:
+            is_late = loop.time() - deadline >= LATENESS_MIN_SECONDS
+            if not is_late or attempts == CONNECT_ATTEMPTS_MAX:
                 raise
         else:
             return protocol
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -462,18 +462,27 @@
             for incoming in self._connections
         )
 
-    async def close(self) -> None:
-        """Stop listening and starting calls, and close all connections.
+    def leave(self) -> None:
+        """Start no more calls, and announce it to the other nodes.
 
-        The other nodes learn which calls weren't started and close the
-        connections. Those that remain after LEAVE_TIMEOUT are aborted.
+        They learn which calls weren't started.
         """
+        if self._closing:
+            return
         self._closing = True
+        for incoming in self._connections:
+            incoming.leave()
+
+    async def close(self) -> None:
+        """Leave, stop listening and close all connections.
+
+        The other nodes close the connections as they learn of it. Those that
+        remain after LEAVE_TIMEOUT are aborted.
+        """
+        self.leave()
         if self._listener is not None:
             await wait_until_accepted(self._listener.server.sockets)
             self._listener.server.close()
-        for incoming in self._connections:
-            incoming.leave()
         if self._connections:
             self._all_closed.clear()
             with contextlib.suppress(TimeoutError):
