Accept the connections of other nodes that wait as a node leaves

Callers would see: 502 for requests that aren't idempotent and that nothing ran. The listener for other nodes was closed while connections waited in the kernel, which reset them; the calls that these nodes had sent on them counted as possibly run. Change: as with callers' connections, what waits is accepted in the step of the close, and told that nothing was started. The code is shared.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 import re
 import socket
 from collections import deque
@@ -18,7 +17,7 @@
 import httptools
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, open_listener
+from sequoiaseam._listeners import Listener, accept_waiting, open_listener
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
@@ -201,24 +200,14 @@
         """
         if self._listener is None:
             return
-        with socket.socket(
-            fileno=os.dup(self._listener.descriptor)
-        ) as waiting:
-            waiting.setblocking(False)  # noqa: FBT003
-            while True:
-                try:
-                    accepted, _ = waiting.accept()
-                except OSError:
-                    # None waits, or there are no descriptors for more.
-                    break
-                self._unregistered_count += 1
-                self._tasks.start(self._register_accepted(accepted))
+        for accepted in accept_waiting(self._listener):
+            self._unregistered_count += 1
+            self._tasks.start(self._register_accepted(accepted))
         self._listener.server.close()
         self._listener = None
 
     async def _register_accepted(self, accepted: socket.socket) -> None:
         """Have the event loop handle a connection."""
-        accepted.setblocking(False)  # noqa: FBT003
         try:
             await asyncio.get_running_loop().connect_accepted_socket(
                 lambda: ServerConnection(self), accepted
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -42,6 +44,25 @@
         return int(self.server.sockets[0].fileno())
 
 
+def accept_waiting(listener: Listener) -> list[socket.socket]:
+    """Accept the connections that wait in the kernel.
+
+    The kernel would reset them as the listener is closed. Close it in the
+    same step, as callers may keep connecting while the event loop is late.
+    """
+    accepted: list[socket.socket] = []
+    with socket.socket(fileno=os.dup(listener.descriptor)) as waiting:
+        waiting.setblocking(False)  # noqa: FBT003
+        while True:
+            try:
+                connection, _ = waiting.accept()
+            except OSError:
+                # None waits, or there are no descriptors for more.
+                return accepted
+            connection.setblocking(False)  # noqa: FBT003
+            accepted.append(connection)
+
+
 async def open_listener(
     create_protocol: Callable[[], asyncio.Protocol],
     host: str,
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import socket
 import struct
 from collections.abc import Callable
 from datetime import datetime, timedelta
@@ -17,7 +18,12 @@
 import msgspec
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, connect, open_listener
+from sequoiaseam._listeners import (
+    Listener,
+    accept_waiting,
+    connect,
+    open_listener,
+)
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
     Frame,
@@ -420,6 +426,8 @@
         self._connections: set[_IncomingConnection] = set()
         self._closing = False
         self._all_closed = asyncio.Event()
+        # Handling of connections that ``leave`` has accepted.
+        self._tasks = TaskGroup()
 
     async def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
@@ -455,10 +463,22 @@
             return
         self._closing = True
         if self._listener is not None:
+            for accepted in accept_waiting(self._listener):
+                self._tasks.start(self._register_accepted(accepted))
             self._listener.server.close()
         for incoming in self._connections:
             incoming.leave()
 
+    async def _register_accepted(self, accepted: socket.socket) -> None:
+        """Have the event loop handle a connection."""
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._accept, accepted
+            )
+        except (OSError, asyncio.CancelledError):
+            accepted.close()
+            raise
+
     async def close(self) -> None:
         """Leave, and close all connections.
 
@@ -466,6 +486,7 @@
         remain after LEAVE_TIMEOUT are aborted.
         """
         self.leave()
+        await self._tasks.drain()
         if self._connections:
             self._all_closed.clear()
             with contextlib.suppress(TimeoutError):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -9,6 +9,7 @@
 
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._mesh import (
+    LENGTH_PREFIX,
     LINK_IDLE_TIMEOUT,
     FrameConnection,
     Mesh,
@@ -17,11 +18,14 @@
 )
 from sequoiaseam._mesh_frames import (
     Frame,
+    MeshLeave,
     MeshPing,
     RunAnswer,
     RunCall,
     RunRefusal,
     RunResult,
+    decode_frame,
+    encode_frame,
 )
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
@@ -236,10 +240,12 @@
         self.started: list[RunCall] = []
         self.responds = True
         self.server = MeshServer(self.run_call)
-        port = await self.server.start(LOCALHOST, 0)
+        self.port = await self.server.start(LOCALHOST, 0)
         self.reachable: list[bool] = []
         self.link = MeshLink(
-            Endpoint(LOCALHOST, port), ProcessClock(), self.reachable.append
+            Endpoint(LOCALHOST, self.port),
+            ProcessClock(),
+            self.reachable.append,
         )
         self.addCleanup(self.link.close)
         self.addAsyncCleanup(self.server.close)
@@ -319,6 +325,22 @@
         self.assert_not_run(await self.wait_for_result(self.send_call()))
         self.assertEqual(len(self.started), 1)
 
+    async def test_a_call_on_a_connection_that_is_not_accepted_has_not_run(
+        self,
+    ) -> None:
+        """Send it while the event loop of the node that closes is late."""
+        connection = socket.create_connection((LOCALHOST, self.port))
+        self.addCleanup(connection.close)
+        content = encode_frame(CALL)
+        connection.sendall(LENGTH_PREFIX.pack(len(content)) + content)
+        await self.server.close()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            prefix = await reader.readexactly(LENGTH_PREFIX.size)
+            content = await reader.readexactly(*LENGTH_PREFIX.unpack(prefix))
+        self.assertEqual(decode_frame(content), MeshLeave(0))
+
     async def test_a_connection_made_after_the_close_runs_no_call(
         self,
     ) -> None:
