Take the time of SIGTERM in the signal handler

Callers would see: a node killed at the end of its grace period that was late as the signal came. The time was taken when the event loop handled the signal, so all steps of the stop, and the limits of its close, were later by what the loop was late by. Change: the interpreter's handler takes the time, between two instructions. It can't tell for how long a process did not run at all.

--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import sys
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
@@ -100,13 +101,21 @@
 
     def __init__(self) -> None:
         self._requested = asyncio.Event()
-        self._requested_at = 0.0
+        self._requested_at: float | None = None
+
+    def note_time(self, *_: object) -> None:
+        """Take the time of the first signal; a handler of ``signal.signal``.
+
+        The interpreter calls it between two instructions, so that the time
+        doesn't include what the event loop is late by.
+        """
+        if self._requested_at is None:
+            self._requested_at = time.monotonic()
 
     def set(self) -> None:
         """Request the stop; ignored if it was requested before."""
-        if not self._requested.is_set():
-            self._requested_at = asyncio.get_running_loop().time()
-            self._requested.set()
+        self.note_time()
+        self._requested.set()
 
     async def wait(self) -> None:
         """Wait until the stop is requested."""
@@ -115,8 +124,8 @@
     @property
     def elapsed(self) -> timedelta:
         """Return the time since the stop was requested."""
-        now = asyncio.get_running_loop().time()
-        return timedelta(seconds=now - self._requested_at)
+        now = time.monotonic()
+        return timedelta(seconds=now - (self._requested_at or now))
 
 
 async def run_service(service: Service, name: str) -> None:
@@ -138,6 +147,9 @@
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_request.set)
+        # Replaces a handler of the loop that does nothing.
+        signal.signal(signal_number, stop_request.note_time)
+        signal.siginterrupt(signal_number, False)  # noqa: FBT003
     monitoring = TaskGroup()
     monitoring.start(log_lag(name))
     if await _start(service, stop_request):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,6 +10,8 @@
 from datetime import timedelta
 from typing import Final
 
+import uvloop
+
 from sequoiaseam._program import run_service
 
 # A service with a connection that it can't close, a thread that doesn't end
@@ -98,6 +100,17 @@
         pass
 
 
+class LateToStopService(SlowToStartService):
+    """A service whose event loop is late as the signal comes."""
+
+    async def start(self) -> None:
+        """Send the signal that ends the program, and block the loop."""
+        self.stopped_at = time.monotonic()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)  # noqa: ASYNC251
+        await asyncio.sleep(STUCK_SECONDS_MAX)
+
+
 class StopTimeTest(unittest.IsolatedAsyncioTestCase):
     """Guards against processes that are killed as they stop too slowly."""
 
@@ -107,6 +120,19 @@
         self.assertGreaterEqual(service.elapsed, timedelta(seconds=0.2))
         self.assertLessEqual(service.elapsed, service.expected)
 
+    def test_the_signal_counts_while_the_loop_is_late(self) -> None:
+        for create_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            service = LateToStopService()
+            with (
+                self.subTest(loop=create_loop.__module__),
+                asyncio.Runner(loop_factory=create_loop) as runner,
+            ):
+                runner.run(run_service(service, "host-1"))
+                self.assertGreaterEqual(
+                    service.elapsed, timedelta(seconds=0.3)
+                )
+                self.assertLessEqual(service.elapsed, service.expected)
+
     def test_the_exit_needs_nothing_that_is_still_open(self) -> None:
         for is_stuck in (0, 1):
             with self.subTest(is_stuck=is_stuck):
