--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,6 +1,7 @@
 """Processes of the platform's programs on loopback, for tests."""
 
 import asyncio
+import contextlib
 import json
 import os
 import shutil
@@ -133,7 +134,9 @@
             if process.returncode is not None
         }
         for address in set(self.processes) - exited.keys():
-            await self.stop(address)
+            # One that was killed a moment ago must not keep the others.
+            with contextlib.suppress(ProcessLookupError):
+                await self.stop(address)
         if exited:
             raise AssertionError(f"processes exited unexpectedly: {exited}")
 
