Take no crossing request for a lost one when the soak is late

Such requests cross a close and aren't read. Change: a caller looks at its socket in the step of the send, and sends nothing on a connection that has ended; and a request counts as having waited up to the last time that the soak looked at its connections before it saw the end. No other excuse is added. Three tests, of which two expect a failure or nothing as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from sequoiaseam._unread_input import find_readable
 from tests.soak.record import Call, End, Record
 from tests.soak.relay import FaultRelay, RelayedConnection
 from tests.soak.site import Site
@@ -163,6 +164,10 @@
     async def _exchange(
         self, call: Call, message: bytes, split: int, pause: float
     ) -> End:
+        socket_descriptor = self._writer.get_extra_info("socket").fileno()
+        if find_readable((socket_descriptor,)):
+            # It has ended, which a late soak hasn't noticed yet.
+            return End.UNSENT
         self._sent_bytes += len(message)
         try:
             if split:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -119,6 +119,8 @@
         self.stops: dict[str, list[Period]] = {}
         # Requests that would be failures if nothing excused them, by excuse.
         self.excused: Counter[str] = Counter()
+        # When the soak last looked at its connections, if it tells.
+        self.polled_at = math.inf
         # Times in texts count from here.
         self.started_at = self.now()
 
@@ -199,7 +201,9 @@
             self.fail("an answer isn't the one to its request", call)
 
     def _check_missing_answer(self, call: Call) -> None:
-        waited = call.ended_at - call.arrived_at > CROSSING_SECONDS_MAX
+        # A connection that ended before would have been noticed then.
+        ended_at = min(call.ended_at, self.polled_at)
+        waited = ended_at - call.arrived_at > CROSSING_SECONDS_MAX
         ignored = call.end is End.UNREAD and waited
         lost = call.end in (End.CUT, End.SILENT) or ignored or bool(call.runs)
         if not lost:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -492,7 +492,14 @@
         while True:
             due = loop.time() + WATCH_SECONDS
             await asyncio.sleep(WATCH_SECONDS)
-            self._lateness = max(self._lateness, loop.time() - due)
+            lateness = loop.time() - due
+            self._lateness = max(self._lateness, lateness)
+            # What a late soak finds now may have come since the last time.
+            self._record.polled_at = (
+                loop.time()
+                if lateness < WATCH_SECONDS
+                else due - WATCH_SECONDS
+            )
             if loop.time() - checked_at < MEMORY_CHECK_SECONDS:
                 continue
             checked_at = loop.time()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -231,6 +231,19 @@
         self.assertIs(record.calls["7"].end, End.UNREAD)
         self.assertEqual(len(record.failures), 1)
 
+    async def test_a_connection_whose_end_the_soak_has_not_seen(self) -> None:
+        """A late soak sends nothing on it, as its request would cross."""
+        record = Record()
+        connection = await self.open(
+            record, await self.listen(EarlyClosingServer)
+        )
+        await asyncio.sleep(0.05)
+        with patch.object(CallerConnection, "usable", new=True):
+            call = create_call()
+            await connection.send(call, encode_request(call, 5000))
+        self.assertIs(call.end, End.UNSENT)
+        self.assertFalse(record.failures)
+
     async def test_a_large_request_that_waited_is_missed(self) -> None:
         record = await self.send(LateServer, body=400_000 * b"x")
         self.assertIs(record.calls["7"].end, End.UNREAD)
@@ -567,6 +580,22 @@
         self.end(End.UNREAD)
         self.check_failure("no answer")
 
+    async def end_unread(self, polled_after: float) -> None:
+        """End a request unread, late, with an earlier look at all."""
+        self.call.arrived_at = self.record.now() - 1
+        self.record.polled_at = self.call.arrived_at + polled_after
+        self.end(End.UNREAD)
+
+    async def test_an_unread_request_whose_end_was_seen_in_time(self) -> None:
+        await self.end_unread(0.9)
+        self.check_failure("no answer")
+
+    async def test_a_late_soak_may_see_a_crossing_request_end_late(
+        self,
+    ) -> None:
+        await self.end_unread(0.1)
+        self.assertFalse(self.record.failures)
+
     async def test_a_stop_excuses_nothing(self) -> None:
         self.record.add_stop("node")
         self.end(End.CUT)
