Let asyncio finish accepting before an aiohttp server stops listening

Callers of sequoiaseam-node saw: neither a response nor an end on a connection that the event loop had accepted two passes before the listener was closed; asyncio's server can't attach it any more. Site.stop looked only at what waits in the kernel, and its test runs only on uvloop, while sequoiaseam-node runs on asyncio. Change: four checks in passes one after the other have to find nothing.

--- a/src/sequoiaseam/_sites.py
+++ b/src/sequoiaseam/_sites.py
@@ -17,6 +17,10 @@
 # More than an event loop needs. Callers that keep connecting must not hold
 # up a stop.
 ACCEPT_WAITS_MAX: Final = 20
+# Checks in passes one after the other that have to find no connection. asyncio
+# accepts one up to two passes before its server learns of it; a close between
+# them leaves the caller without a response or an end.
+ACCEPT_CHECKS_MIN: Final = 4
 
 
 class Site(web.TCPSite):
@@ -30,10 +34,17 @@
 
     async def stop(self) -> None:
         """Stop listening once no connection waits to be accepted."""
-        for _ in range(ACCEPT_WAITS_MAX):
-            if not find_readable(self._list_descriptors()):
+        waits = checks = 0
+        while waits < ACCEPT_WAITS_MAX:
+            if find_readable(self._list_descriptors()):
+                waits += 1
+                checks = 0
+                await asyncio.sleep(ACCEPT_WAIT_INTERVAL.total_seconds())
+                continue
+            checks += 1
+            if checks == ACCEPT_CHECKS_MIN:
                 break
-            await asyncio.sleep(ACCEPT_WAIT_INTERVAL.total_seconds())
+            await asyncio.sleep(0)
         await super().stop()
 
     def _list_descriptors(self) -> list[int]:
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -12,6 +12,7 @@
 from tests.hosts import LOCALHOST, format_request, read_response
 
 WAIT_LIMIT_SECONDS: Final = 20.0
+ACCEPT_LIMIT_SECONDS: Final = 3.0
 REQUEST: Final = format_request("/", method="POST", body=b"x", key=None)
 
 
@@ -60,6 +61,38 @@
                 finally:
                     writer.close()
 
+    def test_a_request_on_a_connection_that_is_being_accepted(self) -> None:
+        """Stop between the accept and the time that aiohttp learns of it."""
+        for create_loop in (asyncio.new_event_loop, uvloop.new_event_loop):
+            for passes in range(5):
+                with (
+                    self.subTest(loop=create_loop.__module__, passes=passes),
+                    asyncio.Runner(loop_factory=create_loop) as runner,
+                ):
+                    line = runner.run(self.send_and_stop(passes))
+                    self.assertEqual(line, b"HTTP/1.1 200 OK\r\n")
+
+    async def send_and_stop(self, passes: int) -> bytes:
+        """Stop some passes after a request was sent."""
+        app = web.Application()
+        app.router.add_post("/", respond)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await open_site(runner, LOCALHOST, 0)
+        connection = socket.create_connection(runner.addresses[0])
+        connection.sendall(REQUEST)
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        await runner.cleanup()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        try:
+            async with asyncio.timeout(ACCEPT_LIMIT_SECONDS):
+                return await reader.readline()
+        except TimeoutError:
+            return b""
+        finally:
+            writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
