Add failing tests of control hosts that close streams unread

A late control host closes a stream whose opening waits in the kernel, as its time limit fires first, and one that stops resets those that wait to be accepted.

--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -2,19 +2,26 @@
 
 import asyncio
 import os
+import socket
 import struct
+import time
 import unittest
 from typing import Any
+from unittest import mock
 
+import msgspec
 from bench.processes import find_free_ports
 
+from sequoiaseam import _rpc
 from sequoiaseam._access import Credentials, Identity, Role, Verifier
 from sequoiaseam._clock import ProcessClock
 from sequoiaseam._control_messages import PeerPing, create_control_codec
 from sequoiaseam._rpc import (
+    FRAME_HEADER,
     MAX_UNREAD_BYTES,
     Channel,
     Connection,
+    Kind,
     RpcServer,
     Stream,
     StreamEndedError,
@@ -26,8 +33,8 @@
 TIMEOUT_SECONDS = 5.0
 
 
-class RpcTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against reordered messages, lost errors and missing proofs."""
+class RpcTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a server and a channel to it."""
 
     async def asyncSetUp(self) -> None:
         self.clock = ProcessClock()
@@ -80,6 +87,10 @@
         await stream.recv_message()
         raise SeamError(ErrorCode.ACCESS_DENIED, "not you")
 
+
+class RpcTest(RpcTestCase):
+    """Guards against reordered messages, lost errors and missing proofs."""
+
     async def test_messages_keep_their_order(self) -> None:
         count = 3000
         proof = self.create_proof()
@@ -128,6 +139,54 @@
         writer.close()
 
 
+class LateLoopTest(RpcTestCase):
+    """Guards against requests dropped because the event loop is late."""
+
+    def connect(self) -> socket.socket:
+        """Connect without letting the event loop run."""
+        caller = socket.create_connection((HOST, self.port))
+        self.addCleanup(caller.close)
+        return caller
+
+    def send_request(self, caller: socket.socket) -> None:
+        """Send an opening and a message."""
+        opening = msgspec.msgpack.encode(("/echo", self.create_proof()))
+        message = create_control_codec().encode(PeerPing(1))
+        for kind, content in (
+            (Kind.OPENING, opening),
+            (Kind.MESSAGE, message),
+        ):
+            caller.sendall(FRAME_HEADER.pack(len(content), kind) + content)
+
+    async def read_kind(self, caller: socket.socket) -> int:
+        """Return the kind of the first frame that a caller receives."""
+        reader, writer = await asyncio.open_connection(sock=caller)
+        self.addCleanup(writer.close)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            header = await reader.readexactly(FRAME_HEADER.size)
+        return int(FRAME_HEADER.unpack(header)[1])
+
+    async def test_an_opening_that_waits_unread_is_accepted(self) -> None:
+        with mock.patch.object(_rpc, "OPENING_TIMEOUT_SECONDS", 0.1):
+            caller = self.connect()
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                while not self.server._connections:  # noqa: ASYNC110
+                    await asyncio.sleep(0)
+            # The server begins to wait.
+            await asyncio.sleep(0)
+            self.send_request(caller)
+            time.sleep(0.3)  # noqa: ASYNC251
+            kind = await self.read_kind(caller)
+        self.assertEqual(kind, Kind.MESSAGE)
+
+    async def test_a_stream_that_is_not_accepted_is_refused(self) -> None:
+        """Stop the server while a request waits in the kernel."""
+        caller = self.connect()
+        self.send_request(caller)
+        self.server.stop_accepting()
+        self.assertEqual(await self.read_kind(caller), Kind.REFUSAL)
+
+
 class FakeTransport:
     """A transport that records whether reading is paused."""
 
