--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -21,6 +21,10 @@
 # More than an event loop needs. Others that keep connecting must not hold up
 # a stop.
 ACCEPT_WAITS_MAX: Final = 20
+# Checks in passes one after the other that have to find no connection. asyncio
+# accepts one up to two passes before its server learns of it; a close between
+# them leaves the caller without a response or an end.
+ACCEPT_CHECKS_MIN: Final = 4
 # An event loop that handles a timeout this late has hardly had the chance to
 # handle what came before it.
 LATENESS_MIN_SECONDS: Final = 0.1
@@ -124,10 +128,17 @@
     caller closes it in the step in which this function returns.
     """
     descriptors = [socket.fileno() for socket in sockets]
-    for _ in range(ACCEPT_WAITS_MAX):
-        if not find_readable(descriptors):
+    waits = checks = 0
+    while waits < ACCEPT_WAITS_MAX:
+        if find_readable(descriptors):
+            waits += 1
+            checks = 0
+            await asyncio.sleep(ACCEPT_WAIT_INTERVAL.total_seconds())
+            continue
+        checks += 1
+        if checks == ACCEPT_CHECKS_MIN:
             return
-        await asyncio.sleep(ACCEPT_WAIT_INTERVAL.total_seconds())
+        await asyncio.sleep(0)
 
 
 async def connect(
