Log whose stop ended a request, and how far it was

A caller's request that ends with DRAINING may have been ended by the stop of its own node or by that of the node beside the server, and no log line told which. The new test fails on the source before (no such fields); it and tests.test_drain.DrainLogTest pass.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -24,7 +24,7 @@
 )
 from sequoiaseam._http_server import HeaderFields, format_fields
 from sequoiaseam._limiter import Completion
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, RateLimitedLog, log_event
 from sequoiaseam._mesh_frames import (
     RunAnswer,
     RunCall,
@@ -63,6 +63,7 @@
     """A call in progress on this host until its result is sent."""
 
     call: RunCall
+    arrived_at: datetime
     deadline: datetime
     on_result: Callable[[RunResult], None]
     ticket_id: int
@@ -126,7 +127,10 @@
         self._cached_pressures: dict[str, _CachedPressures] = {}
         self._retry_limiter = TreeRetryLimiter(SERVER_RETRIES_MIN)
         self._get_pool: Callable[[str], Pool | None] = lambda _: None
+        self._log = RateLimitedLog(clock)
         self.closing = False
+        # Set at the start of a drain.
+        self.stop_started_at: datetime | None = None
 
     def start(self, get_pool: Callable[[str], Pool | None]) -> None:
         """Start the periodic processing of the queue."""
@@ -239,6 +243,7 @@
         if self._session is not None:
             self._refuse_queued(now, self._session)
         for run in list(self._runs.values()):
+            self._log_broken_off(now, run)
             self._cancel(run)
             run.on_result(
                 self._create_refusal(
@@ -246,6 +251,20 @@
                 )
             )
 
+    def _log_broken_off(self, now: datetime, run: _Run) -> None:
+        started_at = self.stop_started_at
+        report = self.report
+        self._log.log(
+            Level.INFO,
+            "run broken off at the end of a stop",
+            request_id=run.call.request_id,
+            route=run.call.route,
+            server=report.server_id if report else "",
+            age=now - run.arrived_at,
+            time_left=run.deadline - now,
+            stop_age=now - started_at if started_at else None,
+        )
+
     # Calls.
 
     def run(
@@ -257,6 +276,7 @@
         now = self._clock.now()
         run = _Run(
             call,
+            now,
             now + call.remaining_ms * MILLISECOND,
             on_result,
             next(self._ids),
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -254,7 +254,9 @@
             DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
         )
         sending_ends_at = started_at + DRAIN_SENDING_FRACTION * time_limit
+        self._executor.stop_started_at = started_at
         self._ingress.stop_times = StopTimes(
+            started_at,
             started_at + admission_time,
             started_at + LATE_CALL_TIME_FRACTION * time_limit,
         )
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -127,6 +127,7 @@
 class StopTimes:
     """Times of a stop that bound what is sent during it."""
 
+    started_at: datetime
     # From then on, callers' requests are refused, and calls of backend
     # servers are sent only for as long as ``late_calls_end_at`` allows.
     admission_ends_at: datetime
@@ -549,7 +550,7 @@
         if isinstance(result, RunAnswer):
             self._respond_or_retry(pending, result)
         else:
-            self._retry_or_refuse(pending, result)
+            self._retry_or_refuse(pending, host_name, result)
 
     @staticmethod
     def _classify(result: RunResult | None) -> CallResult:
@@ -597,6 +598,7 @@
     def _retry_or_refuse(
         self,
         pending: PendingRequest,
+        host_name: str,
         result: RunRefusal | None,
     ) -> None:
         """Retry if that is safe and within the limits, or else refuse."""
@@ -612,7 +614,7 @@
         if self._may_retry(pending, code, may_have_run=may_have_run):
             self._forward(pending, self._clock.now())
         else:
-            self._refuse(pending, code, retry_after)
+            self._refuse(pending, code, retry_after, refused_by=host_name)
 
     def _may_retry(
         self,
@@ -768,6 +770,8 @@
             self._respond(pending, pending.server_failure)
             return
         self._finish(pending)
+        now = self._clock.now()
+        times = self.stop_times
         status = choose_status(code, may_have_run=pending.may_have_run)
         header_lines = b"Content-Type: application/json\r\n"
         if status in (429, 503):
@@ -786,7 +790,9 @@
             sends=pending.retries,
             moves=pending.reroutes,
             tried=sorted(pending.tried_hosts),
-            age=self._clock.now() - pending.request.arrived_at,
+            age=now - pending.request.arrived_at,
+            time_left=pending.deadline - now if pending.deadline else None,
+            stop_age=now - times.started_at if times else None,
             revision=self._view.revision,
             **details,
         )
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1050,6 +1050,32 @@
         (ended,) = self.read_fields(stream, "drain ended")
         self.assertEqual((ended["requests"], ended["calls"]), (0, 0))
 
+    async def test_the_stop_that_ended_a_run_is_logged(self) -> None:
+        """Break off a run whose request came through another node."""
+        stream = io.StringIO()
+        configure_logging(Level.INFO, stream)
+        self.addCleanup(configure_logging, Level.ERROR, sys.stderr)
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=SHORT_TIME_LIMIT
+        )
+        cluster.report_server(1, 2, leaving=True)
+        sender = asyncio.create_task(
+            cluster.send_request("/slow/1", method="POST", body=b"x", host=1)
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        await self.stop(cluster)
+        self.assertEqual((await sender).status, 502)
+        (refused,) = self.read_fields(stream, "request refused")
+        self.assertEqual(
+            (refused["refused_by"], refused["stop_age"]), ("host-0", None)
+        )
+        (broken_off,) = self.read_fields(
+            stream, "run broken off at the end of a stop"
+        )
+        self.assertEqual(broken_off["request_id"], "7")
+        self.assertGreater(broken_off["stop_age"], 0)
+        self.assertGreater(broken_off["time_left"], 0)
+
 
 if __name__ == "__main__":
     unittest.main()
