--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -771,6 +771,16 @@
         self.assertLess(times["refusing callers"], 2.75 + 0.2)
         self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
 
+    async def test_a_stop_fits_into_the_grace_period_if_all_is_late(
+        self,
+    ) -> None:
+        """Guard against a kill of a node with each pass as late as a wait."""
+        for seconds in (0.15, self.LATENESS_SECONDS):
+            with self.subTest(seconds=seconds):
+                times = await self.drain_late(timedelta(0), seconds)
+                self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
+                self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
+
     async def test_the_time_since_the_signal_counts(self) -> None:
         times = await self.drain_late(timedelta(seconds=4))
         self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
