Wait for runs until the rest of a stop needs the time

What callers see: 502 for a request whose server is at work and done 0.05 to 0.15 s later. The node beside the server stopped first and refused at 0.86 of its grace period what the node that took the request still owed. On late machines the same stop was killed at the end of its grace period.

Cause: the end of runs was a fixed part of the grace period, too early where a node is on time and too late where each of its passes is late. StopSchedule holds the times of all steps; runs end between 5/6 and 0.92 of the limit, as early as the lateness of the stop's own waits demands, and no pass is begun that wouldn't end before 0.96.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -29,7 +29,7 @@
 from sequoiaseam._header_names import HeaderNames
 from sequoiaseam._host_call_executor import HostCallExecutor
 from sequoiaseam._http_server import HttpServer
-from sequoiaseam._ingress import Ingress, StopTimes
+from sequoiaseam._ingress import Ingress
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._mesh import Mesh, MeshServer
@@ -44,40 +44,13 @@
     QuotaGrant,
 )
 from sequoiaseam._settings import Endpoint, parse_endpoint
+from sequoiaseam._stop_schedule import CLOSE_FRACTION, StopSchedule
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES, Pool
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._uplink import Uplink, UplinkHooks
 from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
-# Steps of a drain. Each comes after its time, or after its fraction of the
-# shutdown time limit if that is earlier.
-
-# Until then, calls by nodes that haven't learned of the drain yet are served,
-# so that the capacity of the backend server is used.
-DRAIN_SERVING_TIME: Final = timedelta(seconds=1.5)
-DRAIN_SERVING_FRACTION: Final = 0.3
-# By then, callers and other nodes have learned of the drain.
-DRAIN_NOTICE_TIME: Final = timedelta(seconds=2.5)
-DRAIN_NOTICE_FRACTION: Final = 0.45
-# From then on, callers' requests are refused. The rest of the time is for
-# those in progress.
-DRAIN_ADMISSION_TIME: Final = DRAIN_NOTICE_TIME + timedelta(milliseconds=250)
-DRAIN_ADMISSION_FRACTION: Final = 0.5
-# Fraction of the shutdown time limit by which backend servers end the calls
-# that are sent after the admission time. Without it, calls that were sent too
-# late for a stop to break them off would be in progress at its end. The rest
-# up to DRAIN_TIME_FRACTION, 0.66 s of 6 s, is for the lateness of processes:
-# a server's time counts from when the node beside it reads the call.
-LATE_CALL_TIME_FRACTION: Final = 0.75
-# Fraction of the shutdown time limit after which requests in progress are
-# refused.
-DRAIN_TIME_FRACTION: Final = 0.86
-# Fraction of it after which unsent responses are dropped.
-DRAIN_SENDING_FRACTION: Final = 0.92
-# Fraction of it after which connections that still wait to be closed are left
-# to the end of the process.
-CLOSE_TIME_FRACTION: Final = 0.96
 # Passes of the event loop past the end of the wait before listening ends, in
 # which what is ready to be read or written is handled. Each may be late.
 LATE_PASSES_MAX: Final = 6
@@ -232,7 +205,7 @@
     @property
     def close_time_limit(self) -> timedelta:
         """Return the time from SIGTERM after which ``close`` is cancelled."""
-        return CLOSE_TIME_FRACTION * self._settings.shutdown_time_limit
+        return CLOSE_FRACTION * self._settings.shutdown_time_limit
 
     async def drain(self, elapsed: timedelta = timedelta(0)) -> None:
         """Finish requests in progress while callers move to other hosts.
@@ -242,41 +215,30 @@
         """
         self._closing = True
         self._send_report()
-        started_at = self._clock.now() - elapsed
-        time_limit = self._settings.shutdown_time_limit
-        serving_time = min(
-            DRAIN_SERVING_TIME, DRAIN_SERVING_FRACTION * time_limit
+        schedule = StopSchedule(
+            self._clock.now() - elapsed, self._settings.shutdown_time_limit
         )
-        notice_time = min(
-            DRAIN_NOTICE_TIME, DRAIN_NOTICE_FRACTION * time_limit
-        )
-        admission_time = min(
-            DRAIN_ADMISSION_TIME, DRAIN_ADMISSION_FRACTION * time_limit
-        )
-        sending_ends_at = started_at + DRAIN_SENDING_FRACTION * time_limit
+        started_at = schedule.started_at
         self._executor.stop_started_at = started_at
-        self._ingress.stop_times = StopTimes(
-            started_at,
-            started_at + admission_time,
-            started_at + LATE_CALL_TIME_FRACTION * time_limit,
-        )
-        await self._sleep_until(started_at + serving_time)
+        self._ingress.stop_schedule = schedule
+        await self._sleep_until(schedule, schedule.serving_ends_at)
         self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
-        await self._sleep_until(started_at + notice_time)
+        await self._sleep_until(schedule, schedule.notice_ends_at)
         self._http_server.closing = True
         self._http_server.close_idle()
         self._log_drain_step("closed idle connections", started_at)
         # Requests in progress keep the node busy, so past their ends these
         # waits must not use up the passes of the last ones.
-        await self._wait_idle(started_at + admission_time, late_passes=0)
+        await self._wait_idle(
+            schedule, lambda: schedule.admission_ends_at, late_passes=0
+        )
         self._ingress.closing = True
         self._log_drain_step("refusing callers", started_at)
         # Responses that wait in the kernel until now are passed on.
         await self._wait_idle(
-            started_at + DRAIN_TIME_FRACTION * time_limit,
-            late_passes=READ_PASSES,
+            schedule, schedule.find_runs_end, late_passes=READ_PASSES
         )
         log_event(
             Level.INFO,
@@ -287,7 +249,7 @@
         self._refuse_unfinished()
         self._http_server.stop_listening()
         # Requests that waited in the kernel until now are read and refused.
-        await self._wait_idle(sending_ends_at)
+        await self._wait_idle(schedule, lambda: schedule.sending_ends_at)
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
@@ -300,12 +262,20 @@
             self._uplink.post(
                 MemberGone(self._settings.name, self._incarnation)
             )
-        await self._sleep_until(
-            min(self._clock.now() + LEAVE_FLUSH_TIME, sending_ends_at)
-        )
+        if schedule.has_time_for_pass(self._clock.now()):
+            await self._sleep_until(
+                schedule,
+                min(
+                    self._clock.now() + LEAVE_FLUSH_TIME,
+                    schedule.sending_ends_at,
+                ),
+            )
         # Responses and refusals may still be in transit to slow readers.
         await self._wait_idle(
-            sending_ends_at, late_passes=READ_PASSES, idle_checks=1
+            schedule,
+            lambda: schedule.sending_ends_at,
+            late_passes=READ_PASSES,
+            idle_checks=1,
         )
 
     def _log_drain_step(self, step: str, started_at: datetime) -> None:
@@ -336,38 +306,47 @@
         self._executor.refuse_all()
         self._ingress.refuse_pending()
 
-    async def _sleep_until(self, time: datetime) -> None:
+    async def _sleep_until(
+        self, schedule: StopSchedule, time: datetime
+    ) -> None:
         """Wait until a time, and for one pass of the event loop at least."""
-        remaining = time - self._clock.now()
-        await asyncio.sleep(max(0.0, remaining.total_seconds()))
+        started_at = self._clock.now()
+        duration = max(timedelta(0), time - started_at)
+        await asyncio.sleep(duration.total_seconds())
+        schedule.record_wait(self._clock.now() - started_at - duration)
 
     async def _wait_idle(
         self,
-        deadline: datetime,
+        schedule: StopSchedule,
+        find_deadline: Callable[[], datetime],
         late_passes: int = LATE_PASSES_MAX,
         idle_checks: int = IDLE_CHECKS_MIN,
     ) -> None:
         """Wait until nothing is in progress, at most until the deadline.
 
         What is ready to be read or written is handled also after it, in
-        ``late_passes`` of the event loop. ``idle_checks`` in passes one after
-        the other have to find the node idle.
+        ``late_passes`` of the event loop, as far as the stop has time for
+        them. ``idle_checks`` in passes one after the other have to find the
+        node idle.
         """
         idle_count = late_count = 0
         while True:
-            pause = 0.0
+            now = self._clock.now()
+            pause = timedelta(0)
             if not self._is_busy():
                 idle_count += 1
-            elif self._clock.now() < deadline:
+            elif now < find_deadline():
                 # Transports have no event for when all data is sent.
                 idle_count = 0
-                pause = IDLE_CHECK_INTERVAL.total_seconds()
+                pause = IDLE_CHECK_INTERVAL
             else:
                 idle_count = 0
                 late_count += 1
             if idle_count == idle_checks or late_count > late_passes:
                 return
-            await asyncio.sleep(pause)
+            if not schedule.has_time_for_pass(now):
+                return
+            await self._sleep_until(schedule, now + pause)
 
     def _is_busy(self) -> bool:
         return (
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -29,6 +29,7 @@
 from sequoiaseam._retry import RetryShare, TreeRetryLimiter
 from sequoiaseam._return_wait import compute_return_wait
 from sequoiaseam._route_throttle import RouteThrottle
+from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import (
     Importance,
     Route,
@@ -123,19 +124,6 @@
     finished: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class StopTimes:
-    """Times of a stop that bound what is sent during it."""
-
-    started_at: datetime
-    # From then on, callers' requests are refused, and calls of backend
-    # servers are sent only for as long as ``late_calls_end_at`` allows.
-    admission_ends_at: datetime
-    # Time by which the backend servers that run these calls end them, so
-    # that their answers arrive before the stop refuses what is left.
-    late_calls_end_at: datetime
-
-
 # Sends a call to a host by name; returns a callback that cancels it.
 CallSender = Callable[
     [str, RunCall, Callable[[RunResult | None], None]],
@@ -187,7 +175,7 @@
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
         # Set at the start of a drain.
-        self.stop_times: StopTimes | None = None
+        self.stop_schedule: StopSchedule | None = None
         # Cleared at the end of a drain, when nothing that is sent can finish.
         self.sending_enabled = True
 
@@ -345,11 +333,11 @@
         A request without a key on an open route is a call of the backend
         server only if that runs something.
         """
-        times = self.stop_times
+        schedule = self.stop_schedule
         # The time counts also before ``closing`` is set, which a late event
         # loop does after it has read requests that were sent long after it.
-        is_over = times is not None and (
-            self._clock.now() >= times.admission_ends_at
+        is_over = schedule is not None and (
+            self._clock.now() >= schedule.admission_ends_at
         )
         if not (self.closing or is_over):
             return True
@@ -441,15 +429,15 @@
         that the server ends it by itself before.
         """
         deadline = pending.deadline or now
-        times = self.stop_times
+        schedule = self.stop_schedule
         if (
-            times is None
+            schedule is None
             or not pending.nested
-            or now < times.admission_ends_at
-            or deadline <= times.late_calls_end_at
+            or now < schedule.admission_ends_at
+            or deadline <= schedule.late_calls_end_at
         ):
             return deadline
-        ends_at = times.late_calls_end_at - LATE_CALL_SPREAD * (
+        ends_at = schedule.late_calls_end_at - LATE_CALL_SPREAD * (
             self._rng.random()
         )
         return ends_at if ends_at - now >= LATE_CALL_TIME_MIN else None
@@ -771,7 +759,7 @@
             return
         self._finish(pending)
         now = self._clock.now()
-        times = self.stop_times
+        schedule = self.stop_schedule
         status = choose_status(code, may_have_run=pending.may_have_run)
         header_lines = b"Content-Type: application/json\r\n"
         if status in (429, 503):
@@ -792,7 +780,7 @@
             tried=sorted(pending.tried_hosts),
             age=now - pending.request.arrived_at,
             time_left=pending.deadline - now if pending.deadline else None,
-            stop_age=now - times.started_at if times else None,
+            stop_age=now - schedule.started_at if schedule else None,
             revision=self._view.revision,
             **details,
         )
--- /dev/null
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -0,0 +1,96 @@
+"""Times of the steps of a planned stop.
+
+Each step comes after its time, or after its fraction of the shutdown time
+limit if that is earlier. All count from SIGTERM.
+"""
+
+from datetime import datetime, timedelta
+from typing import Final
+
+# Until then, calls by nodes that haven't learned of the stop yet are served,
+# so that the capacity of the backend server is used.
+SERVING_TIME: Final = timedelta(seconds=1.5)
+SERVING_FRACTION: Final = 0.3
+# By then, callers and other nodes have learned of the stop.
+NOTICE_TIME: Final = timedelta(seconds=2.5)
+NOTICE_FRACTION: Final = 0.45
+# From then on, callers' requests are refused. The rest of the time is for
+# those in progress.
+ADMISSION_TIME: Final = NOTICE_TIME + timedelta(milliseconds=250)
+ADMISSION_FRACTION: Final = 0.5
+# Fraction of the time limit by which backend servers end the calls that are
+# sent after the admission time. Without it, calls that were sent too late for
+# a stop to break them off would be in progress at its end. The rest up to
+# RUNS_END_FRACTION_MIN, 0.5 s of 6 s, is for the lateness of processes: a
+# server's time counts from when the node beside it reads the call.
+LATE_CALL_FRACTION: Final = 0.75
+# Fractions of the time limit between which a stop refuses what is still in
+# progress: a node that is late needs more time for the rest of its stop. A
+# stop may break off requests only in the last sixth.
+RUNS_END_FRACTION_MIN: Final = 5 / 6
+RUNS_END_FRACTION_MAX: Final = 0.92
+# Fraction of it after which unsent responses are dropped.
+SENDING_FRACTION: Final = 0.95
+# Fraction of it after which connections that still wait to be closed are left
+# to the end of the process.
+CLOSE_FRACTION: Final = 0.96
+# Passes of the event loop from the end of runs to the end of the process, in
+# which refusals are sent and what waits in the kernel is read.
+END_PASSES: Final = 6
+# Waits over which the mean lateness is taken.
+LATENESS_SAMPLES: Final = 20
+
+
+class StopSchedule:
+    """Times of the steps of a stop of a node, and how late it is."""
+
+    def __init__(self, started_at: datetime, time_limit: timedelta) -> None:
+        self.started_at: Final = started_at
+        self._time_limit: Final = time_limit
+        self.serving_ends_at: Final = started_at + min(
+            SERVING_TIME, SERVING_FRACTION * time_limit
+        )
+        self.notice_ends_at: Final = started_at + min(
+            NOTICE_TIME, NOTICE_FRACTION * time_limit
+        )
+        self.admission_ends_at: Final = started_at + min(
+            ADMISSION_TIME, ADMISSION_FRACTION * time_limit
+        )
+        self.late_calls_end_at: Final = (
+            started_at + LATE_CALL_FRACTION * time_limit
+        )
+        # Runs have this time however late the node is.
+        self.runs_end_at_least: Final = (
+            started_at + RUNS_END_FRACTION_MIN * time_limit
+        )
+        self.sending_ends_at: Final = (
+            started_at + SENDING_FRACTION * time_limit
+        )
+        self.close_ends_at: Final = started_at + CLOSE_FRACTION * time_limit
+        self._wait_count = 0
+        self._lateness_max = timedelta(0)
+        self._lateness_mean = timedelta(0)
+
+    def record_wait(self, lateness: timedelta) -> None:
+        """Record by how much a wait was longer than it was meant to be."""
+        lateness = max(timedelta(0), lateness)
+        self._wait_count += 1
+        self._lateness_max = max(self._lateness_max, lateness)
+        self._lateness_mean += (lateness - self._lateness_mean) / min(
+            self._wait_count, LATENESS_SAMPLES
+        )
+
+    def find_runs_end(self) -> datetime:
+        """Return when to refuse what is still in progress.
+
+        The lateness so far tells how much time the rest of the stop takes.
+        """
+        end_time = self._lateness_max + END_PASSES * self._lateness_mean
+        latest = self.started_at + RUNS_END_FRACTION_MAX * self._time_limit
+        return max(
+            self.runs_end_at_least, min(latest, self.close_ends_at - end_time)
+        )
+
+    def has_time_for_pass(self, now: datetime) -> bool:
+        """Return whether another pass of the event loop ends in time."""
+        return now + self._lateness_mean <= self.close_ends_at
