Start no call in a stop that its time limit lets outlast it

What callers see: 502 for a request that another server would have served. A node that stops started calls of other nodes for 1.5 s after SIGTERM whatever time they had left, and broke them off at its end; the node that took the request might stop meanwhile, at a time at which nothing excuses it.

From SIGTERM on, a node starts only calls whose time limit lies before the least time that its stop leaves for runs (5/6 of the grace period) and refuses the others, queued ones too, as not run. The caller's node sends them elsewhere. Weighed: a bound by the route's longest recent run would serve more calls in the moments before others learn of the stop, and breaks off the tail.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -130,7 +130,8 @@
         self._log = RateLimitedLog(clock)
         self.closing = False
         # Set at the start of a drain.
-        self.stop_started_at: datetime | None = None
+        self._stop_started_at: datetime | None = None
+        self._runs_end_at: datetime | None = None
 
     def start(self, get_pool: Callable[[str], Pool | None]) -> None:
         """Start the periodic processing of the queue."""
@@ -229,14 +230,38 @@
             self._refuse_queued(now, former)
             former.connections.close()
 
-    def _refuse_queued(self, now: datetime, session: _Session) -> None:
-        """Refuse all calls that haven't started."""
+    def _refuse_queued(
+        self,
+        now: datetime,
+        session: _Session,
+        is_refused: Callable[[_Run], bool] = lambda _: True,
+    ) -> None:
+        """Refuse the calls that haven't started, all or some of them."""
         for run in [
-            r for r in self._runs.values() if r.server_request is None
+            r
+            for r in self._runs.values()
+            if r.server_request is None and is_refused(r)
         ]:
             session.admission.cancel(now, run.ticket_id)
             self._refuse(run, ErrorCode.DRAINING)
 
+    def begin_stop(self, started_at: datetime, runs_end_at: datetime) -> None:
+        """Start only calls from now on that end before ``runs_end_at``.
+
+        Other servers can run the rest from their start to their end.
+        """
+        self._stop_started_at = started_at
+        self._runs_end_at = runs_end_at
+        session = self._session
+        if session is not None:
+            now = self._clock.now()
+            self._refuse_queued(now, session, self._may_outlast_stop)
+
+    def _may_outlast_stop(self, run: _Run) -> bool:
+        return (
+            self._runs_end_at is not None and run.deadline > self._runs_end_at
+        )
+
     def refuse_all(self) -> None:
         """Refuse all calls; those sent to the backend server may have run."""
         now = self._clock.now()
@@ -252,7 +277,7 @@
             )
 
     def _log_broken_off(self, now: datetime, run: _Run) -> None:
-        started_at = self.stop_started_at
+        started_at = self._stop_started_at
         report = self.report
         self._log.log(
             Level.INFO,
@@ -285,7 +310,7 @@
         session = self._session
         if session is None or session.report.pool != call.pool:
             self._refuse(run, ErrorCode.NO_SERVER)
-        elif not self.is_serving(now):
+        elif not self.is_serving(now) or self._may_outlast_stop(run):
             self._refuse(run, ErrorCode.DRAINING)
         elif self._crash_guard.is_quarantined(call):
             self._refuse(run, ErrorCode.QUARANTINED, QUARANTINE_RETRY_AFTER)
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -219,7 +219,7 @@
             self._clock.now() - elapsed, self._settings.shutdown_time_limit
         )
         started_at = schedule.started_at
-        self._executor.stop_started_at = started_at
+        self._executor.begin_stop(started_at, schedule.runs_end_at_least)
         self._ingress.stop_schedule = schedule
         await self._sleep_until(schedule, schedule.serving_ends_at)
         self._log_drain_step("refusing calls of other nodes", started_at)
