Let calls that can't be repeated wait for a silent node

What callers see: 502 for a request whose server is at work.

Cause: silence was taken for the end. That is right for idempotent calls, which another server can run, and for the choice of nodes. A call that may run only once has nobody else: it now waits on the old connection until its result, its deadline or the end of the connection, while later calls use a new one.

Not run with real processes yet.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from typing import Any, Final
 
@@ -195,6 +196,15 @@
             bool(self._outgoing) or self._transport.get_write_buffer_size() > 0
         )
 
+    def change_owner(
+        self,
+        on_frame: Callable[[Any], None],
+        on_close: Callable[[], None],
+    ) -> None:
+        """Notify another owner from now on."""
+        self._on_frame = on_frame
+        self._on_close = on_close
+
     def close_idle(self) -> None:
         """Close the connection without notifying its owner."""
         self._on_close = lambda: None
@@ -207,6 +217,72 @@
             self._transport.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingCall:
+    """A call without a result."""
+
+    on_result: ResultCallback
+    idempotent: bool
+
+
+class _SilentConnection:
+    """Connection to a silent node with calls that can't be repeated.
+
+    The node may only be late: a result that comes by the call's deadline is
+    worth more than to learn early that there is none.
+    """
+
+    def __init__(
+        self,
+        connection: FrameConnection,
+        pending: dict[int, _PendingCall],
+        on_end: Callable[["_SilentConnection"], None],
+    ) -> None:
+        self._connection = connection
+        self._pending = pending
+        self._on_end = on_end
+        connection.change_owner(self._handle_frame, self._handle_close)
+
+    def _handle_frame(self, frame: Any) -> None:
+        if isinstance(frame, RunAnswer | RunRefusal):
+            self._finish(frame.call_id, frame)
+        elif isinstance(frame, MeshLeave):
+            for call_id in [
+                i for i in self._pending if i > frame.last_call_id
+            ]:
+                self._finish(call_id, create_unsent_refusal(call_id))
+
+    def _finish(self, call_id: int, result: RunResult) -> None:
+        call = self._pending.pop(call_id, None)
+        self._close_if_unused()
+        if call is not None:
+            call.on_result(result)
+
+    def cancel(self, call_id: int) -> bool:
+        """Cancel a call; return whether it was pending here."""
+        if self._pending.pop(call_id, None) is None:
+            return False
+        self._connection.post(RunCancel(call_id))
+        self._close_if_unused()
+        return True
+
+    def _close_if_unused(self) -> None:
+        if not self._pending:
+            # The end of the connection cancels what the node still runs.
+            self.close()
+
+    def _handle_close(self) -> None:
+        self._on_end(self)
+        pending, self._pending = self._pending, {}
+        for call in pending.values():
+            call.on_result(None)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._on_end(self)
+        self._connection.close_idle()
+
+
 class MeshLink:
     """Connection from this node to another, opened on demand.
 
@@ -229,7 +305,9 @@
         self._clock = clock
         self._connection: FrameConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
-        self._pending: dict[int, ResultCallback] = {}
+        self._pending: dict[int, _PendingCall] = {}
+        self._silent_connections: set[_SilentConnection] = set()
+        self._retired = False
         self._unsent: dict[int, RunCall] = {}
         self._next_id = 0
         self._ping_count = 0
@@ -253,7 +331,7 @@
             on_result(create_unsent_refusal(call_id))
             return call_id
         call = msgspec.structs.replace(call, call_id=call_id)
-        self._pending[call_id] = on_result
+        self._pending[call_id] = _PendingCall(on_result, call.idempotent)
         self._last_call_at = self._clock.now()
         if self._connection is not None:
             self._connection.post(call)
@@ -265,6 +343,7 @@
     def cancel(self, call_id: int) -> None:
         """Cancel a call, also on the other node if it was sent."""
         if self._pending.pop(call_id, None) is None:
+            any(c.cancel(call_id) for c in list(self._silent_connections))
             return
         if self._unsent.pop(call_id, None) is None and self._connection:
             self._connection.post(RunCancel(call_id))
@@ -309,14 +388,14 @@
     def _fail_unsent(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for call_id in unsent:
-            on_result = self._pending.pop(call_id)
-            on_result(create_unsent_refusal(call_id))
+            call = self._pending.pop(call_id)
+            call.on_result(create_unsent_refusal(call_id))
 
     def _handle_frame(self, frame: Any) -> None:
         if isinstance(frame, RunAnswer | RunRefusal):
-            on_result = self._pending.pop(frame.call_id, None)
-            if on_result is not None:
-                on_result(frame)
+            call = self._pending.pop(frame.call_id, None)
+            if call is not None:
+                call.on_result(frame)
         elif isinstance(frame, MeshLeave):
             self._handle_leave(frame.last_call_id)
         if self._peer_leaves and not self._pending and self._connection:
@@ -328,33 +407,63 @@
         self._unreachable = True
         self._on_reachability_change(False)  # noqa: FBT003
         for call_id in [i for i in self._pending if i > last_call_id]:
-            on_result = self._pending.pop(call_id, None)
-            if on_result is not None:
-                on_result(create_unsent_refusal(call_id))
+            call = self._pending.pop(call_id, None)
+            if call is not None:
+                call.on_result(create_unsent_refusal(call_id))
 
     def _handle_close(self) -> None:
         """Report the calls that were sent as lost: each may have run."""
         connection, self._connection = self._connection, None
-        unwritten = set()
+        unwritten: set[int] = set()
         if connection is not None:
-            unwritten = {
-                frame.call_id
-                for frame in connection.list_unwritten()
-                if isinstance(frame, RunCall)
-            }
+            unwritten = _list_unwritten_calls(connection)
         if not self._closed and not self._peer_leaves:
             self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
         self._peer_leaves = False
         pending, self._pending = self._pending, {}
         unsent = set(self._unsent)
-        for call_id, on_result in pending.items():
+        for call_id, call in pending.items():
             if call_id in unsent:
-                self._pending[call_id] = on_result
+                self._pending[call_id] = call
             elif call_id in unwritten:
-                on_result(create_unsent_refusal(call_id))
+                call.on_result(create_unsent_refusal(call_id))
             else:
-                on_result(None)
+                call.on_result(None)
+
+    def _set_aside_if_needed(self, connection: FrameConnection) -> bool:
+        """Keep a silent connection for calls that can't be repeated.
+
+        Return False without such calls. The others are reported as lost, so
+        that they can be sent to other nodes.
+        """
+        unwritten = _list_unwritten_calls(connection)
+        kept = {
+            call_id: call
+            for call_id, call in self._pending.items()
+            if not call.idempotent and call_id not in unwritten
+        }
+        if not kept:
+            return False
+        pending, self._pending = self._pending, {}
+        self._connection = None
+        self._peer_leaves = False
+        self._unreachable = True
+        self._on_reachability_change(False)  # noqa: FBT003
+        self._silent_connections.add(
+            _SilentConnection(
+                connection, kept, self._silent_connections.discard
+            )
+        )
+        for call_id, call in pending.items():
+            if call_id not in kept:
+                connection.post(RunCancel(call_id))
+                call.on_result(
+                    create_unsent_refusal(call_id)
+                    if call_id in unwritten
+                    else None
+                )
+        return True
 
     def tick(self, now: datetime) -> None:
         """Send a ping if needed, and close an unresponsive connection.
@@ -365,7 +474,7 @@
         """
         connection = self._connection
         if connection is None:
-            if self._unreachable:
+            if self._unreachable and not self._retired:
                 self._start_connecting()
             return
         is_idle = now - self._last_call_at >= LINK_IDLE_TIMEOUT
@@ -381,12 +490,15 @@
             if not self._pending:
                 return
         elif self._silence.check(now) and not connection.has_unread_data:
+            is_kept = self._set_aside_if_needed(connection)
             log_event(
                 Level.WARNING,
                 "closing unresponsive connection to node",
                 peer=str(self.endpoint),
+                after_calls=is_kept,
             )
-            connection.abort()
+            if not is_kept:
+                connection.abort()
             return
         self._ping_count += 1
         connection.post(MeshPing(self._ping_count))
@@ -394,7 +506,7 @@
     @property
     def busy(self) -> bool:
         """Return whether a call waits for its result."""
-        return bool(self._pending)
+        return bool(self._pending or self._silent_connections)
 
     def retire(self) -> None:
         """Refuse the calls that were not sent, and report no more changes.
@@ -402,6 +514,7 @@
         The caller goes on with ``tick`` and closes the link once it isn't
         busy. The other node may still be running the calls that were sent.
         """
+        self._retired = True
         self._on_reachability_change = lambda _: None
         if self._connect_task is not None:
             self._connect_task.cancel()
@@ -412,10 +525,21 @@
         self._closed = True
         if self._connect_task is not None:
             self._connect_task.cancel()
+        for silent_connection in list(self._silent_connections):
+            silent_connection.close()
         if self._connection is not None:
             self._connection.abort()
 
 
+def _list_unwritten_calls(connection: FrameConnection) -> set[int]:
+    """Return the ids of the posted calls of which nothing was written."""
+    return {
+        frame.call_id
+        for frame in connection.list_unwritten()
+        if isinstance(frame, RunCall)
+    }
+
+
 def create_unsent_refusal(call_id: int) -> RunRefusal:
     """Return the refusal of a call that was never sent."""
     return RunRefusal(
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from typing import Any, Final, cast
 
+import msgspec
+
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._mesh import (
     LENGTH_PREFIX,
@@ -22,6 +24,7 @@
     MeshPing,
     RunAnswer,
     RunCall,
+    RunCancel,
     RunRefusal,
     RunResult,
     decode_frame,
@@ -40,6 +43,9 @@
     *(Importance.NORMAL, 1.0, 10, 1000, False, True, False),
 )
 
+# Isn't idempotent.
+ORDER: Final = msgspec.structs.replace(CALL, idempotent=False)
+
 # Stands for the socket of fake transports. It never has unread input.
 IDLE_SOCKET, IDLE_PEER_SOCKET = socket.socketpair()
 
@@ -163,6 +169,77 @@
         self.assertEqual(harness.connecting_count, 1)
 
 
+class SilentNodeTest(unittest.TestCase):
+    """Guards against calls given up because their node is late.
+
+    Those that can't be repeated have no other node that could answer them.
+    """
+
+    def setUp(self) -> None:
+        self.harness = OpenLink()
+        self.link = self.harness.link
+        self.connection = self.harness.connection
+        self.transport = self.harness.transport
+        self.results: list[object] = []
+        self.call_id = self.link.call(ORDER, self.results.append)
+        self.answer = RunAnswer(self.call_id, 200, b"", b"", 0, 0.0, [])
+
+    def fall_silent(self) -> None:
+        """Let the node send nothing until it counts as silent."""
+        self.harness.run_ticks(2 * CONNECTION_TIMEOUT, echo=False)
+        self.assertEqual(self.harness.reachable, [False])
+        self.assertGreater(self.harness.connecting_count, 0)
+
+    def test_a_late_result_is_passed_on(self) -> None:
+        self.fall_silent()
+        self.assertEqual((self.results, self.transport.aborted), ([], False))
+        self.assertTrue(self.link.busy)
+        self.connection._on_frame(self.answer)
+        self.assertEqual(self.results, [self.answer])
+        self.assertTrue(self.transport.aborted)
+        self.assertFalse(self.link.busy)
+
+    def test_calls_that_can_be_repeated_are_reported_as_lost(self) -> None:
+        lost: list[object] = []
+        lost_id = self.link.call(CALL, lost.append)
+        self.fall_silent()
+        self.assertEqual((self.results, lost), ([], [None]))
+        self.assertIn(RunCancel(lost_id), self.connection.posted)
+
+    def test_the_end_of_the_connection_is_that_of_its_calls_only(self) -> None:
+        self.fall_silent()
+        self.harness.connect()
+        later: list[object] = []
+        self.link.call(ORDER, later.append)
+        self.connection.connection_lost(None)
+        self.assertEqual((self.results, later), ([None], []))
+        self.assertFalse(self.harness.transport.aborted)
+
+    def test_a_call_that_was_not_started_has_not_run(self) -> None:
+        second: list[object] = []
+        self.link.call(ORDER, second.append)
+        self.fall_silent()
+        self.connection._on_frame(MeshLeave(self.call_id))
+        (result,) = second
+        assert isinstance(result, RunRefusal), result
+        self.assertFalse(result.may_have_run)
+        self.assertEqual(self.results, [])
+
+    def test_a_cancelled_call_ends_at_the_node(self) -> None:
+        self.fall_silent()
+        self.link.cancel(self.call_id)
+        self.assertIn(RunCancel(self.call_id), self.connection.posted)
+        self.assertTrue(self.transport.aborted)
+        self.assertFalse(self.link.busy)
+
+    def test_a_node_that_was_removed_is_not_connected_again(self) -> None:
+        self.link.retire()
+        self.harness.run_ticks(2 * CONNECTION_TIMEOUT, echo=False)
+        self.assertEqual(self.harness.connecting_count, 0)
+        self.connection._on_frame(self.answer)
+        self.assertEqual(self.results, [self.answer])
+
+
 class LateLoopTest(unittest.TestCase):
     """Guards against calls lost because this node's event loop is late.
 
