Accept what waits at a control host before it closes its streams

What operators see: a call whose outcome is unknown, though it didn't run. Same class as the links between nodes: a close decided by what the process has read.

The listener's waiting connections are accepted in the step that closes it and refused as not executed; an opening that waits when its time is over is read. The acceptance was written three times and is one function now.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -17,7 +17,12 @@
 import httptools
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import Listener, accept_waiting, open_listener
+from sequoiaseam._listeners import (
+    Listener,
+    accept_waiting,
+    open_listener,
+    register_accepted,
+)
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._tables import CallerLimits
 from sequoiaseam._tasks import TaskGroup
@@ -213,12 +218,7 @@
     async def _register_accepted(self, accepted: socket.socket) -> None:
         """Have the event loop handle a connection."""
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(
-                lambda: ServerConnection(self), accepted
-            )
-        except (OSError, asyncio.CancelledError):
-            accepted.close()
-            raise
+            await register_accepted(lambda: ServerConnection(self), accepted)
         finally:
             self._unregistered_count -= 1
 
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -72,6 +72,19 @@
             accepted.append(connection)
 
 
+async def register_accepted(
+    create_protocol: Callable[[], asyncio.Protocol], accepted: socket.socket
+) -> None:
+    """Have the event loop handle an accepted connection."""
+    try:
+        await asyncio.get_running_loop().connect_accepted_socket(
+            create_protocol, accepted
+        )
+    except (OSError, asyncio.CancelledError):
+        accepted.close()
+        raise
+
+
 async def open_listener(
     create_protocol: Callable[[], asyncio.Protocol],
     host: str,
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import socket
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -24,6 +23,7 @@
     accept_waiting,
     connect,
     open_listener,
+    register_accepted,
 )
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam._mesh_frames import (
@@ -599,21 +599,11 @@
         self._closing = True
         if self._listener is not None:
             for accepted in accept_waiting(self._listener):
-                self._tasks.start(self._register_accepted(accepted))
+                self._tasks.start(register_accepted(self._accept, accepted))
             self._listener.server.close()
         for incoming in self._connections:
             incoming.leave()
 
-    async def _register_accepted(self, accepted: socket.socket) -> None:
-        """Have the event loop handle a connection."""
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(
-                self._accept, accepted
-            )
-        except (OSError, asyncio.CancelledError):
-            accepted.close()
-            raise
-
     async def close(self) -> None:
         """Leave, stop listening and close all connections.
 
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -19,9 +19,16 @@
 from sequoiaseam._access import Identity, ProofChecker
 from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
-from sequoiaseam._listeners import Listener, connect, open_listener
+from sequoiaseam._listeners import (
+    Listener,
+    accept_waiting,
+    connect,
+    open_listener,
+    register_accepted,
+)
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._unread_input import has_unread_input
 from sequoiaseam.errors import ErrorCode, SeamError
 
 FRAME_HEADER: Final = struct.Struct(">IB")
@@ -136,6 +143,13 @@
             self._transport.resume_reading()
         return frame
 
+    @property
+    def has_input(self) -> bool:
+        """Return whether a frame or data in the kernel waits to be read."""
+        return bool(self._frames) or (
+            not self._ended and has_unread_input(self._transport)
+        )
+
     async def write(self, kind: Kind, content: bytes) -> None:
         """Send a frame; raise StreamEndedError if the connection ended."""
         while self._write_paused:
@@ -235,10 +249,18 @@
         self._listener = await open_listener(self._accept, host, port)
 
     def stop_accepting(self) -> None:
-        """Stop listening and refuse streams that aren't open yet."""
+        """Stop listening and refuse streams that aren't open yet.
+
+        Their callers may have sent a request, which would be unknown if the
+        kernel reset their connections.
+        """
         self._accepting = False
-        if self._listener is not None:
-            self._listener.server.close()
+        if self._listener is None:
+            return
+        for accepted in accept_waiting(self._listener):
+            self._tasks.start(register_accepted(self._accept, accepted))
+        self._listener.server.close()
+        self._listener = None
 
     async def close(self) -> None:
         """Stop listening and close all streams."""
@@ -271,9 +293,24 @@
             self._connections.discard(connection)
             connection.close()
 
-    async def _run_method(self, connection: Connection) -> None:
+    async def _read_opening(
+        self, connection: Connection
+    ) -> tuple[int, bytes] | None:
+        """Return the first frame; raise TimeoutError if it doesn't come.
+
+        One that waits unread when the time is over has come while the event
+        loop was late.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(OPENING_TIMEOUT_SECONDS):
+                return await connection.read()
+        if not connection.has_input:
+            raise TimeoutError
         async with asyncio.timeout(OPENING_TIMEOUT_SECONDS):
-            frame = await connection.read()
+            return await connection.read()
+
+    async def _run_method(self, connection: Connection) -> None:
+        frame = await self._read_opening(connection)
         if frame is None:
             return
         try:
