End the sending and the close of a late stop earlier, too

The ends of sending and of the close now leave room for one wait as late as the latest so far, and the end of runs for another. test_stop_schedule checks these bounds; tests.test_drain's LateStepTest, SlowReaderTest and ShortTimeLimitTest and tests.test_overlapping_stops pass (16).

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -108,6 +108,8 @@
         self._clock = clock
         self._rng = rng
         self._closing = False
+        # Set at the start of a drain.
+        self._stop_schedule: StopSchedule | None = None
         # Set when this node has left the fleet, at the end of a drain.
         self._left = False
         self._incarnation = create_incarnation(clock.now(), rng)
@@ -205,7 +207,10 @@
     @property
     def close_time_limit(self) -> timedelta:
         """Return the time from SIGTERM after which ``close`` is cancelled."""
-        return CLOSE_FRACTION * self._settings.shutdown_time_limit
+        schedule = self._stop_schedule
+        if schedule is None:
+            return CLOSE_FRACTION * self._settings.shutdown_time_limit
+        return schedule.find_close_end() - schedule.started_at
 
     async def drain(self, elapsed: timedelta = timedelta(0)) -> None:
         """Finish requests in progress while callers move to other hosts.
@@ -220,7 +225,7 @@
         )
         started_at = schedule.started_at
         self._executor.begin_stop(started_at, schedule.runs_end_at_least)
-        self._ingress.stop_schedule = schedule
+        self._ingress.stop_schedule = self._stop_schedule = schedule
         await self._sleep_until(schedule, schedule.serving_ends_at)
         self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
@@ -249,7 +254,7 @@
         self._refuse_unfinished()
         self._http_server.stop_listening()
         # Requests that waited in the kernel until now are read and refused.
-        await self._wait_idle(schedule, lambda: schedule.sending_ends_at)
+        await self._wait_idle(schedule, schedule.find_sending_end)
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
@@ -267,13 +272,13 @@
                 schedule,
                 min(
                     self._clock.now() + LEAVE_FLUSH_TIME,
-                    schedule.sending_ends_at,
+                    schedule.find_sending_end(),
                 ),
             )
         # Responses and refusals may still be in transit to slow readers.
         await self._wait_idle(
             schedule,
-            lambda: schedule.sending_ends_at,
+            schedule.find_sending_end,
             late_passes=READ_PASSES,
             idle_checks=1,
         )
--- a/src/sequoiaseam/_stop_schedule.py
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -29,10 +29,10 @@
 # stop may break off requests only in the last sixth.
 RUNS_END_FRACTION_MIN: Final = 5 / 6
 RUNS_END_FRACTION_MAX: Final = 0.92
-# Fraction of it after which unsent responses are dropped.
+# Fraction of it after which unsent responses are dropped, at the latest.
 SENDING_FRACTION: Final = 0.95
 # Fraction of it after which connections that still wait to be closed are left
-# to the end of the process.
+# to the end of the process, at the latest.
 CLOSE_FRACTION: Final = 0.96
 # Passes of the event loop from the end of runs to the end of the process, in
 # which refusals are sent and what waits in the kernel is read.
@@ -63,10 +63,6 @@
         self.runs_end_at_least: Final = (
             started_at + RUNS_END_FRACTION_MIN * time_limit
         )
-        self.sending_ends_at: Final = (
-            started_at + SENDING_FRACTION * time_limit
-        )
-        self.close_ends_at: Final = started_at + CLOSE_FRACTION * time_limit
         self._wait_count = 0
         self._lateness_max = timedelta(0)
         self._lateness_mean = timedelta(0)
@@ -83,14 +79,33 @@
     def find_runs_end(self) -> datetime:
         """Return when to refuse what is still in progress.
 
-        The lateness so far tells how much time the rest of the stop takes.
+        The rest of the stop has time for one wait as late as the latest so
+        far and for passes that are late as usual.
         """
-        end_time = self._lateness_max + END_PASSES * self._lateness_mean
-        latest = self.started_at + RUNS_END_FRACTION_MAX * self._time_limit
-        return max(
-            self.runs_end_at_least, min(latest, self.close_ends_at - end_time)
+        rest = self._lateness_max + END_PASSES * self._lateness_mean
+        return self._limit(RUNS_END_FRACTION_MAX, self.find_close_end() - rest)
+
+    def find_sending_end(self) -> datetime:
+        """Return when to drop responses that aren't sent."""
+        return self._limit(
+            SENDING_FRACTION, self.find_close_end() - self._lateness_mean
         )
 
+    def find_close_end(self) -> datetime:
+        """Return when to leave all else to the end of the process.
+
+        The wait that is then in progress may be as late as the latest.
+        """
+        return self._limit(
+            CLOSE_FRACTION,
+            self.started_at + self._time_limit - self._lateness_max,
+        )
+
+    def _limit(self, fraction_max: float, time: datetime) -> datetime:
+        """Return a time between the least end of runs and a fraction."""
+        latest = self.started_at + fraction_max * self._time_limit
+        return max(self.runs_end_at_least, min(latest, time))
+
     def has_time_for_pass(self, now: datetime) -> bool:
         """Return whether another pass of the event loop ends in time."""
-        return now + self._lateness_mean <= self.close_ends_at
+        return now + self._lateness_mean <= self.find_close_end()
--- /dev/null
+++ b/tests/test_stop_schedule.py
@@ -0,0 +1,58 @@
+"""Tests of the times of a stop's steps."""
+
+import unittest
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Final
+
+from sequoiaseam._clock import ManualClock
+from sequoiaseam._stop_schedule import StopSchedule
+
+GRACE_PERIOD: Final = timedelta(seconds=6)
+# A stop may break off requests only from then on.
+LAST_SIXTH: Final = timedelta(seconds=5)
+
+
+class StopScheduleTest(unittest.TestCase):
+    """Guards against stops that end too early, or after the kill."""
+
+    def find_ends(
+        self, lateness: Iterable[float] = ()
+    ) -> tuple[timedelta, timedelta, timedelta]:
+        """Return the ends of runs, of sending and of the close."""
+        started_at = ManualClock().now()
+        schedule = StopSchedule(started_at, GRACE_PERIOD)
+        for seconds in lateness:
+            schedule.record_wait(timedelta(seconds=seconds))
+        return (
+            schedule.find_runs_end() - started_at,
+            schedule.find_sending_end() - started_at,
+            schedule.find_close_end() - started_at,
+        )
+
+    def test_a_node_that_is_on_time_waits_for_runs(self) -> None:
+        runs_end, sending_end, close_end = self.find_ends([0.0, 0.01])
+        self.assertGreater(runs_end, 0.9 * GRACE_PERIOD)
+        self.assertLess(runs_end, sending_end)
+        self.assertLess(sending_end, close_end)
+        self.assertLess(close_end, GRACE_PERIOD)
+
+    def test_no_lateness_ends_runs_before_the_last_sixth(self) -> None:
+        for lateness in ([0.3] * 9, [2.0], [0.0, 9.0], [-1.0]):
+            with self.subTest(lateness=lateness):
+                for end in self.find_ends(lateness):
+                    self.assertGreaterEqual(end, LAST_SIXTH)
+
+    def test_a_wait_as_late_as_the_latest_ends_before_the_kill(self) -> None:
+        """Let the waits at the end of runs and in the close be late."""
+        for worst in (0.05, 0.2, 0.45):
+            with self.subTest(worst=worst):
+                lateness = [*[0.0] * 50, worst, *[0.0] * 50]
+                runs_end, _, close_end = self.find_ends(lateness)
+                late = timedelta(seconds=worst)
+                self.assertLessEqual(close_end + late, GRACE_PERIOD)
+                self.assertLessEqual(runs_end + late, close_end)
+
+
+if __name__ == "__main__":
+    unittest.main()
