Count a stop from when SIGTERM may have come

Cause: a process that gets no processor notices the signal only when it runs again, here up to 0.6 s later, and counted all steps from then. The node's tick every 50 ms tells how late it was; admission, sending and the close now count from as much earlier. The least end of runs still counts from when the signal was noticed, as it may also have come just then.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -108,6 +108,8 @@
         self._clock = clock
         self._rng = rng
         self._closing = False
+        self._ticked_at = clock.now()
+        self._tick_lateness = timedelta(0)
         # Set at the start of a drain.
         self._stop_schedule: StopSchedule | None = None
         # Set when this node has left the fleet, at the end of a drain.
@@ -197,6 +199,7 @@
             settings.caller_endpoint.port,
             LISTEN_BACKLOG,
         )
+        self._ticked_at = self._clock.now()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._tasks.start(self._uplink.run())
 
@@ -220,8 +223,11 @@
         """
         self._closing = True
         self._send_report()
+        now = self._clock.now()
         schedule = StopSchedule(
-            self._clock.now() - elapsed, self._settings.shutdown_time_limit
+            now - elapsed,
+            self._settings.shutdown_time_limit,
+            self._measure_tick_lateness(now),
         )
         started_at = schedule.started_at
         self._executor.begin_stop(started_at, schedule.runs_end_at_least)
@@ -372,9 +378,18 @@
         await self._crash_reporter.close()
 
     def _tick(self) -> None:
-        self._quota_gate.tick(self._clock.now())
+        now = self._clock.now()
+        self._tick_lateness = max(
+            timedelta(0), now - self._ticked_at - TICK_INTERVAL
+        )
+        self._ticked_at = now
+        self._quota_gate.tick(now)
         self._send_report(only_if_changed=True)
 
+    def _measure_tick_lateness(self, now: datetime) -> timedelta:
+        """Return how late the last tick was, or the next one is by now."""
+        return max(self._tick_lateness, now - self._ticked_at - TICK_INTERVAL)
+
     # The backend server.
 
     def accept_server_report(self, report: ServerReport) -> None:
--- a/src/sequoiaseam/_stop_schedule.py
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -42,9 +42,20 @@
 
 
 class StopSchedule:
-    """Times of the steps of a stop of a node, and how late it is."""
+    """Times of the steps of a stop of a node, and how late it is.
 
-    def __init__(self, started_at: datetime, time_limit: timedelta) -> None:
+    ``noticed_at`` is when the process noticed SIGTERM. If it was late then,
+    by ``start_lateness``, the signal may have come earlier by as much: what
+    has to be done by a time counts from there.
+    """
+
+    def __init__(
+        self,
+        noticed_at: datetime,
+        time_limit: timedelta,
+        start_lateness: timedelta = timedelta(0),
+    ) -> None:
+        started_at = noticed_at - start_lateness
         self.started_at: Final = started_at
         self._time_limit: Final = time_limit
         self.serving_ends_at: Final = started_at + min(
@@ -61,7 +72,7 @@
         )
         # Runs have this time however late the node is.
         self.runs_end_at_least: Final = (
-            started_at + RUNS_END_FRACTION_MIN * time_limit
+            noticed_at + RUNS_END_FRACTION_MIN * time_limit
         )
         self._wait_count = 0
         self._lateness_max = timedelta(0)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -506,6 +506,23 @@
             GRACE_PERIOD / timedelta(milliseconds=1),
         )
 
+    async def test_requests_after_a_signal_that_is_noticed_late(self) -> None:
+        """Send SIGTERM to a node that doesn't run for some time."""
+        cluster = await self.start_cluster(echo_body, time_limit=GRACE_PERIOD)
+        node = cluster.nodes[0]
+        lateness = 0.5
+        time.sleep(lateness)  # noqa: ASYNC251
+        stop = asyncio.create_task(self.stop(cluster))
+        await self.wait_until(lambda: node._closing)
+        started_at = node._clock.now() - timedelta(seconds=lateness)
+        schedule = node._stop_schedule
+        assert schedule is not None
+        self.assertLess(
+            schedule.admission_ends_at - started_at,
+            timedelta(seconds=ADMISSION_SECONDS),
+        )
+        await stop
+
     async def test_requests_that_wait_while_the_node_is_late(self) -> None:
         """Send a caller's request while the event loop is behind.
 
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -9,8 +9,10 @@
 from sequoiaseam._stop_schedule import StopSchedule
 
 GRACE_PERIOD: Final = timedelta(seconds=6)
-# A stop may break off requests only from then on.
+# A stop may break off requests only from then on, and only those sent before
+# the second time.
 LAST_SIXTH: Final = timedelta(seconds=5)
+ADMISSION: Final = timedelta(seconds=3)
 
 
 class StopScheduleTest(unittest.TestCase):
@@ -53,6 +55,19 @@
                 self.assertLessEqual(close_end + late, GRACE_PERIOD)
                 self.assertLessEqual(runs_end + late, close_end)
 
+    def test_a_signal_may_have_come_before_it_was_noticed(self) -> None:
+        """A node that is late by half a second notices SIGTERM."""
+        noticed_at = ManualClock().now()
+        late = timedelta(seconds=0.5)
+        schedule = StopSchedule(noticed_at, GRACE_PERIOD, late)
+        sent_at = noticed_at - late
+        self.assertLess(schedule.admission_ends_at, sent_at + ADMISSION)
+        self.assertLess(schedule.find_close_end(), sent_at + GRACE_PERIOD)
+        # It may also have come just then.
+        self.assertGreaterEqual(
+            schedule.find_runs_end(), noticed_at + LAST_SIXTH
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
