Read what waits in the kernel until shortly before the kill

A pass may now begin as long as it and the passes of the close, as late as the mean, end before the kill; the ends of the waits stay.

The new test fails with the limit before. test_stop_schedule, LateStepTest and UnreadRequestTest pass.

--- a/src/sequoiaseam/_stop_schedule.py
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -37,6 +37,8 @@
 # Passes of the event loop from the end of runs to the end of the process, in
 # which refusals are sent and what waits in the kernel is read.
 END_PASSES: Final = 6
+# Passes that the close and the end of the process take.
+CLOSE_PASSES: Final = 2
 # Waits over which the mean lateness is taken.
 LATENESS_SAMPLES: Final = 20
 
@@ -118,5 +120,11 @@
         return max(self.runs_end_at_least, min(latest, time))
 
     def has_time_for_pass(self, now: datetime) -> bool:
-        """Return whether another pass of the event loop ends in time."""
-        return now + self._lateness_mean <= self.find_close_end()
+        """Return whether the process still ends in time after another pass.
+
+        A pass reads and answers what waits in the kernel, which the end of
+        the process would reset as a kill does. So it may be begun later than
+        a wait.
+        """
+        passes = (1 + CLOSE_PASSES) * self._lateness_mean
+        return now + passes <= self.started_at + self._time_limit
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -68,6 +68,19 @@
             schedule.find_runs_end(), noticed_at + LAST_SIXTH
         )
 
+    def test_unread_requests_are_read_until_shortly_before_the_kill(
+        self,
+    ) -> None:
+        """Let a node be paused at the end of its runs."""
+        started_at = ManualClock().now()
+        schedule = StopSchedule(started_at, GRACE_PERIOD)
+        for seconds in [*[0.0] * 50, 0.5, *[0.0] * 10]:
+            schedule.record_wait(timedelta(seconds=seconds))
+        now = started_at + timedelta(seconds=5.85)
+        self.assertGreater(now, schedule.find_close_end())
+        self.assertTrue(schedule.has_time_for_pass(now))
+        self.assertFalse(schedule.has_time_for_pass(started_at + GRACE_PERIOD))
+
 
 if __name__ == "__main__":
     unittest.main()
