--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,7 +27,7 @@
 from tests.soak.relay import Fault, FaultRelay, reset_on_close
 from tests.soak.run import run_soak
 from tests.soak.servers import BackendServer, Place
-from tests.soak.site import STORES, Site
+from tests.soak.site import AUDITS, STORES, Site
 from tests.soak.waymarks import create_site
 
 LOOPBACK: Final = "127.0.0.1"
@@ -53,6 +53,9 @@
     def test_seed_5_with_faults(self) -> None:
         self.check_seed(5)
 
+    def test_seed_16_with_runs_as_long_as_a_stop(self) -> None:
+        self.check_seed(16, AUDITS)
+
     def test_seed_1_of_waymarks_at_a_low_rate(self) -> None:
         self.check_seed(1, create_site(0.02))
 
