Take no call for unsent that a kept connection may still write

A link could count its node as silent in the pass in which a call was posted: the call was refused as not run, and then written on the connection that stays open. All calls that can't be repeated now wait, none counts as unsent. The new test fails before (the call is refused as not run).

The time limit of the close counts from when SIGTERM was noticed, as the program measures it; it was up to the start's lateness too long.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -213,7 +213,7 @@
         schedule = self._stop_schedule
         if schedule is None:
             return CLOSE_FRACTION * self._settings.shutdown_time_limit
-        return schedule.find_close_end() - schedule.started_at
+        return schedule.close_time_limit
 
     async def drain(self, elapsed: timedelta = timedelta(0)) -> None:
         """Finish requests in progress while callers move to other hosts.
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -228,8 +228,8 @@
 class _SilentConnection:
     """Connection to a silent node with calls that can't be repeated.
 
-    The node may only be late: a result that comes by the call's deadline is
-    worth more than to learn early that there is none.
+    The node may only be late, and a result may still come by the deadline of
+    the call.
     """
 
     def __init__(
@@ -258,13 +258,11 @@
         if call is not None:
             call.on_result(result)
 
-    def cancel(self, call_id: int) -> bool:
-        """Cancel a call; return whether it was pending here."""
-        if self._pending.pop(call_id, None) is None:
-            return False
-        self._connection.post(RunCancel(call_id))
-        self._close_if_unused()
-        return True
+    def cancel(self, call_id: int) -> None:
+        """Cancel a call, unless it isn't pending here."""
+        if self._pending.pop(call_id, None) is not None:
+            self._connection.post(RunCancel(call_id))
+            self._close_if_unused()
 
     def _close_if_unused(self) -> None:
         if not self._pending:
@@ -343,7 +341,8 @@
     def cancel(self, call_id: int) -> None:
         """Cancel a call, also on the other node if it was sent."""
         if self._pending.pop(call_id, None) is None:
-            any(c.cancel(call_id) for c in list(self._silent_connections))
+            for silent_connection in list(self._silent_connections):
+                silent_connection.cancel(call_id)
             return
         if self._unsent.pop(call_id, None) is None and self._connection:
             self._connection.post(RunCancel(call_id))
@@ -414,9 +413,13 @@
     def _handle_close(self) -> None:
         """Report the calls that were sent as lost: each may have run."""
         connection, self._connection = self._connection, None
-        unwritten: set[int] = set()
+        unwritten = set()
         if connection is not None:
-            unwritten = _list_unwritten_calls(connection)
+            unwritten = {
+                frame.call_id
+                for frame in connection.list_unwritten()
+                if isinstance(frame, RunCall)
+            }
         if not self._closed and not self._peer_leaves:
             self._unreachable = True
             self._on_reachability_change(False)  # noqa: FBT003
@@ -431,17 +434,17 @@
             else:
                 call.on_result(None)
 
-    def _set_aside_if_needed(self, connection: FrameConnection) -> bool:
-        """Keep a silent connection for calls that can't be repeated.
+    def _keep_for_calls(self, connection: FrameConnection) -> bool:
+        """Keep a silent connection for the calls that can't be repeated.
 
-        Return False without such calls. The others are reported as lost, so
-        that they can be sent to other nodes.
+        Return False if there are none. The others are reported as lost, so
+        that they can be sent to other nodes. None counts as unsent, as the
+        connection may still be written to.
         """
-        unwritten = _list_unwritten_calls(connection)
         kept = {
             call_id: call
             for call_id, call in self._pending.items()
-            if not call.idempotent and call_id not in unwritten
+            if not call.idempotent
         }
         if not kept:
             return False
@@ -458,11 +461,7 @@
         for call_id, call in pending.items():
             if call_id not in kept:
                 connection.post(RunCancel(call_id))
-                call.on_result(
-                    create_unsent_refusal(call_id)
-                    if call_id in unwritten
-                    else None
-                )
+                call.on_result(None)
         return True
 
     def tick(self, now: datetime) -> None:
@@ -490,12 +489,12 @@
             if not self._pending:
                 return
         elif self._silence.check(now) and not connection.has_unread_data:
-            is_kept = self._set_aside_if_needed(connection)
+            is_kept = self._keep_for_calls(connection)
             log_event(
                 Level.WARNING,
                 "closing unresponsive connection to node",
                 peer=str(self.endpoint),
-                after_calls=is_kept,
+                kept_for_calls=is_kept,
             )
             if not is_kept:
                 connection.abort()
@@ -531,15 +530,6 @@
             self._connection.abort()
 
 
-def _list_unwritten_calls(connection: FrameConnection) -> set[int]:
-    """Return the ids of the posted calls of which nothing was written."""
-    return {
-        frame.call_id
-        for frame in connection.list_unwritten()
-        if isinstance(frame, RunCall)
-    }
-
-
 def create_unsent_refusal(call_id: int) -> RunRefusal:
     """Return the refusal of a call that was never sent."""
     return RunRefusal(
--- a/src/sequoiaseam/_stop_schedule.py
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -59,6 +59,7 @@
     ) -> None:
         started_at = noticed_at - start_lateness
         self.started_at: Final = started_at
+        self._noticed_at: Final = noticed_at
         self._time_limit: Final = time_limit
         self.serving_ends_at: Final = started_at + min(
             SERVING_TIME, SERVING_FRACTION * time_limit
@@ -69,6 +70,8 @@
         self.admission_ends_at: Final = started_at + min(
             ADMISSION_TIME, ADMISSION_FRACTION * time_limit
         )
+        # By then, backend servers end the calls that are sent after the
+        # admission time, so that their answers arrive before the end of runs.
         self.late_calls_end_at: Final = (
             started_at + LATE_CALL_FRACTION * time_limit
         )
@@ -114,6 +117,11 @@
             self.started_at + self._time_limit - self._lateness_max,
         )
 
+    @property
+    def close_time_limit(self) -> timedelta:
+        """Return the time from when SIGTERM was noticed to the close's end."""
+        return self.find_close_end() - self._noticed_at
+
     def _limit(self, fraction_max: float, time: datetime) -> datetime:
         """Return a time between the least end of runs and a fraction."""
         latest = self.started_at + fraction_max * self._time_limit
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, cast
+from unittest.mock import patch
 
 import msgspec
 
@@ -225,6 +226,14 @@
         self.assertFalse(result.may_have_run)
         self.assertEqual(self.results, [])
 
+    def test_a_call_that_may_still_be_written_is_not_unsent(self) -> None:
+        """Let the node count as silent in the pass that posts the call."""
+        with patch.object(
+            self.connection, "list_unwritten", lambda: self.connection.posted
+        ):
+            self.fall_silent()
+        self.assertEqual(self.results, [])
+
     def test_a_cancelled_call_ends_at_the_node(self) -> None:
         self.fall_silent()
         self.link.cancel(self.call_id)
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -63,6 +63,7 @@
         sent_at = noticed_at - late
         self.assertLess(schedule.admission_ends_at, sent_at + ADMISSION)
         self.assertLess(schedule.find_close_end(), sent_at + GRACE_PERIOD)
+        self.assertLess(schedule.close_time_limit + late, GRACE_PERIOD)
         # It may also have come just then.
         self.assertGreaterEqual(
             schedule.find_runs_end(), noticed_at + LAST_SIXTH
