Let the runs of a late stop go on until a single late wait before the kill

The end of runs left room for two waits as late as the latest. The second was for the message on the leave, which is now sent 5/6 into the stop while runs go on; what remains after the end takes passes, no waits.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -247,6 +247,12 @@
         )
         self._ingress.closing = True
         self._log_drain_step("refusing callers", started_at)
+        # The message on the leave arrives while runs still go on.
+        await self._wait_idle(
+            schedule, lambda: schedule.runs_end_at_least, late_passes=0
+        )
+        self._leave_fleet()
+        left_at = self._clock.now()
         # Responses that wait in the kernel until now are passed on.
         await self._wait_idle(
             schedule, schedule.find_runs_end, late_passes=READ_PASSES
@@ -266,20 +272,10 @@
         # ``close``.
         self._http_server.stop_accepting()
         self._quota_gate.close()
-        if self._create_member().leaving_server is None:
-            # Otherwise the member stays until its lease ends, so that the
-            # node still knows after a restart that its server is leaving.
-            self._left = True
-            self._uplink.post(
-                MemberGone(self._settings.name, self._incarnation)
-            )
         if schedule.has_time_for_pass(self._clock.now()):
             await self._sleep_until(
                 schedule,
-                min(
-                    self._clock.now() + LEAVE_FLUSH_TIME,
-                    schedule.find_sending_end(),
-                ),
+                min(left_at + LEAVE_FLUSH_TIME, schedule.find_sending_end()),
             )
         # Responses and refusals may still be in transit to slow readers.
         await self._wait_idle(
@@ -289,6 +285,18 @@
             idle_checks=1,
         )
 
+    def _leave_fleet(self) -> None:
+        """Tell the control host that this node leaves.
+
+        The other nodes keep the links that carry calls.
+        """
+        if self._create_member().leaving_server is not None:
+            # The member stays until its lease ends, so that the node still
+            # knows after a restart that its server is leaving.
+            return
+        self._left = True
+        self._uplink.post(MemberGone(self._settings.name, self._incarnation))
+
     def _log_drain_step(self, step: str, started_at: datetime) -> None:
         log_event(
             Level.INFO,
