Read what waits up to the latest time at which the kill may come

The node was paused at its end of runs and began no pass, since it counted the kill from 0.55 s before it noticed the signal; it had come 0.2 s before. Passes, which lose nothing that the kill wouldn't, now count from when the signal was noticed.

The test of unread requests, with a late start, fails before; test_stop_schedule passes (6).

--- a/src/sequoiaseam/_stop_schedule.py
+++ b/src/sequoiaseam/_stop_schedule.py
@@ -134,7 +134,7 @@
 
         A pass reads and answers what waits in the kernel, which the end of
         the process would reset as a kill does. So it may be begun later than
-        a wait.
+        a wait, up to the latest time at which the kill may come.
         """
         passes = (1 + CLOSE_PASSES) * self._lateness_mean
-        return now + passes <= self.started_at + self._time_limit
+        return now + passes <= self._noticed_at + self._time_limit
--- a/tests/test_stop_schedule.py
+++ b/tests/test_stop_schedule.py
@@ -77,9 +77,13 @@
     def test_unread_requests_are_read_until_shortly_before_the_kill(
         self,
     ) -> None:
-        """Let a node be paused at the end of its runs."""
+        """Let a node be paused at the end of its runs.
+
+        It was late at the start, too, but the signal came just then.
+        """
         started_at = ManualClock().now()
-        schedule = StopSchedule(started_at, GRACE_PERIOD)
+        late = timedelta(seconds=0.5)
+        schedule = StopSchedule(started_at, GRACE_PERIOD, late)
         for seconds in [*[0.0] * 50, 0.5, *[0.0] * 10]:
             schedule.record_wait(timedelta(seconds=seconds))
         now = started_at + timedelta(seconds=5.85)
