--- a/tests/test_overlapping_stops.py
+++ b/tests/test_overlapping_stops.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 from datetime import timedelta
-from typing import Any
+from typing import Any, Final
 from unittest.mock import patch
 
 import msgspec
@@ -24,8 +24,8 @@
 )
 
 # Shortly before the end of a stop, in seconds after SIGTERM.
-LATE_END_SECONDS = 5.4
-SHORT_CALL_MS = 1000
+LATE_END_SECONDS: Final = 5.4
+SHORT_CALL_MS: Final = 1000
 
 
 class LateRunTest(DrainTestCase):
