Close hardly any connection that a caller of a stopping node may use

Callers saw connections end without a response to requests that they had just sent. Nobody has read such a request, so no log names it; a caller that is late by 0.2 s or more, as on a busy machine, can't tell it from one that waited to be read.

Cause: a stop closed all idle connections 2.5 s after SIGTERM, though their callers didn't know of it, and listened up to its end, so that it closed connections that had been opened shortly before.

Change: responses close their connections from SIGTERM on; idle ones stay open until the end; a new connection counts as in progress for 0.5 s or until its first request; a node whose server runs nothing stops listening as it begins to refuse callers. The step that closes idle connections logs how many.

LateAdmissionTest and OpenRouteTest send their request on a connection that was open before, as such a node no longer listens then; test_a_request_that_waits_when_the_end_is_late has a run in progress, for which a node goes on listening. What is asked of them is the same. LateStepTest took the time of a step that is now at the end; it takes the one that comes at the same time.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -232,14 +232,14 @@
         started_at = schedule.started_at
         self._executor.begin_stop(schedule)
         self._ingress.stop_schedule = self._stop_schedule = schedule
+        # Each response closes its connection from now on, so that few are
+        # left that the end of the drain closes as a caller sends a request.
+        self._http_server.closing = True
         await self._sleep_until(schedule, schedule.serving_ends_at)
         self._log_drain_step("refusing calls of other nodes", started_at)
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
         await self._sleep_until(schedule, schedule.notice_ends_at)
-        self._http_server.closing = True
-        self._http_server.close_idle()
-        self._log_drain_step("closed idle connections", started_at)
         # Requests in progress keep the node busy, so past their ends these
         # waits must not use up the passes of the last ones.
         await self._wait_idle(
@@ -276,7 +276,10 @@
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
-        self._http_server.stop_accepting()
+        closed_count = self._http_server.stop_accepting()
+        self._log_drain_step(
+            "closed idle connections", started_at, closed=closed_count
+        )
         self._quota_gate.close()
         if schedule.has_time_for_pass(self._clock.now()):
             await self._sleep_until(
@@ -303,13 +306,16 @@
         self._left = True
         self._uplink.post(MemberGone(self._settings.name, self._incarnation))
 
-    def _log_drain_step(self, step: str, started_at: datetime) -> None:
+    def _log_drain_step(
+        self, step: str, started_at: datetime, **details: object
+    ) -> None:
         log_event(
             Level.INFO,
             "drain step",
             host=self._settings.name,
             step=step,
             **self._measure_drain(started_at),
+            **details,
         )
 
     def _measure_drain(self, started_at: datetime) -> dict[str, object]:
@@ -374,6 +380,17 @@
             if not schedule.has_time_for_pass(now):
                 return
             await self._sleep_until(schedule, now + pause)
+            self._stop_listening_if_unneeded()
+
+    def _stop_listening_if_unneeded(self) -> None:
+        """Stop listening once all that new connections carry is refused.
+
+        The rest of the drain is then left for the requests on connections
+        that were accepted before, which its end would close unread. A run of
+        this host's server may still make calls.
+        """
+        if self._ingress.closing and not self._executor.busy:
+            self._http_server.stop_listening()
 
     def _is_busy(self) -> bool:
         return (
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -39,6 +39,9 @@
 # Time from the last response to the close, for callers that send on. They
 # would lose a response that isn't received yet (RFC 9112, section 9.6).
 CLOSE_TIMEOUT: Final = timedelta(seconds=2)
+# How long a stop waits for the first request on a new connection. Its caller
+# has opened it to send one, and may have sent it as the connection is closed.
+FIRST_REQUEST_TIMEOUT: Final = timedelta(milliseconds=500)
 # Requests read beyond those in progress before reading is paused.
 PIPELINED_REQUESTS_MAX: Final = 4
 # Pipelined requests handled at the same time. The responses of all but the
@@ -171,10 +174,12 @@
         """Return whether a request or a response is in progress.
 
         A request may also wait in the kernel, on an idle connection or one
-        that isn't accepted yet.
+        that isn't accepted yet, or be about to come on a new one.
         """
+        now = self.clock.now()
         if self._unregistered_count or any(
-            connection.busy for connection in self.connections
+            connection.busy or connection.awaits_first_request(now)
+            for connection in self.connections
         ):
             return True
         descriptors = {
@@ -186,10 +191,15 @@
             descriptors.add(self._listener.descriptor)
         return bool(find_readable(descriptors))
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request, read or unread."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
+    def close_idle(self) -> int:
+        """Close the connections that have no request, read or unread.
+
+        Return how many. A caller that sends a request on one of them at this
+        moment gets no response.
+        """
+        return sum(
+            connection.close_if_idle() for connection in list(self.connections)
+        )
 
     def stop_listening(self) -> None:
         """Accept the connections that wait in the kernel and stop listening.
@@ -212,11 +222,11 @@
         finally:
             self._unregistered_count -= 1
 
-    def stop_accepting(self) -> None:
-        """Stop listening, and close the idle connections."""
+    def stop_accepting(self) -> int:
+        """Stop listening, and close the idle connections; return how many."""
         self.stop_listening()
         self._accepting = False
-        self.close_idle()
+        return self.close_idle()
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
@@ -262,7 +272,9 @@
         self._reading_paused = False
         # Set when the last response of a shutdown waits for one more read.
         self._last_read_begun = False
-        self._phase_started_at = server.clock.now()
+        self._opened_at = self._phase_started_at = server.clock.now()
+        # Whether a request has begun to arrive.
+        self._used = False
         self._reading = False
         # Why the connection ended, for logs.
         self.end_cause = ""
@@ -292,6 +304,14 @@
         """Return whether the connection waits for a request."""
         return not self.busy and not self._ended
 
+    def awaits_first_request(self, now: datetime) -> bool:
+        """Return whether the caller is about to send its first request."""
+        return (
+            not self._used
+            and not self._ended
+            and now - self._opened_at < FIRST_REQUEST_TIMEOUT
+        )
+
     @property
     def descriptor(self) -> int:
         """Return the file descriptor of the socket."""
@@ -365,7 +385,7 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset_request()
-        self._reading = True
+        self._reading = self._used = True
         self._phase_started_at = self._server.clock.now()
 
     def on_url(self, url: bytes) -> None:
@@ -692,15 +712,17 @@
         elif age > limits.idle_time:
             self.close_if_idle()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress.
 
         One with input that isn't read yet stays open: the kernel would
         reset it, although the caller may have sent a request long ago.
         """
-        if self.idle and not self.has_unread_input:
-            end_connection(self._transport)
-            self._close()
+        if not self.idle or self.has_unread_input:
+            return False
+        end_connection(self._transport)
+        self._close()
+        return True
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -278,6 +278,12 @@
         for server in self.servers:
             server.close()
 
+    async def connect(
+        self, host: int = 0
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection of a caller to a host."""
+        return await asyncio.open_connection(LOCALHOST, self.ports[host])
+
     async def send_request(
         self,
         path: str,
@@ -288,10 +294,7 @@
         key: str | None = API_KEY,
     ) -> Response:
         """Send a request on a new connection and return the response."""
-        reader, writer = await asyncio.open_connection(
-            LOCALHOST,
-            self.ports[host],
-        )
+        reader, writer = await self.connect(host)
         try:
             writer.write(
                 format_request(
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -328,11 +328,14 @@
         """Nothing is left of the time for refusing requests.
 
         The event loop is behind from the last check to the time at which
-        unsent responses are dropped.
+        unsent responses are dropped. The node still listens for calls of its
+        server, which is at work.
         """
         cluster = await self.start_cluster(
-            echo_body, time_limit=SHORT_TIME_LIMIT
+            ignore_request, echo_body, time_limit=SHORT_TIME_LIMIT
         )
+        cluster.nodes[1]._start_call("host-0", CALL, lambda _: None)
+        await self.wait_until(lambda: cluster.servers[0].received)
         node = cluster.nodes[0]
         connections: list[socket.socket] = []
         original_is_busy = node._is_busy
@@ -818,11 +821,13 @@
         )
         await self.wait_until(lambda: self.count_runs(cluster) > 0)
         stop = asyncio.create_task(self.stop(cluster))
+        # The node no longer listens by then if its own server runs nothing.
+        reader, writer = await cluster.connect()
+        self.addCleanup(writer.close)
         await asyncio.sleep(LATEST_ADMISSION_SECONDS)
+        writer.write(format_request("/slow/2", method="POST", body=b"x"))
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            response = await cluster.send_request(
-                "/slow/2", method="POST", body=b"x"
-            )
+            response = await read_response(reader)
         self.assertEqual((response.status, self.count_runs(cluster)), (503, 1))
         for server in cluster.servers:
             for request in server.received:
@@ -845,10 +850,14 @@
         )
         await self.wait_until(lambda: self.count_runs(cluster) > 0)
         stop = asyncio.create_task(self.stop(cluster))
+        # Such a node no longer listens by the time of the request.
+        reader, writer = await cluster.connect()
+        self.addCleanup(writer.close)
         await asyncio.sleep(LATEST_ADMISSION_SECONDS)
         self.assertEqual(cluster.nodes[0]._executor.call_count, 0)
+        writer.write(format_request("/open/1", key=None))
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            response = await cluster.send_request("/open/1", key=None)
+            response = await read_response(reader)
         self.assertEqual((response.status, self.count_runs(cluster)), (503, 1))
         cluster.servers[1].received[0].respond(200, b"whole")
         self.assertEqual((await running).status, 200)
@@ -979,7 +988,7 @@
             late = self.LATENESS_SECONDS if seconds > 0 else 0
             clock.advance(timedelta(seconds=seconds + (pass_seconds or late)))
 
-        def log_step(step: str, _: Any) -> None:
+        def log_step(step: str, _: Any, **__: object) -> None:
             times[step] = (clock.now() - started_at).total_seconds()
 
         with (
@@ -996,7 +1005,7 @@
     async def test_no_step_waits_for_the_lateness_of_others(self) -> None:
         times = await self.drain_late(timedelta(0))
         self.assertAlmostEqual(
-            times["closed idle connections"], 2.5 + self.LATENESS_SECONDS
+            times["refusing callers"], 2.5 + self.LATENESS_SECONDS
         )
         self.assertGreaterEqual(times["end"], LAST_SIXTH_SECONDS)
         self.assertLess(times["end"], GRACE_PERIOD.total_seconds())
