Run callers and servers of a soak in several processes

So no soak had nodes that were late by their own load.

The first process stops nodes and control hosts and edits the configuration; what all have recorded is checked as a whole, by both checks of the rule on lost requests. A run keeps what its server received, which is compared once the request is known. Planned stops only.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,8 @@
 
 For example: python -m tests.soak --seeds 100-149
 or: python -m tests.soak --site waymarks --rate 0.1 --seeds 1-3
+or, with planned stops of nodes at their limit:
+python -m tests.soak --site waymarks --rate 1 --processes 4 --seeds 1-3
 """
 
 import argparse
@@ -12,6 +14,7 @@
 from typing import Final
 
 from tests.soak.run import run_soak
+from tests.soak.shards import run_sharded_soak
 from tests.soak.site import AUDITS, STORES
 from tests.soak.waymarks import create_site
 
@@ -32,6 +35,12 @@
     parser.add_argument(
         "--rate", type=float, default=0.1, help="of waymarks, 1 is all of it"
     )
+    parser.add_argument(
+        "--processes",
+        type=int,
+        default=0,
+        help="for callers and servers of waymarks; 0 is this one",
+    )
     options = parser.parse_args()
     site = {"stores": STORES, "audits": AUDITS}.get(
         options.site
@@ -44,7 +53,13 @@
             if options.logs is not None:
                 folder = options.logs / f"seed-{seed}"
                 folder.mkdir()
-            report = asyncio.run(run_soak(seed, options.seconds, folder, site))
+            seconds, processes = options.seconds, options.processes
+            soak = (
+                run_sharded_soak(seed, seconds, folder, site, processes)
+                if processes
+                else run_soak(seed, seconds, folder, site)
+            )
+            report = asyncio.run(soak)
         print(report.format(), flush=True)
         if report.failures:
             failed.append(seed)
--- a/tests/soak/calls.py
+++ b/tests/soak/calls.py
@@ -32,6 +32,8 @@
     broken_off: bool = False
     # Name of the relay between the node and the server, if there is one.
     path: str = ""
+    # What the server got of the request; see ``Call.expected``.
+    received: tuple[object, ...] = ()
 
 
 @dataclass(slots=True, eq=False)
@@ -60,12 +62,22 @@
     # When a relay had passed all of it on; ``sent_at`` without a relay.
     arrived_at: float = math.inf
     ended_at: float = math.inf
+    # When the connection was last seen open, if a late soak saw its end.
+    open_until: float = math.inf
     end: End | None = None
     status: int = 0
     signature: str = ""
     answer: bytes = b""
     runs: list[Run] = field(default_factory=list)
 
+    @property
+    def expected(self) -> tuple[object, ...]:
+        """Return what a backend server has to get of the request."""
+        return (
+            *(self.method, self.target, self.body),
+            *(self.caller_service, self.workspace, ""),
+        )
+
     @property
     def served(self) -> bool:
         """Return whether the request was successful."""
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -114,9 +114,15 @@
         """Record the end of a request and check what it tells."""
         call.ended_at = self.now()
         call.end = end
-        if end is End.ANSWERED:
+        if call.ended_at - self.polled_at > LATE_SECONDS_MIN:
+            # The connection may have ended at any time since then.
+            call.open_until = self.polled_at
+        self._check_end(call)
+
+    def _check_end(self, call: Call) -> None:
+        if call.end is End.ANSWERED:
             self._check_answer(call)
-        elif end is not End.ABANDONED:
+        elif call.end not in (None, End.ABANDONED):
             self._check_missing_answer(call)
 
     def _check_answer(self, call: Call) -> None:
@@ -129,10 +135,7 @@
             self.fail("an answer isn't the one to its request", call)
 
     def _check_missing_answer(self, call: Call) -> None:
-        ended_at = call.ended_at
-        if ended_at - self.polled_at > LATE_SECONDS_MIN:
-            # The connection may have ended at any time since then.
-            ended_at = self.polled_at
+        ended_at = min(call.ended_at, call.open_until)
         waited = ended_at - call.arrived_at > CROSSING_SECONDS_MAX
         ignored = call.end is End.UNREAD and waited
         lost = call.end in (End.CUT, End.SILENT) or ignored or bool(call.runs)
@@ -148,18 +151,20 @@
                 call,
             )
 
-    def start_run(self, request_id: str, run: Run) -> Call | None:
-        """Record that a backend server runs a request; None if unknown."""
+    def start_run(self, request_id: str, run: Run) -> bool:
+        """Record that a backend server runs a request; False if unknown."""
         call = self.calls.get(request_id)
         if call is None:
             self.fail(f"a request that nobody sent has run: {request_id}")
-            return None
+            return False
+        if run.received and run.received != call.expected:
+            self.fail(f"a request was changed: {run.received}", call)
         call.runs.append(run)
         if not call.idempotent and len(call.runs) > 1:
             self.fail("a request that isn't idempotent ran twice", call)
         if call.end is End.ANSWERED and call.status in NOT_RUN_STATUSES:
             self.fail("a request runs that was refused as not run", call)
-        return call
+        return True
 
     def end_run(self, run: Run, end: str) -> None:
         """Record the end of a run."""
@@ -168,6 +173,21 @@
 
     # Checks of the whole.
 
+    def add_all(
+        self, calls: Iterable[Call], runs: Iterable[tuple[str, Run]]
+    ) -> None:
+        """Add and check what several processes have recorded.
+
+        ``runs`` are those that no call has yet, with the ids of the requests.
+        """
+        self.calls.update((call.request_id, call) for call in calls)
+        for request_id, run in sorted(
+            runs, key=lambda item: item[1].started_at
+        ):
+            self.start_run(request_id, run)
+        for call in self.calls.values():
+            self._check_end(call)
+
     def check_all(self) -> None:
         """Check what is known only at the end."""
         for call in self.calls.values():
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -169,7 +169,11 @@
                 relay = FaultRelay(node, self._fleet.outbound_port)
                 await relay.start()
                 self._relays[name_caller_relay(node)] = relay
-        for node in site.nodes:
+        self._create_callers(site.nodes)
+
+    def _create_callers(self, nodes: tuple[str, ...]) -> None:
+        site = self._site
+        for node in nodes:
             for index in range(site.callers_per_node):
                 caller = self._create_caller(
                     node,
@@ -637,16 +641,7 @@
         loop = asyncio.get_running_loop()
         checked_at = loop.time()
         while True:
-            due = loop.time() + WATCH_SECONDS
-            await asyncio.sleep(WATCH_SECONDS)
-            lateness = loop.time() - due
-            self._lateness = max(self._lateness, lateness)
-            # What a late soak finds now may have come since the last time.
-            self._record.polled_at = (
-                loop.time()
-                if lateness < WATCH_SECONDS
-                else due - WATCH_SECONDS
-            )
+            await self._poll()
             if loop.time() - checked_at < MEMORY_CHECK_SECONDS:
                 continue
             checked_at = loop.time()
@@ -654,6 +649,18 @@
                 if not lock.locked():
                     await self._check_process(address, lock)
 
+    async def _poll(self) -> None:
+        """Wait until the next look at all connections."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + WATCH_SECONDS
+        await asyncio.sleep(WATCH_SECONDS)
+        lateness = loop.time() - due
+        self._lateness = max(self._lateness, lateness)
+        # What a late soak finds now may have come since the last time.
+        self._record.polled_at = (
+            loop.time() if lateness < WATCH_SECONDS else due - WATCH_SECONDS
+        )
+
     async def _check_process(self, address: str, lock: asyncio.Lock) -> None:
         process = self._fleet.processes[address]
         if process.returncode is None:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -439,46 +439,39 @@
             server.place.node,
             server.record.now(),
             path=server.relay_name,
+            received=(
+                *(request.method, request.target, request.body),
+                fields.get("x-sequoiaseam-caller-service"),
+                fields.get("x-sequoiaseam-tenant", ""),
+                fields.get("authorization", ""),
+            ),
         )
-        call = server.record.start_run(request_id, run)
-        if call is None:
+        if not server.record.start_run(request_id, run):
             self._transport.abort()
             return
-        received = (
-            request.method,
-            request.target,
-            request.body,
-            fields.get("x-sequoiaseam-caller-service"),
-            fields.get("x-sequoiaseam-tenant", ""),
-            fields.get("authorization", ""),
-        )
-        sent = (
-            *(call.method, call.target, call.body),
-            *(call.caller_service, call.workspace, ""),
-        )
-        if received != sent:
-            server.record.fail(f"a request was changed: {fields}", call)
         self._run = run
         if not remaining_ms.isdigit():
-            server.record.fail("a request has no time limit", call)
+            server.record.fail(f"a request has no time limit: {request_id}")
             remaining_ms = "0"
         self._task = asyncio.create_task(
-            self._answer(run, call, int(remaining_ms) / 1000 - waited)
+            self._answer(run, request, int(remaining_ms) / 1000 - waited)
         )
         server.start_run(self._task)
 
-    async def _answer(self, run: Run, call: Call, remaining: float) -> None:
+    async def _answer(
+        self, run: Run, request: Request, remaining: float
+    ) -> None:
         server = self._server
         try:
             async with asyncio.timeout(remaining + server.draw_lateness()):
-                status = await server.serve(call.target, remaining)
+                status = await server.serve(request.target, remaining)
         except TimeoutError:
             status = 504
         except asyncio.CancelledError:
             server.record.end_run(run, "cut by the node")
             return
-        filler = "x" * server.draw_answer_size(call.target)
-        run.body = f"{call.request_id} by {run.server} {filler}".encode()
+        filler = "x" * server.draw_answer_size(request.target)
+        run.body = f"{request.request_id} by {run.server} {filler}".encode()
         run.status = status
         run.signature = hashlib.sha256(run.body).hexdigest()
         server.record.end_run(run, "answered")
@@ -489,7 +482,9 @@
             run.broken_off = True
             self._transport.abort()
             return
-        answer = self._write(status, call.request_id, run.signature, run.body)
+        answer = self._write(
+            status, request.request_id, run.signature, run.body
+        )
         if spoiled:
             asyncio.get_running_loop().call_later(
                 server.rng.choice(EXTRA_SECONDS),
--- a/tests/soak/waymarks.py
+++ b/tests/soak/waymarks.py
@@ -233,6 +233,24 @@
     return Schedule(planned_only, tuple(actions), wiped)
 
 
+def build_stops_schedule(seed: int, seconds: float, site: Site) -> Schedule:
+    """Build a schedule of planned work and changes of servers only."""
+    rng = random.Random(f"{seed} stops")
+    actions = _build_stops_in_turn(rng, seconds, site)
+    for kind, addresses, mean, durations in (
+        (Kind.EDIT, ("",), 5, (0, 0)),
+        (Kind.RACE, ("",), 8, (0, 0)),
+        (Kind.RELOAD, site.controls, 10, (0, 0)),
+        (Kind.SLOW_SERVER, site.nodes, 4, (2, 9)),
+        (Kind.SPOIL_ANSWERS, site.nodes, 3, (4, 7)),
+    ):
+        for at in draw_times(rng, seconds, mean):
+            duration = rng.uniform(*durations)
+            actions.append(Action(at, kind, rng.choice(addresses), duration))
+    actions.sort(key=lambda action: action.at)
+    return Schedule(planned_only=True, actions=tuple(actions))
+
+
 def _build_stops_in_turn(
     rng: random.Random, seconds: float, site: Site
 ) -> list[Action]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
 from tests.soak.relay import Fault, FaultRelay, reset_on_close
 from tests.soak.run import run_soak
 from tests.soak.servers import BackendServer, Place
+from tests.soak.shards import run_sharded_soak
 from tests.soak.site import AUDITS, STORES, Site
 from tests.soak.waymarks import create_site
 
@@ -57,6 +58,16 @@
     def test_seed_1_of_waymarks_at_a_low_rate(self) -> None:
         self.check_seed(1, create_site(0.02))
 
+    def test_seed_1_with_callers_in_several_processes(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(
+                run_sharded_soak(
+                    1, SECONDS, Path(folder), create_site(0.1), processes=2
+                )
+            )
+        self.assertFalse(report.failures, report.format())
+        self.assertRegex(report.summary, "[0-9]{3,} requests")
+
 
 def create_call(request_id: str = "7") -> Call:
     """Return a request of a caller."""
@@ -657,6 +668,22 @@
         self.end(End.UNREAD)
         self.check_failure("no answer")
 
+    async def test_what_several_processes_have_recorded(self) -> None:
+        """One has sent a request that another has run."""
+        call = create_call("9")
+        call.started_at = call.sent_at = call.arrived_at = self.record.now()
+        call.ended_at = call.started_at + 0.1
+        call.end = End.CUT
+        run = Run("i-1", "runner", call.started_at, received=call.expected)
+        self.record.add_all([call], [("9", run)])
+        self.check_failure("no answer")
+        self.assertEqual(call.runs, [run])
+
+    async def test_a_changed_request_of_another_process(self) -> None:
+        run = Run("i-1", "runner", 0.0, received=("GET", "/other"))
+        self.record.add_all([create_call("9")], [("9", run)])
+        self.check_failure("was changed")
+
     async def test_a_request_that_did_not_arrive(self) -> None:
         self.call.path = "relay"
         self.call.sent_at -= 0.3
