Close connections of sequoiaseam-node from the start of its drain

Each response closes its connection from the start of the drain. The test fails without the change. OwedRequestTest waited for the attribute that is now set earlier; it waits for the one that is set after those 2 s.

--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -331,8 +331,8 @@
         self._send_report()
         started_at = self._clock.now() - elapsed
         self._drain_deadline = started_at + self._settings.drain_timeout
-        await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         self._edge.close_connections = True
+        await asyncio.sleep(DRAIN_PROPAGATION_DELAY.total_seconds())
         # The calls of backend servers end with the runs that make them.
         self._drain_filter.ends_at = (
             self._drain_deadline - REFUSAL_TRANSIT_GRACE
--- a/tests/test_node_drain.py
+++ b/tests/test_node_drain.py
@@ -32,6 +32,7 @@
     METHODS,
     Response,
     ScriptedServer,
+    echo_body,
     format_request,
     read_response,
 )
@@ -309,7 +310,8 @@
             await self.wait_until(lambda: bool(calls))
             reader, writer = await self.connect()
             stop = asyncio.create_task(self.stop())
-            await self.wait_until(lambda: self.node._edge.close_connections)
+            drain_filter = self.node._drain_filter
+            await self.wait_until(lambda: drain_filter.ends_at is not None)
             calls.clear()
             writer.write(
                 format_request(
@@ -402,6 +404,25 @@
         return len(runner.server.connections)
 
 
+class KeptConnectionTest(NodeDrainTestCase):
+    """Guards against requests sent as a stop closes idle connections."""
+
+    async def test_responses_close_their_connections_from_the_start(
+        self,
+    ) -> None:
+        self.server.handler = echo_body
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        response = await read_response(reader)
+        self.assertNotIn("connection: close", response.head.lower())
+        stop = asyncio.create_task(self.stop())
+        await asyncio.sleep(0)
+        writer.write(REQUEST)
+        response = await read_response(reader)
+        self.assertIn("connection: close", response.head.lower())
+        await stop
+
+
 class OpenConnectionTest(NodeDrainTestCase):
     """Guards against stops that wait for connections to be closed."""
 
