Stop listening where a drain may begin to break off runs

From the least end of runs on (5.0 of 6 s), no call of the host's server can end in time, so all that comes is refused. The listener now closes there also if the server is at work. A connection that is accepted last has 0.5 s or more for its request.

The new test fails without the change.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -380,16 +380,20 @@
             if not schedule.has_time_for_pass(now):
                 return
             await self._sleep_until(schedule, now + pause)
-            self._stop_listening_if_unneeded()
+            self._stop_listening_if_unneeded(schedule)
 
-    def _stop_listening_if_unneeded(self) -> None:
+    def _stop_listening_if_unneeded(self, schedule: StopSchedule) -> None:
         """Stop listening once all that new connections carry is refused.
 
         The rest of the drain is then left for the requests on connections
-        that were accepted before, which its end would close unread. A run of
-        this host's server may still make calls.
+        that were accepted before, which its end would close unread. Until
+        the least end of runs, one of this host's server may make calls.
         """
-        if self._ingress.closing and not self._executor.busy:
+        may_be_called = (
+            self._executor.busy
+            and self._clock.now() < schedule.runs_end_at_least
+        )
+        if self._ingress.closing and not may_be_called:
             self._http_server.stop_listening()
 
     def _is_busy(self) -> bool:
--- a/tests/test_closing_connections.py
+++ b/tests/test_closing_connections.py
@@ -26,6 +26,8 @@
 # callers, in seconds after SIGTERM.
 NOTICE_END_SECONDS: Final = 2.5
 ADMISSION_END_SECONDS: Final = 2.75
+# When it may break off runs at the earliest.
+RUNS_END_SECONDS: Final = GRACE_PERIOD.total_seconds() * 5 / 6
 # From the opening of a connection to its first request.
 PAUSE_SECONDS: Final = FIRST_REQUEST_TIMEOUT.total_seconds() / 2
 
@@ -148,6 +150,25 @@
         run.respond(200, b"whole")
         await stop
 
+    async def test_a_node_with_runs_stops_listening_before_its_end(
+        self,
+    ) -> None:
+        """Leave time for requests on connections that are accepted last."""
+        cluster = await self.start_cluster(
+            ignore_request, echo_body, time_limit=GRACE_PERIOD
+        )
+        cluster.nodes[1]._start_call("host-0", CALL, lambda _: None)
+        await self.wait_until(lambda: cluster.servers[0].received)
+        stop = asyncio.create_task(self.stop(cluster))
+        await asyncio.sleep(RUNS_END_SECONDS - PAUSE_SECONDS / 2)
+        connection = await self.open(cluster)
+        await asyncio.sleep(PAUSE_SECONDS)
+        with self.assertRaises(ConnectionRefusedError):
+            await cluster.connect()
+        response = await self.exchange(connection, "/read/1")
+        self.assertEqual(response.status, 503)
+        await stop
+
 
 class DrainDurationTest(ClosingConnectionTestCase):
     """Guards against callers that hold up a stop by connecting."""
