--- a/tests/soak/closings.py
+++ b/tests/soak/recovery.py
@@ -1,6 +1,6 @@
-"""Ends of a day: control hosts lose their disks, and an edit is read back.
+"""Recovery of the configuration after all processes and two disks are lost.
 
-For example: python -m tests.soak.closings --seeds 1-14
+For example: python -m tests.soak.recovery --seeds 1-14
 
 Each seed has a disturbance of the control hosts while edits go on. Once the
 hosts that it struck have been back for their catch-up time, all processes are
@@ -21,10 +21,9 @@
 
 import aiohttp
 
-from tests.platform_fleet import PlatformFleet
 from tests.soak.operator import Operator
 from tests.soak.record import Record
-from tests.soak.run import SEEDS
+from tests.soak.run import SEEDS, create_fleet
 from tests.soak.waymarks import CATCH_UP_SECONDS, create_site
 
 # A restart that began this long before its host counts as back is over.
@@ -40,20 +39,15 @@
 ADDED_HOST: Final = "127.0.1.6"
 
 
-class Closing:
-    """One end of a day with real processes."""
+class Recovery:
+    """A disturbance, the loss of all processes, and the recovery."""
 
     def __init__(self, seed: int, folder: Path) -> None:
         self._rng = random.Random(seed)
         self._folder = folder
         site = create_site(rate=0.1)
         self._site = site
-        self._fleet = PlatformFleet(folder)
-        self._fleet.services = dict(site.services)
-        self._fleet.zones = dict(site.zones)
-        self._fleet.controls = site.controls
-        self._fleet.seeds = site.controls[:SEEDS]
-        self._fleet.bounds = site.bounds
+        self._fleet = create_fleet(site, folder)
         # Those that are to hold the edits.
         self._controls = list(site.controls)
         self._back_at = 0.0
@@ -194,19 +188,19 @@
         return math.inf
 
 
-async def run_closing(seed: int, folder: Path) -> bool:
-    """Run the end of a day of a seed and print it; return if it passed."""
-    closing = Closing(seed, folder)
-    await closing.run()
-    failures = closing.record.failures
+async def run_recovery(seed: int, folder: Path) -> bool:
+    """Run the recovery of a seed and print it; return whether it passed."""
+    recovery = Recovery(seed, folder)
+    await recovery.run()
+    failures = recovery.record.failures
     verdict = "failed" if failures else "passed"
-    print(f"seed {seed} {verdict}: {'; '.join(closing.notes)}", flush=True)
+    print(f"seed {seed} {verdict}: {'; '.join(recovery.notes)}", flush=True)
     print("".join(f"  {failure}\n" for failure in failures), end="")
     return not failures
 
 
 def main() -> int:
-    """Run the ends of several seeds; return 0 if none failed."""
+    """Run the recoveries of several seeds; return 0 if none failed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", required=True, help="first-last, or one")
     options = parser.parse_args()
@@ -214,7 +208,7 @@
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory() as folder:
-            if not asyncio.run(run_closing(seed, Path(folder))):
+            if not asyncio.run(run_recovery(seed, Path(folder))):
                 failed.append(seed)
     print(f"seeds failed: {failed or 'none'}")
     return 1 if failed else 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -93,12 +93,7 @@
         self._seed = seed
         self._site = site
         self._schedule = schedule
-        self._fleet = PlatformFleet(folder)
-        self._fleet.services = dict(site.services)
-        self._fleet.zones = dict(site.zones)
-        self._fleet.controls = site.controls
-        self._fleet.seeds = site.controls[:SEEDS]
-        self._fleet.bounds = site.bounds
+        self._fleet = create_fleet(site, folder)
         self._record = Record()
         self._ids = RequestIds(seed)
         self._locks = {
@@ -688,6 +683,17 @@
                         yield f"{address}: {line}"
 
 
+def create_fleet(site: Site, folder: Path) -> PlatformFleet:
+    """Return the fleet of a deployment, which isn't started yet."""
+    fleet = PlatformFleet(folder)
+    fleet.services = dict(site.services)
+    fleet.zones = dict(site.zones)
+    fleet.controls = site.controls
+    fleet.seeds = site.controls[:SEEDS]
+    fleet.bounds = site.bounds
+    return fleet
+
+
 def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
     """Send a signal to a process, which may have ended meanwhile."""
     with contextlib.suppress(ProcessLookupError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,12 +17,12 @@
 
 from tests.soak.callers import CallerConnection, RequestIds, encode_request
 from tests.soak.calls import Call, End, Run
-from tests.soak.closings import run_closing
 from tests.soak.record import (
     GRACE_PERIOD_SECONDS,
     STOP_ADMISSION_SECONDS,
     Record,
 )
+from tests.soak.recovery import run_recovery
 from tests.soak.relay import Fault, FaultRelay, reset_on_close
 from tests.soak.run import run_soak
 from tests.soak.servers import BackendServer, Place
@@ -59,9 +59,11 @@
     def test_seed_1_of_waymarks_at_a_low_rate(self) -> None:
         self.check_seed(1, create_site(0.02))
 
-    def test_the_end_of_a_day_with_two_lost_disks(self) -> None:
+    def test_recovery_from_the_loss_of_all_processes_and_two_disks(
+        self,
+    ) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            self.assertTrue(asyncio.run(run_closing(12, Path(folder))))
+            self.assertTrue(asyncio.run(run_recovery(12, Path(folder))))
 
     def test_seed_1_with_callers_in_several_processes(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
