Fill both hosts before a stop in a test of its refusals

Trace: the test sends until 10 calls are at the host that stops, and relies on the other host's queue being full, so that calls which wait at the first are refused. With 8 calls there in place of 9, one more finds room in that queue and ends with 502. How many there are depends on the time between requests; nothing of it has to do with a stop.

The test now sends until both hosts have 10 calls and counts the requests that are in progress then.

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -884,11 +884,18 @@
     async def send_until_queued(
         self, cluster: HostCluster
     ) -> list[asyncio.Task[Response]]:
-        """Send requests until several wait at the host that stops."""
+        """Send requests until several wait at each host.
+
+        Those that wait at the host that stops then find no room at the other
+        one. Return the requests in progress.
+        """
         tasks: list[asyncio.Task[Response]] = []
-        executor = cluster.nodes[0]._executor
+        executors = [node._executor for node in cluster.nodes]
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            while executor.call_count < SLOTS + QUEUED_CALLS:
+            while any(
+                executor.call_count < SLOTS + QUEUED_CALLS
+                for executor in executors
+            ):
                 tasks.append(
                     asyncio.create_task(
                         cluster.send_request(
@@ -897,7 +904,7 @@
                     )
                 )
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
-        return tasks
+        return [task for task in tasks if not task.done()]
 
     async def test_requests_of_callers_are_answered(self) -> None:
         """Refuse as not run only what hasn't reached a server."""
