--- a/tests/soak/recovery.py
+++ b/tests/soak/recovery.py
@@ -23,7 +23,7 @@
 
 from tests.soak.operator import Operator
 from tests.soak.record import Record
-from tests.soak.run import SEEDS, create_fleet
+from tests.soak.run import SEEDS, cancel_on_sigterm, create_fleet
 from tests.soak.waymarks import CATCH_UP_SECONDS, create_site
 
 # A restart that began this long before its host counts as back is over.
@@ -190,6 +190,7 @@
 
 async def run_recovery(seed: int, folder: Path) -> bool:
     """Run the recovery of a seed and print it; return whether it passed."""
+    cancel_on_sigterm()
     recovery = Recovery(seed, folder)
     await recovery.run()
     failures = recovery.record.failures
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -683,6 +683,13 @@
                         yield f"{address}: {line}"
 
 
+def cancel_on_sigterm() -> None:
+    """Have SIGTERM end this task, and so the processes that it starts."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 def create_fleet(site: Site, folder: Path) -> PlatformFleet:
     """Return the fleet of a deployment, which isn't started yet."""
     fleet = PlatformFleet(folder)
@@ -703,13 +710,8 @@
 async def run_soak(
     seed: int, seconds: float, folder: Path, site: Site = STORES
 ) -> Report:
-    """Run the soak of one seed with the processes' logs in a folder.
-
-    SIGTERM ends it together with the processes that it has started.
-    """
-    task = asyncio.current_task()
-    assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    """Run the soak of one seed with the processes' logs in a folder."""
+    cancel_on_sigterm()
     if site.name == "waymarks":
         schedule = build_waymarks_schedule(seed, seconds, site)
     else:
--- a/tests/soak/shards.py
+++ b/tests/soak/shards.py
@@ -17,7 +17,7 @@
 
 from tests.soak.calls import Call, End, Run
 from tests.soak.record import Record
-from tests.soak.run import Report, Soak
+from tests.soak.run import Report, Soak, cancel_on_sigterm
 from tests.soak.schedule import Kind, Schedule
 from tests.soak.site import Site
 from tests.soak.waymarks import build_stops_schedule
@@ -250,6 +250,7 @@
     seed: int, seconds: float, folder: Path, site: Site, processes: int
 ) -> Report:
     """Run the soak of one seed with callers and servers in processes."""
+    cancel_on_sigterm()
     rate = site.callers_per_node / site.think_seconds
     site = replace(
         site,
