Add a budget for the bytes that peers make a node hold

Cause: nothing bounds the sum of the bodies that a node holds, and the platform ends a process over its memory. Change: an account of held bytes by use, with fractions up to which requests are accepted and a queue of responses that wait for room.

--- /dev/null
+++ b/src/sequoiaseam/_memory.py
@@ -0,0 +1,176 @@
+"""Bound on the bytes that peers make a node hold.
+
+Callers, backend servers and other nodes decide how much data they send and
+how fast they read. All of it is charged to one budget before it is read or
+kept, so that the sum stays within the memory of the process.
+"""
+
+import enum
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from sequoiaseam._tables import Importance
+
+# Of the memory limit of the process. The program, the state of its requests
+# and what allocators add take the rest.
+HELD_FRACTION: Final = 0.45
+# Larger data leaves the room above its fraction to smaller.
+LARGE_MIN_BYTES: Final = 64 * 1024
+# Fraction of the budget up to which a request is accepted, by importance.
+# Above the last one only responses are, as requests can still be refused.
+REQUEST_FRACTIONS: Final = {
+    Importance.LOW: 0.60,
+    Importance.NORMAL: 0.65,
+    Importance.HIGH: 0.70,
+    Importance.CRITICAL: 0.75,
+}
+# By how much the fraction of a large request is lower.
+LARGE_REQUEST_MARGIN: Final = 0.10
+# Fraction of the budget that a single response may take.
+RESPONSE_FRACTION: Final = 0.50
+
+
+class MemoryUse(enum.IntEnum):
+    """What held data is part of."""
+
+    REQUESTS = 0  # Requests of this host's callers.
+    CALLS = 1  # Calls of other nodes.
+    RESPONSES = 2  # Responses that aren't written yet.
+    UNSENT = 3  # Written data that the kernel hasn't taken.
+
+
+class ResponseReservation:
+    """Bytes that are reserved for a response, or will be.
+
+    ``on_reserved`` is called once, possibly before ``reserve_response``
+    returns, unless the reservation is released before.
+    """
+
+    def __init__(
+        self,
+        budget: "MemoryBudget",
+        size: int,
+        on_reserved: Callable[[], None],
+    ) -> None:
+        self._budget = budget
+        self.size = size
+        self._on_reserved: Callable[[], None] | None = on_reserved
+        self.reserved = False
+
+    def grant(self) -> None:
+        """Charge the bytes and notify the owner; for the budget only."""
+        on_reserved, self._on_reserved = self._on_reserved, None
+        self.reserved = True
+        self._budget.charge(MemoryUse.RESPONSES, self.size)
+        if on_reserved is not None:
+            on_reserved()
+
+    def release(self) -> None:
+        """Release the bytes, or stop waiting for them; may be repeated."""
+        self._on_reserved = None
+        if self.reserved:
+            self.reserved = False
+            self._budget.release(MemoryUse.RESPONSES, self.size)
+        else:
+            self._budget.forget(self)
+
+
+class MemoryBudget:
+    """Account of held bytes by use, and what may be added to them."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.peak_bytes = 0
+        self._held_by_use = [0 for _ in MemoryUse]
+        # Responses that don't fit yet, in order of arrival. Small ones don't
+        # wait for large ones.
+        self._waiting_small: deque[ResponseReservation] = deque()
+        self._waiting_large: deque[ResponseReservation] = deque()
+
+    def get_held_bytes(self, use: MemoryUse) -> int:
+        """Return the bytes that are held for a use."""
+        return self._held_by_use[use]
+
+    @property
+    def largest_request_bytes(self) -> int:
+        """Return the size of the largest request that is ever accepted."""
+        fraction = REQUEST_FRACTIONS[Importance.LOW] - LARGE_REQUEST_MARGIN
+        return int(fraction * self.limit_bytes)
+
+    @property
+    def largest_response_bytes(self) -> int:
+        """Return the size of the largest response that is ever accepted."""
+        return int(RESPONSE_FRACTION * self.limit_bytes)
+
+    @property
+    def exceeded(self) -> bool:
+        """Return whether more is held than the budget allows."""
+        return self.held_bytes > self.limit_bytes
+
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether responses wait for room."""
+        return bool(self._waiting_small or self._waiting_large)
+
+    def charge(self, use: MemoryUse, size: int) -> None:
+        """Add bytes that are already held or can't be refused."""
+        self._held_by_use[use] += size
+        self.held_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+
+    def release(self, use: MemoryUse, size: int) -> None:
+        """Subtract bytes that are no longer held."""
+        self._held_by_use[use] -= size
+        self.held_bytes -= size
+        if self._waiting_small or self._waiting_large:
+            self._grant_waiting()
+
+    def fits_request(self, size: int, importance: Importance) -> bool:
+        """Return whether a request of this size may be read."""
+        fraction = REQUEST_FRACTIONS[importance]
+        if size > LARGE_MIN_BYTES:
+            fraction -= LARGE_REQUEST_MARGIN
+        return self.held_bytes + size <= fraction * self.limit_bytes
+
+    def reserve_request(
+        self, use: MemoryUse, size: int, importance: Importance
+    ) -> bool:
+        """Charge a request before it is read; return False if it can't be."""
+        if not self.fits_request(size, importance):
+            return False
+        self.charge(use, size)
+        return True
+
+    def reserve_response(
+        self, size: int, on_reserved: Callable[[], None]
+    ) -> ResponseReservation:
+        """Charge a response before it is read, at once or later."""
+        reservation = ResponseReservation(self, size, on_reserved)
+        waiting = self._get_waiting(size)
+        if not waiting and self._fits_response(size):
+            reservation.grant()
+        else:
+            waiting.append(reservation)
+        return reservation
+
+    def forget(self, reservation: ResponseReservation) -> None:
+        """Remove a reservation that may be waiting."""
+        waiting = self._get_waiting(reservation.size)
+        if reservation in waiting:
+            waiting.remove(reservation)
+            self._grant_waiting()
+
+    def _get_waiting(self, size: int) -> deque[ResponseReservation]:
+        if size > LARGE_MIN_BYTES:
+            return self._waiting_large
+        return self._waiting_small
+
+    def _fits_response(self, size: int) -> bool:
+        return self.held_bytes + size <= self.limit_bytes
+
+    def _grant_waiting(self) -> None:
+        for waiting in (self._waiting_small, self._waiting_large):
+            while waiting and self._fits_response(waiting[0].size):
+                waiting.popleft().grant()
