Charge the requests of callers before they are read; refuse what does not fit

What callers saw: uploads within the limit end a node over its memory, and requests in progress on it get no answer. Cause: a node read each body whole, whatever it held, joined its parts (a copy), and read a body also to refuse it. Change: the server charges a request to the node's memory budget when its header is complete, before the body is read, and refuses one that doesn't fit with 503, Retry-After and a close, least important and large ones first. A body without a length is charged as it comes, a header as it comes. Large bodies are gathered once and written without being joined with their header. What callers don't read is charged, and the slowest of them are cut off only while others wait for the memory. The limit follows from the memory that the platform gives.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -32,6 +32,11 @@
 from sequoiaseam._ingress import Ingress
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
+from sequoiaseam._memory import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    MemoryBudget,
+    compute_held_bytes_limit,
+)
 from sequoiaseam._mesh import Mesh, MeshServer
 from sequoiaseam._mesh_frames import RunCall, RunResult
 from sequoiaseam._pressure import PressureMap
@@ -91,6 +96,8 @@
     # Retries that all servers of a pool together may receive in 10 s at any
     # request rate. 0 leaves each its own small number.
     fleet_retries: int = 0
+    # The process is ended by its supervisor if it takes more memory.
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
     log_level: str = "info"
 
 
@@ -153,6 +160,9 @@
             settings.region,
             rng,
         )
+        self._memory = MemoryBudget(
+            compute_held_bytes_limit(settings.memory_limit_bytes)
+        )
         self._mesh = Mesh(clock, self._update_reachability)
         pressure = PressureMap(rng)
         self._crash_reporter = CrashReporter(
@@ -177,9 +187,12 @@
             pressure,
             self._quota_gate,
             self._executor.attribution,
+            self._memory,
             self._start_call,
         )
-        self._http_server = HttpServer(clock, self._ingress)
+        self._http_server = HttpServer(
+            clock, self._ingress, self._memory, self._ingress
+        )
         self.mesh_port = settings.mesh_endpoint.port
         self.caller_port = settings.caller_endpoint.port
 
@@ -591,8 +604,11 @@
         if view.tables is not previous_tables:
             self._ingress.update_tables()
             limits = view.tables.limits
-            # A message between nodes can't hold a larger body.
-            body_limit = min(limits.body, BODY_LIMIT_MAX_BYTES)
+            body_limit = min(
+                limits.body,
+                BODY_LIMIT_MAX_BYTES,
+                self._memory.largest_request_bytes,
+            )
             self._http_server.limits = replace(limits, body=body_limit)
             log_event(Level.INFO, "tables in force", revision=view.revision)
 
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import io
 import re
 import socket
 from collections import deque
@@ -24,7 +25,13 @@
     register_accepted,
 )
 from sequoiaseam._logs import Level, describe_error, log_event
-from sequoiaseam._tables import CallerLimits
+from sequoiaseam._memory import (
+    DEFAULT_HELD_BYTES_LIMIT,
+    LARGE_MIN_BYTES,
+    MemoryBudget,
+    MemoryUse,
+)
+from sequoiaseam._tables import CallerLimits, Importance
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam._unread_input import (
     end_connection,
@@ -47,6 +54,14 @@
 # Pipelined requests handled at the same time. The responses of all but the
 # first are held back until it is their turn.
 CONCURRENT_REQUESTS_MAX: Final = 4
+# What a request takes besides its bytes, and each of its header fields.
+REQUEST_OVERHEAD_BYTES: Final = 4 * 1024
+FIELD_OVERHEAD_BYTES: Final = 176
+# By how much the room for a body without an announced length grows.
+CHUNKED_STEP_BYTES: Final = 64 * 1024
+# How long a caller may read nothing of a response while others wait for the
+# memory that it takes.
+UNREAD_TIMEOUT: Final = timedelta(seconds=3)
 # Pipelined requests with other methods wait for the response to the one
 # before (RFC 9112, section 9.3.2).
 SAFE_METHODS: Final = frozenset(("GET", "HEAD", "OPTIONS"))
@@ -92,6 +107,8 @@
     arrived_at: datetime
     keep_alive: bool
     connection: "ServerConnection" = field(repr=False)
+    # Bytes that are charged to the memory budget until the response.
+    held_bytes: int = 0
     on_disconnect: Callable[[], None] | None = field(default=None, repr=False)
 
     def get_field(self, name: bytes) -> bytes | None:
@@ -125,15 +142,58 @@
     length: int | None
 
 
-class MalformedRequestError(Exception):
+@dataclass(frozen=True, slots=True)
+class UnreadRefusal:
+    """The response to a request that isn't read to its end."""
+
+    status: int
+    header_lines: bytes = b""
+    body: bytes = b""
+
+
+class RejectedRequestError(Exception):
     """A request that is rejected before it is complete."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, refusal: UnreadRefusal, reason: str) -> None:
         super().__init__(reason)
-        self.status = status
+        self.refusal = refusal
         self.reason = reason
 
 
+class MalformedRequestError(RejectedRequestError):
+    """A request that is malformed, too large or too slow."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(UnreadRefusal(status), reason)
+
+
+class RequestClassifier(Protocol):
+    """Tells requests apart that don't all fit into memory.
+
+    The body of the requests that it gets isn't read yet.
+    """
+
+    def find_importance(self, request: HttpRequest) -> Importance:
+        """Return the importance of a request."""
+
+    def refuse_unread(self, request: HttpRequest, size: int) -> UnreadRefusal:
+        """Return the refusal of a request of this size in bytes."""
+
+
+class _EqualRequests:
+    """Classifier of a server whose requests are all alike."""
+
+    def find_importance(self, request: HttpRequest) -> Importance:
+        """Return the same importance for each request."""
+        del request
+        return Importance.CRITICAL
+
+    def refuse_unread(self, request: HttpRequest, size: int) -> UnreadRefusal:
+        """Return the refusal, which asks the caller to come back later."""
+        del request, size
+        return UnreadRefusal(503, b"Retry-After: 1\r\n")
+
+
 class RequestHandler(Protocol):
     """Handles complete requests and responds to each exactly once."""
 
@@ -142,11 +202,22 @@
 
 
 class HttpServer:
-    """Server that accepts callers' connections and enforces limits."""
+    """Server that accepts callers' connections and enforces limits.
+
+    Without a ``budget``, it has one of its own.
+    """
 
-    def __init__(self, clock: Clock, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        handler: RequestHandler,
+        budget: MemoryBudget | None = None,
+        classifier: RequestClassifier | None = None,
+    ) -> None:
         self.clock = clock
         self.handler = handler
+        self.budget = budget or MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
+        self.classifier = classifier or _EqualRequests()
         self.limits = CallerLimits()
         # Set during shutdown: each response then closes its connection.
         self.closing = False
@@ -249,6 +320,22 @@
         now = self.clock.now()
         for connection in list(self.connections):
             connection.check_timeout(now)
+        self._cut_off_slow_readers(now)
+
+    def _cut_off_slow_readers(self, now: datetime) -> None:
+        """Make room by closing connections whose callers don't read.
+
+        The one that has read nothing for longest is closed first.
+        """
+        budget = self.budget
+        if not budget.exceeded and not budget.has_waiting:
+            return
+        slow = [c for c in self.connections if c.is_unread(now)]
+        slow.sort(key=lambda connection: connection.last_read_at)
+        for connection in slow:
+            if not budget.exceeded and not budget.has_waiting:
+                return
+            connection.cut_off()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -268,7 +355,7 @@
         # Set with the last response. Data received after it is discarded.
         self._ended = False
         # Error in what follows the last complete request.
-        self._malformed: MalformedRequestError | None = None
+        self._rejected: RejectedRequestError | None = None
         self._reading_paused = False
         # Set when the last response of a shutdown waits for one more read.
         self._last_read_begun = False
@@ -278,12 +365,22 @@
         self._reading = False
         # Why the connection ended, for logs.
         self.end_cause = ""
+        # Bytes charged for the request that is being read.
+        self._held_bytes = 0
+        # Bytes of responses that the kernel hadn't taken when that was last
+        # checked, and when it took some.
+        self._unsent_bytes = 0
+        self.last_read_at = self._opened_at
         self._reset_request()
 
     def _reset_request(self) -> None:
+        self._release_held()
         self._target = b""
         self._fields: HeaderFields = []
         self._body_parts: list[bytes] = []
+        # Holds the body instead of the parts if it is large.
+        self._large_body: io.BytesIO | None = None
+        self._announced_length: int | None = None
         self._received_size = 0
         self._in_body = False
         # Whether the caller waits for a 100 response before the body.
@@ -335,12 +432,18 @@
         if exc is not None:
             self.end_cause = type(exc).__name__
         self._server.connections.discard(self)
-        self._waiting.clear()
+        self._record_unsent(0, self._server.clock.now())
+        waiting, self._waiting = self._waiting, deque()
         self._reset_request()
         in_progress, self._in_progress = self._in_progress, deque()
+        held_responses, self._held_responses = self._held_responses, {}
+        for response in held_responses.values():
+            self._release_response(response)
         for request in in_progress:
             if request.on_disconnect is not None:
                 request.on_disconnect()
+        for request in (*in_progress, *waiting):
+            self._release_request(request)
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed ones are not supported."""
@@ -353,25 +456,29 @@
         Requests are started after all data is parsed, so that the last
         response before a close is that to the last request that was read.
         """
-        if self._malformed is not None or self._ended:
+        if self._rejected is not None or self._ended:
             return
-        malformed = self._parse(data)
-        if malformed is not None:
-            self._refuse(malformed)
+        rejected = self._parse(data)
+        if rejected is not None:
+            self._refuse(rejected)
             return
         self._start_waiting()
         if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
             self._pause_reading()
 
-    def _parse(self, data: bytes) -> MalformedRequestError | None:
-        """Parse data; return the error if it is malformed."""
+    def _parse(self, data: bytes) -> RejectedRequestError | None:
+        """Parse data; return the error if it is rejected."""
         try:
             self._parser.feed_data(data)
+            if self._reading and not self._in_body:
+                self._reserve(self._head_size)
+        except RejectedRequestError as error:
+            return error
         except httptools.HttpParserCallbackError as error:
-            malformed = error.__context__
-            if not isinstance(malformed, MalformedRequestError):
+            rejected = error.__context__
+            if not isinstance(rejected, RejectedRequestError):
                 raise
-            return malformed
+            return rejected
         except httptools.HttpParserUpgrade:
             return MalformedRequestError(
                 501, "protocol upgrade is not supported"
@@ -432,10 +539,57 @@
             raise MalformedRequestError(
                 413, "request body exceeds the size limit"
             )
+        self._announced_length = length
+        if self._is_chunked:
+            self._announced_length = None
+        self._reserve(REQUEST_OVERHEAD_BYTES + self._head_size + length)
         self._in_body = True
         self._received_size = 0
         self._handle_expectation()
 
+    @property
+    def _is_chunked(self) -> bool:
+        return any(name == b"transfer-encoding" for name, _ in self._fields)
+
+    @property
+    def _head_size(self) -> int:
+        """Return the memory that the header takes as long as it is read."""
+        return self._received_size + FIELD_OVERHEAD_BYTES * len(self._fields)
+
+    def _reserve(self, size: int) -> None:
+        """Charge the request up to a size; reject it if it doesn't fit."""
+        missing = size - self._held_bytes
+        if missing <= 0:
+            return
+        server = self._server
+        reserve = server.budget.reserve_request
+        # Most requests fit whatever their importance.
+        if not reserve(MemoryUse.REQUESTS, missing, Importance.LOW, size):
+            request = self._create_request(b"")
+            importance = server.classifier.find_importance(request)
+            if not reserve(MemoryUse.REQUESTS, missing, importance, size):
+                raise RejectedRequestError(
+                    server.classifier.refuse_unread(request, size),
+                    "request doesn't fit into memory",
+                )
+        self._held_bytes = size
+
+    def _release_held(self) -> None:
+        """Release what is charged for the request that is being read."""
+        size, self._held_bytes = self._held_bytes, 0
+        if size:
+            self._server.budget.release(MemoryUse.REQUESTS, size)
+
+    def _release_request(self, request: HttpRequest) -> None:
+        """Release what is charged for a request that was read."""
+        size, request.held_bytes = request.held_bytes, 0
+        if size:
+            self._server.budget.release(MemoryUse.REQUESTS, size)
+
+    def _release_response(self, response: _Response) -> None:
+        """Release what is charged for a response that was held back."""
+        self._server.budget.release(MemoryUse.RESPONSES, len(response.body))
+
     def _handle_expectation(self) -> None:
         expected = [v for name, v in self._fields if name == b"expect"]
         if not expected:
@@ -465,26 +619,57 @@
             raise MalformedRequestError(
                 413, "request body exceeds the size limit"
             )
+        if self._announced_length is None:
+            self._reserve_chunked()
+        if self._large_body is not None:
+            self._large_body.write(body)
+            return
         self._body_parts.append(body)
+        if self._received_size > LARGE_MIN_BYTES:
+            self._large_body = io.BytesIO()
+            self._large_body.writelines(self._body_parts)
+            self._body_parts = []
+
+    def _reserve_chunked(self) -> None:
+        """Reserve room for a body whose length isn't known."""
+        if self._received_size > self._held_bytes - REQUEST_OVERHEAD_BYTES:
+            self._reserve(
+                REQUEST_OVERHEAD_BYTES
+                + self._received_size
+                + CHUNKED_STEP_BYTES
+            )
 
-    def on_message_complete(self) -> None:
-        """Queue the request behind those in progress."""
-        self._reading = False
-        self._expects_continue = False
-        now = self._server.clock.now()
-        self._phase_started_at = now
-        request = HttpRequest(
+    def _take_body(self) -> bytes:
+        """Return the body and let go of it.
+
+        The parser refers back to this connection, so the parts would stay
+        in memory until the next request or garbage collection.
+        """
+        large_body, self._large_body = self._large_body, None
+        parts, self._body_parts = self._body_parts, []
+        if large_body is not None:
+            # Its buffer isn't copied.
+            return large_body.getvalue()
+        return b"".join(parts)
+
+    def _create_request(self, body: bytes) -> HttpRequest:
+        return HttpRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             self._fields,
-            b"".join(self._body_parts),
-            now,
+            body,
+            self._server.clock.now(),
             self._parser.should_keep_alive(),
             self,
         )
-        # The parser refers back to this connection, so the parts would stay
-        # in memory until the next request or garbage collection.
-        self._body_parts = []
+
+    def on_message_complete(self) -> None:
+        """Queue the request behind those in progress."""
+        self._reading = False
+        self._expects_continue = False
+        request = self._create_request(self._take_body())
+        self._phase_started_at = request.arrived_at
+        request.held_bytes, self._held_bytes = self._held_bytes, 0
         self._waiting.append(request)
 
     def _start_waiting(self) -> None:
@@ -547,13 +732,17 @@
             return
         response = _Response(status, header_lines, body, length)
         self._held_responses[id(request)] = response
+        self._server.budget.charge(MemoryUse.RESPONSES, len(body))
         while self._in_progress:
             first = self._in_progress[0]
             next_response = self._held_responses.pop(id(first), None)
             if next_response is None:
                 return
             self._in_progress.popleft()
-            if self._send(first, next_response):
+            self._release_request(first)
+            is_closed = self._send(first, next_response)
+            self._release_response(next_response)
+            if is_closed:
                 return
         more_read = bool(self._in_progress or self._waiting)
         if self._reading_paused and not (self._server.closing and more_read):
@@ -585,7 +774,7 @@
             should_close,
         )
         if not should_close and is_last_read:
-            should_close = self._refuse_malformed()
+            should_close = self._refuse_rejected()
         if should_close:
             # Also if the caller has announced that it sends no more: some
             # send an empty line after the body.
@@ -648,48 +837,98 @@
             if method == "HEAD" or status in STATUSES_WITHOUT_BODY
             else body
         )
-        self._transport.write(
-            b"".join(
-                (STATUS_LINES[status], header_lines, framing, end, content)
-            ),
-        )
+        head = (STATUS_LINES[status], header_lines, framing, end)
+        if len(content) <= LARGE_MIN_BYTES:
+            self._transport.write(b"".join((*head, content)))
+            return
+        # A transport keeps a reference to data that it can't send at once.
+        self._transport.write(b"".join(head))
+        self._transport.write(content)
+        self._measure_unsent()
 
-    def _refuse(self, error: MalformedRequestError) -> None:
-        """Respond to a malformed request and close the connection.
+    def _refuse(self, error: RejectedRequestError) -> None:
+        """Respond to a rejected request and close the connection.
 
         Complete requests before it are answered first.
         """
-        log_event(
-            Level.INFO,
-            "malformed request refused",
-            status=error.status,
-            reason=error.reason,
-        )
+        if isinstance(error, MalformedRequestError):
+            log_event(
+                Level.INFO,
+                "malformed request refused",
+                status=error.refusal.status,
+                reason=error.reason,
+            )
+        self._reset_request()
         self._reading = False
-        self._malformed = error
+        self._rejected = error
         self._start_waiting()
         if self._ended:
             return
         if self._in_progress or self._waiting:
             self._pause_reading()
         else:
-            self._refuse_malformed()
+            self._refuse_rejected()
             self._end()
 
-    def _refuse_malformed(self) -> bool:
-        """Respond to a malformed request, if there was one."""
-        if self._malformed is None:
+    def _refuse_rejected(self) -> bool:
+        """Respond to a rejected request, if there was one."""
+        if self._rejected is None:
             return False
-        status = self._malformed.status
-        self._write("GET", status, b"", b"", 0, should_close=True)
+        refusal = self._rejected.refusal
+        self._write(
+            "GET",
+            refusal.status,
+            refusal.header_lines,
+            refusal.body,
+            None,
+            should_close=True,
+        )
         return True
 
+    # Data that the caller hasn't read.
+
+    def resume_writing(self) -> None:
+        """Release what the kernel has taken; called by the transport."""
+        self._measure_unsent()
+
+    def _measure_unsent(self) -> None:
+        self._record_unsent(
+            self._transport.get_write_buffer_size(), self._server.clock.now()
+        )
+
+    def _record_unsent(self, size: int, now: datetime) -> None:
+        """Charge the bytes of responses that the kernel hasn't taken."""
+        previous, self._unsent_bytes = self._unsent_bytes, size
+        if size < previous or not previous:
+            self.last_read_at = now
+        if size > previous:
+            self._server.budget.charge(MemoryUse.UNSENT, size - previous)
+        elif size < previous:
+            self._server.budget.release(MemoryUse.UNSENT, previous - size)
+
+    def is_unread(self, now: datetime) -> bool:
+        """Return whether the caller reads nothing of a response."""
+        return (
+            self._unsent_bytes > 0 and now - self.last_read_at > UNREAD_TIMEOUT
+        )
+
+    def cut_off(self) -> None:
+        """Close the connection of a caller that doesn't read a response."""
+        log_event(
+            Level.WARNING,
+            "response cut off; its caller does not read and memory is short",
+            unsent=self._unsent_bytes,
+            unread_time=self._server.clock.now() - self.last_read_at,
+        )
+        self.abort()
+
     # Timeouts and closing.
 
     def check_timeout(self, now: datetime) -> None:
         """Close the connection if the caller is too slow or idle too long."""
         limits = self._server.limits
         age = now - self._phase_started_at
+        self._record_unsent(self._transport.get_write_buffer_size(), now)
         if self._reading_paused and has_ended(self._transport):
             # The event loop doesn't report it while reading is paused.
             self.end_cause = "end of stream"
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -15,8 +15,13 @@
 from sequoiaseam._domain_load import DomainLoad, RouteOutcomes
 from sequoiaseam._feed import NodeView
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
-from sequoiaseam._http_server import HttpRequest, format_fields
+from sequoiaseam._http_server import (
+    HttpRequest,
+    UnreadRefusal,
+    format_fields,
+)
 from sequoiaseam._logs import Level, RateLimitedLog
+from sequoiaseam._memory import MemoryBudget, MemoryUse
 from sequoiaseam._mesh_frames import (
     RunAnswer,
     RunCall,
@@ -158,6 +163,7 @@
         pressure: PressureMap,
         quota_gate: QuotaGate,
         attribution: CallAttribution,
+        budget: MemoryBudget,
         send_call: CallSender,
     ) -> None:
         self._clock = clock
@@ -173,6 +179,7 @@
         self._pressure = pressure
         self._quota_gate = quota_gate
         self._attribution = attribution
+        self._budget = budget
         self._send_call = send_call
         self._log = RateLimitedLog(clock)
         self._route_index = RouteIndex(view.tables)
@@ -211,6 +218,43 @@
         self._pressure.observe_domain(now, load.levels)
         self._route_throttle.observe_domain(now, load.success_rates)
 
+    # Requests that don't fit into memory.
+
+    def find_importance(self, request: HttpRequest) -> Importance:
+        """Return the importance of a request whose body isn't read yet."""
+        pending = PendingRequest(request, "")
+        if self._find_route(pending) or self._authenticate(pending):
+            return Importance.LOW
+        return pending.importance
+
+    def refuse_unread(self, request: HttpRequest, size: int) -> UnreadRefusal:
+        """Return the refusal of a request that isn't read to its end."""
+        raw_id = request.get_field(self._header_names.request_id) or b""
+        pending = PendingRequest(request, raw_id.decode("latin-1"))
+        code = ErrorCode.OVERLOAD
+        self._find_route(pending)
+        route = pending.route
+        timeout = DEFAULT_ROUTE_TIMEOUT
+        if route is not None:
+            stated = self._read_remaining_time(request)
+            timeout = min(route.timeout, stated or route.timeout)
+        pending.deadline = request.arrived_at + timeout
+        wait = self._compute_return_wait(pending, code, timedelta(0))
+        self._log.log(
+            Level.INFO,
+            "request refused; its body does not fit into memory",
+            request_id=pending.request_id,
+            route=route.name if route else "",
+            size=size,
+            held=self._budget.held_bytes,
+            limit=self._budget.limit_bytes,
+        )
+        return UnreadRefusal(
+            choose_status(code, may_have_run=False),
+            format_refusal_fields(wait),
+            encode_refusal(code),
+        )
+
     # Checks of new requests.
 
     def handle(self, request: HttpRequest) -> None:
@@ -596,7 +640,7 @@
         """Send the response, or retry a failure if that is safe."""
         if result.status in RETRYABLE_STATUSES:
             pending.may_have_run = True
-            pending.server_failure = result
+            self._keep_failure(pending, result)
             if self._is_running(pending):
                 return
             if self._may_retry(
@@ -608,6 +652,16 @@
                 return
         self._respond(pending, result)
 
+    def _keep_failure(
+        self, pending: PendingRequest, failure: RunAnswer | None
+    ) -> None:
+        """Keep a failure response, charged as long as it is kept."""
+        kept, pending.server_failure = pending.server_failure, failure
+        if failure is not None:
+            self._budget.charge(MemoryUse.RESPONSES, len(failure.body))
+        if kept is not None:
+            self._budget.release(MemoryUse.RESPONSES, len(kept.body))
+
     def _retry_or_refuse(
         self,
         pending: PendingRequest,
@@ -747,6 +801,7 @@
         # The closures of its attempts refer to each other and to the request
         # until a garbage collection.
         pending.request.body = b""
+        self._keep_failure(pending, None)
         if pending.parent_run_id is not None:
             self._attribution.end_call(
                 self._clock.now(), pending.parent_run_id
@@ -829,17 +884,17 @@
         ``retry_after`` is how long the refusing part suggests to wait.
         If a backend server returned a failure response, it is sent instead.
         """
-        if pending.server_failure is not None:
-            self._respond(pending, pending.server_failure)
+        failure = pending.server_failure
+        if failure is not None:
+            self._respond(pending, failure)
             return
         self._finish(pending)
         now = self._clock.now()
         schedule = self.stop_schedule
         status = choose_status(code, may_have_run=pending.may_have_run)
-        header_lines = b"Content-Type: application/json\r\n"
+        wait = None
         if status in (429, 503):
             wait = self._compute_return_wait(pending, code, retry_after)
-            header_lines += b"Retry-After: %.3f\r\n" % wait.total_seconds()
         self._log.log(
             Level.INFO,
             "request refused",
@@ -859,8 +914,9 @@
             revision=self._view.revision,
             **details,
         )
-        body = msgspec.json.encode({"code": code.value})
-        pending.request.respond(status, header_lines, body)
+        pending.request.respond(
+            status, format_refusal_fields(wait), encode_refusal(code)
+        )
 
     def _compute_return_wait(
         self, pending: PendingRequest, code: ErrorCode, suggested: timedelta
@@ -876,6 +932,19 @@
         )
 
 
+def format_refusal_fields(retry_after: timedelta | None) -> bytes:
+    """Return the header lines of a refusal."""
+    lines = b"Content-Type: application/json\r\n"
+    if retry_after is None:
+        return lines
+    return lines + b"Retry-After: %.3f\r\n" % retry_after.total_seconds()
+
+
+def encode_refusal(code: ErrorCode) -> bytes:
+    """Return the body of a refusal."""
+    return msgspec.json.encode({"code": code.value})
+
+
 def choose_status(code: ErrorCode, *, may_have_run: bool) -> int:
     """Return a status that is correct about whether a request may have run.
 
--- a/src/sequoiaseam/_memory.py
+++ b/src/sequoiaseam/_memory.py
@@ -15,7 +15,10 @@
 # Of the memory limit of the process. The program, the state of its requests
 # and what allocators add take the rest.
 HELD_FRACTION: Final = 0.45
-# Larger data leaves the room above its fraction to smaller.
+DEFAULT_MEMORY_LIMIT_BYTES: Final = 300 * 1000 * 1000
+DEFAULT_HELD_BYTES_LIMIT: Final = 128 * 1024 * 1024
+# Larger data is written apart from its header and leaves a part of the budget
+# to smaller data.
 LARGE_MIN_BYTES: Final = 64 * 1024
 # Fraction of the budget up to which a request is accepted, by importance.
 # Above the last one only responses are, as requests can still be refused.
@@ -31,6 +34,11 @@
 RESPONSE_FRACTION: Final = 0.50
 
 
+def compute_held_bytes_limit(memory_limit_bytes: int) -> int:
+    """Return the bytes that a process with this memory limit may hold."""
+    return int(HELD_FRACTION * memory_limit_bytes)
+
+
 class MemoryUse(enum.IntEnum):
     """What held data is part of."""
 
@@ -127,18 +135,21 @@
         if self._waiting_small or self._waiting_large:
             self._grant_waiting()
 
-    def fits_request(self, size: int, importance: Importance) -> bool:
-        """Return whether a request of this size may be read."""
-        fraction = REQUEST_FRACTIONS[importance]
-        if size > LARGE_MIN_BYTES:
-            fraction -= LARGE_REQUEST_MARGIN
-        return self.held_bytes + size <= fraction * self.limit_bytes
-
     def reserve_request(
-        self, use: MemoryUse, size: int, importance: Importance
+        self,
+        use: MemoryUse,
+        size: int,
+        importance: Importance,
+        total_size: int = 0,
     ) -> bool:
-        """Charge a request before it is read; return False if it can't be."""
-        if not self.fits_request(size, importance):
+        """Charge a request before it is read; return False if it can't be.
+
+        ``total_size`` is that of the request if ``size`` is a part of it.
+        """
+        fraction = REQUEST_FRACTIONS[importance]
+        if max(size, total_size) > LARGE_MIN_BYTES:
+            fraction -= LARGE_REQUEST_MARGIN
+        if self.held_bytes + size > fraction * self.limit_bytes:
             return False
         self.charge(use, size)
         return True
