Tell from the log how a process ended

Cause: the log had no line at the end of a process but "stopped", nothing about memory, and a crash left nothing. An error of a drain skipped the rest of the program, one of a start skipped drain and close, and both left by a traceback on a stream that may be full.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -47,6 +47,7 @@
     OperatorRequestHandler,
     OperatorRequestHooks,
 )
+from sequoiaseam._process_end import EndMarker, log_former_process
 from sequoiaseam._replica import ReplicaConfig
 from sequoiaseam._replica_messages import (
     Membership,
@@ -156,6 +157,7 @@
                 find_revision_index=self._find_index,
             ),
         )
+        self._end_marker = EndMarker(settings.data)
         self._rpc_server: RpcServer | None = None
         self._calls_in_progress: set[asyncio.Task[Any]] = set()
         # Set at the end of a drain.
@@ -166,6 +168,7 @@
     async def start(self) -> None:
         """Open the listener and join the replication group."""
         await self._replica_runner.start()
+        self._tasks.start(self._follow_former_process())
         self._rpc_server = RpcServer(
             self._authenticator,
             self._clock,
@@ -217,6 +220,29 @@
             await self._rpc_server.close()
         await self._replica_runner.close()
 
+    def describe_state(self) -> dict[str, object]:
+        """Return log fields on what is in progress."""
+        return {
+            "calls": len(self._calls_in_progress),
+            "role": "leader" if self._leadership is not None else "follower",
+            "leader": self._leader or "",
+            "applied_index": self._replica_runner.applied_index,
+        }
+
+    async def _follow_former_process(self) -> None:
+        """Log how the last process of this host ended, if that is known."""
+        former = await asyncio.to_thread(
+            self._end_marker.start, self._clock.now()
+        )
+        if former is not None:
+            log_former_process(self._settings.name, former)
+
+    async def record_end(self, reason: str) -> None:
+        """Record for the next process that this one ends in order."""
+        await asyncio.to_thread(
+            self._end_marker.end, self._clock.now(), reason
+        )
+
     def _tick(self) -> None:
         now = self._clock.now()
         if now - self._last_alive_report_at >= ALIVE_REPORT_INTERVAL:
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -118,6 +118,8 @@
         self._view = NodeView()
         self._access = TrustedNetwork(settings.name)
         self._reported_member: Member | None = None
+        # Incarnation of this node that was still a member as it attached.
+        self._former_incarnation: int | None = None
         # Server that was leaving when this node last stopped.
         self._former_server: LeavingServer | None = None
         self._report_sequence = 0
@@ -306,6 +308,14 @@
         self._left = True
         self._uplink.post(MemberGone(self._settings.name, self._incarnation))
 
+    def describe_state(self) -> dict[str, object]:
+        """Return log fields on what is in progress."""
+        return {
+            "unanswered": self._ingress.pending_request_count,
+            "calls": self._executor.call_count,
+            "connections": len(self._http_server.connections),
+        }
+
     def _log_drain_step(
         self, step: str, started_at: datetime, **details: object
     ) -> None:
@@ -601,6 +611,18 @@
         member = self._view.members.get(self._settings.name)
         if member is None or member.incarnation == self._incarnation:
             return
+        if self._former_incarnation is None:
+            # One that stops in order leaves, unless its server is leaving.
+            self._former_incarnation = member.incarnation
+            log_event(
+                Level.INFO
+                if member.state is MemberState.DRAINING
+                else Level.WARNING,
+                "last process of this node is still a member",
+                host=self._settings.name,
+                incarnation=member.incarnation,
+                state=member.state.value,
+            )
         server = member.leaving_server
         if server is not None and server != self._former_server:
             self._former_server = server
