--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -37,6 +37,12 @@
     MemoryBudget,
     compute_held_bytes_limit,
 )
+from sequoiaseam._memory_report import (
+    REPORT_INTERVAL,
+    describe_memory,
+    format_memory_metrics,
+    log_memory,
+)
 from sequoiaseam._mesh import Mesh, MeshServer
 from sequoiaseam._mesh_frames import RunCall, RunResult
 from sequoiaseam._pressure import PressureMap
@@ -216,6 +222,7 @@
         )
         self._ticked_at = self._clock.now()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
+        self._tasks.start_periodic(REPORT_INTERVAL, self._log_memory)
         self._tasks.start(self._uplink.run())
 
     def is_ready(self) -> bool:
@@ -327,8 +334,16 @@
             "unanswered": self._ingress.pending_request_count,
             "calls": self._executor.call_count,
             "connections": len(self._http_server.connections),
+            **describe_memory(self._memory),
         }
 
+    def format_metrics(self) -> bytes:
+        """Return this node's metrics in the text format of Prometheus."""
+        return format_memory_metrics(self._memory)
+
+    def _log_memory(self) -> None:
+        log_memory(self._settings.name, self._memory)
+
     def _log_drain_step(
         self, step: str, started_at: datetime, **details: object
     ) -> None:
