Bound the memory of configuration documents on a control host

What operators could see: documents of some megabytes sent at once end control hosts over their memory. Cause: each was read and decoded whole, up to 64 MiB, whatever the host held.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -1,8 +1,10 @@
 """Control host: replica, node sessions, leadership and operator calls."""
 
 import asyncio
+import contextlib
 import os
 import secrets
+from collections.abc import Iterator
 from datetime import datetime, timedelta
 from random import Random
 from typing import Any, Final, Protocol
@@ -40,6 +42,11 @@
 from sequoiaseam._group_repair import RepairPlanner
 from sequoiaseam._leadership import Leadership
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam._memory import (
+    MemoryBudget,
+    MemoryUse,
+    compute_held_bytes_limit,
+)
 from sequoiaseam._operator_messages import EditAnswer, FollowRequest
 from sequoiaseam._operator_requests import (
     QUORUM_TIMEOUT,
@@ -66,6 +73,7 @@
 from sequoiaseam._sessions import NodeSessions, SessionHooks
 from sequoiaseam._settings import ControlSettings, Endpoint, Secrets
 from sequoiaseam._state import FleetState
+from sequoiaseam._tables import Importance
 from sequoiaseam._tasks import TaskGroup
 from sequoiaseam.errors import ErrorCode, SeamError
 
@@ -77,6 +85,9 @@
 # Includes the time for disk work in progress.
 CLOSE_TIME_LIMIT: Final = OPERATOR_CALL_TIME_LIMIT + timedelta(seconds=2)
 IDENTITY_BYTES: Final = 16
+# Memory that a document takes while it is decoded, compared and logged,
+# relative to its size.
+DOCUMENT_MEMORY_RATIO: Final = 32
 # Revisions whose log indices are kept; older ones are in force everywhere.
 REVISION_INDICES_MAX: Final = 10_000
 
@@ -157,6 +168,9 @@
                 find_revision_index=self._find_index,
             ),
         )
+        self._memory = MemoryBudget(
+            compute_held_bytes_limit(settings.memory_limit_bytes)
+        )
         self._end_marker = EndMarker(settings.data)
         self._rpc_server: RpcServer | None = None
         self._calls_in_progress: set[asyncio.Task[Any]] = set()
@@ -478,6 +492,22 @@
         """Return the name of the leader, or None if it is unknown."""
         return self._leader
 
+    @contextlib.contextmanager
+    def hold_document(self, size: int) -> Iterator[None]:
+        """Charge a document of this size in bytes until it is handled.
+
+        Raise SeamError, before it is read, if it doesn't fit into memory.
+        """
+        charged = DOCUMENT_MEMORY_RATIO * size
+        if not self._memory.reserve_request(
+            MemoryUse.REQUESTS, charged, Importance.CRITICAL
+        ):
+            raise SeamError(ErrorCode.OVERLOAD, "too many large documents")
+        try:
+            yield
+        finally:
+            self._memory.release(MemoryUse.REQUESTS, charged)
+
     async def replace_document(self, command: ReplaceDocument) -> EditAnswer:
         """Commit a whole document; raise SeamError if unconfirmed."""
         return await self._request_handler.replace_document(command)
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -10,6 +10,7 @@
 from typing import Any, Final, TypeVar
 
 from sequoiaseam._ini import FileError, IniFile, find_duplicates, read_ini
+from sequoiaseam._memory import DEFAULT_MEMORY_LIMIT_BYTES
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES
 from sequoiaseam._units import (
     format_duration,
@@ -132,6 +133,8 @@
     automatic_repair: bool = False
     forms_group: bool = True
     assigns_witnesses: bool = True
+    # The process is ended by its supervisor if it takes more memory.
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
 
 
 def parse_name(text: str) -> str:
--- a/src/sequoiaseam/const.py
+++ b/src/sequoiaseam/const.py
@@ -57,3 +57,6 @@
 REQUEST_ID_HEADER: Final = "Sequoiaseam-Request-Id"
 HANDLE_HEADER: Final = "Sequoiaseam-Handle"
 IDEMPOTENCY_KEY_HEADER: Final = "Idempotency-Key"
+# Of a configuration document. Each control host holds the newest one, decoded
+# and encoded, beside those in its log.
+DOCUMENT_MAX_BYTES: Final = 2 * 1024 * 1024
--- a/src/sequoiaseam/embed.py
+++ b/src/sequoiaseam/embed.py
@@ -17,7 +17,6 @@
 from sequoiaseam._settings import Endpoint as Endpoint
 from sequoiaseam._settings import parse_endpoint as parse_endpoint
 from sequoiaseam._tables import AS_ANNOUNCED as AS_ANNOUNCED
-from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES as BODY_LIMIT_MAX_BYTES
 from sequoiaseam._tables import METHODS as METHODS
 from sequoiaseam._tables import CallerLimits as CallerLimits
 from sequoiaseam._tables import Importance as Importance
@@ -27,6 +26,7 @@
 from sequoiaseam._tables import Share as Share
 from sequoiaseam._tables import Tables as Tables
 from sequoiaseam._tables import Workspace as Workspace
+from sequoiaseam.const import DOCUMENT_MAX_BYTES as DOCUMENT_MAX_BYTES
 from sequoiaseam.errors import ErrorCode as ErrorCode
 from sequoiaseam.errors import SeamError as SeamError
 
--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -33,6 +33,10 @@
 LARGEST_BODY_BYTES: Final = 67_108_864
 LARGE_EDIT_COUNT: Final = 200
 LARGE_DOCUMENT_ROUTES: Final = 720
+# As large as a configuration may be, and too large.
+LARGEST_DOCUMENT_ROUTES: Final = 11_500
+OVERSIZED_DOCUMENT_BYTES: Final = 30_000_000
+OPERATOR_COUNT: Final = 16
 
 
 def build_document(
@@ -457,6 +461,40 @@
                 peak = self.fleet.read_peak_memory(address)
                 self.assertLess(peak, CONTROL_MEMORY_MAX_BYTES)
 
+    async def test_large_documents_at_once_fit_into_memory(self) -> None:
+        """Guard against operators who end a control host."""
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address)
+        await self.put_configuration(build_document(1, 0))
+        document = json.loads(build_document(2, 1))
+        (route,) = document["routes"].values()
+        document["routes"] = {
+            f"r-{row}": {**route, "path-prefix": f"/path{row}/"}
+            for row in range(LARGEST_DOCUMENT_ROUTES)
+        }
+        largest = json.dumps(document, separators=(",", ":")).encode()
+        bodies = (largest, bytes(OVERSIZED_DOCUMENT_BYTES)) * OPERATOR_COUNT
+        statuses = [
+            status
+            for address in CONTROL_ADDRESSES
+            for status, _ in await asyncio.gather(
+                *(
+                    self.call_api(address, "call=configuration.put", body)
+                    for body in bodies
+                )
+            )
+        ]
+        # No response comes in time to some.
+        self.assertLessEqual(set(statuses), {0, 200, 307, 413, 503})
+        await self.put_configuration(largest)
+        for address in CONTROL_ADDRESSES:
+            with self.subTest(address=address):
+                self.assertEqual(
+                    await self.read_configuration(address), largest
+                )
+                peak = self.fleet.read_peak_memory(address)
+                self.assertLess(peak, 2 / 3 * CONTROL_MEMORY_MAX_BYTES)
+
     async def wait_until_voter(self, address: str) -> None:
         """Wait until a host has logged that it is a voter again.
 
