Send large bodies between nodes in parts, and bound what links hold

Cause: a frame between nodes held a whole body. It was encoded, joined for the write, collected and sliced, so both sides of a link held the body three times and more, nothing bounded the sum over calls, and a small call waited behind a large one.

Change: a body over LARGE_MIN_BYTES (64 KiB) is announced by its length in RunCall or RunAnswer and follows in parts of 64 KiB, several bodies in turn, written only while the kernel takes them. The node that waits for an answer grants its body when its memory is reserved. A MeshLeave that comes before the task that connects goes on no longer leaves the refused calls to be sent.

tests.test_containment passes the budget to the constructors; its transport accepts limits of the write buffer.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -32,6 +32,7 @@
 from sequoiaseam._ingress import Ingress
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
+from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
 from sequoiaseam._mesh import Mesh, MeshServer
 from sequoiaseam._mesh_frames import RunCall, RunResult
 from sequoiaseam._pressure import PressureMap
@@ -92,6 +93,8 @@
     # request rate. 0 leaves each its own small number.
     fleet_retries: int = 0
     log_level: str = "info"
+    # Bytes that callers, servers and other nodes may make the node hold.
+    held_bytes_limit: int = DEFAULT_HELD_BYTES_LIMIT
 
 
 class HostNode:
@@ -153,7 +156,8 @@
             settings.region,
             rng,
         )
-        self._mesh = Mesh(clock, self._update_reachability)
+        self._memory = MemoryBudget(settings.held_bytes_limit)
+        self._mesh = Mesh(clock, self._update_reachability, self._memory)
         pressure = PressureMap(rng)
         self._crash_reporter = CrashReporter(
             self._view, self._uplink.post, SHARED_CRASH_THRESHOLD
@@ -166,7 +170,7 @@
             CrashGuard(clock, rng, self._crash_reporter),
             settings.fleet_retries,
         )
-        self._mesh_server = MeshServer(self._executor.run)
+        self._mesh_server = MeshServer(self._executor.run, self._memory)
         self._ingress = Ingress(
             clock,
             rng,
--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from sequoiaseam._tables import ROUTE_TIMEOUT_MAX, Importance
+from sequoiaseam._tables import (
+    BODY_LIMIT_MAX_BYTES,
+    ROUTE_TIMEOUT_MAX,
+    Importance,
+)
 from sequoiaseam.errors import ErrorCode
 
 DURATION_MAX_MS: Final = int(ROUTE_TIMEOUT_MAX.total_seconds() * 1000)
@@ -17,6 +21,10 @@
 # Others have no status line, and the caller would be left without an answer.
 FinalStatus = Annotated[int, msgspec.Meta(ge=200, le=599)]
 Weight = Annotated[float, msgspec.Meta(gt=0.0, le=1e9)]
+# Bodies of callers' requests are limited, those of responses only by the
+# memory of the node that reads them.
+CallBodyLength = Annotated[int, msgspec.Meta(ge=0, le=BODY_LIMIT_MAX_BYTES)]
+AnswerBodyLength = Annotated[int, msgspec.Meta(ge=0, lt=2**40)]
 
 
 class RunCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -28,7 +36,8 @@
     ``patience_ms`` is how long the call may wait for a slot.
     ``account`` is the workspace whose share of the queue it uses.
     ``repeat`` is set if the call, or the run that it is nested in, was
-    sent before.
+    sent before. ``body_length`` isn't 0 if the body follows in parts, and
+    is then its length; ``body`` is empty.
     """
 
     call_id: int
@@ -48,6 +57,7 @@
     begun: bool
     idempotent: bool
     repeat: bool
+    body_length: CallBodyLength = 0
 
 
 class RunAnswer(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -57,6 +67,8 @@
     one. ``load`` is the utilization of the server, 1.0 or more while
     requests are queued. ``pressures`` lists each pool that a run of the
     route reaches, with its pressure level and the calls per run.
+    ``body_length`` isn't 0 if the body follows in parts after a grant, and
+    is then its length; ``body`` is empty.
     """
 
     call_id: int
@@ -66,6 +78,7 @@
     length: int
     load: float
     pressures: list[tuple[str, float, float]]
+    body_length: AnswerBodyLength = 0
 
 
 class RunRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -103,10 +116,32 @@
     last_call_id: int
 
 
-RunResult = RunAnswer | RunRefusal
-Frame = RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing | MeshLeave
+class BodyPart(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Next part of the announced body of a call, or of its answer."""
+
+    call_id: int
+    data: bytes
+
+
+class BodyGrant(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Permission to send the announced body of an answer."""
 
-encode_frame: Final = msgspec.msgpack.Encoder().encode
-decode_frame: Final = msgspec.msgpack.Decoder(
-    RunCall | RunAnswer | RunRefusal | RunCancel | MeshPing | MeshLeave,
-).decode
+    call_id: int
+
+
+RunResult = RunAnswer | RunRefusal
+Frame = (
+    RunCall
+    | RunAnswer
+    | RunRefusal
+    | RunCancel
+    | MeshPing
+    | MeshLeave
+    | BodyPart
+    | BodyGrant
+)
+
+_encoder: Final = msgspec.msgpack.Encoder()
+encode_frame: Final = _encoder.encode
+encode_frame_into: Final = _encoder.encode_into
+decode_frame: Final = msgspec.msgpack.Decoder(Frame).decode
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -13,6 +13,7 @@
 
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._control_messages import create_control_codec
+from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
 from sequoiaseam._mesh import LENGTH_PREFIX, FrameConnection, MeshLink
 from sequoiaseam._mesh_frames import (
     RunAnswer,
@@ -34,6 +35,7 @@
     *(Importance.NORMAL, 1.0, 10, 1000, False, True, False),
 )
 REFUSAL: Final = RunRefusal(1, ErrorCode.SHED, False, 0, 0.0, [])  # noqa: FBT003
+BUDGET: Final = MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
 ANSWER: Final = RunAnswer(1, 200, b"", b"", 0, 0.0, [("store", 0.0, 1.0)])
 
 VALUES: Final = st.recursive(
@@ -60,6 +62,9 @@
     def abort(self) -> None:
         self.aborted = True
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Accept any limit."""
+
     def write(self, data: bytes) -> None:
         """Ignore data."""
 
@@ -82,7 +87,7 @@
     def receive(self, content: bytes) -> tuple[bool, int]:
         """Return whether a frame closes its connection, and frames read."""
         frames: list[Any] = []
-        connection = FrameConnection(frames.append, lambda: None)
+        connection = FrameConnection(frames.append, lambda: None, BUDGET)
         transport = RecordingTransport()
         connection.connection_made(cast("Any", transport))
         connection.data_received(frame(content))
@@ -137,7 +142,7 @@
         def fail(_: Any) -> None:
             raise KeyError("unexpected")
 
-        connection = FrameConnection(fail, lambda: None)
+        connection = FrameConnection(fail, lambda: None, BUDGET)
         transport = RecordingTransport()
         connection.connection_made(cast("Any", transport))
         connection.data_received(frame(encode_frame(CALL)))
@@ -146,8 +151,12 @@
     def test_a_malformed_refusal_does_not_mean_not_run(self) -> None:
         """Report a call as lost if its result can't be read."""
         results: list[RunResult | None] = []
-        link = MeshLink(Endpoint(LOCALHOST, 1), ManualClock(), lambda _: None)
-        connection = FrameConnection(link._handle_frame, link._handle_close)
+        link = MeshLink(
+            Endpoint(LOCALHOST, 1), ManualClock(), lambda _: None, BUDGET
+        )
+        connection = FrameConnection(
+            link._handle_frame, link._handle_close, BUDGET
+        )
         transport = RecordingTransport()
         connection.connection_made(cast("Any", transport))
         connection.post = lambda frame: None  # type: ignore[method-assign]  # noqa: ARG005
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sequoiaseam._clock import ManualClock, ProcessClock
+from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
 from sequoiaseam._mesh import (
     LENGTH_PREFIX,
     LINK_IDLE_TIMEOUT,
@@ -51,6 +52,11 @@
 IDLE_SOCKET, IDLE_PEER_SOCKET = socket.socketpair()
 
 
+def create_budget() -> MemoryBudget:
+    """Return a budget of the usual size."""
+    return MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
+
+
 class RecordingTransport:
     """A transport that records what is written and whether it is aborted."""
 
@@ -59,6 +65,9 @@
         self.written = b""
         self.socket = IDLE_SOCKET
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Accept any limit, as all data is taken at once."""
+
     def write(self, data: bytes) -> None:
         self.written += data
 
@@ -75,7 +84,9 @@
     """A connection that records the frames to send."""
 
     def __init__(self, link: MeshLink) -> None:
-        super().__init__(link._handle_frame, link._handle_close)
+        super().__init__(
+            link._handle_frame, link._handle_close, create_budget()
+        )
         self.posted: list[Frame] = []
 
     def post(self, frame: Frame) -> None:
@@ -90,7 +101,10 @@
         self.reachable: list[bool] = []
         self.connecting_count = 0
         self.link = MeshLink(
-            Endpoint("127.0.0.1", 1), self.clock, self.reachable.append
+            Endpoint("127.0.0.1", 1),
+            self.clock,
+            self.reachable.append,
+            create_budget(),
         )
         self.link._start_connecting = (  # type: ignore[method-assign]
             self.count_connecting
@@ -328,7 +342,7 @@
         self,
     ) -> None:
         """Remove the member while its link is still connecting."""
-        mesh = Mesh(ManualClock(), lambda *_: None)
+        mesh = Mesh(ManualClock(), lambda *_: None, create_budget())
         self.addAsyncCleanup(mesh.close)
         link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
         results: list[RunResult | None] = []
@@ -343,7 +357,7 @@
         self,
     ) -> None:
         clock = ManualClock()
-        mesh = Mesh(clock, lambda *_: None)
+        mesh = Mesh(clock, lambda *_: None, create_budget())
         self.addAsyncCleanup(mesh.close)
         link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
         transport = RecordingTransport()
@@ -370,13 +384,14 @@
     async def asyncSetUp(self) -> None:
         self.started: list[RunCall] = []
         self.responds = True
-        self.server = MeshServer(self.run_call)
+        self.server = MeshServer(self.run_call, create_budget())
         self.port = await self.server.start(LOCALHOST, 0)
         self.reachable: list[bool] = []
         self.link = MeshLink(
             Endpoint(LOCALHOST, self.port),
             ProcessClock(),
             self.reachable.append,
+            create_budget(),
         )
         self.addCleanup(self.link.close)
         self.addAsyncCleanup(self.server.close)
@@ -472,6 +487,28 @@
             content = await reader.readexactly(*LENGTH_PREFIX.unpack(prefix))
         self.assertEqual(decode_frame(content), MeshLeave(0))
 
+    async def test_an_announcement_before_the_connection_is_known(
+        self,
+    ) -> None:
+        """It may come before the task that connects goes on."""
+        self.link.close()
+        link = MeshLink(
+            Endpoint(LOCALHOST, self.port),
+            ProcessClock(),
+            self.reachable.append,
+            create_budget(),
+        )
+        self.addCleanup(link.close)
+        results: list[RunResult | None] = []
+        link.call(CALL, results.append)
+        link._handle_frame(MeshLeave(0))
+        self.assert_not_run(await self.wait_for_result(results))
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while link._connection is None:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.started), 1)
+
     async def test_a_connection_made_after_the_close_runs_no_call(
         self,
     ) -> None:
@@ -510,7 +547,9 @@
         for name in ("eof_received", "abort", "connection_lost"):
             with self.subTest(name=name):
                 connection = FrameConnection(
-                    self.link._handle_frame, self.link._handle_close
+                    self.link._handle_frame,
+                    self.link._handle_close,
+                    create_budget(),
                 )
                 transport = RecordingTransport()
                 connection.connection_made(cast("Any", transport))
