Send no calls on a connection that ended as it was made

Cause: the end of a connection, or a MeshLeave on it, may be read before the task that made the connection goes on. The link then took the connection into use. Calls on one that had ended got no result until their deadlines; those to a node that leaves were dropped there and then reported as lost, which may have run, although they hadn't.

Change: such a connection is closed, the calls that waited for it are refused as not run, and the next check connects again.

EarlyEndTest fails in both forms on (no result; reported as reachable) and passes now.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -649,16 +649,30 @@
             self._on_reachability_change(False)  # noqa: FBT003
             self._fail_unsent()
         else:
-            self._connection = connection
-            self._unreachable = self._peer_leaves = False
-            self._silence.restart(self._clock.now())
-            self._on_reachability_change(True)  # noqa: FBT003
-            unsent, self._unsent = self._unsent, {}
-            for call in unsent.values():
-                self._post_call(connection, call)
+            self._use_connection(connection)
         finally:
             self._connect_task = None
 
+    def _use_connection(self, connection: FrameConnection) -> None:
+        """Send the calls that waited for a connection.
+
+        The other node may have closed it, or announced that, before this
+        step: nothing written on it would run.
+        """
+        if connection.closed or self._peer_leaves:
+            connection.close_idle()
+            self._unreachable = True
+            self._peer_leaves = False
+            self._fail_unsent()
+            return
+        self._connection = connection
+        self._unreachable = False
+        self._silence.restart(self._clock.now())
+        self._on_reachability_change(True)  # noqa: FBT003
+        unsent, self._unsent = self._unsent, {}
+        for call in unsent.values():
+            self._post_call(connection, call)
+
     def _fail_unsent(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for call_id in unsent:
