--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -171,7 +171,7 @@
         self._memory = MemoryBudget(
             compute_held_bytes_limit(settings.memory_limit_bytes)
         )
-        self._mesh = Mesh(clock, self._update_reachability)
+        self._mesh = Mesh(clock, self._update_reachability, self._memory)
         pressure = PressureMap(rng)
         self._crash_reporter = CrashReporter(
             self._view, self._uplink.post, SHARED_CRASH_THRESHOLD
@@ -184,7 +184,7 @@
             CrashGuard(clock, rng, self._crash_reporter),
             settings.fleet_retries,
         )
-        self._mesh_server = MeshServer(self._executor.run)
+        self._mesh_server = MeshServer(self._executor.run, self._memory)
         self._ingress = Ingress(
             clock,
             rng,
--- a/src/sequoiaseam/_memory.py
+++ b/src/sequoiaseam/_memory.py
@@ -16,6 +16,7 @@
 # and what allocators add take the rest.
 HELD_FRACTION: Final = 0.45
 DEFAULT_MEMORY_LIMIT_BYTES: Final = 300 * 1000 * 1000
+# Budget of a part that isn't given one.
 DEFAULT_HELD_BYTES_LIMIT: Final = 128 * 1024 * 1024
 # Larger data is written apart from its header and leaves a part of the budget
 # to smaller data.
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from sequoiaseam._clock import ManualClock, ProcessClock
+from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
 from sequoiaseam._mesh import (
     LENGTH_PREFIX,
     LINK_IDLE_TIMEOUT,
@@ -51,6 +52,11 @@
 IDLE_SOCKET, IDLE_PEER_SOCKET = socket.socketpair()
 
 
+def create_budget() -> MemoryBudget:
+    """Return a budget of the usual size."""
+    return MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
+
+
 class RecordingTransport:
     """A transport that records what is written and whether it is aborted."""
 
@@ -59,6 +65,9 @@
         self.written = b""
         self.socket = IDLE_SOCKET
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Accept any limit, as all data is taken at once."""
+
     def write(self, data: bytes) -> None:
         self.written += data
 
@@ -75,7 +84,9 @@
     """A connection that records the frames to send."""
 
     def __init__(self, link: MeshLink) -> None:
-        super().__init__(link._handle_frame, link._handle_close)
+        super().__init__(
+            link._handle_frame, link._handle_close, create_budget()
+        )
         self.posted: list[Frame] = []
 
     def post(self, frame: Frame) -> None:
@@ -90,7 +101,10 @@
         self.reachable: list[bool] = []
         self.connecting_count = 0
         self.link = MeshLink(
-            Endpoint("127.0.0.1", 1), self.clock, self.reachable.append
+            Endpoint("127.0.0.1", 1),
+            self.clock,
+            self.reachable.append,
+            create_budget(),
         )
         self.link._start_connecting = (  # type: ignore[method-assign]
             self.count_connecting
@@ -328,7 +342,7 @@
         self,
     ) -> None:
         """Remove the member while its link is still connecting."""
-        mesh = Mesh(ManualClock(), lambda *_: None)
+        mesh = Mesh(ManualClock(), lambda *_: None, create_budget())
         self.addAsyncCleanup(mesh.close)
         link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
         results: list[RunResult | None] = []
@@ -343,7 +357,7 @@
         self,
     ) -> None:
         clock = ManualClock()
-        mesh = Mesh(clock, lambda *_: None)
+        mesh = Mesh(clock, lambda *_: None, create_budget())
         self.addAsyncCleanup(mesh.close)
         link = mesh.get_link("host-1", Endpoint(LOCALHOST, 1))
         transport = RecordingTransport()
@@ -370,13 +384,14 @@
     async def asyncSetUp(self) -> None:
         self.started: list[RunCall] = []
         self.responds = True
-        self.server = MeshServer(self.run_call)
+        self.server = MeshServer(self.run_call, create_budget())
         self.port = await self.server.start(LOCALHOST, 0)
         self.reachable: list[bool] = []
         self.link = MeshLink(
             Endpoint(LOCALHOST, self.port),
             ProcessClock(),
             self.reachable.append,
+            create_budget(),
         )
         self.addCleanup(self.link.close)
         self.addAsyncCleanup(self.server.close)
@@ -510,7 +525,9 @@
         for name in ("eof_received", "abort", "connection_lost"):
             with self.subTest(name=name):
                 connection = FrameConnection(
-                    self.link._handle_frame, self.link._handle_close
+                    self.link._handle_frame,
+                    self.link._handle_close,
+                    create_budget(),
                 )
                 transport = RecordingTransport()
                 connection.connection_made(cast("Any", transport))
@@ -528,5 +545,63 @@
                 self.assert_not_run(await self.wait_for_result(results))
 
 
+class EarlyEndTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against calls on connections that end as they are made.
+
+    Data and the end of a connection may be read before the task that made
+    it goes on. Calls written then would count as run, or get no result.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.reachable: list[bool] = []
+        self.transport = RecordingTransport()
+        self.link = MeshLink(
+            Endpoint(LOCALHOST, 1),
+            ProcessClock(),
+            self.reachable.append,
+            create_budget(),
+        )
+        self.addCleanup(self.link.close)
+
+    async def expect_not_run(
+        self, end: Callable[[FrameConnection], None]
+    ) -> None:
+        """Expect a refusal of calls around the end of the connection."""
+
+        async def connect(
+            create_protocol: Callable[[], FrameConnection], *_: object
+        ) -> FrameConnection:
+            connection = create_protocol()
+            connection.connection_made(cast("Any", self.transport))
+            end(connection)
+            self.link.call(CALL, later.append)
+            return connection
+
+        earlier: list[RunResult | None] = []
+        later: list[RunResult | None] = []
+        with patch("sequoiaseam._mesh.connect", connect):
+            self.link.call(CALL, earlier.append)
+            await asyncio.sleep(0.01)
+        for results in (earlier, later):
+            (result,) = results
+            assert isinstance(result, RunRefusal), result
+            self.assertFalse(result.may_have_run)
+        self.assertEqual(self.transport.written, b"")
+        self.assertFalse(any(self.reachable))
+        self.assertFalse(self.link.busy)
+        # The next check connects again.
+        with patch.object(self.link, "_start_connecting") as start_connecting:
+            self.link.tick(ProcessClock().now())
+        start_connecting.assert_called_once()
+
+    async def test_the_connection_is_lost(self) -> None:
+        await self.expect_not_run(lambda c: c.connection_lost(None))
+
+    async def test_the_other_node_leaves(self) -> None:
+        content = encode_frame(MeshLeave(0))
+        frame = LENGTH_PREFIX.pack(len(content)) + content
+        await self.expect_not_run(lambda c: c.data_received(frame))
+
+
 if __name__ == "__main__":
     unittest.main()
