Bound the bodies that sequoiaseam-node holds

What callers could see: the same as on a node of the platform; bodies of requests in progress end the process. Cause: each was read whole and copied up to four times on its way, and nothing bounded the sum. Change: a new setting memory; a body is charged with its copies before it is read, and refused with OVERLOAD (not run) and a Retry-After if it doesn't fit. Open: messages of peers are still read whole, up to 72 MB each.

--- a/src/sequoiaseam/_edge.py
+++ b/src/sequoiaseam/_edge.py
@@ -261,6 +261,7 @@
             body=b"",
             arrived=self._clock.now(),
             read_body=lambda limit: read_body(request, limit),
+            announced_length=_find_length(request),
         )
         try:
             answer = await self._run_chain(exchange)
@@ -286,6 +287,13 @@
             ) from None
 
 
+def _find_length(request: web.BaseRequest) -> int | None:
+    """Return the length of the body, None if it is only known at its end."""
+    if request.content.is_eof():
+        return 0
+    return request.content_length
+
+
 def _decode_headers(
     request: web.BaseRequest,
 ) -> tuple[tuple[str, str], ...]:
--- a/src/sequoiaseam/_exchange.py
+++ b/src/sequoiaseam/_exchange.py
@@ -29,6 +29,8 @@
     arrived: datetime
     # Reads the body up to a limit in bytes; None if it is already read.
     read_body: Callable[[int], Awaitable[bytes]] | None = None
+    # Length of that body in bytes, None if it is not announced.
+    announced_length: int | None = None
     token: str | None = None
     timeout: timedelta | None = None
     request_id: str | None = None
--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -14,6 +14,7 @@
     check_nested_request,
     check_request,
 )
+from sequoiaseam._memory import MemoryBudget, MemoryUse
 from sequoiaseam._metrics import NodeMetrics, RequestSample
 from sequoiaseam._paths import check_path
 from sequoiaseam._pressure import PressureMap
@@ -25,6 +26,10 @@
 from sequoiaseam.errors import ErrorCode, RefusalError
 
 NESTING_DEPTH_MAX: Final = 16
+# Copies of a body that this node makes on its way to another one.
+BODY_COPIES_MAX: Final = 4
+# When requests that don't fit into memory may come back.
+MEMORY_RETRY_AFTER: Final = timedelta(seconds=1)
 UNMATCHED_LABEL: Final = "none"
 
 
@@ -322,17 +327,41 @@
     """Read the body within the size limit and the request's deadline.
 
     ``body_limit`` is the node's maximum body size in bytes; the route's
-    own limit applies if it is smaller.
+    own limit applies if it is smaller. ``budget`` is charged with the body
+    from before it is read until the response.
     """
 
-    def __init__(self, clock: Clock, body_limit: int) -> None:
+    def __init__(
+        self, clock: Clock, body_limit: int, budget: MemoryBudget
+    ) -> None:
         self._clock = clock
         self._body_limit = body_limit
+        self._budget = budget
 
     async def run(self, exchange: Exchange, proceed: Handler) -> Response:
-        """Refuse a body that exceeds the limit or contains the key."""
-        if exchange.read_body is not None:
-            exchange.body = await self._read_body(exchange, exchange.read_body)
+        """Refuse a body that exceeds a limit or contains the key."""
+        read_body = exchange.read_body
+        if read_body is None:
+            return await self._proceed(exchange, proceed)
+        limit = min(exchange.get_route().body_limit, self._body_limit)
+        size = exchange.announced_length
+        size = limit if size is None else min(size, limit)
+        charged = BODY_COPIES_MAX * size
+        if charged and not self._budget.reserve_request(
+            MemoryUse.REQUESTS, charged, exchange.importance
+        ):
+            raise RefusalError(
+                ErrorCode.OVERLOAD,
+                "the body does not fit into memory",
+                retry_after=MEMORY_RETRY_AFTER,
+            )
+        try:
+            exchange.body = await self._read_body(exchange, read_body, limit)
+            return await self._proceed(exchange, proceed)
+        finally:
+            self._budget.release(MemoryUse.REQUESTS, charged)
+
+    async def _proceed(self, exchange: Exchange, proceed: Handler) -> Response:
         check_body(exchange.token, exchange.body)
         exchange.token = None
         return await proceed(exchange)
@@ -341,9 +370,9 @@
         self,
         exchange: Exchange,
         read_body: Callable[[int], Awaitable[bytes]],
+        limit: int,
     ) -> bytes:
         """Return the body; refuse the request if the deadline passes."""
-        limit = min(exchange.get_route().body_limit, self._body_limit)
         remaining = exchange.get_deadline() - self._clock.now()
         try:
             async with asyncio.timeout(remaining.total_seconds()):
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -58,6 +58,7 @@
 from sequoiaseam._handles import HandleTable
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
+from sequoiaseam._memory import MemoryBudget, compute_held_bytes_limit
 from sequoiaseam._metrics import NodeMetrics, format_metrics
 from sequoiaseam._peer_links import PeerLinkHooks, PeerLinkPool
 from sequoiaseam._peers import PeerServer
@@ -126,6 +127,9 @@
         self._last_reported_member: Member | None = None
         self._report_sequence = 0
         self._pressure = PressureMap(rng)
+        self._memory = MemoryBudget(
+            compute_held_bytes_limit(settings.memory_limit_bytes)
+        )
         self._handles = HandleTable(
             lambda: secrets.token_urlsafe(HANDLE_RANDOM_BYTES),
         )
@@ -228,6 +232,9 @@
             ),
         )
 
+    def _create_body_filter(self) -> BodyFilter:
+        return BodyFilter(self._clock, self._settings.body_limit, self._memory)
+
     def _create_edge(self) -> Edge:
         chain = chain_filters(
             (
@@ -239,7 +246,7 @@
                 self._drain_filter,
                 QuotaFilter(self._quota_gate),
                 PressureFilter(self._clock, self._pressure),
-                BodyFilter(self._clock, self._settings.body_limit),
+                self._create_body_filter(),
                 OpenAttemptsFilter(self._at_most_once_filter),
             ),
             self._dispatcher.run,
@@ -253,7 +260,7 @@
                 NestedCallFilter(self._handles),
                 RouteFilter(self._clock, self.view),
                 self._at_most_once_filter,
-                BodyFilter(self._clock, self._settings.body_limit),
+                self._create_body_filter(),
                 OpenAttemptsFilter(self._at_most_once_filter),
             ),
             self._dispatcher.run,
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -34,12 +34,16 @@
 # below it.
 REPLICA_COUNTS: Final = (1, 3, 5, 7)
 
+# Where the largest body fits, which this program copies up to four times.
+DEFAULT_NODE_MEMORY_BYTES: Final = 2 * 1024 * 1024 * 1024
+MEMORY_LIMIT_MIN_BYTES: Final = 128 * 1024 * 1024
+MEMORY_LIMIT_MAX_BYTES: Final = 1024 * 1024 * 1024 * 1024
 NODE_KEYS: Final[Mapping[str, tuple[str, ...]]] = {
     "node": ("name", "domain", "region"),
     "listen": ("callers", "peers", "local", "metrics"),
     "control": ("hosts",),
     "access": ("secrets",),
-    "limits": ("body", "headers", "drain_timeout"),
+    "limits": ("body", "headers", "drain_timeout", "memory"),
     "log": ("level",),
 }
 CONTROL_KEYS: Final[Mapping[str, tuple[str, ...]]] = {
@@ -103,6 +107,8 @@
     body_limit: int = BODY_LIMIT_MAX_BYTES
     headers_limit: int = DEFAULT_HEADERS_LIMIT_BYTES
     drain_timeout: timedelta = timedelta(seconds=30)
+    # The process is ended by its supervisor if it takes more memory.
+    memory_limit_bytes: int = DEFAULT_NODE_MEMORY_BYTES
     log_level: str = "info"
 
 
@@ -254,6 +260,9 @@
 _parse_body_limit: Final = _create_bounded_parser(
     parse_size, 0, BODY_LIMIT_MAX_BYTES, format_size
 )
+_parse_memory_limit: Final = _create_bounded_parser(
+    parse_size, MEMORY_LIMIT_MIN_BYTES, MEMORY_LIMIT_MAX_BYTES, format_size
+)
 _parse_headers_limit: Final = _create_bounded_parser(
     parse_size,
     1024,
@@ -395,6 +404,9 @@
             _parse_drain_timeout,
             timedelta(seconds=30),
         ),
+        "memory_limit_bytes": ini.take(
+            "limits", "memory", _parse_memory_limit, DEFAULT_NODE_MEMORY_BYTES
+        ),
         "log_level": ini.take("log", "level", parse_log_level, "info"),
     }
     ini.report_unknown(NODE_KEYS)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,10 +1,13 @@
 """Tests of the bound on held bytes, and of what callers make a node hold."""
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any, Final
 
 from sequoiaseam._clock import ManualClock
+from sequoiaseam._exchange import Exchange, Response
+from sequoiaseam._filters import BodyFilter
 from sequoiaseam._http_server import (
     UNREAD_TIMEOUT,
     HttpRequest,
@@ -18,6 +21,9 @@
     MemoryUse,
 )
 from sequoiaseam._tables import Importance
+from sequoiaseam._verdict import Verdict
+from sequoiaseam.errors import ErrorCode, RefusalError
+from tests.builders import build_route
 from tests.hosts import API_KEY, HostCluster, echo_body
 from tests.test_http_server import (
     CHUNKED_FIELD,
@@ -315,6 +321,59 @@
         self.assertEqual([True], granted)
 
 
+class BodyFilterTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against bodies whose sum ends ``sequoiaseam-node``."""
+
+    async def asyncSetUp(self) -> None:
+        self.budget = MemoryBudget(LIMIT_BYTES)
+        self.filter = BodyFilter(ManualClock(), MEBIBYTE, self.budget)
+        # What was held as the next step of the chain ran.
+        self.held: list[int] = []
+
+    async def proceed(self, _: Exchange) -> Response:
+        """Record what is held and respond."""
+        self.held.append(self.budget.held_bytes)
+        return Response(200, (), b"")
+
+    async def run_request(self, announced_length: int | None) -> None:
+        """Run a request with a body of 1,000 bytes."""
+
+        async def read_body(limit: int) -> bytes:
+            return bytes(min(limit, 1000))
+
+        now = ManualClock().now()
+        exchange = Exchange(
+            "POST",
+            "/a",
+            (),
+            b"",
+            now,
+            read_body,
+            announced_length,
+            route=replace(build_route("a", "/a"), body_limit=MEBIBYTE),
+            deadline=now + SWEEP_TIME,
+        )
+        await self.filter.run(exchange, self.proceed)
+
+    async def test_copies_are_charged_until_the_response(self) -> None:
+        for length, expected in ((1000, 4000), (None, 4 * MEBIBYTE), (0, 0)):
+            with self.subTest(length=length):
+                await self.run_request(length)
+                self.assertEqual(expected, self.held.pop())
+                self.assertEqual(0, self.budget.held_bytes)
+
+    async def test_what_does_not_fit_is_refused_unread(self) -> None:
+        self.budget.charge(MemoryUse.REQUESTS, LIMIT_BYTES)
+        with self.assertRaises(RefusalError) as caught:
+            await self.run_request(1000)
+        error = caught.exception
+        self.assertIs(ErrorCode.OVERLOAD, error.code)
+        self.assertIs(Verdict.NOT_RUN, error.verdict)
+        self.assertIsNotNone(error.retry_after)
+        await self.run_request(0)
+        self.assertEqual([LIMIT_BYTES], self.held)
+
+
 class NodeMemoryTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a refusal for want of memory that misleads callers."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -85,6 +85,7 @@
         self.assertEqual(node.control_hosts["c2"], Endpoint("10.0.0.9", 7000))
         self.assertEqual(node.body_limit, 65536)
         self.assertEqual(node.drain_timeout, timedelta(seconds=0.5))
+        self.assertEqual(node.memory_limit_bytes, 2 * 1024**3)
         self.assertEqual(node.secrets.fleet, (b"\xab" * 32,))
         self.assertNotIn("xab", repr(node))
         control = load_control_settings(self.write_file("c.ini", CONTROL_INI))
