Send and read large bodies in a soak of its own

Cause: the bodies of the soak are 1.2 KB, so it couldn't find that uploads end a node. Change: the site "uploads" has bursts of bodies from 2 KB to 64 MiB, with a length and in chunks, sent slowly or left midway; answers up to 16 MiB that are read slowly or not at all; and crowds of up to 2,000 connections, beside orders on kept connections. A refusal has to name a time to return. Bodies are parts of one megabyte that repeats; servers and callers compare them as they arrive and keep none. The other sites and their schedules are as before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Run the soak of several seeds, one after the other.
 
 For example: python -m tests.soak --seeds 100-149
+or: python -m tests.soak --site uploads --seeds 1-3
 or: python -m tests.soak --site waymarks --rate 0.1 --seeds 1-3
 or, with planned stops of nodes at their limit:
 python -m tests.soak --site waymarks --rate 1 --processes 4 --seeds 1-3
@@ -16,6 +17,7 @@
 from tests.soak.run import run_soak
 from tests.soak.shards import run_sharded_soak
 from tests.soak.site import AUDITS, STORES
+from tests.soak.uploads import UPLOADS
 from tests.soak.waymarks import create_site
 
 DEFAULT_SECONDS: Final = 30.0
@@ -30,7 +32,9 @@
         "--logs", type=Path, help="existing folder that keeps all logs"
     )
     parser.add_argument(
-        "--site", choices=("stores", "audits", "waymarks"), default="stores"
+        "--site",
+        choices=("stores", "audits", "uploads", "waymarks"),
+        default="stores",
     )
     parser.add_argument(
         "--rate", type=float, default=0.1, help="of waymarks, 1 is all of it"
@@ -42,7 +46,7 @@
         help="for callers and servers of waymarks; 0 is this one",
     )
     options = parser.parse_args()
-    site = {"stores": STORES, "audits": AUDITS}.get(
+    site = {"stores": STORES, "audits": AUDITS, "uploads": UPLOADS}.get(
         options.site
     ) or create_site(options.rate)
     first, _, last = options.seeds.partition("-")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,7 @@
 from tests.soak.site import Site
 
 CHUNK_BYTES: Final = 64 * 1024
+CHUNKED: Final = "Transfer-Encoding: chunked"
 # Over the request's time limit. No node takes so long on a busy machine.
 ANSWER_SLACK_SECONDS: Final = 10.0
 # Before a caller connects again to a node that refused a connection.
@@ -41,10 +42,8 @@
         return f"{self._seed % 2**32:08x}{next(self._counter):08x}"
 
 
-def encode_request(
-    call: Call, remaining_ms: int, *, chunked: bool = False
-) -> bytes:
-    """Return the bytes of a request."""
+def encode_head(call: Call, remaining_ms: int, framing: str = "") -> bytes:
+    """Return the head of a request, with a field on its body if it has one."""
     lines = [
         f"{call.method} {call.target} HTTP/1.1",
         "Host: any.example",
@@ -53,13 +52,22 @@
     ]
     if call.key:
         lines.append(f"Authorization: Bearer {call.key}")
-    body = call.body
+    if framing:
+        lines.append(framing)
+    return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
+
+
+def encode_request(
+    call: Call, remaining_ms: int, *, chunked: bool = False
+) -> bytes:
+    """Return the bytes of a request."""
+    body, framing = call.body, ""
     if call.method != "GET" and chunked:
-        lines.append("Transfer-Encoding: chunked")
+        framing = CHUNKED
         body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
     elif call.method != "GET":
-        lines.append(f"Content-Length: {len(body)}")
-    return "".join(f"{line}\r\n" for line in (*lines, "")).encode() + body
+        framing = f"Content-Length: {len(body)}"
+    return encode_head(call, remaining_ms, framing) + body
 
 
 def parse_head(head: bytes) -> tuple[str, dict[str, str]]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,6 +32,7 @@
 )
 from tests.soak.servers import BackendServer, Place
 from tests.soak.site import STORES, Site
+from tests.soak.uploads import LargeLoad, build_uploads_schedule
 from tests.soak.waymarks import STOPPED_RATIO, build_waymarks_schedule
 
 # Callers that reach their node through a relay, if there are relays: one
@@ -113,6 +114,13 @@
         self._server_count = 0
         self._callers: list[Caller] = []
         self._relays: dict[str, FaultRelay] = {}
+        self._load = LargeLoad(
+            self._record,
+            self._create_rng("large load"),
+            self._ids,
+            site,
+            self._fleet.outbound_port,
+        )
         self._longest_stop = 0.0
         # How late the soak itself was, which delays what it sees.
         self._lateness = 0.0
@@ -376,6 +384,9 @@
             Kind.REMOVE_SERVER: self._remove_server,
             Kind.RELEASE: self._release,
             Kind.BURST: self._burst,
+            Kind.UPLOAD: self._load.upload,
+            Kind.EXPORT: self._load.export,
+            Kind.CROWD: self._load.crowd,
             Kind.RELOAD: self._reload,
             Kind.STALL_DISK: self._stall_disk,
             Kind.STEP_CLOCK: self._step_clock,
@@ -714,6 +725,8 @@
     cancel_on_sigterm()
     if site.name == "waymarks":
         schedule = build_waymarks_schedule(seed, seconds, site)
+    elif site.name == "uploads":
+        schedule = build_uploads_schedule(seed, seconds, site)
     else:
         schedule = build_schedule(seed, seconds, site.nodes, site.controls)
     async with asyncio.timeout(seconds + OVERHEAD_SECONDS_MAX):
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -35,6 +35,11 @@
     # Replace servers and stop their nodes in turn, the busiest first.
     RELEASE = "release servers"
     BURST = "burst"
+    # Large bodies at one node: sent at once, asked for and read slowly.
+    UPLOAD = "upload"
+    EXPORT = "export"
+    # Many connections at one node, most of which are idle or half sent.
+    CROWD = "crowd"
     # Two edits on top of the same version.
     RACE = "race"
     STALL_DISK = "stall disk"
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -7,7 +7,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import aiohttp
@@ -19,6 +19,13 @@
     parse_head,
 )
 from tests.soak.calls import Call, Run
+from tests.soak.content import (
+    PART_BYTES_MAX,
+    ReceivedBody,
+    describe_content,
+    find_start,
+    iterate_parts,
+)
 from tests.soak.record import Record
 from tests.soak.relay import LOOPBACK, FaultRelay
 from tests.soak.site import RouteKind, Site
@@ -262,6 +269,13 @@
             ]
         return 200 if await self._make_calls(calls, remaining) else 500
 
+    def is_large(self, target: str) -> bool:
+        """Return whether a target is that of a route for large bodies."""
+        return any(
+            route.large and target.startswith(route.prefix)
+            for route in self.place.site.routes
+        )
+
     def draw_answer_size(self, target: str) -> int:
         """Return the size of an answer without its first words."""
         mean = self.place.site.find_route(target).answer_bytes
@@ -352,6 +366,10 @@
         self._server = server
         self._connections = connections
         self._data = b""
+        self._head: tuple[str, dict[str, str]] = ("", {})
+        self._body: ReceivedBody | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
         self._task: asyncio.Task[None] | None = None
         self._run: Run | None = None
         self._request: Request | None = None
@@ -390,20 +408,44 @@
     def data_received(self, data: bytes) -> None:
         if self._idle_timer is not None:
             self._idle_timer.cancel()
-        self._data += data
-        head, end, rest = self._data.partition(b"\r\n\r\n")
-        if not end:
-            return
-        first_line, fields = parse_head(head)
-        size = int(fields.get("content-length", 0))
-        if len(rest) < size:
+        if self._body is None:
+            head, end, rest = (self._data + data).partition(b"\r\n\r\n")
+            if not end:
+                self._data = head
+                return
+            self._head = parse_head(head)
+            self._body = self._create_body()
+            data, self._data = rest, b""
+        rest = self._body.feed(data)
+        if not self._body.complete:
             return
-        body, self._data = rest[:size], rest[size:]
+        first_line, fields = self._head
+        body, self._body = self._body, None
         server = self._server
-        if self._request is not None or self._data:
-            server.record.fail(f"a request before the last answer: {head!r}")
+        if self._request is not None or rest:
+            server.record.fail(f"a request before the last answer: {rest!r}")
         method, target, _ = first_line.split(" ")
-        self._start(Request(method, target, fields, body, server.record.now()))
+        request = Request(
+            method, target, fields, body.kept, server.record.now()
+        )
+        if server.is_large(target):
+            sent = describe_content(request.request_id, body.size)
+            request = replace(request, body=sent if body.sound else b"changed")
+        self._start(request)
+
+    def _create_body(self) -> ReceivedBody:
+        first_line, fields = self._head
+        size = int(fields.get("content-length", 0))
+        start = None
+        if self._server.is_large(first_line.split(" ")[1]):
+            start = find_start(fields.get("x-sequoiaseam-attempt-id", "0"))
+        return ReceivedBody(size, start)
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
 
     def _start(self, request: "Request") -> None:
         """Run a request, unless it is for another server."""
@@ -470,9 +512,16 @@
         except asyncio.CancelledError:
             server.record.end_run(run, "cut by the node")
             return
+        run.status = status
+        if (
+            status == 200
+            and request.method == "GET"
+            and (server.is_large(request.target))
+        ):
+            await self._send_content(run, request)
+            return
         filler = "x" * server.draw_answer_size(request.target)
         run.body = f"{request.request_id} by {run.server} {filler}".encode()
-        run.status = status
         run.signature = hashlib.sha256(run.body).hexdigest()
         server.record.end_run(run, "answered")
         self._task = self._request = None
@@ -493,6 +542,19 @@
                 answer if spoiled == "copy" else b"extra\r\n",
             )
 
+    async def _send_content(self, run: Run, request: Request) -> None:
+        """Answer with as many bytes as the target asks for."""
+        size = int(request.target.rpartition("/")[2])
+        run.body = describe_content(request.request_id, size)
+        run.signature = f"{request.request_id}-{run.server}"
+        self._server.record.end_run(run, "answered")
+        self._write(200, request.request_id, run.signature, b"", size)
+        start = find_start(request.request_id, is_answer=True)
+        for part in iterate_parts(start, size, PART_BYTES_MAX):
+            await self._writable.wait()
+            self._transport.write(part)
+        self._task = self._request = None
+
     def _send_extra(self, spoiled: str, data: bytes) -> None:
         """Send what belongs to no request, if the connection is open."""
         if not self._transport.is_closing():
@@ -501,14 +563,22 @@
             self._transport.write(data)
 
     def _write(
-        self, status: int, request_id: str, signature: str, body: bytes
+        self,
+        status: int,
+        request_id: str,
+        signature: str,
+        body: bytes,
+        following: int = 0,
     ) -> bytes:
-        """Send an answer, in rare cases the last one on the connection."""
-        closes = self._server.rng.random() < 0.02
+        """Send an answer, in rare cases the last one on the connection.
+
+        ``following`` is the size of the part of its body that is sent later.
+        """
+        closes = self._server.rng.random() < 0.02 and not following
         lines = [
             f"HTTP/1.1 {status} Any",
             f"X-Sequoiaseam-Attempt-Id: {request_id}",
-            f"Content-Length: {len(body)}",
+            f"Content-Length: {len(body) + following}",
         ]
         if signature:
             lines.append(f"X-Sequoiaseam-Response-Signature: {signature}")
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -37,7 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteKind:
-    """A route of the configuration; ``weight`` 0 is one of nested calls.
+    """A route of the configuration.
+
+    ``weight`` 0 is one of nested calls, or of large bodies: requests to
+    these have, or ask for, a body of the shared content.
 
     ``timeout`` is the least that edits set, and the time that callers give.
     Without ``work``, backend servers draw times and nested calls themselves.
@@ -56,6 +59,7 @@
     answer_bytes: int = 0
     # Prefixes of the nested calls, which are made one after the other.
     calls: tuple[str, ...] = ()
+    large: bool = False
     # Another service to which edits move the route.
     other_service: str = ""
 
@@ -67,7 +71,7 @@
     @property
     def nested(self) -> bool:
         """Return whether only backend servers send requests."""
-        return not self.weight
+        return not (self.weight or self.large)
 
     def draw_body(self, rng: random.Random) -> bytes:
         """Return the body of a request."""
@@ -145,7 +149,7 @@
     @property
     def root_routes(self) -> tuple[RouteKind, ...]:
         """Return the routes that callers use."""
-        return tuple(route for route in self.routes if not route.nested)
+        return tuple(route for route in self.routes if route.weight)
 
     @property
     def nested_routes(self) -> tuple[RouteKind, ...]:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import math
 import tempfile
 import unittest
 from dataclasses import replace
@@ -16,11 +17,19 @@
 import aiohttp
 from aiohttp import web
 
+from tests.soak.calls import Call, End
+from tests.soak.content import (
+    PART_BYTES_MAX,
+    describe_content,
+    find_start,
+    iterate_parts,
+)
 from tests.soak.operator import Operator
 from tests.soak.record import Record
 from tests.soak.run import Soak
 from tests.soak.schedule import Action, Kind, Schedule
 from tests.soak.site import STORES
+from tests.soak.uploads import KIB, MIB, LargeExchange, Manner
 
 LOOPBACK: Final = "127.0.0.1"
 NODE: Final = "127.0.2.3"
@@ -101,6 +110,89 @@
         self.assertIn("answer was replaced", self.run_soak(ImpatientSoak))
 
 
+class LargeExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak that misses what happens to large bodies."""
+
+    async def exchange(
+        self, answer: bytes, call: Call, manner: Manner, size: int
+    ) -> Record:
+        """Send a request to a server that answers its first bytes."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, LOOPBACK, 0)
+        self.addCleanup(server.close)
+        record = Record()
+        port = server.sockets[0].getsockname()[1]
+        await LargeExchange(record, call, manner).run(port, size)
+        return record
+
+    def create_call(self, method: str) -> Call:
+        """Return a request to the server."""
+        return Call(
+            *("7", LOOPBACK, method, "/any/7", b""),
+            *(method == "GET", "", "front", 5.0),
+        )
+
+    async def test_an_answer_before_all_was_sent(self) -> None:
+        answer = b"HTTP/1.1 503 Any\r\nRetry-After: 1\r\n\r\n"
+        call = self.create_call("POST")
+        record = await self.exchange(answer, call, Manner(), 64 * MIB)
+        self.assertEqual((call.end, call.status), (End.ANSWERED, 503))
+        self.assertEqual(call.sent_at, math.inf)
+        self.assertFalse(record.failures)
+
+    async def test_a_refusal_without_a_time_to_return(self) -> None:
+        call = self.create_call("POST")
+        record = await self.exchange(
+            b"HTTP/1.1 503 Any\r\n\r\n", call, Manner(), 64 * MIB
+        )
+        self.assertIn("time to return", "\n".join(record.failures))
+
+    async def test_a_proper_body_that_is_called_too_large(self) -> None:
+        call = self.create_call("POST")
+        record = await self.exchange(
+            b"HTTP/1.1 413 Any\r\n\r\n", call, Manner(), 64 * MIB
+        )
+        self.assertIn("got 413", "\n".join(record.failures))
+
+    async def test_a_close_before_all_was_sent(self) -> None:
+        call = self.create_call("POST")
+        record = await self.exchange(b"", call, Manner(), 64 * MIB)
+        self.assertIs(call.end, End.UNSENT)
+        self.assertEqual(record.strikes["large request unsent"], 1)
+
+    async def read_answer(self, content: bytes) -> bytes:
+        """Return what is recorded of an answer with this content."""
+        head = b"HTTP/1.1 200 Any\r\nContent-Length: %d\r\n\r\n"
+        call = self.create_call("GET")
+        await self.exchange(head % len(content) + content, call, Manner(), 0)
+        self.assertIs(call.end, End.ANSWERED)
+        return call.answer
+
+    async def test_a_changed_byte_of_an_answer(self) -> None:
+        start = find_start("7", is_answer=True)
+        content = b"".join(iterate_parts(start, 3 * MIB, PART_BYTES_MAX))
+        size = len(content)
+        expected = describe_content("7", size)
+        self.assertEqual(await self.read_answer(content), expected)
+        changed = bytearray(content)
+        changed[2 * MIB] ^= 1
+        self.assertEqual(await self.read_answer(bytes(changed)), b"changed")
+
+    async def test_a_caller_that_leaves_midway(self) -> None:
+        call = self.create_call("POST")
+        manner = Manner(left_after=MIB, part_bytes=64 * KIB)
+        await self.exchange(b"", call, manner, 64 * MIB)
+        self.assertIs(call.end, End.ABANDONED)
+        self.assertEqual(call.sent_at, math.inf)
+
+
 class ReadBackTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that misses a lost configuration."""
 
