Charge the start of a frame that hasn't come whole

Change: it is charged as part of calls and released as the frame is whole or the connection ends.

RandomFaultsTest runs calls and answers of random sizes through 20 seeds of cancellations, ends of connections and silence.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -116,6 +116,8 @@
         self._write_paused = False
         # What the kernel hasn't taken, as it is charged.
         self._unsent_bytes = 0
+        # The start of a frame that hasn't come whole, as it is charged.
+        self._buffered_bytes = 0
         self._bodies = OutgoingBodies(budget)
         self._parts_scheduled = False
         self._transport: Any = None
@@ -155,6 +157,7 @@
         del exc
         self.closed = self._ending = True
         self._charge_unsent(0)
+        self._charge_buffer()
         self._on_close()
         self._bodies.clear()
 
@@ -165,18 +168,32 @@
         """
         self.received_data = True
         buffer = self._buffer
-        if not buffer:
-            buffer += data[self._handle_frames(data) :]
-            return
-        buffer += data
-        if len(buffer) < LENGTH_PREFIX.size:
-            return
-        (size,) = LENGTH_PREFIX.unpack_from(buffer)
-        if len(buffer) < LENGTH_PREFIX.size + size <= FRAME_MAX_BYTES:
-            return
-        content = bytes(buffer)
-        buffer.clear()
-        buffer += content[self._handle_frames(content) :]
+        if buffer:
+            buffer += data
+            if not self._has_whole_frame():
+                self._charge_buffer()
+                return
+            data = bytes(buffer)
+            buffer.clear()
+        buffer += data[self._handle_frames(data) :]
+        if buffer or self._buffered_bytes:
+            self._charge_buffer()
+
+    def _has_whole_frame(self) -> bool:
+        """Return whether the buffer has a whole frame or an invalid one."""
+        if len(self._buffer) < LENGTH_PREFIX.size:
+            return False
+        size = int(LENGTH_PREFIX.unpack_from(self._buffer)[0])
+        is_too_long = size > FRAME_MAX_BYTES
+        return is_too_long or len(self._buffer) >= LENGTH_PREFIX.size + size
+
+    def _charge_buffer(self) -> None:
+        """Charge the start of a frame, in place of what it was."""
+        if self._ending:
+            self._buffer.clear()
+        added = len(self._buffer) - self._buffered_bytes
+        self._buffered_bytes += added
+        self._budget.charge(MemoryUse.CALLS, added)
 
     def _handle_frames(self, data: bytes) -> int:
         """Pass on each complete frame; return the end of the last one."""
--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -83,6 +83,10 @@
             content = encode_frame(frame)
             self._writer.write(LENGTH_PREFIX.pack(len(content)) + content)
 
+    def send_bytes(self, data: bytes) -> None:
+        """Send a part of a frame."""
+        self._writer.write(data)
+
     async def receive(self) -> Any:
         """Return the next frame but pings, None at the end."""
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
@@ -449,6 +453,30 @@
         self.assertEqual(self.cancelled_count, 1)
 
 
+class IncompleteFrameTest(MeshTestCase):
+    """Guards against starts of frames that aren't charged."""
+
+    async def test_the_start_of_a_frame_is_charged_until_it_is_whole(
+        self,
+    ) -> None:
+        peer = await self.connect()
+        content = encode_frame(msgspec.structs.replace(CALL, body=PART))
+        data = LENGTH_PREFIX.pack(len(content)) + content
+        peer.send_bytes(data[:2])
+        await wait_until(lambda: self.runner_budget.held_bytes == 2)
+        peer.send_bytes(data[2:60_000])
+        await wait_until(lambda: self.runner_budget.held_bytes == 60_000)
+        peer.send_bytes(data[60_000:])
+        await wait_until(lambda: self.started)
+        self.assertTrue(self.started[0].body == PART)
+        self.finish[0](ANSWER)
+        await self.expect_nothing_held()
+        peer.send_bytes(data[:1000])
+        await wait_until(lambda: self.runner_budget.held_bytes == 1000)
+        peer.close()
+        await self.expect_nothing_held()
+
+
 class IncompleteCallTest(MeshTestCase):
     """Guards against incomplete calls that run, or hold memory."""
 
@@ -845,6 +873,141 @@
         self.assertIsInstance(results[0], RunAnswer)
 
 
+class RandomFaultsTest(MeshTestCase):
+    """Guards against charges left behind and against false verdicts.
+
+    Calls and answers of random sizes meet cancellations, ends of the
+    connection and silence at random times.
+    """
+
+    STEPS: Final = 150
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.caller_budget.limit_bytes = 3 * MIB
+        self.runner_budget.limit_bytes = 3 * MIB
+
+    async def start_runs(self, seed: int) -> None:
+        """Act at random, and check what comes of it."""
+        self.rng = Random(seed)
+        self.started.clear()
+        self.finish.clear()
+        self.unfinished: list[RunCall] = []
+        self.ids: dict[int, int] = {}
+        self.results: dict[int, list[RunResult | None]] = {}
+        self.bodies: dict[int, bytes] = {}
+        self.answers: dict[int, bytes] = {}
+        self.cancelled: set[int] = set()
+        actions = (
+            *(self.send_random,) * 8,
+            *(self.finish_random,) * 8,
+            *(self.cancel_random,) * 2,
+            self.end_connection,
+            self.fall_silent,
+        )
+        for _ in range(self.STEPS):
+            self.rng.choice(actions)()
+            for _ in range(self.rng.choice((0, 0, 1, 3, 30))):
+                await asyncio.sleep(0)
+            self.link.tick(ProcessClock().now())
+        await self.finish_all()
+        self.check_results()
+        await self.expect_nothing_held()
+
+    def choose_size(self) -> int:
+        """Return a size of a body, large in half of the cases."""
+        size = self.rng.choice((100, LARGE_MIN_BYTES, MIB // 2, MIB))
+        return self.rng.randrange(size)
+
+    def send_random(self) -> None:
+        """Send a call; its target is its number."""
+        number = len(self.results)
+        results: list[RunResult | None] = []
+        self.results[number] = results
+        self.bodies[number] = body = self.rng.randbytes(self.choose_size())
+        call = msgspec.structs.replace(CALL, target=str(number), body=body)
+        call_id = self.link.call(call, results.append)
+        self.ids[number] = call_id
+
+    def finish_random(self) -> None:
+        """Answer a call that runs."""
+        if not self.finish:
+            return
+        index = self.rng.randrange(len(self.finish))
+        finish = self.finish.pop(index)
+        call = self.unfinished.pop(index)
+        body = self.rng.randbytes(self.choose_size())
+        self.answers[int(call.target)] = body
+        finish(
+            msgspec.structs.replace(ANSWER, call_id=call.call_id, body=body)
+        )
+
+    def cancel_random(self) -> None:
+        """Cancel a call without a result."""
+        numbers = [
+            n
+            for n, results in self.results.items()
+            if not results and n not in self.cancelled
+        ]
+        if numbers:
+            number = self.rng.choice(numbers)
+            self.cancelled.add(number)
+            self.link.cancel(self.ids[number])
+
+    def end_connection(self) -> None:
+        """End the connection on one of its sides."""
+        incoming = [i.connection for i in self.server._connections]
+        if self.link._connection is not None:
+            incoming.append(self.link._connection)
+        if incoming:
+            self.rng.choice(incoming).abort()
+
+    def fall_silent(self) -> None:
+        """Let the node count as silent; it isn't."""
+        if self.link._connection is not None:
+            self.link._connection.received_data = False
+            with patch.object(self.link._silence, "check", lambda _: True):
+                self.link.tick(ProcessClock().now())
+
+    def run_call(
+        self, call: RunCall, on_result: Callable[[RunResult], None]
+    ) -> Callable[[], None]:
+        """Leave a call in progress."""
+        self.unfinished.append(call)
+        return super().run_call(call, on_result)
+
+    async def finish_all(self) -> None:
+        """Answer calls until each has its result."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not all(
+                results or number in self.cancelled
+                for number, results in self.results.items()
+            ):
+                self.finish_random()
+                self.link.tick(ProcessClock().now())
+                await asyncio.sleep(0)
+
+    def check_results(self) -> None:
+        """Check that each result is whole and true."""
+        started = {int(call.target) for call in self.started}
+        for number, results in self.results.items():
+            self.assertLessEqual(len(results), 1)
+            if number in self.cancelled:
+                self.assertFalse(results)
+            for result in results:
+                if isinstance(result, RunAnswer):
+                    self.assertTrue(result.body == self.answers[number])
+                elif result is not None and not result.may_have_run:
+                    self.assertNotIn(number, started)
+        for call in self.started:
+            self.assertTrue(call.body == self.bodies[int(call.target)])
+
+    async def test_calls_with_faults(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                await self.start_runs(seed)
+
+
 # The time limit of this module's calls must outlast its waits.
 assert timedelta(milliseconds=CALL.remaining_ms) > timedelta(
     seconds=WAIT_LIMIT_SECONDS
