--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -140,6 +140,8 @@
     header_lines: bytes
     body: bytes
     length: int | None
+    # Bytes charged because it waits for the responses before it.
+    charged_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -588,7 +590,10 @@
 
     def _release_response(self, response: _Response) -> None:
         """Release what is charged for a response that was held back."""
-        self._server.budget.release(MemoryUse.RESPONSES, len(response.body))
+        if response.charged_bytes:
+            self._server.budget.release(
+                MemoryUse.RESPONSES, response.charged_bytes
+            )
 
     def _handle_expectation(self) -> None:
         expected = [v for name, v in self._fields if name == b"expect"]
@@ -730,9 +735,12 @@
         """
         if request not in self._in_progress:
             return
-        response = _Response(status, header_lines, body, length)
+        charged_bytes = 0
+        if request is not self._in_progress[0]:
+            charged_bytes = len(body)
+            self._server.budget.charge(MemoryUse.RESPONSES, charged_bytes)
+        response = _Response(status, header_lines, body, length, charged_bytes)
         self._held_responses[id(request)] = response
-        self._server.budget.charge(MemoryUse.RESPONSES, len(body))
         while self._in_progress:
             first = self._in_progress[0]
             next_response = self._held_responses.pop(id(first), None)
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -942,7 +942,8 @@
 
 def encode_refusal(code: ErrorCode) -> bytes:
     """Return the body of a refusal."""
-    return msgspec.json.encode({"code": code.value})
+    body: bytes = msgspec.json.encode({"code": code.value})
+    return body
 
 
 def choose_status(code: ErrorCode, *, may_have_run: bool) -> int:
--- a/src/sequoiaseam/embed.py
+++ b/src/sequoiaseam/embed.py
@@ -13,6 +13,7 @@
 from sequoiaseam._http_server import HttpRequest as HttpRequest
 from sequoiaseam._http_server import HttpServer as HttpServer
 from sequoiaseam._keyring import compute_digest as compute_digest
+from sequoiaseam._memory import MemoryBudget as MemoryBudget
 from sequoiaseam._program import run_embedded as run_embedded
 from sequoiaseam._settings import Endpoint as Endpoint
 from sequoiaseam._settings import parse_endpoint as parse_endpoint
