Grant waiting answers as a frame becomes whole

Cause: the charge of the start of a frame was lowered by charging a negative size, which grants no answer that waits for the room. And a start was dropped once this side knew that the other one had ended the connection, although the rest, such as an answer, may still wait in the kernel.

Change: the charge is released, and the start is dropped only with the connection. Reading is paused and resumed unless the transport is closing.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -189,11 +189,17 @@
 
     def _charge_buffer(self) -> None:
         """Charge the start of a frame, in place of what it was."""
-        if self._ending:
+        if self.closed:
             self._buffer.clear()
-        added = len(self._buffer) - self._buffered_bytes
-        self._buffered_bytes += added
-        self._budget.charge(MemoryUse.CALLS, added)
+        size = len(self._buffer)
+        self._change_charge(MemoryUse.CALLS, size - self._buffered_bytes)
+        self._buffered_bytes = size
+
+    def _change_charge(self, use: MemoryUse, added: int) -> None:
+        if added > 0:
+            self._budget.charge(use, added)
+        elif added < 0:
+            self._budget.release(use, -added)
 
     def _handle_frames(self, data: bytes) -> int:
         """Pass on each complete frame; return the end of the last one."""
@@ -329,14 +335,13 @@
         """Charge what the kernel hasn't taken, in place of what it was."""
         added = size - self._unsent_bytes
         self._unsent_bytes = size
-        if added > 0:
-            self._budget.charge(MemoryUse.UNSENT, added)
-        elif added < 0:
-            self._budget.release(MemoryUse.UNSENT, -added)
-        if self._pauses_reading and not self._ending:
+        self._change_charge(MemoryUse.UNSENT, added)
+        if self._pauses_reading:
             self._limit_reading()
 
     def _limit_reading(self) -> None:
+        if self.closed or self._transport.is_closing():
+            return
         if self._reading_paused != self.congested:
             self._reading_paused = self.congested
             if self._reading_paused:
--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -476,6 +476,47 @@
         peer.close()
         await self.expect_nothing_held()
 
+    async def test_the_end_of_a_frame_makes_room_for_an_answer(self) -> None:
+        peer = await self.connect()
+        peer.send_bytes(LENGTH_PREFIX.pack(len(PART)) + PART[:1000])
+        held = self.runner_budget
+        await wait_until(lambda: held.held_bytes == 1004)
+        granted: list[bool] = []
+        reservation = held.reserve_response(
+            held.limit_bytes - 1000, lambda: granted.append(True)
+        )
+        self.assertFalse(granted)
+        peer.send_bytes(PART[1000:])
+        await wait_until(lambda: granted)
+        reservation.release()
+
+    async def test_a_frame_whose_rest_comes_with_the_end_is_read(
+        self,
+    ) -> None:
+        """Let this side learn of the end between the two parts."""
+        peers = await self.listen()
+        _, results = self.send()
+        peer = await peers.get()
+        self.assertIsInstance(await peer.receive(), RunCall)
+        content = encode_frame(ANSWER)
+        data = LENGTH_PREFIX.pack(len(content)) + content
+        peer.send_bytes(data[:5])
+        await wait_until(lambda: self.caller_budget.held_bytes)
+        connection = self.link._connection
+        assert connection is not None
+        with patch.object(connection, "_has_ended", lambda: True):
+            _, later = self.send()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        peer.send_bytes(data[5:6])
+        await wait_until(lambda: self.caller_budget.held_bytes == 6)
+        peer.send_bytes(data[6:])
+        await wait_until(lambda: results)
+        self.assertEqual(results, [ANSWER])
+        peer.close()
+        await wait_until(lambda: later)
+        self.assert_refused(later[0], ErrorCode.CONNECTION_LOST)
+
 
 class IncompleteCallTest(MeshTestCase):
     """Guards against incomplete calls that run, or hold memory."""
