Give up large answers that a hanging node doesn't take

Cause: the body of a large answer was held until its grant came, the call was cancelled or the connection ended. A node that hangs, or whose machine is gone without a reset, does none of these.

Change: 1 s after the call's deadline, by which a working node has ended the call, the body is dropped whether it was granted or not, and a refusal that says the call may have run ends it at the other node. A grant that comes then is ignored.

test_an_answer_that_a_hanging_node_does_not_take covers both forms.

--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -70,6 +70,9 @@
 # A node that doesn't read as much gets no more calls, and none of its calls
 # are read.
 UNSENT_MAX_BYTES: Final = 4 * 1024 * 1024
+# By then, the other node has ended a call whose deadline has passed. If it
+# hangs, the answer isn't kept for it.
+ANSWER_GRACE: Final = timedelta(seconds=1)
 # For calls that don't fit into the memory of a node.
 MEMORY_RETRY_AFTER_MS: Final = 500
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
@@ -277,13 +280,18 @@
             self._measure_unsent()
 
     def post_body(
-        self, call_id: int, body: bytes, charged_bytes: int = 0
+        self,
+        call_id: int,
+        body: bytes,
+        charged_bytes: int = 0,
+        on_end: Callable[[int], None] | None = None,
     ) -> None:
         """Send the body of a frame that was posted before, in parts.
 
-        What it is charged with as a response is released at its end.
+        What it is charged with as a response is released at its end, and
+        ``on_end`` is called with the id unless it was dropped.
         """
-        self._bodies.add(call_id, body, charged_bytes)
+        self._bodies.add(call_id, body, charged_bytes, on_end)
         self._schedule_parts()
 
     def drop_body(self, call_id: int) -> bool:
@@ -969,10 +977,13 @@
         owner: "_IncomingConnection",
         call_id: int,
         charged_bytes: int,
+        ends_at: float,
     ) -> None:
         self._owner = owner
         self._call_id = call_id
         self.charged_bytes = charged_bytes
+        # Deadline, as a time of the event loop in seconds.
+        self.ends_at = ends_at
         self.cancel: Callable[[], None] | None = None
         self.finished = False
 
@@ -997,6 +1008,7 @@
         self._budget = budget
         self._running: dict[int, _RunningCall] = {}
         self._arriving: dict[int, IncomingCall] = {}
+        # Ends of waits for bodies, and for the other node to take them.
         self._timers: dict[int, asyncio.TimerHandle] = {}
         # What is left of the bodies of refused calls. The other node stops
         # sending them, and cancels the calls, as it learns of the refusals.
@@ -1080,7 +1092,7 @@
         call = arriving.add(part.data, asyncio.get_running_loop().time())
         if call is not None:
             del self._arriving[call_id]
-            self._timers.pop(call_id).cancel()
+            self._cancel_timer(call_id)
             self._start_call(call, arriving.charged_bytes)
 
     def _ignore_part(self, part: BodyPart) -> None:
@@ -1103,7 +1115,7 @@
     def _drop_arriving(self, call_id: int) -> int:
         """Release a call; return how much of its body is missing."""
         call = self._arriving.pop(call_id)
-        self._timers.pop(call_id).cancel()
+        self._cancel_timer(call_id)
         self._budget.release(MemoryUse.CALLS, call.charged_bytes)
         return call.missing_bytes
 
@@ -1123,7 +1135,8 @@
         )
 
     def _start_call(self, call: RunCall, charged_bytes: int) -> None:
-        running = _RunningCall(self, call.call_id, charged_bytes)
+        ends_at = asyncio.get_running_loop().time() + call.remaining_ms / 1000
+        running = _RunningCall(self, call.call_id, charged_bytes, ends_at)
         self._running[call.call_id] = running
         cancel = self._run(call, running.finish)
         if not running.finished:
@@ -1136,9 +1149,9 @@
             return
         self._budget.release(MemoryUse.CALLS, running.charged_bytes)
         if not self.connection.closed:
-            self._post_result(result)
+            self._post_result(result, running.ends_at)
 
-    def _post_result(self, result: RunResult) -> None:
+    def _post_result(self, result: RunResult, ends_at: float) -> None:
         """Post a result, without its body if that is large."""
         body = b""
         announced = result
@@ -1160,6 +1173,33 @@
         elif body:
             self._budget.charge(MemoryUse.RESPONSES, len(body))
             self._offered[result.call_id] = body
+            self._timers[result.call_id] = asyncio.get_running_loop().call_at(
+                ends_at + ANSWER_GRACE.total_seconds(),
+                self._expire_answer,
+                result.call_id,
+            )
+
+    def _expire_answer(self, call_id: int) -> None:
+        """Give up an answer that the other node hasn't taken in time."""
+        if self._drop_answer(call_id):
+            self.connection.post(
+                RunRefusal(
+                    call_id,
+                    ErrorCode.INCOMPLETE,
+                    may_have_run=True,
+                    retry_after_ms=0,
+                    load=1.0,
+                    pressures=[],
+                )
+            )
+
+    def _drop_answer(self, call_id: int) -> bool:
+        """Release the body of an answer; return whether it wasn't sent."""
+        self._cancel_timer(call_id)
+        body = self._offered.pop(call_id, None)
+        if body is not None:
+            self._budget.release(MemoryUse.RESPONSES, len(body))
+        return self.connection.drop_body(call_id) or body is not None
 
     def _post_if_it_fits(self, result: RunResult) -> bool:
         """Post a result that isn't too long, if need be without pressures."""
@@ -1174,21 +1214,26 @@
             return False
         return True
 
+    def _cancel_timer(self, call_id: int) -> None:
+        timer = self._timers.pop(call_id, None)
+        if timer is not None:
+            timer.cancel()
+
     def _send_body(self, call_id: int) -> None:
         body = self._offered.pop(call_id, None)
-        if body is None:
+        if body is not None:
+            self.connection.post_body(
+                call_id, body, len(body), self._cancel_timer
+            )
+        elif call_id in self._running or call_id > self._last_call_id:
             msg = "grant of no body"
             raise UnexpectedFrameError(msg)
-        self.connection.post_body(call_id, body, len(body))
 
     def _cancel_call(self, call_id: int) -> None:
         if call_id in self._arriving:
             self._drop_arriving(call_id)
         self._ignored.pop(call_id, None)
-        self.connection.drop_body(call_id)
-        body = self._offered.pop(call_id, None)
-        if body is not None:
-            self._budget.release(MemoryUse.RESPONSES, len(body))
+        self._drop_answer(call_id)
         running = self._running.pop(call_id, None)
         if running is not None:
             self._cancel_running(running)
@@ -1204,9 +1249,8 @@
         self._on_close(self)
         for call_id in list(self._arriving):
             self._drop_arriving(call_id)
-        offered, self._offered = self._offered, {}
-        for body in offered.values():
-            self._budget.release(MemoryUse.RESPONSES, len(body))
+        for call_id in list(self._timers):
+            self._drop_answer(call_id)
         running_calls, self._running = self._running, {}
         for running in running_calls.values():
             self._cancel_running(running)
--- a/src/sequoiaseam/_mesh_bodies.py
+++ b/src/sequoiaseam/_mesh_bodies.py
@@ -33,6 +33,7 @@
 
     unsent: memoryview
     charged_bytes: int
+    on_end: Callable[[int], None] | None
 
 
 class OutgoingBodies:
@@ -45,9 +46,20 @@
     def __len__(self) -> int:
         return len(self._bodies)
 
-    def add(self, call_id: int, body: bytes, charged_bytes: int) -> None:
-        """Add a body; its charge as a response is released at its end."""
-        self._bodies[call_id] = _OutgoingBody(memoryview(body), charged_bytes)
+    def add(
+        self,
+        call_id: int,
+        body: bytes,
+        charged_bytes: int,
+        on_end: Callable[[int], None] | None,
+    ) -> None:
+        """Add a body; its charge as a response is released at its end.
+
+        ``on_end`` is called once no part is left, unless it was dropped.
+        """
+        self._bodies[call_id] = _OutgoingBody(
+            memoryview(body), charged_bytes, on_end
+        )
 
     def take_part(self) -> BodyPart:
         """Return the next part of the body whose turn it is.
@@ -62,6 +74,8 @@
             self._bodies[call_id] = body
         else:
             self._budget.release(MemoryUse.RESPONSES, body.charged_bytes)
+            if body.on_end is not None:
+                body.on_end(call_id)
         return BodyPart(call_id, cast("bytes", part))
 
     def drop(self, call_id: int) -> bool:
--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -735,6 +735,45 @@
         self.assertIsInstance(results[0], RunAnswer)
         await self.expect_nothing_held()
 
+    async def test_an_answer_that_a_hanging_node_does_not_take(self) -> None:
+        """It is given up soon after the deadline, whether granted or not."""
+        held = self.runner_budget.get_held_bytes
+        self.answer = lambda call: msgspec.structs.replace(
+            ANSWER, call_id=call.call_id, body=bytes(16 * MIB)
+        )
+        for granted in (False, True):
+            with (
+                self.subTest(granted=granted),
+                patch("sequoiaseam._mesh.ANSWER_GRACE", timedelta(0)),
+            ):
+                peer = await self.connect()
+                peer.send(msgspec.structs.replace(CALL, remaining_ms=50))
+                if granted:
+                    peer.send(BodyGrant(1))
+                await wait_until(lambda: held(MemoryUse.RESPONSES))
+                await wait_until(lambda: not held(MemoryUse.RESPONSES))
+                # The other node had granted it before it hung.
+                peer.send(BodyGrant(1))
+                frame: Any = None
+                while not isinstance(frame, RunRefusal):
+                    frame = await peer.receive()
+                    self.assertIsNotNone(frame)
+                self.assert_refused(
+                    frame, ErrorCode.INCOMPLETE, may_have_run=True
+                )
+                self.answer = echo
+                peer.send(msgspec.structs.replace(CALL, call_id=2))
+                self.assertIsInstance(await peer.receive(), RunAnswer)
+                self.answer = lambda call: msgspec.structs.replace(
+                    ANSWER, call_id=call.call_id, body=bytes(16 * MIB)
+                )
+
+    async def test_a_sent_answer_leaves_no_timer(self) -> None:
+        self.answer = echo
+        self.assertIsInstance(await self.call(self.BODY), RunAnswer)
+        (incoming,) = self.server._connections
+        self.assertFalse(incoming._timers)
+
     async def test_an_answer_that_never_fits(self) -> None:
         self.caller_budget.limit_bytes = MIB
         self.answer = lambda call: msgspec.structs.replace(
