--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -476,6 +476,47 @@
         peer.close()
         await self.expect_nothing_held()
 
+    async def test_the_end_of_a_frame_makes_room_for_an_answer(self) -> None:
+        peer = await self.connect()
+        peer.send_bytes(LENGTH_PREFIX.pack(len(PART)) + PART[:1000])
+        held = self.runner_budget
+        await wait_until(lambda: held.held_bytes == 1004)
+        granted: list[bool] = []
+        reservation = held.reserve_response(
+            held.limit_bytes - 1000, lambda: granted.append(True)
+        )
+        self.assertFalse(granted)
+        peer.send_bytes(PART[1000:])
+        await wait_until(lambda: granted)
+        reservation.release()
+
+    async def test_a_frame_whose_rest_comes_with_the_end_is_read(
+        self,
+    ) -> None:
+        """Let this side learn of the end between the two parts."""
+        peers = await self.listen()
+        _, results = self.send()
+        peer = await peers.get()
+        self.assertIsInstance(await peer.receive(), RunCall)
+        content = encode_frame(ANSWER)
+        data = LENGTH_PREFIX.pack(len(content)) + content
+        peer.send_bytes(data[:5])
+        await wait_until(lambda: self.caller_budget.held_bytes)
+        connection = self.link._connection
+        assert connection is not None
+        with patch.object(connection, "_has_ended", lambda: True):
+            _, later = self.send()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        peer.send_bytes(data[5:6])
+        await wait_until(lambda: self.caller_budget.held_bytes == 6)
+        peer.send_bytes(data[6:])
+        await wait_until(lambda: results)
+        self.assertEqual(results, [ANSWER])
+        peer.close()
+        await wait_until(lambda: later)
+        self.assert_refused(later[0], ErrorCode.CONNECTION_LOST)
+
 
 class IncompleteCallTest(MeshTestCase):
     """Guards against incomplete calls that run, or hold memory."""
@@ -694,6 +735,45 @@
         self.assertIsInstance(results[0], RunAnswer)
         await self.expect_nothing_held()
 
+    async def test_an_answer_that_a_hanging_node_does_not_take(self) -> None:
+        """It is given up soon after the deadline, whether granted or not."""
+        held = self.runner_budget.get_held_bytes
+        self.answer = lambda call: msgspec.structs.replace(
+            ANSWER, call_id=call.call_id, body=bytes(16 * MIB)
+        )
+        for granted in (False, True):
+            with (
+                self.subTest(granted=granted),
+                patch("sequoiaseam._mesh.ANSWER_GRACE", timedelta(0)),
+            ):
+                peer = await self.connect()
+                peer.send(msgspec.structs.replace(CALL, remaining_ms=50))
+                if granted:
+                    peer.send(BodyGrant(1))
+                await wait_until(lambda: held(MemoryUse.RESPONSES))
+                await wait_until(lambda: not held(MemoryUse.RESPONSES))
+                # The other node had granted it before it hung.
+                peer.send(BodyGrant(1))
+                frame: Any = None
+                while not isinstance(frame, RunRefusal):
+                    frame = await peer.receive()
+                    self.assertIsNotNone(frame)
+                self.assert_refused(
+                    frame, ErrorCode.INCOMPLETE, may_have_run=True
+                )
+                self.answer = echo
+                peer.send(msgspec.structs.replace(CALL, call_id=2))
+                self.assertIsInstance(await peer.receive(), RunAnswer)
+                self.answer = lambda call: msgspec.structs.replace(
+                    ANSWER, call_id=call.call_id, body=bytes(16 * MIB)
+                )
+
+    async def test_a_sent_answer_leaves_no_timer(self) -> None:
+        self.answer = echo
+        self.assertIsInstance(await self.call(self.BODY), RunAnswer)
+        (incoming,) = self.server._connections
+        self.assertFalse(incoming._timers)
+
     async def test_an_answer_that_never_fits(self) -> None:
         self.caller_budget.limit_bytes = MIB
         self.answer = lambda call: msgspec.structs.replace(
