End processes over their memory in the soak, and count own ends

Cause: the soak looked at resident memory once a second and allowed 310 MB; an end that it hadn't asked for was reported without what it cost. The settings of its processes had no limits. Change: settings name memory-mb and file-descriptors; a supervisor reads the peak of each process every 20 ms, kills one over its limit (300 MB, control hosts 296 MB) and starts it again. Each own end is a failure, first in the report, with the requests from kept connections that had been passed on and weren't answered. A node's peak over two thirds of its limit (200 MB) is a failure, and peaks are in the summary.

KillingSoak of the checks now only kills the process; before, it also started it again, which the supervisor does. The test asserts what it did before and the report of the own end. A process that a scheduled kill ended just as its lock was released counted as an own end; such kills are told apart by process.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,20 +4,46 @@
 import contextlib
 import json
 import os
+import re
 import shutil
 import signal
 import socket
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
 
 ROOT: Final = Path(__file__).parent.parent
 CONTROL_PROGRAM: Final = ROOT / "platform" / "core.py"
 NODE_PROGRAM: Final = ROOT / "platform" / "sidecar.py"
+PEAK_MEMORY: Final = re.compile(r"^VmHWM:\s+(\d+) kB", re.MULTILINE)
 HOOK_FOLDER: Final = ROOT / "tests" / "soak" / "hook"
 CONTROL_ADDRESSES: Final = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Limits of a process, which the platform names in its settings."""
+
+    memory_megabytes: int
+    file_descriptors: int
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the resident size above which the platform kills it."""
+        return self.memory_megabytes * 1_000_000
+
+
+# Those of the platform's pages for nodes, and of its core machines.
+NODE_LIMITS: Final = ProcessLimits(300, 4100)
+CONTROL_LIMITS: Final = ProcessLimits(296, 4096)
+
+
+def get_limits(address: str) -> ProcessLimits:
+    """Return the limits of the process at an address."""
+    return CONTROL_LIMITS if address.startswith("127.0.1.") else NODE_LIMITS
+
+
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are free on every loopback address."""
     sockets = [socket.socket() for _ in range(count)]
@@ -99,6 +125,7 @@
         seeds = ", ".join(
             f'"{seed}:{self.api_port}"' for seed in self.seeds or self.controls
         )
+        limits = get_limits(address)
         listen = f'control-plane = "{address}:{self.api_port}"\n'
         if not is_control:
             listen += f'outbound = "{address}:{self.outbound_port}"\n'
@@ -116,6 +143,9 @@
             f'data-directory = "{self.folder / address / "data"}"\n'
             f"bounds = {json.dumps(self.bounds)}\n"
             f"[listen-addresses]\n{listen}"
+            "[limits]\n"
+            f"memory-mb = {limits.memory_megabytes}\n"
+            f"file-descriptors = {limits.file_descriptors}\n"
         )
 
     async def stop(
@@ -137,24 +167,22 @@
 
     def read_peak_memory(self, address: str) -> int:
         """Return the peak resident size of a running process in bytes."""
-        peak = self._read_memory(address, "VmHWM")
-        if peak is None:
+        peak = self.find_peak_memory(address)
+        if not peak:
             raise AssertionError(f"no peak memory of {address} is known")
         return peak
 
-    def read_memory(self, address: str) -> int:
-        """Return the resident size of a process in bytes, 0 if it ended."""
+    def find_peak_memory(self, address: str) -> int:
+        """Return the peak resident size in bytes, 0 if it has ended."""
+        process = self.processes.get(address)
+        if process is None:
+            return 0
         try:
-            return self._read_memory(address, "VmRSS") or 0
+            status = Path(f"/proc/{process.pid}/status").read_text()
         except OSError:
             return 0
-
-    def _read_memory(self, address: str, name: str) -> int | None:
-        status = Path(f"/proc/{self.processes[address].pid}/status")
-        for line in status.read_text().splitlines():
-            if line.startswith(name):
-                return int(line.split()[1]) * 1024
-        return None
+        found = PEAK_MEMORY.search(status)
+        return int(found[1]) * 1024 if found else 0
 
     def wipe_data(self, address: str) -> None:
         """Remove the data directory of a host."""
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -28,6 +28,9 @@
 # The resolution of the clock, as differences of its times are rounded.
 RESOLUTION_SECONDS: Final = 1e-9
 
+# Around the time at which a process is seen to have ended by itself.
+OWN_END_SLACK_SECONDS: Final = 1.0
+
 CLOSES: Final = (End.UNSENT, End.UNREAD, End.CUT)
 
 
@@ -76,6 +79,37 @@
     evidence: str
 
 
+@dataclass(frozen=True, slots=True)
+class OwnEnd:
+    """The end of a process that nobody asked for, and when it was seen."""
+
+    address: str
+    at: float
+    reason: str
+
+
+def describe_own_end(
+    end: OwnEnd, calls: Iterable[Call], started_at: float
+) -> str:
+    """Return what the end of a process has cost, which counts as running."""
+    lost = [
+        call
+        for call in calls
+        if call.node == end.address
+        and call.end in CLOSES
+        and call.runs
+        and call.started_at <= end.at
+        and abs(call.ended_at - end.at) <= OWN_END_SLACK_SECONDS
+        and not is_broken_off(call)
+    ]
+    kept = sum(call.connection == "kept" for call in lost)
+    return (
+        f"{end.address} ended by itself at {end.at - started_at:.3f}, "
+        f"{end.reason}; LOST: {kept} requests from kept connections were "
+        f"passed on and not answered, {len(lost) - kept} from new ones"
+    )
+
+
 def find_losses(
     calls: Iterable[Call], events: Events, bounds: Bounds
 ) -> list[Loss]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,10 +14,16 @@
 
 import aiohttp
 
-from tests.platform_fleet import PlatformFleet
+from tests.platform_fleet import NODE_LIMITS, PlatformFleet, get_limits
 from tests.soak.callers import Caller, RequestIds
 from tests.soak.calls import Period
-from tests.soak.losses import Bounds, Events, find_losses
+from tests.soak.losses import (
+    Bounds,
+    Events,
+    OwnEnd,
+    describe_own_end,
+    find_losses,
+)
 from tests.soak.operator import Operator, wait_until
 from tests.soak.record import GRACE_PERIOD_SECONDS, Record
 from tests.soak.relay import Fault, FaultRelay
@@ -49,7 +55,10 @@
 # How long control hosts are down that were killed together.
 DOWN_SECONDS: Final = 0.7
 WATCH_SECONDS: Final = 0.05
-MEMORY_CHECK_SECONDS: Final = 1.0
+# How often a supervisor looks at its processes, and how soon it starts one
+# again that has ended.
+SUPERVISION_SECONDS: Final = 0.02
+RESTART_SECONDS: Final = 0.3
 BOUNDS: Final = Bounds(
     grace_period=GRACE_PERIOD_SECONDS,
     connectivity_window=3.0,
@@ -62,8 +71,8 @@
 SEEDS: Final = 3
 # How far a clock is stepped, forward or backward.
 STEPS_SECONDS: Final = (-2.4, 2.4)
-# What a supervisor lets a process use.
-MEMORY_BYTES_MAX: Final = 296 * 1024 * 1024
+# Of a node's memory, which leaves a margin below what ends it.
+NODE_PEAK_BYTES_MAX: Final = NODE_LIMITS.memory_bytes * 2 // 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +130,12 @@
             site,
             self._fleet.outbound_port,
         )
+        self._own_ends: list[OwnEnd] = []
+        # Processes whose end the soak has asked for or recorded.
+        self._explained_ends: set[asyncio.subprocess.Process] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
+        # Largest resident size of each process, over all its starts.
+        self._peaks: dict[str, int] = {}
         self._longest_stop = 0.0
         # How late the soak itself was, which delays what it sees.
         self._lateness = 0.0
@@ -134,7 +149,12 @@
         """Run the schedule and return what was seen."""
         try:
             await self._start()
-            await self._play()
+            supervision = asyncio.create_task(self._supervise())
+            try:
+                await self._play()
+            finally:
+                supervision.cancel()
+                await asyncio.gather(*self._restarts)
         finally:
             for server in self._servers.values():
                 await server.close()
@@ -152,8 +172,14 @@
             f"{self._record.summarize()}; strikes: "
             f"{dict(sorted(self._record.strikes.items()))}; longest stop "
             f"{self._longest_stop:.2f} s, the soak was late by at most "
-            f"{self._lateness:.2f} s",
-            (*failures, *self._read_log_lines()),
+            f"{self._lateness:.2f} s; peaks: {self._format_peaks()}; ended by "
+            f"themselves: {len(self._own_ends)}",
+            (
+                *self._describe_own_ends(),
+                *self._describe_peaks(),
+                *failures,
+                *self._read_log_lines(),
+            ),
             tuple(self._notes),
         )
 
@@ -544,6 +570,7 @@
         fault = self._record.add_fault(address, "killed")
         process = self._fleet.processes.get(address)
         if process is not None and process.returncode is None:
+            self._explained_ends.add(process)
             send_signal(process, signal.SIGKILL)
             await process.wait()
         fault.end = self._record.now()
@@ -643,17 +670,56 @@
     # Supervision.
 
     async def _watch(self) -> None:
-        """Start processes again that end by themselves or are too large."""
-        loop = asyncio.get_running_loop()
-        checked_at = loop.time()
         while True:
             await self._poll()
-            if loop.time() - checked_at < MEMORY_CHECK_SECONDS:
-                continue
-            checked_at = loop.time()
+
+    async def _supervise(self) -> None:
+        """Do as the platform does with processes that end or are too large.
+
+        Those that end without being asked to are started again.
+        """
+        while True:
+            await asyncio.sleep(SUPERVISION_SECONDS)
             for address, lock in self._locks.items():
-                if not lock.locked():
-                    await self._check_process(address, lock)
+                process = self._fleet.processes.get(address)
+                if process is None:
+                    continue
+                self._check_memory(address, process)
+                if process.returncode is None or lock.locked():
+                    continue
+                self._add_own_end(
+                    address, process, f"status {process.returncode}"
+                )
+                restart = asyncio.create_task(
+                    self._restart_ended(address, process)
+                )
+                self._restarts.add(restart)
+                restart.add_done_callback(self._restarts.discard)
+
+    def _check_memory(
+        self, address: str, process: asyncio.subprocess.Process
+    ) -> None:
+        """Kill a process that has used more than its memory."""
+        size = self._fleet.find_peak_memory(address)
+        self._peaks[address] = max(self._peaks.get(address, 0), size)
+        if size > get_limits(address).memory_bytes:
+            self._add_own_end(address, process, f"used {size} bytes")
+            send_signal(process, signal.SIGKILL)
+
+    def _add_own_end(
+        self, address: str, process: asyncio.subprocess.Process, what: str
+    ) -> None:
+        """Record that a process ended, unless the reason is known."""
+        if process not in self._explained_ends:
+            self._explained_ends.add(process)
+            self._own_ends.append(OwnEnd(address, self._record.now(), what))
+
+    async def _restart_ended(
+        self, address: str, process: asyncio.subprocess.Process
+    ) -> None:
+        async with self._locks[address]:
+            if self._fleet.processes.get(address) is process:
+                await self._restart(address, RESTART_SECONDS)
 
     async def _poll(self) -> None:
         """Wait until the next look at all connections."""
@@ -667,21 +733,25 @@
             loop.time() if lateness < WATCH_SECONDS else due - WATCH_SECONDS
         )
 
-    async def _check_process(self, address: str, lock: asyncio.Lock) -> None:
-        process = self._fleet.processes[address]
-        if process.returncode is None:
-            size = self._fleet.read_memory(address)
-            if size <= MEMORY_BYTES_MAX:
-                return
-            send_signal(process, signal.SIGKILL)
-            self._record.fail(f"{address} used {size} bytes")
-        else:
-            self._record.fail(
-                f"{address} ended by itself with status {process.returncode}"
+    def _describe_own_ends(self) -> Iterator[str]:
+        for end in self._own_ends:
+            yield describe_own_end(
+                end, self._record.calls.values(), self._record.started_at
             )
-        async with lock:
-            await process.wait()
-            await self._restart(address, 0)
+
+    def _describe_peaks(self) -> Iterator[str]:
+        for node in self._site.nodes:
+            if self._peaks.get(node, 0) > NODE_PEAK_BYTES_MAX:
+                yield (
+                    f"{node} used {self._peaks[node]} bytes at the peak, more "
+                    f"than {NODE_PEAK_BYTES_MAX}"
+                )
+
+    def _format_peaks(self) -> str:
+        return ", ".join(
+            f"{address} {size // 1_000_000} MB"
+            for address, size in sorted(self._peaks.items())
+        )
 
     # Logs.
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -11,25 +11,27 @@
 from dataclasses import replace
 from pathlib import Path
 from random import Random
-from typing import Final
+from typing import Any, Final
 from unittest.mock import Mock, patch
 
 import aiohttp
 from aiohttp import web
 
-from tests.soak.calls import Call, End
+from tests.platform_fleet import ProcessLimits, get_limits
+from tests.soak.calls import Call, End, Run
 from tests.soak.content import (
     PART_BYTES_MAX,
     describe_content,
     find_start,
     iterate_parts,
 )
+from tests.soak.losses import OwnEnd, describe_own_end
 from tests.soak.operator import Operator
 from tests.soak.record import Record
 from tests.soak.run import Soak
 from tests.soak.schedule import Action, Kind, Schedule
-from tests.soak.site import STORES
-from tests.soak.uploads import KIB, MIB, LargeExchange, Manner
+from tests.soak.site import STORES, Site
+from tests.soak.uploads import KIB, MIB, UPLOADS, LargeExchange, Manner
 
 LOOPBACK: Final = "127.0.0.1"
 NODE: Final = "127.0.2.3"
@@ -44,13 +46,28 @@
 
 
 class KillingSoak(Soak):
-    """A soak that kills a process where it should stop it as planned."""
+    """A soak whose process ends at a planned stop as if by itself."""
 
     async def _stop(self, action: Action) -> None:
-        process = self._fleet.processes[action.address]
-        process.kill()
-        await process.wait()
-        await self._restart(action.address, 0)
+        self._fleet.processes[action.address].kill()
+
+
+class GrowingSoak(Soak):
+    """A soak whose process is too large at a planned stop.
+
+    A smaller limit stands in for the size.
+    """
+
+    async def _stop(self, action: Action) -> None:
+        def get_smaller_limits(address: str) -> ProcessLimits:
+            limits = get_limits(address)
+            if address == action.address:
+                limits = replace(limits, memory_megabytes=1)
+            return limits
+
+        with patch("tests.soak.run.get_limits", get_smaller_limits):
+            while not self._own_ends:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
 
 
 class ImpatientSoak(Soak):
@@ -83,26 +100,45 @@
 class LossTest(unittest.TestCase):
     """Guards against a soak that misses what the real programs lose."""
 
-    def run_soak(self, create: type[Soak]) -> str:
+    def run_soak(self, create: type[Soak], site: Site = STORES) -> str:
         """Run a soak with one planned stop; return its failures."""
         with tempfile.TemporaryDirectory() as folder:
-            return asyncio.run(self.play(create, Path(folder)))
+            return asyncio.run(self.play(create, site, Path(folder)))
 
-    async def play(self, create: type[Soak], folder: Path) -> str:
+    async def play(self, create: type[Soak], site: Site, folder: Path) -> str:
         """Run a soak in this event loop; return its failures."""
         schedule = Schedule(
             planned_only=True,
             actions=(Action(CALM_SECONDS, Kind.STOP, NODE, 0),),
         )
         async with asyncio.timeout(PLAY_SECONDS_MAX):
-            report = await create(SEED, STORES, schedule, folder).run()
+            report = await create(SEED, site, schedule, folder).run()
         return "\n".join(report.failures)
 
     def test_nothing_is_lost_in_a_planned_stop(self) -> None:
         self.assertEqual(self.run_soak(Soak), "")
 
-    def test_requests_that_a_killed_process_cuts(self) -> None:
-        self.assertIn("got no answer", self.run_soak(KillingSoak))
+    def check_own_end(self, create: type[Soak], reason: str) -> None:
+        """Check that the end of a process and what it cost is reported.
+
+        Each node of this site has some requests in progress all the time.
+        """
+        failures = self.run_soak(create, UPLOADS)
+        self.assertRegex(
+            failures, f"{NODE} ended by itself at [0-9.]+, {reason}"
+        )
+        self.assertRegex(failures, "LOST: [1-9][0-9]* requests from kept")
+        self.assertIn("got no answer", failures)
+
+    def test_requests_that_a_process_cuts_as_it_ends_by_itself(self) -> None:
+        self.check_own_end(KillingSoak, "status -9")
+
+    def test_requests_that_a_process_over_its_memory_cuts(self) -> None:
+        self.check_own_end(GrowingSoak, "used [0-9]{8} bytes")
+
+    def test_a_node_that_comes_close_to_its_memory(self) -> None:
+        with patch("tests.soak.run.NODE_PEAK_BYTES_MAX", 10_000_000):
+            self.assertIn("at the peak", self.run_soak(Soak))
 
     def test_runs_that_a_node_breaks_off_with_an_answer_of_its_own(
         self,
@@ -110,6 +146,43 @@
         self.assertIn("answer was replaced", self.run_soak(ImpatientSoak))
 
 
+class OwnEndTest(unittest.TestCase):
+    """Guards against a wrong number of requests that an end has cost."""
+
+    def check(self, lost: int, **changes: object) -> None:
+        """Check how many of one request, with changes, count."""
+        call = Call(
+            *("7", NODE, "POST", "/order/7", b"x"),
+            *(False, "", "front", 5.0),
+        )
+        call.connection, call.end = "kept", End.CUT
+        call.started_at, call.ended_at = 9.0, 10.1
+        call.runs.append(Run("i-1", "127.0.2.4", 9.5))
+        for name, value in changes.items():
+            setattr(call, name, value)
+        text = describe_own_end(OwnEnd(NODE, 10.0, "status 1"), [call], 4.0)
+        self.assertIn(f"{NODE} ended by itself at 6.000, status 1", text)
+        self.assertIn(f"LOST: {lost} requests from kept connections", text)
+
+    def test_requests_that_were_passed_on(self) -> None:
+        self.check(1)
+        self.check(1, end=End.UNREAD)
+
+    def test_other_requests(self) -> None:
+        cases: tuple[dict[str, Any], ...] = (
+            {"node": "127.0.2.4"},
+            {"connection": "new"},
+            {"end": End.ANSWERED},
+            {"runs": []},
+            {"started_at": 10.05},
+            {"ended_at": 12.0},
+            {"runs": [Run("i-1", NODE, 9.5, broken_off=True)]},
+        )
+        for changes in cases:
+            with self.subTest(**changes):
+                self.check(0, **changes)
+
+
 class LargeExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a soak that misses what happens to large bodies."""
 
