--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -33,8 +33,9 @@
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
-from sequoiaseam._mesh import Mesh, MeshServer
+from sequoiaseam._mesh import Mesh
 from sequoiaseam._mesh_frames import RunCall, RunResult
+from sequoiaseam._mesh_server import MeshServer
 from sequoiaseam._pressure import PressureMap
 from sequoiaseam._quarantine import SHARED_CRASH_THRESHOLD
 from sequoiaseam._quota import (
--- a/src/sequoiaseam/_mesh_bodies.py
+++ b/src/sequoiaseam/_mesh_bodies.py
@@ -18,7 +18,10 @@
     Frame,
     RunAnswer,
     RunCall,
+    RunRefusal,
+    RunResult,
 )
+from sequoiaseam.errors import ErrorCode
 
 PART_MAX_BYTES: Final = 64 * 1024
 
@@ -198,3 +201,15 @@
     def release(self) -> None:
         """Release the memory of the body; may be repeated."""
         self._reservation.release()
+
+
+def create_incomplete_refusal(result: RunResult) -> RunRefusal:
+    """Return what takes the place of a result that can't be passed on."""
+    return RunRefusal(
+        result.call_id,
+        ErrorCode.INCOMPLETE,
+        may_have_run=True,
+        retry_after_ms=0,
+        load=result.load,
+        pressures=[],
+    )
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -14,7 +14,8 @@
 from sequoiaseam._clock import ManualClock
 from sequoiaseam._control_messages import create_control_codec
 from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
-from sequoiaseam._mesh import LENGTH_PREFIX, FrameConnection, MeshLink
+from sequoiaseam._mesh import MeshLink
+from sequoiaseam._mesh_connection import LENGTH_PREFIX, FrameConnection
 from sequoiaseam._mesh_frames import (
     RunAnswer,
     RunCall,
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -12,14 +12,8 @@
 
 from sequoiaseam._clock import ManualClock, ProcessClock
 from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
-from sequoiaseam._mesh import (
-    LENGTH_PREFIX,
-    LINK_IDLE_TIMEOUT,
-    FrameConnection,
-    Mesh,
-    MeshLink,
-    MeshServer,
-)
+from sequoiaseam._mesh import LINK_IDLE_TIMEOUT, Mesh, MeshLink
+from sequoiaseam._mesh_connection import LENGTH_PREFIX, FrameConnection
 from sequoiaseam._mesh_frames import (
     Frame,
     MeshLeave,
@@ -32,6 +26,7 @@
     decode_frame,
     encode_frame,
 )
+from sequoiaseam._mesh_server import MeshServer
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -15,14 +15,13 @@
 
 from sequoiaseam._clock import ProcessClock
 from sequoiaseam._memory import LARGE_MIN_BYTES, MemoryBudget, MemoryUse
-from sequoiaseam._mesh import (
+from sequoiaseam._mesh import MeshLink
+from sequoiaseam._mesh_bodies import PART_MAX_BYTES
+from sequoiaseam._mesh_connection import (
     FRAME_MAX_BYTES,
     LENGTH_PREFIX,
     UNSENT_MAX_BYTES,
-    MeshLink,
-    MeshServer,
 )
-from sequoiaseam._mesh_bodies import PART_MAX_BYTES
 from sequoiaseam._mesh_frames import (
     BodyGrant,
     BodyPart,
@@ -37,6 +36,7 @@
     decode_frame,
     encode_frame,
 )
+from sequoiaseam._mesh_server import MeshServer
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam.errors import ErrorCode
@@ -744,7 +744,7 @@
         for granted in (False, True):
             with (
                 self.subTest(granted=granted),
-                patch("sequoiaseam._mesh.ANSWER_GRACE", timedelta(0)),
+                patch("sequoiaseam._mesh_server.ANSWER_GRACE", timedelta(0)),
             ):
                 peer = await self.connect()
                 peer.send(msgspec.structs.replace(CALL, remaining_ms=50))
