--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -43,8 +43,9 @@
     format_memory_metrics,
     log_memory,
 )
-from sequoiaseam._mesh import Mesh, MeshServer
+from sequoiaseam._mesh import Mesh
 from sequoiaseam._mesh_frames import RunCall, RunResult
+from sequoiaseam._mesh_server import MeshServer
 from sequoiaseam._pressure import PressureMap
 from sequoiaseam._quarantine import SHARED_CRASH_THRESHOLD
 from sequoiaseam._quota import (
