Bound and don't copy what the client of the server holds

Cause: a request to the backend server was joined from its head and its body, which held the body twice; a response was gathered in chunks and joined, which held it twice, too. Only INCOMPLETE_BODIES_MAX_BYTES bounded responses, for each incarnation of a server on its own and beside all else that a node holds.

Change: PendingRequest has the head and the body apart; a body over LARGE_MIN_BYTES is written in a call of its own. BackendPool and HostCallExecutor take the MemoryBudget. A response with a length that isn't read whole at once reserves its rest, and its connection isn't read until there is room; a longer one than a response may be is given up at its head. A body of unknown length is charged as it comes; if the budget is exceeded, the largest one of the server is given up. INCOMPLETE_BODIES_MAX_BYTES goes: the budget's largest_response_bytes is the same bound for a server (64 MiB with the default limit) and follows the memory of the process. What is charged is released once the owner of the outcome has handled it, so there is no gap between the two. The body of a surplus response isn't kept.

A response that comes before the request was sent whole closes the connection, which was reused before, behind the rest of the request.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -25,6 +25,7 @@
 from sequoiaseam._http_server import HeaderFields, format_fields
 from sequoiaseam._limiter import Completion
 from sequoiaseam._logs import Level, RateLimitedLog, log_event
+from sequoiaseam._memory import MemoryBudget
 from sequoiaseam._mesh_frames import (
     RunAnswer,
     RunCall,
@@ -109,9 +110,11 @@
         header_names: HeaderNames,
         pressure: PressureMap,
         crash_guard: CrashGuard,
+        budget: MemoryBudget,
         fleet_retries: int = 0,
     ) -> None:
         self._crash_guard = crash_guard
+        self._budget = budget
         self._fleet_retries = fleet_retries
         self._clock = clock
         self._rng = rng
@@ -209,7 +212,7 @@
         pool = self._get_pool(report.pool) or Pool(report.pool)
         self._session = _Session(
             report,
-            BackendPool(report.host, report.port, self._clock),
+            BackendPool(report.host, report.port, self._clock, self._budget),
             Admission(
                 pool.for_server(report.slots, report.warmup_remaining),
                 report.slots,
@@ -398,7 +401,8 @@
                 call.request_id.encode("latin-1"),
             )
         run.server_request = PendingRequest(
-            self._format_request(now, session.report, run),
+            self._format_head(now, session.report, run),
+            call.body,
             correlation_field,
             call.method == "HEAD",
             call.idempotent,
@@ -407,13 +411,13 @@
         self._crash_guard.start_run(run.ticket_id, call)
         session.connections.send(run.server_request)
 
-    def _format_request(
+    def _format_head(
         self,
         now: datetime,
         report: ServerReport,
         run: _Run,
     ) -> bytes:
-        """Return the encoded request to the backend server."""
+        """Return the encoded request to the backend server up to its body."""
         call = run.call
         header_names = self._header_names
         remaining_ms = max(0, (run.deadline - now) // MILLISECOND)
@@ -432,7 +436,6 @@
         if call.body or call.method not in METHODS_WITHOUT_BODY:
             parts.append(b"content-length: %d\r\n" % len(call.body))
         parts.append(b"\r\n")
-        parts.append(call.body)
         return b"".join(parts)
 
     # Outcomes.
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -32,6 +32,7 @@
 from sequoiaseam._ingress import Ingress
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._members import MemberGone, MemberReport
+from sequoiaseam._memory import DEFAULT_HELD_BYTES_LIMIT, MemoryBudget
 from sequoiaseam._mesh import Mesh, MeshServer
 from sequoiaseam._mesh_frames import RunCall, RunResult
 from sequoiaseam._pressure import PressureMap
@@ -107,6 +108,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
+        self._memory = MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
         self._closing = False
         self._ticked_at = clock.now()
         self._tick_lateness = timedelta(0)
@@ -164,6 +166,7 @@
             header_names,
             pressure,
             CrashGuard(clock, rng, self._crash_reporter),
+            self._memory,
             settings.fleet_retries,
         )
         self._mesh_server = MeshServer(self._executor.run)
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -7,7 +7,11 @@
 
 import asyncio
 import enum
+import fcntl
+import io
 import re
+import sys
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
@@ -18,7 +22,13 @@
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
 from sequoiaseam._listeners import connect
-from sequoiaseam._unread_input import InputPoll
+from sequoiaseam._memory import (
+    LARGE_MIN_BYTES,
+    MemoryBudget,
+    MemoryUse,
+    ResponseReservation,
+)
+from sequoiaseam._unread_input import InputPoll, has_ended
 
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
 # A server may close an idle connection just as a request is sent. A request
@@ -40,9 +50,6 @@
 # Starts of responses that are looked for in bytes that belong to no request.
 # Each is parsed with all that follows it.
 SURPLUS_RESPONSES_MAX: Final = 16
-# Bodies of incomplete responses that are held for one server. Memory is
-# finite, and a faulty server may send without end.
-INCOMPLETE_BODIES_MAX_BYTES: Final = 64 * 1024 * 1024
 # The start of a response, or as much of it as the received data holds.
 RESPONSE_START_PATTERN: Final = re.compile(
     rb"H(?:\Z|T(?:\Z|T(?:\Z|P(?:\Z|/(?:\Z|1(?:\Z|\.))))))"
@@ -76,12 +83,13 @@
 class PendingRequest:
     """A request to the backend server until its outcome.
 
-    ``message`` is the whole encoded request. ``correlation_field`` is the
-    field and value by which the response names its request, None if
+    ``head`` is the encoded request up to its body. ``correlation_field`` is
+    the field and value by which the response names its request, None if
     servers send no such field.
     """
 
-    message: bytes
+    head: bytes
+    body: bytes = field(repr=False)
     correlation_field: tuple[bytes, bytes] | None
     head_only: bool
     idempotent: bool
@@ -106,13 +114,13 @@
             self.connection.abort()
 
     def _end(self) -> None:
-        """Release the message and what the callback refers to.
+        """Release the request's data and what the callback refers to.
 
         The callback's owner refers to this request. Such a cycle, and the
         body in it, would stay in memory until the next garbage collection.
         """
         self.ended = True
-        self.message = b""
+        self.head = self.body = b""
         self.on_outcome = _ignore_outcome
 
 
@@ -123,17 +131,23 @@
 class BackendPool:
     """Connection pool of one backend server."""
 
-    def __init__(self, host: str, port: int, clock: Clock) -> None:
+    def __init__(
+        self, host: str, port: int, clock: Clock, budget: MemoryBudget
+    ) -> None:
         self._host = host
         self._port = port
         self._clock = clock
+        self.budget = budget
         # Time of the last sweep. Connections that count as idle since then
         # seem idle for longer than they are.
         self.last_sweep = clock.now()
         self._idle: list[BackendConnection] = []
-        # Connections on which a part of a body has been received.
+        # Connections on which a part of a body of unknown length has been
+        # received.
         self._receiving: dict[BackendConnection, int] = {}
         self._incomplete_bodies_size = 0
+        # Connections that aren't read until there is room for the response.
+        self.waiting: set[BackendConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
         self.opened_count = 0
@@ -199,26 +213,36 @@
             self._idle.append(connection)
 
     def record_body(self, connection: "BackendConnection", size: int) -> None:
-        """Record how much of a body is held, 0 once it is complete.
+        """Charge a body of unknown length, of which so much is held.
 
-        If all of them exceed the limit, the largest one is given up.
+        If all of them take more than a single response may, or more is held
+        than the budget allows, the largest one is given up.
         """
-        self._incomplete_bodies_size += size - self._receiving.pop(
-            connection, 0
-        )
-        if size:
-            self._receiving[connection] = size
-        if self._incomplete_bodies_size > INCOMPLETE_BODIES_MAX_BYTES:
+        added_size = size - self._receiving.get(connection, 0)
+        self._receiving[connection] = size
+        self._incomplete_bodies_size += added_size
+        budget = self.budget
+        budget.charge(MemoryUse.RESPONSES, added_size)
+        if (
+            budget.exceeded
+            or self._incomplete_bodies_size > budget.largest_response_bytes
+        ):
             largest = max(self._receiving, key=self._receiving.__getitem__)
             largest.reject_oversized()
 
+    def end_body(self, connection: "BackendConnection") -> int:
+        """Stop counting a body; return what the owner has to release."""
+        size = self._receiving.pop(connection, 0)
+        self._incomplete_bodies_size -= size
+        return size
+
     def remove(self, connection: "BackendConnection") -> None:
         """Remove a closed connection from the pool."""
         if connection in self._idle:
             self._idle.remove(connection)
 
     def sweep(self, now: datetime) -> None:
-        """Close the connections that have been idle too long.
+        """Close the connections that have been idle too long or cut off.
 
         Must be called about every 50 ms.
         """
@@ -226,6 +250,8 @@
         for connection in [c for c in self._idle if not c.is_usable(now)]:
             self._idle.remove(connection)
             connection.abort()
+        for connection in tuple(self.waiting):
+            connection.check_cut_off()
 
     def close(self) -> None:
         """Close each connection once it carries no request."""
@@ -235,6 +261,22 @@
         self._idle.clear()
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldMemory:
+    """What is charged to the budget for a response."""
+
+    budget: MemoryBudget
+    charged_size: int
+    reservation: ResponseReservation | None
+
+    def release(self) -> None:
+        """Release all of it, or stop waiting for it."""
+        if self.reservation is not None:
+            self.reservation.release()
+        if self.charged_size:
+            self.budget.release(MemoryUse.RESPONSES, self.charged_size)
+
+
 class BackendConnection(asyncio.Protocol):
     """One connection to the backend server."""
 
@@ -255,6 +297,10 @@
         # Bytes received since that request was sent.
         self._received_size = 0
         self._received_body_size = 0
+        # Of a response whose length is known: what had been read before the
+        # rest was reserved, and the reservation of the rest.
+        self._charged_size = 0
+        self._reservation: ResponseReservation | None = None
         self._create_parser()
 
     def _create_parser(self) -> None:
@@ -264,8 +310,14 @@
 
     def _reset_response(self) -> None:
         self._fields: HeaderFields = []
-        self._body_chunks: list[bytes] = []
+        # The body while it is a single chunk, and the buffer of a longer one,
+        # which returns its content without a copy.
+        self._body = b""
+        self._body_buffer: io.BytesIO | None = None
         self._body_size = 0
+        self._keeps_body = True
+        # Length of a body that is kept, 0 if it isn't known.
+        self._length = 0
         self._response: BackendResponse | None = None
         self._reads_until_close = False
 
@@ -292,12 +344,21 @@
         self._received_size = self._received_body_size = 0
         self._surplus_count = 0
         self._reset_response()
-        self._transport.write(request.message)
+        if len(request.body) > LARGE_MIN_BYTES:
+            self._transport.write(request.head)
+            # A write call of its own takes it without a copy.
+            self._transport.write(request.body)
+        else:
+            self._transport.write(request.head + request.body)
 
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
         self._closed = True
-        self._pool.record_body(self, 0)
+        self._request = None
+        held = self._detach_memory()
+        self._reset_response()
+        if held is not None:
+            held.release()
         if self._transport is not None:
             self._transport.abort()
 
@@ -379,12 +440,19 @@
         A faulty server may send bytes after a response, which arrive while
         it works on the next request. They must not end that one.
         """
-        request = self._request
         return (
             self._reused
-            and request is not None
+            and self._request is not None
             and self._response is None
-            and request.correlation_field not in self._fields
+            and not self._names_request()
+        )
+
+    def _names_request(self) -> bool:
+        """Return whether the response belongs to the request in progress."""
+        request = self._request
+        return request is not None and (
+            request.correlation_field is None
+            or request.correlation_field in self._fields
         )
 
     def _check_size(self) -> None:
@@ -394,6 +462,9 @@
             return
         if self._exceeds_overhead():
             self.reject_oversized()
+        elif self._length:
+            if self._reservation is None:
+                self._reserve()
         elif self._body_size:
             self._pool.record_body(self, self._body_size)
 
@@ -410,14 +481,67 @@
         self._closed = True
         self._finish_request(Failure.OVERSIZED)
 
+    # Memory of the response.
+
+    def _reserve(self) -> None:
+        """Reserve room for the rest of a response whose length is known.
+
+        The connection isn't read until there is room. A response that is
+        received whole at once needs none.
+        """
+        budget = self._pool.budget
+        self._charged_size = self._body_size
+        budget.charge(MemoryUse.RESPONSES, self._charged_size)
+        self._reservation = budget.reserve_response(
+            self._length - self._body_size, self._resume_reading
+        )
+        if not self._reservation.reserved:
+            self._pool.waiting.add(self)
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        """Read the rest of a response, for which there is room now."""
+        if self in self._pool.waiting:
+            self._pool.waiting.remove(self)
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def check_cut_off(self) -> None:
+        """End a waiting request whose response can't become complete.
+
+        The event loop doesn't notice the end of a connection that it doesn't
+        read. A server cuts off a response that stays unread.
+        """
+        transport = self._transport
+        if (
+            not transport.is_closing()
+            and has_ended(transport)
+            and self._body_size + _count_unread_bytes(transport) < self._length
+        ):
+            self._finish_request(Failure.BROKEN)
+
+    def _detach_memory(self) -> _HeldMemory | None:
+        """Return what is charged for the response, to be released once."""
+        charged_size = self._charged_size + self._pool.end_body(self)
+        reservation, self._reservation = self._reservation, None
+        self._charged_size = 0
+        if reservation is None and not charged_size:
+            return None
+        self._pool.waiting.discard(self)
+        return _HeldMemory(self._pool.budget, charged_size, reservation)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Start a response; a surplus one closes the connection."""
         if self._response is not None:
             self._closed = True
-        else:
-            self._reset_response()
+            return
+        self._reset_response()
+        held = self._detach_memory()
+        if held is not None:
+            # The response before was a surplus one.
+            held.release()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
@@ -429,14 +553,12 @@
         if self._request is None or self._response is not None:
             return
         status = self._parser.get_status_code()
-        names = {name for name, _ in self._fields}
-        framed = b"content-length" in names or b"transfer-encoding" in names
+        fields = dict(self._fields)
+        length = fields.get(b"content-length")
+        chunked = b"transfer-encoding" in fields
         # After an interim response, another one follows.
-        self._reads_until_close = (
-            not framed
-            and status >= STATUS_MIN
-            and status not in STATUSES_WITHOUT_BODY
-        )
+        has_body = status >= STATUS_MIN and status not in STATUSES_WITHOUT_BODY
+        self._reads_until_close = has_body and length is None and not chunked
         if self._reads_until_close and self._is_surplus():
             # It would take the response to this request for its body.
             self._reads_until_close = False
@@ -444,13 +566,41 @@
         if self._request.head_only and status >= STATUS_MIN:
             self._closed = True
             self._complete_response()
+        elif has_body and length is not None and not chunked:
+            self._check_length(int(length))
+
+    def _check_length(self, length: int) -> None:
+        """Decide whether the body is kept, now that its length is known."""
+        is_oversized = length > self._pool.budget.largest_response_bytes
+        if is_oversized and self._is_surplus():
+            raise ValueError("a surplus response that is too long")
+        if is_oversized:
+            self.reject_oversized()
+        elif self._names_request():
+            self._length = length
+        else:
+            self._keeps_body = False
 
     def on_body(self, body: bytes) -> None:
         """Collect a chunk of the body."""
-        self._received_body_size += len(body)
-        if self._response is None:
-            self._body_size += len(body)
-            self._body_chunks.append(body)
+        size = len(body)
+        self._received_body_size += size
+        if (
+            self._request is None
+            or self._response is not None
+            or not self._keeps_body
+        ):
+            return
+        self._body_size += size
+        if self._body_buffer is not None:
+            self._body_buffer.write(body)
+        elif self._body:
+            self._body_buffer = io.BytesIO()
+            self._body_buffer.write(self._body)
+            self._body_buffer.write(body)
+            self._body = b""
+        else:
+            self._body = body
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
@@ -465,14 +615,9 @@
         request = self._request
         if request is None:
             return
-        if (
-            request.correlation_field is not None
-            and request.correlation_field not in self._fields
-        ):
-            if any(
-                name == request.correlation_field[0]
-                for name, _ in self._fields
-            ):
+        correlation_field = request.correlation_field
+        if correlation_field is not None and not self._names_request():
+            if any(name == correlation_field[0] for name, _ in self._fields):
                 # A late response to an earlier request; the one to this
                 # request follows.
                 return
@@ -485,25 +630,32 @@
             self._closed = True
             self._finish_request(Failure.GARBLED)
             return
+        buffer = self._body_buffer
         self._response = BackendResponse(
             status,
             self._fields,
-            b"".join(self._body_chunks),
+            self._body if buffer is None else buffer.getvalue(),
         )
 
     def _finish_request(self, failure: Failure) -> None:
         """Report the response, or ``failure`` if there is none."""
         request, self._request = self._request, None
         response = self._response
+        held = None
         if response is None:
             self.abort()
         else:
-            self._pool.record_body(self, 0)
+            held = self._detach_memory()
             self._release_or_close()
         # An idle connection would keep the body in memory.
         self._reset_response()
-        if request is not None:
-            request.finish(response or failure)
+        try:
+            if request is not None:
+                request.finish(response or failure)
+        finally:
+            # Whoever keeps the response has charged it by now.
+            if held is not None:
+                held.release()
 
     def _release_or_close(self) -> None:
         """Return the connection to the pool, or close it."""
@@ -513,7 +665,12 @@
                 self._closed = True
             elif name == b"keep-alive":
                 self._read_keep_alive_timeout(value)
-        if self._closed or self._reads_until_close:
+        if (
+            self._closed
+            or self._reads_until_close
+            # Of a request that was answered before it was sent whole.
+            or self._transport.get_write_buffer_size()
+        ):
             self.abort()
         else:
             self._pool.release(self)
@@ -524,3 +681,11 @@
             self._idle_timeout = timedelta(
                 seconds=ANNOUNCED_IDLE_FRACTION * int(match.group(1)),
             )
+
+
+def _count_unread_bytes(transport: Any) -> int:
+    """Return the number of bytes that wait unread in the kernel."""
+    buffer = bytearray(4)
+    descriptor = transport.get_extra_info("socket").fileno()
+    fcntl.ioctl(descriptor, termios.FIONREAD, buffer)
+    return int.from_bytes(buffer, sys.byteorder)
--- a/src/sequoiaseam/_memory.py
+++ b/src/sequoiaseam/_memory.py
@@ -15,6 +15,8 @@
 # Of the memory limit of the process. The program, the state of its requests
 # and what allocators add take the rest.
 HELD_FRACTION: Final = 0.45
+# For nodes that are embedded in a program, whose memory isn't known.
+DEFAULT_HELD_BYTES_LIMIT: Final = 128 * 1024 * 1024
 # Larger data leaves the room above its fraction to smaller.
 LARGE_MIN_BYTES: Final = 64 * 1024
 # Fraction of the budget up to which a request is accepted, by importance.
