Merge the bounds on the client of the backend server

Cause: requests were joined with their head, responses gathered and joined, with a bound for each server alone. Change: both are held once and charged.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -121,6 +121,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
+        self._memory = MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
         self._closing = False
         self._ticked_at = clock.now()
         self._tick_lateness = timedelta(0)
@@ -183,6 +184,7 @@
             header_names,
             pressure,
             CrashGuard(clock, rng, self._crash_reporter),
+            self._memory,
             settings.fleet_retries,
         )
         self._mesh_server = MeshServer(self._executor.run, self._memory)
