--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -121,7 +121,6 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._memory = MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
         self._closing = False
         self._ticked_at = clock.now()
         self._tick_lateness = timedelta(0)
