Test large bodies over the links of two whole nodes

Orders with bodies and answers of 900 KiB pass and are released on both nodes, and one for which the running node has no memory is refused to the caller as OVERLOAD, 503, without reaching the server.

--- a/tests/test_mesh_bodies.py
+++ b/tests/test_mesh_bodies.py
@@ -40,7 +40,14 @@
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._tables import Importance
 from sequoiaseam.errors import ErrorCode
-from tests.hosts import LOCALHOST
+from tests.hosts import (
+    LOCALHOST,
+    TABLES,
+    HostCluster,
+    Response,
+    ScriptedServer,
+    echo_body,
+)
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 POLL_SECONDS: Final = 0.002
@@ -1088,6 +1095,42 @@
                 await self.start_runs(seed)
 
 
+class HostsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests of callers that the links' limits break."""
+
+    BODY: Final = Random(1).randbytes(900 * 1024)
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = HostCluster((echo_body, echo_body), TABLES)
+        await self.cluster.start()
+        self.addAsyncCleanup(self.cluster.close)
+        # All requests to the second host run on the first one.
+        self.cluster.report_server(1, 2, leaving=True)
+
+    async def send(self) -> Response:
+        """Send an order with a large body to the second host."""
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            return await self.cluster.send_request(
+                "/order/1", method="POST", body=self.BODY, host=1
+            )
+
+    async def test_a_large_body_and_answer_pass_and_are_released(self) -> None:
+        responses = await asyncio.gather(*(self.send() for _ in range(4)))
+        for response in responses:
+            self.assertEqual(response.status, 200)
+            self.assertTrue(response.body == self.BODY)
+        nodes = self.cluster.nodes
+        await wait_until(lambda: not any(n._memory.held_bytes for n in nodes))
+
+    async def test_a_call_without_memory_is_refused_as_not_run(self) -> None:
+        self.cluster.nodes[0]._memory.limit_bytes = len(self.BODY)
+        response = await self.send()
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"OVERLOAD", response.body)
+        server: ScriptedServer = self.cluster.servers[0]
+        self.assertFalse(server.received)
+
+
 # The time limit of this module's calls must outlast its waits.
 assert timedelta(milliseconds=CALL.remaining_ms) > timedelta(
     seconds=WAIT_LIMIT_SECONDS
