End requests whose response has no status of HTTP

Cause: each status below 200 counted as that of an interim response, after which another one follows. A server that answered with 000 or 099 kept its request waiting until its deadline, as long as it left the connection open: 504 for an order, no other server for a safe request. Above 599 a response ended the request once it was whole. A surplus response below 100 without a length took the response to the request for its body.

Change: only 100 to 199 are interim. Another status outside of 200 to 599 ends the request at the end of the header fields as garbled, and its connection is closed. 101 has always done so in the parser. On a reused connection, one that doesn't name the request is still skipped, with its body if it has a length, and the connection isn't used again. The status is checked at the end of a response, too, as only trailers may name the request.

Tests: tests.test_response_status, on connections and through nodes: 18 forms of a status, with and without the correlation field, signed or not, four ways to mark the end, whole and byte by byte; safe requests and orders on the same and another node.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -38,10 +38,10 @@
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
 ANNOUNCED_IDLE_FRACTION: Final = 0.6
-# Statuses of final responses. The parser accepts any three digits (RFC 9110,
-# section 15).
-STATUS_MIN: Final = 200
-STATUS_MAX: Final = 599
+# Statuses of responses (RFC 9110, section 15). The parser accepts any three
+# digits, but 101 only as the end of the protocol.
+INTERIM_STATUSES: Final = range(100, 200)
+FINAL_STATUSES: Final = range(200, 600)
 # Bytes outside of bodies, such as header fields, that a server may send for
 # a request, and the further ones for each byte of the bodies: a chunk of a
 # single byte takes five more bytes.
@@ -553,17 +553,22 @@
         if self._request is None or self._response is not None:
             return
         status = self._parser.get_status_code()
+        is_interim = status in INTERIM_STATUSES
+        if not is_interim and status not in FINAL_STATUSES:
+            self._closed = True
+            if not self._is_surplus():
+                raise ValueError("a response without a status of HTTP")
         fields = dict(self._fields)
         length = fields.get(b"content-length")
         chunked = b"transfer-encoding" in fields
         # After an interim response, another one follows.
-        has_body = status >= STATUS_MIN and status not in STATUSES_WITHOUT_BODY
+        has_body = not is_interim and status not in STATUSES_WITHOUT_BODY
         self._reads_until_close = has_body and length is None and not chunked
         if self._reads_until_close and self._is_surplus():
             # It would take the response to this request for its body.
             self._reads_until_close = False
             raise ValueError("a surplus response without a length")
-        if self._request.head_only and status >= STATUS_MIN:
+        if self._request.head_only and not is_interim:
             self._closed = True
             self._complete_response()
         elif has_body and length is not None and not chunked:
@@ -605,7 +610,7 @@
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
         status = self._parser.get_status_code()
-        if self._response is None and status >= STATUS_MIN:
+        if self._response is None and status not in INTERIM_STATUSES:
             self._complete_response()
 
     # Outcomes.
@@ -626,7 +631,8 @@
                 self._finish_request(Failure.GARBLED)
             return
         status = self._parser.get_status_code()
-        if status > STATUS_MAX:
+        if status not in FINAL_STATUSES:
+            # Only trailers have shown that it isn't a surplus response.
             self._closed = True
             self._finish_request(Failure.GARBLED)
             return
