--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 from tests.soak.servers import BackendServer, Place
 from tests.soak.shards import run_sharded_soak
 from tests.soak.site import AUDITS, STORES, Site
+from tests.soak.uploads import UPLOADS
 from tests.soak.waymarks import create_site
 
 LOOPBACK: Final = "127.0.0.1"
@@ -56,6 +57,10 @@
     def test_seed_16_with_runs_as_long_as_a_stop(self) -> None:
         self.check_seed(16, AUDITS)
 
+    def test_seed_4_with_large_bodies(self) -> None:
+        """Copies of bodies, without a bound, ended nodes over 300 MB."""
+        self.check_seed(4, UPLOADS)
+
     def test_seed_1_of_waymarks_at_a_low_rate(self) -> None:
         self.check_seed(1, create_site(0.02))
 
