Allocate each body once, and let go of what refused requests leave behind

Buffers that grow side by side leave gaps in memory; the allocator of glibc keeps large freed blocks; and a refused connection kept the error, by its traceback the data that was received last, and by the parser itself.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -8,7 +8,6 @@
 import asyncio
 import enum
 import fcntl
-import io
 import re
 import sys
 import termios
@@ -19,6 +18,7 @@
 
 import httptools
 
+from sequoiaseam._body_buffer import BodyBuffer
 from sequoiaseam._clock import Clock
 from sequoiaseam._http_server import STATUSES_WITHOUT_BODY, HeaderFields
 from sequoiaseam._listeners import connect
@@ -310,10 +310,7 @@
 
     def _reset_response(self) -> None:
         self._fields: HeaderFields = []
-        # The body while it is a single chunk, and the buffer of a longer one,
-        # which returns its content without a copy.
-        self._body = b""
-        self._body_buffer: io.BytesIO | None = None
+        self._body: BodyBuffer | None = None
         self._body_size = 0
         self._keeps_body = True
         # Length of a body that is kept, 0 if it isn't known.
@@ -597,15 +594,9 @@
         ):
             return
         self._body_size += size
-        if self._body_buffer is not None:
-            self._body_buffer.write(body)
-        elif self._body:
-            self._body_buffer = io.BytesIO()
-            self._body_buffer.write(self._body)
-            self._body_buffer.write(body)
-            self._body = b""
-        else:
-            self._body = body
+        if self._body is None:
+            self._body = BodyBuffer(self._length or None)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
@@ -636,11 +627,11 @@
             self._closed = True
             self._finish_request(Failure.GARBLED)
             return
-        buffer = self._body_buffer
+        body, self._body = self._body, None
         self._response = BackendResponse(
             status,
             self._fields,
-            self._body if buffer is None else buffer.getvalue(),
+            b"" if body is None else body.take(),
         )
 
     def _finish_request(self, failure: Failure) -> None:
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import io
 import re
 import socket
 from collections import deque
@@ -17,6 +16,7 @@
 
 import httptools
 
+from sequoiaseam._body_buffer import BodyBuffer
 from sequoiaseam._clock import Clock
 from sequoiaseam._listeners import (
     Listener,
@@ -346,7 +346,7 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._transport: Any = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         # Requests not yet handled, and those in progress, in order.
         self._waiting: deque[HttpRequest] = deque()
         self._in_progress: deque[HttpRequest] = deque()
@@ -356,8 +356,9 @@
         self._starting = False
         # Set with the last response. Data received after it is discarded.
         self._ended = False
-        # Error in what follows the last complete request.
-        self._rejected: RejectedRequestError | None = None
+        # Response to what follows the last complete request. The error itself
+        # would keep the received data in memory by its traceback.
+        self._rejected: UnreadRefusal | None = None
         self._reading_paused = False
         # Set when the last response of a shutdown waits for one more read.
         self._last_read_begun = False
@@ -379,10 +380,7 @@
         self._release_held()
         self._target = b""
         self._fields: HeaderFields = []
-        self._body_parts: list[bytes] = []
-        # Holds the body instead of the parts if it is large.
-        self._large_body: io.BytesIO | None = None
-        self._announced_length: int | None = None
+        self._body: BodyBuffer | None = None
         self._received_size = 0
         self._in_body = False
         # Whether the caller waits for a 100 response before the body.
@@ -434,6 +432,9 @@
         if exc is not None:
             self.end_cause = type(exc).__name__
         self._server.connections.discard(self)
+        # It refers back to this connection, which would stay in memory until
+        # a garbage collection.
+        self._parser = None
         self._record_unsent(0, self._server.clock.now())
         waiting, self._waiting = self._waiting, deque()
         self._reset_request()
@@ -541,9 +542,8 @@
             raise MalformedRequestError(
                 413, "request body exceeds the size limit"
             )
-        self._announced_length = length
-        if self._is_chunked:
-            self._announced_length = None
+        if length or self._is_chunked:
+            self._body = BodyBuffer(None if self._is_chunked else length)
         self._reserve(REQUEST_OVERHEAD_BYTES + self._head_size + length)
         self._in_body = True
         self._received_size = 0
@@ -624,16 +624,10 @@
             raise MalformedRequestError(
                 413, "request body exceeds the size limit"
             )
-        if self._announced_length is None:
-            self._reserve_chunked()
-        if self._large_body is not None:
-            self._large_body.write(body)
-            return
-        self._body_parts.append(body)
-        if self._received_size > LARGE_MIN_BYTES:
-            self._large_body = io.BytesIO()
-            self._large_body.writelines(self._body_parts)
-            self._body_parts = []
+        # Covered already if the length was announced.
+        self._reserve_chunked()
+        if self._body is not None:
+            self._body.add(body)
 
     def _reserve_chunked(self) -> None:
         """Reserve room for a body whose length isn't known."""
@@ -645,17 +639,9 @@
             )
 
     def _take_body(self) -> bytes:
-        """Return the body and let go of it.
-
-        The parser refers back to this connection, so the parts would stay
-        in memory until the next request or garbage collection.
-        """
-        large_body, self._large_body = self._large_body, None
-        parts, self._body_parts = self._body_parts, []
-        if large_body is not None:
-            # Its buffer isn't copied.
-            return large_body.getvalue()
-        return b"".join(parts)
+        """Return the body and let go of it."""
+        body, self._body = self._body, None
+        return b"" if body is None else body.take()
 
     def _create_request(self, body: bytes) -> HttpRequest:
         return HttpRequest(
@@ -868,7 +854,7 @@
             )
         self._reset_request()
         self._reading = False
-        self._rejected = error
+        self._rejected = error.refusal
         self._start_waiting()
         if self._ended:
             return
@@ -882,7 +868,7 @@
         """Respond to a rejected request, if there was one."""
         if self._rejected is None:
             return False
-        refusal = self._rejected.refusal
+        refusal = self._rejected
         self._write(
             "GET",
             refusal.status,
--- a/src/sequoiaseam/_mesh_bodies.py
+++ b/src/sequoiaseam/_mesh_bodies.py
@@ -4,13 +4,13 @@
 receives one reserves its memory before the first part comes.
 """
 
-import io
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, cast
 
 import msgspec
 
+from sequoiaseam._body_buffer import BodyBuffer
 from sequoiaseam._memory import MemoryBudget, MemoryUse
 from sequoiaseam._mesh_frames import (
     BodyGrant,
@@ -103,29 +103,25 @@
     """Joins the parts of a body of known length."""
 
     def __init__(self, length: int) -> None:
+        self._buffer = BodyBuffer(length)
         self._length = length
-        self.missing = length
-        self._buffer = io.BytesIO()
+
+    @property
+    def missing(self) -> int:
+        """Return how many bytes haven't come."""
+        return self._length - self._buffer.size
 
     def add(self, data: bytes) -> bool:
         """Add the next part; return whether the body is complete."""
         if not data or len(data) > self.missing:
             msg = "body part of a wrong size"
             raise UnexpectedFrameError(msg)
-        if self.missing == self._length:
-            # A buffer that grew with each part would allocate an eighth more
-            # than the body.
-            self._buffer.seek(self._length - 1)
-            self._buffer.write(b"\0")
-            self._buffer.seek(0)
-        self._buffer.write(data)
-        self.missing -= len(data)
+        self._buffer.add(data)
         return not self.missing
 
     def take(self) -> bytes:
         """Return the complete body, which isn't held here any longer."""
-        buffer, self._buffer = self._buffer, io.BytesIO()
-        return buffer.getvalue()
+        return self._buffer.take()
 
 
 class IncomingCall:
