Leave large bodies unread for a time in servers of the soak

Cause: servers of the soak read at once what a node sends, so that nothing waits in the node for them. Change: they leave the rest of one large body in five unread for 0.1 to 1.5 s. A note says how many requests with small bodies were served beside the large ones. A test guards against a server that misses a changed byte of a large body.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -295,6 +296,18 @@
         self._record.check_all()
         self._check_losses()
         self._check_served()
+        if self._site.large_routes:
+            self._note_other_requests()
+
+    def _note_other_requests(self) -> None:
+        """Note how many requests beside those with large bodies succeed."""
+        counts = Counter(
+            f"{call.connection} {'served' if call.served else 'not served'}"
+            for call in self._record.calls.values()
+            if not self._site.find_route(call.target).large
+        )
+        parts = [f"{name}: {count}" for name, count in sorted(counts.items())]
+        self._notes.append(f"requests with small bodies, {', '.join(parts)}")
 
     def _check_losses(self) -> None:
         """Check the rule LOST where the record found no failure."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -46,6 +46,9 @@
 SPOILED_RATIO: Final = 0.03
 # When a copy or other bytes follow an answer, also as the next request runs.
 EXTRA_SECONDS: Final = (0.0, 0.0, 0.002, 0.02, 0.1, 0.5)
+# Of large bodies: those of which a server reads the rest later.
+PAUSED_BODY_RATIO: Final = 0.2
+PAUSED_BODY_SECONDS: Final = (0.1, 1.5)
 # How long after its time limit a request may be answered.
 LATE_SECONDS_MAX: Final = 0.2
 
@@ -272,8 +275,8 @@
     def is_large(self, target: str) -> bool:
         """Return whether a target is that of a route for large bodies."""
         return any(
-            route.large and target.startswith(route.prefix)
-            for route in self.place.site.routes
+            target.startswith(route.prefix)
+            for route in self.place.site.large_routes
         )
 
     def draw_answer_size(self, target: str) -> int:
@@ -439,8 +442,19 @@
         start = None
         if self._server.is_large(first_line.split(" ")[1]):
             start = find_start(fields.get("x-sequoiaseam-attempt-id", "0"))
+            self._pause_reading()
         return ReceivedBody(size, start)
 
+    def _pause_reading(self) -> None:
+        """Leave a body unread for some time, in some cases."""
+        rng = self._server.rng
+        if rng.random() < PAUSED_BODY_RATIO:
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_later(
+                rng.uniform(*PAUSED_BODY_SECONDS),
+                self._transport.resume_reading,
+            )
+
     def pause_writing(self) -> None:
         self._writable.clear()
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -156,6 +156,11 @@
         """Return the routes that backend servers use."""
         return tuple(route for route in self.routes if route.nested)
 
+    @property
+    def large_routes(self) -> tuple[RouteKind, ...]:
+        """Return the routes of requests for large bodies."""
+        return tuple(route for route in self.routes if route.large)
+
     def list_server_relays(self) -> list[str]:
         """Return the names of the relays to backend servers."""
         return [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,8 +15,19 @@
 
 import aiohttp
 
-from tests.soak.callers import CallerConnection, RequestIds, encode_request
+from tests.soak.callers import (
+    CallerConnection,
+    RequestIds,
+    encode_head,
+    encode_request,
+)
 from tests.soak.calls import Call, End, Run
+from tests.soak.content import (
+    PART_BYTES_MAX,
+    describe_content,
+    find_start,
+    iterate_parts,
+)
 from tests.soak.record import (
     GRACE_PERIOD_SECONDS,
     STOP_ADMISSION_SECONDS,
@@ -447,8 +458,20 @@
                 await faults
 
 
+def create_server(
+    record: Record, place: Place, session: aiohttp.ClientSession
+) -> BackendServer:
+    """Return a backend server without a relay."""
+    return BackendServer(
+        record, random.Random(1), RequestIds(1), place, "i-1", session, ""
+    )
+
+
 class BackendServerTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against shed requests that the soak takes for run ones."""
+    """Guards against requests that a server takes for others.
+
+    Shed ones don't count as run, and changed ones are noticed.
+    """
 
     async def test_requests_beyond_slots_and_queue_are_shed(self) -> None:
         site = create_site(0.001)
@@ -457,15 +480,7 @@
         held = pool.slots + int(pool.queue)
         record = Record()
         async with aiohttp.ClientSession() as session:
-            server = BackendServer(
-                record,
-                random.Random(1),
-                RequestIds(1),
-                Place(site, node, 0, 0),
-                "i-1",
-                session,
-                "",
-            )
+            server = create_server(record, Place(site, node, 0, 0), session)
             await server.listen()
             calls = [create_call(f"{n}") for n in range(held + 2)]
             async with asyncio.TaskGroup() as group:
@@ -478,6 +493,40 @@
         self.assertEqual(sum(len(call.runs) for call in calls), held)
         self.assertFalse(record.failures)
 
+    async def upload(self, content: bytes) -> list[str]:
+        """Send a large body to a server; return the failures."""
+        record = Record()
+        node = next(n for n, s in UPLOADS.services.items() if s == "store")
+        async with aiohttp.ClientSession() as session:
+            server = create_server(record, Place(UPLOADS, node, 0, 0), session)
+            await server.listen()
+            call = create_call()
+            call.target = "/upload/7"
+            call.body = describe_content("7", len(content))
+            call.connection = "new"
+            record.start_call(call)
+            reader, writer = await asyncio.open_connection(
+                LOOPBACK, server.port
+            )
+            framing = f"Content-Length: {len(content)}\r\n"
+            framing += f"X-Sequoiaseam-Expected-Instance: {server.server_id}"
+            framing += "\r\nX-Sequoiaseam-Caller-Service: front"
+            writer.write(encode_head(call, 5000, framing) + content)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+            writer.close()
+            await server.close()
+        self.assertEqual(len(call.runs), 1)
+        return record.failures
+
+    async def test_a_changed_byte_of_a_large_body(self) -> None:
+        parts = iterate_parts(find_start("7"), 3_000_000, PART_BYTES_MAX)
+        content = bytearray(b"".join(parts))
+        self.assertEqual(await self.upload(bytes(content)), [])
+        content[2_500_000] ^= 1
+        (failure,) = await self.upload(bytes(content))
+        self.assertIn("was changed", failure)
+
     async def send(
         self, server: BackendServer, record: Record, call: Call
     ) -> None:
@@ -506,15 +555,7 @@
         place = Place(site, LOOPBACK, listener.getsockname()[1], 0)
         session = aiohttp.ClientSession()
         self.addAsyncCleanup(session.close)
-        server = BackendServer(
-            Record(),
-            random.Random(1),
-            RequestIds(1),
-            place,
-            "i-1",
-            session,
-            "",
-        )
+        server = create_server(Record(), place, session)
         loop = asyncio.get_running_loop()
         with patch("tests.soak.servers.HEARTBEAT_TIMEOUT_SECONDS", 0.1):
             heartbeat = loop.create_task(server.send_heartbeat())
