Share the pauses, server changes and the watch of the soak

Change: a delay is the same as a pause that isn't recorded as a fault; taking a server away is replacing it with a stop of its node between; the processes of the sharded soak measure their lateness with the watch. Nothing is cut: each action and check is as before, 13 lines fewer.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -420,7 +420,7 @@
             return self._servers[action.address].spoil_answers(action.duration)
         return {
             Kind.REPLACE_SERVER: self._replace_server,
-            Kind.REMOVE_SERVER: self._remove_server,
+            Kind.REMOVE_SERVER: self._replace_server,
             Kind.RELEASE: self._release,
             Kind.BURST: self._burst,
             Kind.UPLOAD: self._load.upload,
@@ -431,7 +431,7 @@
             Kind.STEP_CLOCK: self._step_clock,
             Kind.STOP: self._stop,
             Kind.KILL: self._kill,
-            Kind.DELAY: self._delay,
+            Kind.DELAY: self._pause,
             Kind.PAUSE: self._pause,
         }[kind](action)
 
@@ -480,11 +480,17 @@
             fault.end = self._record.now()
 
     async def _replace_server(self, action: Action) -> None:
+        """Take a server away, in some cases its node too, and start others."""
         former = self._servers[action.address]
         if former.leaving:
             return
+        removed = action.kind is Kind.REMOVE_SERVER
         period = self._record.add_stop(name_server_relay(action.address))
-        await former.leave(action.duration)
+        await former.leave(
+            REMOVED_DRAIN_SECONDS if removed else action.duration
+        )
+        if removed:
+            await self._stop(action)
         await self._start_server(action.address)
         period.end = self._record.now()
 
@@ -503,17 +509,6 @@
                 group.create_task(self._stop(step))
                 await asyncio.sleep(RELEASE_GAP_SECONDS)
 
-    async def _remove_server(self, action: Action) -> None:
-        """Take a server and then its node away, and add both again."""
-        former = self._servers[action.address]
-        if former.leaving:
-            return
-        period = self._record.add_stop(name_server_relay(action.address))
-        await former.leave(REMOVED_DRAIN_SECONDS)
-        await self._stop(action)
-        await self._start_server(action.address)
-        period.end = self._record.now()
-
     async def _stop(self, action: Action) -> None:
         """Stop a process as planned and start it again.
 
@@ -613,23 +608,18 @@
             await self._restart(address, 0)
 
     async def _pause(self, action: Action) -> None:
+        """Pause a process, which is no fault if it is a mere delay."""
         process = self._fleet.processes.get(action.address)
         if process is None or process.returncode is not None:
             return
-        fault = self._record.add_fault(action.address, "paused")
-        send_signal(process, signal.SIGSTOP)
-        await asyncio.sleep(action.duration)
-        send_signal(process, signal.SIGCONT)
-        fault.end = self._record.now()
-
-    async def _delay(self, action: Action) -> None:
-        """Pause a process for as long as a busy machine may delay it."""
-        process = self._fleet.processes.get(action.address)
-        if process is None or process.returncode is not None:
-            return
+        fault = None
+        if action.kind is Kind.PAUSE:
+            fault = self._record.add_fault(action.address, "paused")
         send_signal(process, signal.SIGSTOP)
         await asyncio.sleep(action.duration)
         send_signal(process, signal.SIGCONT)
+        if fault is not None:
+            fault.end = self._record.now()
 
     async def _stall_disk(self, action: Action) -> None:
         fault = self._record.add_fault(action.address, "stalled disk")
@@ -683,6 +673,7 @@
     # Supervision.
 
     async def _watch(self) -> None:
+        """Measure how late this process is."""
         while True:
             await self._poll()
 
--- a/tests/soak/shards.py
+++ b/tests/soak/shards.py
@@ -115,7 +115,7 @@
             senders = [
                 group.create_task(caller.run()) for caller in self._callers
             ]
-            watch = group.create_task(self._measure_lateness())
+            watch = group.create_task(self._watch())
             actions = group.create_task(self._change_servers())
             await asyncio.sleep(shard.ends_at - time.monotonic())
             actions.cancel()
@@ -148,10 +148,6 @@
                     await asyncio.sleep(max(0.0, due - time.monotonic()))
                     group.create_task(self._perform(action))
 
-    async def _measure_lateness(self) -> None:
-        while True:
-            await self._poll()
-
 
 class ShardedSoak(Soak):
     """The processes of nodes and control hosts, and their stops."""
