--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -470,18 +470,21 @@
             self._pause_reading()
 
     def _parse(self, data: bytes) -> RejectedRequestError | None:
-        """Parse data; return the error if it is rejected."""
+        """Parse data; return the error if it is rejected.
+
+        Its traceback would keep the data until a garbage collection.
+        """
         try:
             self._parser.feed_data(data)
             if self._reading and not self._in_body:
                 self._reserve(self._head_size)
         except RejectedRequestError as error:
-            return error
+            return error.with_traceback(None)
         except httptools.HttpParserCallbackError as error:
             rejected = error.__context__
             if not isinstance(rejected, RejectedRequestError):
                 raise
-            return rejected
+            return rejected.with_traceback(None)
         except httptools.HttpParserUpgrade:
             return MalformedRequestError(
                 501, "protocol upgrade is not supported"
