Notice the end of waiting responses of replaced servers

Cause: only the connections to the present incarnation of a server were swept. If a server is replaced while the response to a request waits for room and then ends, the request waited on until there was room or its deadline.

Change: the pools of former incarnations are swept while they have connections.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -123,6 +123,8 @@
             HOP_BY_HOP_FIELDS | header_names.internal_response_fields
         )
         self._session: _Session | None = None
+        # Of former incarnations, while they run calls.
+        self._former_pools: list[BackendPool] = []
         self._runs: dict[int, _Run] = {}
         self._ids = itertools.count(1)
         self._tasks = TaskGroup()
@@ -232,6 +234,7 @@
         if former is not None:
             self._refuse_queued(now, former)
             former.connections.close()
+            self._former_pools.append(former.connections)
 
     def _refuse_queued(
         self,
@@ -638,6 +641,10 @@
             actions = session.admission.tick(now)
             self._apply_actions(now, session, actions)
         session.connections.sweep(now)
+        if self._former_pools:
+            self._former_pools = [p for p in self._former_pools if p.in_use]
+            for pool in self._former_pools:
+                pool.sweep(now)
 
 
 def _read_length(fields: HeaderFields) -> int:
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -141,6 +141,8 @@
         # Time of the last sweep. Connections that count as idle since then
         # seem idle for longer than they are.
         self.last_sweep = clock.now()
+        # All open connections.
+        self.connections: set[BackendConnection] = set()
         self._idle: list[BackendConnection] = []
         # Connections on which a part of a body of unknown length has been
         # received.
@@ -152,6 +154,11 @@
         self._closed = False
         self.opened_count = 0
 
+    @property
+    def in_use(self) -> bool:
+        """Return whether connections are open or being opened."""
+        return bool(self.connections or self._tasks)
+
     def send(self, request: PendingRequest) -> None:
         """Send a request on an idle connection or a new one."""
         connection = self._acquire_idle(request)
@@ -238,6 +245,7 @@
 
     def remove(self, connection: "BackendConnection") -> None:
         """Remove a closed connection from the pool."""
+        self.connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
@@ -364,6 +372,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = transport
+        self._pool.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the request in progress.
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -6,6 +6,7 @@
 import tracemalloc
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -374,7 +375,8 @@
     """Begin a response, send more of it later, and close the connection."""
     transport = request.transport
     transport.write(
-        b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: %d\r\n\r\na" % length
+        f"HTTP/1.1 200 OK\r\nX-Id: {request.find_field('x-id')}\r\n"
+        f"Content-Length: {length}\r\n\r\na".encode()
     )
 
     def close() -> None:
@@ -589,6 +591,36 @@
                 budget.release(MemoryUse.REQUESTS, budget.limit_bytes)
                 await self.expect_nothing_held(cluster)
 
+    async def test_a_waiting_response_of_a_replaced_server_is_cut_off(
+        self,
+    ) -> None:
+        """The end of its server ends the request, not a minute later."""
+
+        def begin_response(request: ReceivedRequest) -> None:
+            budget.charge(MemoryUse.REQUESTS, budget.limit_bytes)
+            respond_slowly(request, MEBIBYTE, b"b", reset=False)
+
+        cluster = await self.start_cluster(begin_response, remote=False)
+        executor = cluster.nodes[0]._executor
+        budget = cluster.nodes[0]._memory
+        session = executor._session
+        assert session is not None
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            task = asyncio.create_task(cluster.send_request("/slow/1"))
+            while not budget.has_waiting:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+            cluster.nodes[0].accept_server_report(
+                replace(session.report, started_at_ms=2)
+            )
+            self.assertIsNot(executor._session, session)
+            response = await task
+        self.assertEqual(response.status, 502)
+        budget.release(MemoryUse.REQUESTS, budget.limit_bytes)
+        await self.expect_nothing_held(cluster)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while executor._former_pools:  # noqa: ASYNC110
+                await asyncio.sleep(SWEEP_SECONDS)
+
 
 if __name__ == "__main__":
     unittest.main()
