Return free memory of a node after large bodies were released

Change: blocks from 64 KiB on are returned as they are freed, and malloc_trim is called at most four times a second after 8 MiB were released.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -13,6 +13,7 @@
 from typing import Any, Final
 
 from sequoiaseam._access import TrustedNetwork
+from sequoiaseam._allocator import TRIM_INTERVAL, MemoryTrimmer
 from sequoiaseam._announcements import ServerReport, StaleReportFilter
 from sequoiaseam._balancer import Balancer
 from sequoiaseam._clock import Clock, create_incarnation
@@ -225,6 +226,9 @@
         self._ticked_at = self._clock.now()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._tasks.start_periodic(REPORT_INTERVAL, self._log_memory)
+        self._tasks.start_periodic(
+            TRIM_INTERVAL, MemoryTrimmer(self._memory).check
+        )
         self._tasks.start(self._uplink.run())
 
     def is_ready(self) -> bool:
--- a/src/sequoiaseam/_memory.py
+++ b/src/sequoiaseam/_memory.py
@@ -92,6 +92,8 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.peak_bytes = 0
+        # Sum of all that was released.
+        self.released_bytes = 0
         self._held_by_use = [0 for _ in MemoryUse]
         # Responses that don't fit yet, in order of arrival. Small ones don't
         # wait for large ones.
@@ -133,6 +135,7 @@
         """Subtract bytes that are no longer held."""
         self._held_by_use[use] -= size
         self.held_bytes -= size
+        self.released_bytes += size
         if self._waiting_small or self._waiting_large:
             self._grant_waiting()
 
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -15,7 +15,7 @@
 
 import uvloop
 
-from sequoiaseam._allocator import return_freed_memory
+from sequoiaseam._allocator import limit_allocator_cache
 from sequoiaseam._logs import (
     Level,
     configure_logging,
@@ -219,7 +219,7 @@
         the rest of a stop from its work.
         """
         raise_descriptor_limit()
-        return_freed_memory()
+        limit_allocator_cache()
         self._handle_signals()
         monitoring = TaskGroup()
         monitoring.start(log_lag(self._name))
