Answer what a node owes whichever step of its stop fails

Cause: an error out of any step of HostNode.drain skipped the rest of it, and close then aborted all connections with their requests unanswered; an error in close skipped the parts after it. An error while a call was cancelled left its request without a response at any time. That is the form of the users' report: requests from kept connections passed on, and the process ends by itself.

Change: each step of a drain and each part of a close runs in a guard that logs the error ("step failed"), tries once more and goes on. What can't be found out counts as in progress. close refuses first what a drain has left in progress. Calls are cancelled in the guard, too.

Measured (x86-64): tests.test_ends.StopFaultTest raises MemoryError out of each function that drain or close call in _host_node, once and always, with seven connections and a call of another node in progress.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -46,7 +47,7 @@
 from sequoiaseam._settings import Endpoint, parse_endpoint
 from sequoiaseam._stop_schedule import CLOSE_FRACTION, StopSchedule
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES, Pool
-from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._tasks import StepGuard, TaskGroup
 from sequoiaseam._uplink import Uplink, UplinkHooks
 from sequoiaseam.errors import ErrorCode, SeamError
 
@@ -125,6 +126,7 @@
         self._report_sequence = 0
         self._stale_report_filter = StaleReportFilter()
         self._tasks = TaskGroup()
+        self._guard = StepGuard(settings.name)
         self._uplink = Uplink(
             {
                 str(endpoint): endpoint
@@ -223,78 +225,112 @@
         ``elapsed`` is the time since the stop was requested, from which all
         steps are measured.
         """
+        guard = self._guard
         self._closing = True
-        self._send_report()
-        now = self._clock.now()
-        schedule = StopSchedule(
-            now - elapsed,
-            self._settings.shutdown_time_limit,
-            self._measure_tick_lateness(now),
+        schedule = guard.run(
+            partial(self._create_stop_schedule, elapsed)
+        ) or self._create_stop_schedule(elapsed)
+        self._stop_schedule = schedule
+        wait_idle = partial(self._wait_idle, schedule)
+        guard.run(partial(self._begin_stop, schedule))
+        guard.run(self._send_report)
+        await guard.wait(
+            partial(self._sleep_until, schedule, schedule.serving_ends_at)
         )
-        started_at = schedule.started_at
-        self._executor.begin_stop(schedule)
-        self._ingress.stop_schedule = self._stop_schedule = schedule
-        # Each response closes its connection from now on, so that few are
-        # left that the end of the drain closes as a caller sends a request.
-        self._http_server.closing = True
-        await self._sleep_until(schedule, schedule.serving_ends_at)
-        self._log_drain_step("refusing calls of other nodes", started_at)
+        self._log_drain_step("refusing calls of other nodes", schedule)
         # Refuse later calls; callers reroute them to other hosts.
         self._executor.closing = True
-        await self._sleep_until(schedule, schedule.notice_ends_at)
+        await guard.wait(
+            partial(self._sleep_until, schedule, schedule.notice_ends_at)
+        )
         # Requests in progress keep the node busy, so past their ends these
         # waits must not use up the passes of the last ones.
-        await self._wait_idle(
-            schedule, lambda: schedule.admission_ends_at, late_passes=0
+        await guard.wait(
+            partial(
+                wait_idle,
+                lambda: schedule.admission_ends_at,
+                late_passes=0,
+            )
         )
         self._ingress.closing = True
-        self._log_drain_step("refusing callers", started_at)
+        self._log_drain_step("refusing callers", schedule)
         # The message on the leave arrives while runs still go on.
-        await self._wait_idle(
-            schedule, lambda: schedule.runs_end_at_least, late_passes=0
+        await guard.wait(
+            partial(
+                wait_idle,
+                lambda: schedule.runs_end_at_least,
+                late_passes=0,
+            )
         )
-        self._leave_fleet()
-        left_at = self._clock.now()
+        guard.run(self._leave_fleet)
+        left_at = guard.run(self._clock.now)
         # Responses that wait in the kernel until now are passed on.
-        await self._wait_idle(
-            schedule, schedule.find_runs_end, late_passes=READ_PASSES
-        )
-        log_event(
-            Level.INFO,
-            "drain ended",
-            host=self._settings.name,
-            **self._measure_drain(started_at),
+        await guard.wait(
+            partial(
+                wait_idle,
+                schedule.find_runs_end,
+                late_passes=READ_PASSES,
+            )
         )
+        guard.run(partial(self._log_drain_end, schedule))
         self._refuse_unfinished()
-        self._http_server.stop_listening()
+        guard.run(self._http_server.stop_listening)
         if self._executor.busy:
             # What the server still runs is owed to callers of other nodes.
-            await self._wait_idle(
-                schedule, schedule.find_sending_end, late_passes=READ_PASSES
+            await guard.wait(
+                partial(
+                    wait_idle,
+                    schedule.find_sending_end,
+                    late_passes=READ_PASSES,
+                )
             )
-            self._executor.refuse_all()
+            guard.run(self._executor.refuse_all)
         # Requests that waited in the kernel until now are read and refused.
-        await self._wait_idle(schedule, schedule.find_sending_end)
+        await guard.wait(partial(wait_idle, schedule.find_sending_end))
         # No event loop iteration may lie between the last check and
         # ``stop_accepting``, as a request read there would be cut off by
         # ``close``.
-        closed_count = self._http_server.stop_accepting()
+        closed_count = guard.run(self._http_server.stop_accepting)
         self._log_drain_step(
-            "closed idle connections", started_at, closed=closed_count
+            "closed idle connections", schedule, closed=closed_count
+        )
+        guard.run(self._quota_gate.close)
+        if left_at is not None:
+            await guard.wait(partial(self._flush_leave, schedule, left_at))
+        # Responses and refusals may still be in transit to slow readers.
+        await guard.wait(
+            partial(
+                wait_idle,
+                schedule.find_sending_end,
+                late_passes=READ_PASSES,
+                idle_checks=1,
+            )
+        )
+
+    def _create_stop_schedule(self, elapsed: timedelta) -> StopSchedule:
+        now = self._clock.now()
+        return StopSchedule(
+            now - elapsed,
+            self._settings.shutdown_time_limit,
+            self._measure_tick_lateness(now),
         )
-        self._quota_gate.close()
+
+    def _begin_stop(self, schedule: StopSchedule) -> None:
+        self._ingress.stop_schedule = schedule
+        # Each response closes its connection from now on, so that few are
+        # left that the end of the drain closes as a caller sends a request.
+        self._http_server.closing = True
+        self._executor.begin_stop(schedule)
+
+    async def _flush_leave(
+        self, schedule: StopSchedule, left_at: datetime
+    ) -> None:
+        """Wait until the last message has reached the control host."""
         if schedule.has_time_for_pass(self._clock.now()):
             await self._sleep_until(
                 schedule,
                 min(left_at + LEAVE_FLUSH_TIME, schedule.find_sending_end()),
             )
-        # Responses and refusals may still be in transit to slow readers.
-        await self._wait_idle(
-            schedule,
-            schedule.find_sending_end,
-            late_passes=READ_PASSES,
-            idle_checks=1,
-        )
 
     def _leave_fleet(self) -> None:
         """Tell the control host that this node leaves.
@@ -317,15 +353,28 @@
         }
 
     def _log_drain_step(
-        self, step: str, started_at: datetime, **details: object
+        self,
+        step: str,
+        schedule: StopSchedule,
+        **details: object,
     ) -> None:
+        self._guard.run(
+            lambda: log_event(
+                Level.INFO,
+                "drain step",
+                host=self._settings.name,
+                step=step,
+                **self._measure_drain(schedule.started_at),
+                **details,
+            )
+        )
+
+    def _log_drain_end(self, schedule: StopSchedule) -> None:
         log_event(
             Level.INFO,
-            "drain step",
+            "drain ended",
             host=self._settings.name,
-            step=step,
-            **self._measure_drain(started_at),
-            **details,
+            **self._measure_drain(schedule.started_at),
         )
 
     def _measure_drain(self, started_at: datetime) -> dict[str, object]:
@@ -346,8 +395,8 @@
         less than a refusal.
         """
         self._ingress.sending_enabled = False
-        self._executor.refuse_queued()
-        self._ingress.refuse_pending()
+        self._guard.run(self._executor.refuse_queued)
+        self._guard.run(self._ingress.refuse_pending)
 
     async def _sleep_until(
         self, schedule: StopSchedule, time: datetime
@@ -376,7 +425,8 @@
         while True:
             now = self._clock.now()
             pause = timedelta(0)
-            if not self._is_busy():
+            # What can't be found out may be in progress.
+            if self._guard.run(self._is_busy) is False:
                 idle_count += 1
             elif now < find_deadline():
                 # Transports have no event for when all data is sent.
@@ -390,7 +440,9 @@
             if not schedule.has_time_for_pass(now):
                 return
             await self._sleep_until(schedule, now + pause)
-            self._stop_listening_if_unneeded(schedule)
+            self._guard.run(
+                partial(self._stop_listening_if_unneeded, schedule)
+            )
 
     def _stop_listening_if_unneeded(self, schedule: StopSchedule) -> None:
         """Stop listening once all that new connections carry is refused.
@@ -414,15 +466,38 @@
         )
 
     async def close(self) -> None:
-        """Close listeners and connections."""
+        """Close listeners and connections.
+
+        What a drain has left in progress, or one that failed, is refused
+        first.
+        """
+        guard = self._guard
+        # What can't be found out may be in progress.
+        if guard.run(self._is_unanswered) is not False:
+            await guard.wait(self._refuse_all)
         # Before any wait, as a late close is cancelled at the first one.
-        self._mesh_server.leave()
-        await self._http_server.close()
-        await self._mesh_server.close()
-        await self._tasks.cancel()
-        await self._mesh.close()
-        await self._executor.close()
-        await self._crash_reporter.close()
+        guard.run(self._mesh_server.leave)
+        for close in (
+            self._http_server.close,
+            self._mesh_server.close,
+            self._tasks.cancel,
+            self._mesh.close,
+            self._executor.close,
+            self._crash_reporter.close,
+        ):
+            await guard.wait(close)
+
+    def _is_unanswered(self) -> bool:
+        return self._executor.busy or self._ingress.pending_request_count > 0
+
+    async def _refuse_all(self) -> None:
+        """Refuse all that is or will be in progress, and send the refusals."""
+        self._closing = self._ingress.closing = self._executor.closing = True
+        self._http_server.closing = True
+        self._refuse_unfinished()
+        self._guard.run(self._executor.refuse_all)
+        for _ in range(READ_PASSES):
+            await asyncio.sleep(0)
 
     def _tick(self) -> None:
         now = self._clock.now()
@@ -495,11 +570,17 @@
     ) -> Callable[[], None]:
         """Start a call on this or another host; return its cancel function."""
         if name == self._settings.name:
-            return self._executor.run(call, on_result)
+            return partial(
+                self._cancel_call, self._executor.run(call, on_result)
+            )
         member = self._view.members[name]
         link = self._mesh.get_link(name, Endpoint(member.host, member.port))
         call_id = link.call(call, on_result, on_silence)
-        return lambda: link.cancel(call_id)
+        return partial(self._cancel_call, partial(link.cancel, call_id))
+
+    def _cancel_call(self, cancel: Callable[[], None]) -> None:
+        """Cancel a call; its request is refused even if that fails."""
+        self._guard.run(cancel)
 
     def _update_reachability(self, name: str, reachable: bool) -> None:  # noqa: FBT001
         now = self._clock.now()
--- a/src/sequoiaseam/_program.py
+++ b/src/sequoiaseam/_program.py
@@ -22,7 +22,7 @@
     log_event,
 )
 from sequoiaseam._process_end import enable_crash_log, log_process_end
-from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._tasks import TaskGroup, is_cancelled
 from sequoiaseam.errors import SeamError
 
 EXIT_FAILED: Final = 1
@@ -268,7 +268,7 @@
         try:
             return bool(await work)
         except asyncio.CancelledError as error:
-            if _is_cancelled():
+            if is_cancelled():
                 raise
             failure: BaseException = error
         except Exception as error:  # noqa: BLE001
@@ -301,7 +301,7 @@
         try:
             await start_task
         except asyncio.CancelledError:
-            if _is_cancelled() or not self._stop_request.requested:
+            if is_cancelled() or not self._stop_request.requested:
                 raise
             return False
         # Objects allocated during startup are long-lived. Excluding them
@@ -328,15 +328,6 @@
                 await self._service.record_end(self.reason)
 
 
-def _is_cancelled() -> bool:
-    """Return whether the current task itself is to be cancelled.
-
-    Otherwise, an error of this type comes from something that it awaits.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 async def run_service(service: Service, name: str) -> None:
     """Run until SIGTERM or SIGINT, then drain and close.
 
--- a/src/sequoiaseam/_tasks.py
+++ b/src/sequoiaseam/_tasks.py
@@ -1,13 +1,22 @@
 """Groups of background tasks that are cancelled together."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
-from typing import Any
+from functools import partial
+from typing import Any, Final, TypeVar
 
 from sequoiaseam._logs import Level, describe_error, log_event
 from sequoiaseam.errors import RefusalError
 
+# How often a step of a stop is tried.
+STEP_ATTEMPTS: Final = 2
+# Failed steps that a process logs. Some are tried in each pass of a wait.
+STEP_FAILURES_LOGGED_MAX: Final = 50
+
+ResultT = TypeVar("ResultT")
+
 
 class TaskGroup:
     """Background tasks of one component, whose failures are logged.
@@ -66,6 +75,74 @@
             await asyncio.wait(self._tasks)
 
 
+def is_cancelled() -> bool:
+    """Return whether the current task itself is to be cancelled.
+
+    Otherwise, an error of this type comes from something that it awaits.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+class StepGuard:
+    """Runs the steps of a stop, of which each may fail.
+
+    What fails is logged and tried once more, as the reason may be a lack of
+    memory or descriptors that has passed. The steps after it follow in any
+    case, because requests are owed their answers.
+    """
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._failure_count = 0
+
+    def run(self, step: Callable[[], ResultT]) -> ResultT | None:
+        """Run a step; return its result, None if it failed twice."""
+        for _ in range(STEP_ATTEMPTS):
+            try:
+                return step()
+            except Exception as error:  # noqa: BLE001
+                self._record_failure(step, error)
+        return None
+
+    async def wait(
+        self, step: Callable[[], Awaitable[ResultT]]
+    ) -> ResultT | None:
+        """Wait for a step; return its result, None if it failed twice.
+
+        A cancellation of the stop itself is raised.
+        """
+        for _ in range(STEP_ATTEMPTS):
+            try:
+                return await step()
+            except asyncio.CancelledError as error:
+                if is_cancelled():
+                    raise
+                self._record_failure(step, error)
+            except Exception as error:  # noqa: BLE001
+                self._record_failure(step, error)
+        return None
+
+    def _record_failure(self, step: object, error: BaseException) -> None:
+        self._failure_count += 1
+        if self._failure_count > STEP_FAILURES_LOGGED_MAX:
+            return
+        with contextlib.suppress(Exception):
+            log_event(
+                Level.ERROR,
+                "step failed",
+                host=self._host,
+                step=_get_name(step),
+                **describe_error(error),
+            )
+
+
+def _get_name(step: object) -> str:
+    while isinstance(step, partial):
+        step = step.func
+    return getattr(step, "__qualname__", "")
+
+
 async def _call_periodically(
     interval: timedelta, action: Callable[[], None]
 ) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,6 +1,7 @@
 """Tests of the ways in which a process ends, and of what its log tells."""
 
 import asyncio
+import inspect
 import io
 import json
 import os
@@ -9,19 +10,32 @@
 import sys
 import tempfile
 import unittest
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import replace
-from datetime import UTC, datetime
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime, timedelta
+from functools import partial
 from pathlib import Path
+from types import FrameType
 from typing import Any, Final
+from unittest.mock import patch
 
+from sequoiaseam import _host_node, _tasks
 from sequoiaseam._commands import MemberState
 from sequoiaseam._feed import FeedSnapshot
+from sequoiaseam._host_node import HostNode
 from sequoiaseam._logs import Level, configure_logging
+from sequoiaseam._mesh_frames import RunResult
 from sequoiaseam._process_end import MARKER_FILE, EndMarker
-from tests.hosts import HostCluster, echo_body
+from sequoiaseam._program import ServiceRun
+from tests.hosts import (
+    HostCluster,
+    echo_body,
+    format_request,
+    read_response,
+)
 from tests.platform_fleet import PlatformFleet
+from tests.test_drain import CALL, DrainTestCase, ignore_request
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 POLL_INTERVAL_SECONDS: Final = 0.05
@@ -271,6 +285,231 @@
         self.assertEqual(1, text.count("last process of this node is still"))
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Step:
+    """A function that a part of a stop calls, with the caller's name."""
+
+    caller: str
+    module: str
+    called: str
+
+
+class StopFaultTest(DrainTestCase):
+    """Guards against a step of a stop that fails and skips the others.
+
+    Callers of the requests in progress would get no answer, as the end of
+    the process closes their connections.
+    """
+
+    # Of a stop. Runs that never end are refused at five sixths of it.
+    TIME_LIMIT: Final = timedelta(seconds=0.5)
+    # Parts of a stop are the functions of this file that it calls.
+    FILE: Final = _host_node.__file__
+    # Their errors come from the steps that they run.
+    GUARD_FILES: Final = (_tasks.__file__,)
+    # Without these, callers can't get an answer.
+    ANSWERING_STEPS: Final = (
+        "HostNode._refuse_unfinished",
+        "Ingress.refuse_pending",
+    )
+
+    async def asyncSetUp(self) -> None:
+        self.addCleanup(sys.settrace, None)
+        self.failed_steps = 0
+
+    async def prepare(self) -> HostCluster:
+        """Start two hosts, and requests that are in progress on the first.
+
+        Its server runs its callers' requests and a call of the other host,
+        and there are more than it has slots for.
+        """
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=self.TIME_LIMIT
+        )
+        for index, slots in enumerate((2, 8)):
+            cluster.report_server(index, 2, slots=slots)
+        return cluster
+
+    async def check_stop(
+        self, stop: Callable[[HostNode], Awaitable[None]]
+    ) -> None:
+        """Stop the first host as its program does; check what callers get."""
+        cluster = await self.prepare()
+        node = cluster.nodes[0]
+        connections = [await cluster.connect() for _ in range(7)]
+        (_, idle_writer), *in_use = connections
+        for index, (_, writer) in enumerate(in_use):
+            writer.write(
+                format_request(f"/slow/{index}", method="POST", body=b"x")
+            )
+        results: list[RunResult | None] = []
+        cluster.nodes[1]._start_call("host-0", CALL, results.append)
+        await self.wait_until(
+            lambda: (
+                node._ingress.pending_request_count == len(in_use)
+                and node._executor.busy
+            )
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await stop(node)
+            answers = [await read_response(reader) for reader, _ in in_use]
+            for reader, _ in connections:
+                self.assertEqual(b"", await reader.read())
+        run_targets = {
+            request.head.split()[1].decode()
+            for server in cluster.servers
+            for request in server.received
+        }
+        for index, answer in enumerate(answers):
+            # 503 says that a request hasn't run.
+            has_run = f"/slow/{index}" in run_targets
+            self.assertIn(answer.status, (502,) if has_run else (502, 503))
+        await self.wait_until(lambda: results)
+        with self.assertRaises(OSError):
+            await cluster.connect()
+        for _, writer in connections:
+            writer.close()
+        idle_writer.close()
+        await cluster.close()
+
+    async def stop(self, node: HostNode) -> None:  # type: ignore[override]
+        """Drain and close a node, whatever the drain raises."""
+        run = ServiceRun(node, "host-0")
+        await run._guard("drain", node.drain())
+        await run._guard("close", node.close())
+
+    async def collect_steps(self) -> list[Step]:
+        """Return all functions that parts of a stop call."""
+        steps: set[Step] = set()
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            step = self.find_step(frame)
+            if event == "call" and step is not None:
+                steps.add(step)
+
+        async def stop(node: HostNode) -> None:
+            sys.settrace(trace)
+            await self.stop(node)
+            sys.settrace(None)
+
+        await self.check_stop(stop)
+        return sorted(steps)
+
+    def find_step(self, frame: FrameType) -> Step | None:
+        """Return the step that a new frame belongs to, if it is one."""
+        caller = self.find_caller(frame)
+        code = frame.f_code
+        if (
+            caller is None
+            or caller.f_code.co_filename != self.FILE
+            or code.co_filename in self.GUARD_FILES
+            or code.co_name.startswith("<")
+            # The event loop calls it in its debug mode only.
+            or frame.f_globals.get("__name__") == "traceback"
+            or not self.is_part_of_stop(caller)
+        ):
+            return None
+        return Step(
+            caller.f_code.co_qualname,
+            frame.f_globals.get("__name__", ""),
+            code.co_qualname,
+        )
+
+    def find_caller(self, frame: FrameType) -> FrameType | None:
+        """Return the frame that called another, not counting guards."""
+        caller = frame.f_back
+        while caller is not None and (
+            caller.f_code.co_filename in self.GUARD_FILES
+        ):
+            caller = caller.f_back
+        return caller
+
+    def is_part_of_stop(self, frame: FrameType) -> bool:
+        """Return whether a drain or close of a node has called a frame."""
+        ancestor: FrameType | None = frame
+        while ancestor is not None:
+            if ancestor.f_code in (
+                HostNode.drain.__code__,
+                HostNode.close.__code__,
+            ):
+                return True
+            ancestor = ancestor.f_back
+        return False
+
+    async def test_each_step_fails_once(self) -> None:
+        steps = await self.collect_steps()
+        self.assertGreater(len(steps), 30)
+        for step in steps:
+            with self.subTest(step=step):
+                await self.check_stop(partial(self.fail_once, step))
+        # A few depend on which event comes first.
+        self.assertGreater(self.failed_steps, 0.9 * len(steps))
+
+    async def fail_once(self, step: Step, node: HostNode) -> None:
+        """Stop a node; the first call of a step raises an error."""
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            # The interpreter stops tracing as an error comes out of here.
+            del arg
+            if event == "call" and self.find_step(frame) == step:
+                raise MemoryError
+
+        sys.settrace(trace)
+        try:
+            await self.stop(node)
+        finally:
+            self.failed_steps += sys.gettrace() is None
+            sys.settrace(None)
+
+    async def test_each_step_fails_always(self) -> None:
+        steps = [
+            step
+            for step in await self.collect_steps()
+            if "<locals>" not in step.called
+            and step.called not in self.ANSWERING_STEPS
+        ]
+        self.assertGreater(len(steps), 30)
+        for step in steps:
+            with self.subTest(step=step):
+                await self.check_stop(partial(self.fail_always, step))
+        self.assertGreater(self.failed_steps, 0.9 * len(steps))
+
+    async def fail_always(self, step: Step, node: HostNode) -> None:
+        """Stop a node; each call of a step by this caller raises an error."""
+        *owner_names, name = step.called.split(".")
+        owner: Any = sys.modules[step.module]
+        for owner_name in owner_names:
+            owner = getattr(owner, owner_name)
+        if not owner_names and hasattr(_host_node, name):
+            owner = _host_node
+        if step.module == "asyncio.tasks":
+            owner = asyncio
+        original = inspect.getattr_static(owner, name)
+        is_property = isinstance(original, property)
+        function: Any = original.fget if is_property else original
+        failed = False
+
+        def fail(*args: Any, **kwargs: Any) -> Any:
+            nonlocal failed
+            caller = self.find_caller(sys._getframe())
+            if (
+                caller is not None
+                and caller.f_code.co_qualname == step.caller
+                and self.is_part_of_stop(caller)
+            ):
+                failed = True
+                raise MemoryError
+            return function(*args, **kwargs)
+
+        with patch.object(
+            owner, name, property(fail) if is_property else fail
+        ):
+            await self.stop(node)
+        self.failed_steps += failed
+
+
 @contextmanager
 def capture_events() -> Iterator[io.StringIO]:
     """Log to memory."""
