Answer operators whichever step of a control host's stop fails

Change: the steps run in the guard that nodes have.

Measured (x86-64): tests.test_ends.ControlStopFaultTest stops a control host while an edit is written, with a MemoryError out of each function that drain and close call. An error out of PlatformControl.drain's own step is not tested.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -4,6 +4,7 @@
 import os
 import secrets
 from datetime import datetime, timedelta
+from functools import partial
 from random import Random
 from typing import Any, Final, Protocol
 
@@ -66,7 +67,7 @@
 from sequoiaseam._sessions import NodeSessions, SessionHooks
 from sequoiaseam._settings import ControlSettings, Endpoint, Secrets
 from sequoiaseam._state import FleetState
-from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._tasks import StepGuard, TaskGroup
 from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=100)
@@ -99,6 +100,7 @@
         self._logged_exclusion = False
         self._codec = create_control_codec()
         self._tasks = TaskGroup()
+        self._guard = StepGuard(settings.name)
         self._links = ControlLinks(
             PeerHello(settings.name, settings.domain),
             self._codec,
@@ -201,24 +203,31 @@
         measured from the request to stop, ``elapsed`` ago.
         """
         if self._rpc_server is not None:
-            self._rpc_server.stop_accepting()
-        deadline = self._clock.now() - elapsed + time_limit
+            self._guard.run(self._rpc_server.stop_accepting)
+        deadline = self._guard.run(
+            lambda: self._clock.now() - elapsed + time_limit
+        )
+        if deadline is not None:
+            await self._guard.wait(partial(self._wait_for_calls, deadline))
+        # Set in the same step as the last check, as a call that starts later
+        # would be cut off by ``close``.
+        self._closing = True
+
+    async def _wait_for_calls(self, deadline: datetime) -> None:
         while self._calls_in_progress and self._clock.now() < deadline:
             await asyncio.wait(
                 self._calls_in_progress,
                 timeout=(deadline - self._clock.now()).total_seconds(),
             )
-        # Set in the same step as the last check, as a call that starts later
-        # would be cut off by ``close``.
-        self._closing = True
 
     async def close(self) -> None:
         """Close the listener and all connections."""
-        await self._tasks.cancel()
-        await self._links.close()
+        guard = self._guard
+        await guard.wait(self._tasks.cancel)
+        await guard.wait(self._links.close)
         if self._rpc_server is not None:
-            await self._rpc_server.close()
-        await self._replica_runner.close()
+            await guard.wait(self._rpc_server.close)
+        await guard.wait(self._replica_runner.close)
 
     def describe_state(self) -> dict[str, object]:
         """Return log fields on what is in progress."""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -9,6 +9,8 @@
 import subprocess
 import sys
 import tempfile
+import threading
+import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -16,19 +18,36 @@
 from datetime import UTC, datetime, timedelta
 from functools import partial
 from pathlib import Path
+from random import Random
 from types import FrameType
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 from unittest.mock import patch
 
-from sequoiaseam import _host_node, _tasks
+from bench.processes import find_free_ports
+
+from sequoiaseam import _control, _host_node, _tasks
+from sequoiaseam._access import Role, TrustedNetwork
+from sequoiaseam._clock import ProcessClock
 from sequoiaseam._commands import MemberState
+from sequoiaseam._control import Control
+from sequoiaseam._control_messages import CALL_PATH, create_control_codec
 from sequoiaseam._feed import FeedSnapshot
 from sequoiaseam._host_node import HostNode
 from sequoiaseam._logs import Level, configure_logging
 from sequoiaseam._mesh_frames import RunResult
+from sequoiaseam._operator_messages import (
+    ApplyRequest,
+    EditAnswer,
+    EditOutcome,
+)
 from sequoiaseam._process_end import MARKER_FILE, EndMarker
-from sequoiaseam._program import ServiceRun
+from sequoiaseam._program import Service, ServiceRun
+from sequoiaseam._rpc import Channel, StreamEndedError
+from sequoiaseam._settings import ControlSettings, Endpoint
+from sequoiaseam._tables import Tables
+from sequoiaseam.errors import SeamError
 from tests.hosts import (
+    LOCALHOST,
     HostCluster,
     echo_body,
     format_request,
@@ -294,90 +313,38 @@
     called: str
 
 
-class StopFaultTest(DrainTestCase):
-    """Guards against a step of a stop that fails and skips the others.
-
-    Callers of the requests in progress would get no answer, as the end of
-    the process closes their connections.
-    """
+class StopFaultTestCase(DrainTestCase):
+    """Base of tests in which a step of a stop fails."""
 
-    # Of a stop. Runs that never end are refused at five sixths of it.
-    TIME_LIMIT: Final = timedelta(seconds=0.5)
-    # Parts of a stop are the functions of this file that it calls.
-    FILE: Final = _host_node.__file__
+    # Parts of a stop are the functions of this file that these call.
+    file: ClassVar[str]
+    stop_functions: ClassVar[tuple[Any, ...]]
     # Their errors come from the steps that they run.
     GUARD_FILES: Final = (_tasks.__file__,)
+    # Called by the event loop in its debug mode, and by a finalizer.
+    IGNORED_MODULES: Final = ("traceback", "_weakrefset")
     # Without these, callers can't get an answer.
-    ANSWERING_STEPS: Final = (
-        "HostNode._refuse_unfinished",
-        "Ingress.refuse_pending",
-    )
+    answering_steps: ClassVar[tuple[str, ...]] = ()
+    steps_min: ClassVar[int]
 
     async def asyncSetUp(self) -> None:
         self.addCleanup(sys.settrace, None)
         self.failed_steps = 0
 
-    async def prepare(self) -> HostCluster:
-        """Start two hosts, and requests that are in progress on the first.
-
-        Its server runs its callers' requests and a call of the other host,
-        and there are more than it has slots for.
-        """
-        cluster = await self.start_cluster(
-            ignore_request, time_limit=self.TIME_LIMIT
-        )
-        for index, slots in enumerate((2, 8)):
-            cluster.report_server(index, 2, slots=slots)
-        return cluster
-
     async def check_stop(
-        self, stop: Callable[[HostNode], Awaitable[None]]
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
     ) -> None:
-        """Stop the first host as its program does; check what callers get."""
-        cluster = await self.prepare()
-        node = cluster.nodes[0]
-        connections = [await cluster.connect() for _ in range(7)]
-        (_, idle_writer), *in_use = connections
-        for index, (_, writer) in enumerate(in_use):
-            writer.write(
-                format_request(f"/slow/{index}", method="POST", body=b"x")
-            )
-        results: list[RunResult | None] = []
-        cluster.nodes[1]._start_call("host-0", CALL, results.append)
-        await self.wait_until(
-            lambda: (
-                node._ingress.pending_request_count == len(in_use)
-                and node._executor.busy
-            )
-        )
-        await self.wait_until(lambda: self.count_runs(cluster) > 0)
-        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
-            await stop(node)
-            answers = [await read_response(reader) for reader, _ in in_use]
-            for reader, _ in connections:
-                self.assertEqual(b"", await reader.read())
-        run_targets = {
-            request.head.split()[1].decode()
-            for server in cluster.servers
-            for request in server.received
-        }
-        for index, answer in enumerate(answers):
-            # 503 says that a request hasn't run.
-            has_run = f"/slow/{index}" in run_targets
-            self.assertIn(answer.status, (502,) if has_run else (502, 503))
-        await self.wait_until(lambda: results)
-        with self.assertRaises(OSError):
-            await cluster.connect()
-        for _, writer in connections:
-            writer.close()
-        idle_writer.close()
-        await cluster.close()
+        """Stop a service; check what its callers get."""
+        raise NotImplementedError
 
-    async def stop(self, node: HostNode) -> None:  # type: ignore[override]
-        """Drain and close a node, whatever the drain raises."""
-        run = ServiceRun(node, "host-0")
-        await run._guard("drain", node.drain())
-        await run._guard("close", node.close())
+    async def stop(self, service: Service) -> None:  # type: ignore[override]
+        """Drain and close a service, whatever the drain raises."""
+        run = ServiceRun(service, "host-0")
+        await run._guard("drain", service.drain(timedelta(0)))
+        await run._guard("close", service.close())
 
     async def collect_steps(self) -> list[Step]:
         """Return all functions that parts of a stop call."""
@@ -389,9 +356,9 @@
             if event == "call" and step is not None:
                 steps.add(step)
 
-        async def stop(node: HostNode) -> None:
+        async def stop(service: Service) -> None:
             sys.settrace(trace)
-            await self.stop(node)
+            await self.stop(service)
             sys.settrace(None)
 
         await self.check_stop(stop)
@@ -403,11 +370,10 @@
         code = frame.f_code
         if (
             caller is None
-            or caller.f_code.co_filename != self.FILE
+            or caller.f_code.co_filename != self.file
             or code.co_filename in self.GUARD_FILES
             or code.co_name.startswith("<")
-            # The event loop calls it in its debug mode only.
-            or frame.f_globals.get("__name__") == "traceback"
+            or frame.f_globals.get("__name__") in self.IGNORED_MODULES
             or not self.is_part_of_stop(caller)
         ):
             return None
@@ -427,28 +393,27 @@
         return caller
 
     def is_part_of_stop(self, frame: FrameType) -> bool:
-        """Return whether a drain or close of a node has called a frame."""
+        """Return whether a drain or close has called a frame."""
+        codes = [function.__code__ for function in self.stop_functions]
         ancestor: FrameType | None = frame
         while ancestor is not None:
-            if ancestor.f_code in (
-                HostNode.drain.__code__,
-                HostNode.close.__code__,
-            ):
+            if ancestor.f_code in codes:
                 return True
             ancestor = ancestor.f_back
         return False
 
-    async def test_each_step_fails_once(self) -> None:
+    async def check_steps_that_fail_once(self) -> None:
+        """Stop once for each step, which fails the first time."""
         steps = await self.collect_steps()
-        self.assertGreater(len(steps), 30)
+        self.assertGreater(len(steps), self.steps_min)
         for step in steps:
             with self.subTest(step=step):
                 await self.check_stop(partial(self.fail_once, step))
         # A few depend on which event comes first.
         self.assertGreater(self.failed_steps, 0.9 * len(steps))
 
-    async def fail_once(self, step: Step, node: HostNode) -> None:
-        """Stop a node; the first call of a step raises an error."""
+    async def fail_once(self, step: Step, service: Service) -> None:
+        """Stop a service; the first call of a step raises an error."""
 
         def trace(frame: FrameType, event: str, arg: object) -> None:
             # The interpreter stops tracing as an error comes out of here.
@@ -458,32 +423,39 @@
 
         sys.settrace(trace)
         try:
-            await self.stop(node)
+            await self.stop(service)
         finally:
             self.failed_steps += sys.gettrace() is None
             sys.settrace(None)
 
-    async def test_each_step_fails_always(self) -> None:
+    async def check_steps_that_fail_always(self) -> None:
+        """Stop once for each step, which fails each time."""
         steps = [
             step
             for step in await self.collect_steps()
             if "<locals>" not in step.called
-            and step.called not in self.ANSWERING_STEPS
+            and step.called not in self.answering_steps
         ]
-        self.assertGreater(len(steps), 30)
+        self.assertGreater(len(steps), self.steps_min)
         for step in steps:
             with self.subTest(step=step):
-                await self.check_stop(partial(self.fail_always, step))
+                await self.check_stop(
+                    partial(self.fail_always, step), answered=False
+                )
         self.assertGreater(self.failed_steps, 0.9 * len(steps))
 
-    async def fail_always(self, step: Step, node: HostNode) -> None:
-        """Stop a node; each call of a step by this caller raises an error."""
+    def find_module(self) -> Any:
+        """Return the module of the parts of a stop."""
+        return sys.modules[self.stop_functions[0].__module__]
+
+    async def fail_always(self, step: Step, service: Service) -> None:
+        """Stop a service; each call of a step by a caller raises an error."""
         *owner_names, name = step.called.split(".")
         owner: Any = sys.modules[step.module]
         for owner_name in owner_names:
             owner = getattr(owner, owner_name)
-        if not owner_names and hasattr(_host_node, name):
-            owner = _host_node
+        if not owner_names and hasattr(self.find_module(), name):
+            owner = self.find_module()
         if step.module == "asyncio.tasks":
             owner = asyncio
         original = inspect.getattr_static(owner, name)
@@ -506,10 +478,169 @@
         with patch.object(
             owner, name, property(fail) if is_property else fail
         ):
-            await self.stop(node)
+            await self.stop(service)
         self.failed_steps += failed
 
 
+class StopFaultTest(StopFaultTestCase):
+    """Guards against a step of a stop that fails and skips the others.
+
+    Callers of the requests in progress would get no answer, as the end of
+    the process closes their connections.
+    """
+
+    # Of a stop. Runs that never end are refused at five sixths of it.
+    TIME_LIMIT: Final = timedelta(seconds=0.5)
+    file = _host_node.__file__
+    stop_functions = (HostNode.drain, HostNode.close)
+    answering_steps = ("HostNode._refuse_unfinished", "Ingress.refuse_pending")
+    steps_min = 50
+
+    async def prepare(self) -> HostCluster:
+        """Start two hosts, and requests that are in progress on the first.
+
+        Its server runs its callers' requests and a call of the other host,
+        and there are more than it has slots for.
+        """
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=self.TIME_LIMIT
+        )
+        for index, slots in enumerate((2, 8)):
+            cluster.report_server(index, 2, slots=slots)
+        return cluster
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Stop the first host as its program does; check what callers get."""
+        del answered  # Requests are answered whichever step fails.
+        cluster = await self.prepare()
+        node = cluster.nodes[0]
+        connections = [await cluster.connect() for _ in range(7)]
+        (_, idle_writer), *in_use = connections
+        for index, (_, writer) in enumerate(in_use):
+            writer.write(
+                format_request(f"/slow/{index}", method="POST", body=b"x")
+            )
+        results: list[RunResult | None] = []
+        cluster.nodes[1]._start_call("host-0", CALL, results.append)
+        await self.wait_until(
+            lambda: (
+                node._ingress.pending_request_count == len(in_use)
+                and node._executor.busy
+            )
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await stop(node)
+            answers = [await read_response(reader) for reader, _ in in_use]
+            for reader, _ in connections:
+                self.assertEqual(b"", await reader.read())
+        run_targets = {
+            request.head.split()[1].decode()
+            for server in cluster.servers
+            for request in server.received
+        }
+        for index, answer in enumerate(answers):
+            # 503 says that a request hasn't run.
+            has_run = f"/slow/{index}" in run_targets
+            self.assertIn(answer.status, (502,) if has_run else (502, 503))
+        await self.wait_until(lambda: results)
+        with self.assertRaises(OSError):
+            await cluster.connect()
+        for _, writer in connections:
+            writer.close()
+        idle_writer.close()
+        await cluster.close()
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_each_step_fails_always(self) -> None:
+        await self.check_steps_that_fail_always()
+
+
+class ControlStopFaultTest(StopFaultTestCase):
+    """Guards against a failed step that cuts off an operator's edit."""
+
+    file = _control.__file__
+    stop_functions = (Control.drain, Control.close)
+    steps_min = 7
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Stop a control host while it writes an edit to its disk."""
+        real_fsync = os.fsync
+        written = threading.Event()
+
+        def sync_slowly(descriptor: int) -> None:
+            written.set()
+            time.sleep(0.2)
+            real_fsync(descriptor)
+
+        (port,) = find_free_ports(1)
+        endpoint = Endpoint(LOCALHOST, port)
+        with tempfile.TemporaryDirectory() as folder:
+            control = Control(
+                ControlSettings(
+                    name="control-1",
+                    domain="north",
+                    region="south",
+                    data=Path(folder),
+                    listen=endpoint,
+                    replicas={"control-1": endpoint},
+                    secrets=None,
+                ),
+                ProcessClock(),
+                Random(1),
+            )
+            await control.start()
+            await self.wait_until(lambda: control._leadership is not None)
+            with patch("os.fsync", sync_slowly):
+                edit = asyncio.create_task(self.send_edit(port))
+                await self.wait_until(
+                    lambda: control._calls_in_progress and written.is_set()
+                )
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    await stop(control)
+                    answer = await edit
+            if answered:
+                self.assertEqual(EditOutcome.ACCEPTED, answer)
+            with self.assertRaises(OSError):
+                await asyncio.open_connection(LOCALHOST, port)
+            # Whatever a failed step has left open.
+            await control.close()
+
+    async def send_edit(self, port: int) -> EditOutcome | None:
+        """Return the outcome of an edit, None if the call was cut off."""
+        try:
+            answer = await Channel(
+                LOCALHOST, port, create_control_codec()
+            ).call(
+                CALL_PATH,
+                ApplyRequest("edit-1", "operator", 0, Tables()),
+                proof=TrustedNetwork("operator", Role.OPERATOR).create_proof(),
+                timeout_seconds=WAIT_LIMIT_SECONDS,
+            )
+        except (SeamError, StreamEndedError):
+            return None
+        assert isinstance(answer, EditAnswer)
+        return answer.outcome
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_each_step_fails_always(self) -> None:
+        await self.check_steps_that_fail_always()
+
+
 @contextmanager
 def capture_events() -> Iterator[io.StringIO]:
     """Log to memory."""
