Test that a start that fails or is stopped answers what it has read

Each function that HostNode.start calls raises MemoryError once, or is called as two signals come. A request that is sent at that moment gets a 503, and the node no longer listens as its program ends.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -13,7 +14,7 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, replace
 from datetime import UTC, datetime, timedelta
 from functools import partial
@@ -412,6 +413,9 @@
         # A few depend on which event comes first.
         self.assertGreater(self.failed_steps, 0.9 * len(steps))
 
+    def prepare_failure(self) -> None:
+        """Do what a test does as a step is called that will fail."""
+
     async def fail_once(self, step: Step, service: Service) -> None:
         """Stop a service; the first call of a step raises an error."""
 
@@ -419,6 +423,7 @@
             # The interpreter stops tracing as an error comes out of here.
             del arg
             if event == "call" and self.find_step(frame) == step:
+                self.prepare_failure()
                 raise MemoryError
 
         sys.settrace(trace)
@@ -563,6 +568,89 @@
         await self.check_steps_that_fail_always()
 
 
+class StartFaultTest(StopFaultTestCase):
+    """Guards against a start that ends with requests read and not answered.
+
+    A step of it fails, or a signal comes as it is called.
+    """
+
+    file = _host_node.__file__
+    stop_functions = (HostNode.start,)
+    steps_min = 4
+
+    async def stop(self, service: Service) -> None:  # type: ignore[override]
+        """Run a service from its start to its end."""
+        run = ServiceRun(service, "host-0")
+        await run.run()
+        self.reasons.append(run.reason)
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Run a node, and send it requests from the first moment on."""
+        del answered
+        self.reasons: list[str] = []
+        (port,) = find_free_ports(1)
+        node = HostCluster(
+            [echo_body], shutdown_time_limit=timedelta(seconds=0.5)
+        )._create_node(0)
+        node._settings = replace(
+            node._settings, caller_endpoint=Endpoint(LOCALHOST, port)
+        )
+        self.port = port
+        self.connection: socket.socket | None = None
+        ending = asyncio.get_running_loop().call_later(
+            0.2, os.kill, os.getpid(), signal.SIGTERM
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await stop(node)
+        # The program now ends at once.
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((LOCALHOST, port))
+        ending.cancel()
+        self.assertIn(self.reasons, (["start failed"], ["SIGTERM"]))
+        if self.connection is not None:
+            self.connection.settimeout(WAIT_LIMIT_SECONDS)
+            answer = self.connection.recv(4096)
+            self.assertEqual(b"HTTP/1.1 503", answer[:12])
+            self.connection.close()
+
+    def prepare_failure(self) -> None:
+        """Send a request as the step is called, if the node listens."""
+        with suppress(ConnectionRefusedError):
+            self.connection = socket.create_connection((LOCALHOST, self.port))
+            self.connection.sendall(
+                format_request("/slow/1", method="POST", body=b"x")
+            )
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_a_signal_comes_at_each_step(self) -> None:
+        for step in await self.collect_steps():
+            with self.subTest(step=step):
+                await self.check_stop(partial(self.signal_once, step))
+                self.assertEqual(["SIGTERM"], self.reasons)
+
+    async def signal_once(self, step: Step, service: Service) -> None:
+        """Run a service; two signals come as a step is called."""
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            if event == "call" and self.find_step(frame) == step:
+                sys.settrace(None)
+                self.prepare_failure()
+                os.kill(os.getpid(), signal.SIGTERM)
+                os.kill(os.getpid(), signal.SIGINT)
+
+        sys.settrace(trace)
+        await self.stop(service)
+        sys.settrace(None)
+
+
 class ControlStopFaultTest(StopFaultTestCase):
     """Guards against a failed step that cuts off an operator's edit."""
 
