--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -55,7 +55,12 @@
     read_response,
 )
 from tests.platform_fleet import PlatformFleet
-from tests.test_drain import CALL, DrainTestCase, ignore_request
+from tests.test_drain import (
+    CALL,
+    DrainTestCase,
+    ignore_request,
+    respond_later,
+)
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 POLL_INTERVAL_SECONDS: Final = 0.05
@@ -651,6 +656,116 @@
         sys.settrace(None)
 
 
+class EventFaultTest(DrainTestCase):
+    """Guards against an event whose error costs more than its own request.
+
+    Those of other connections are answered, and the node goes on.
+    """
+
+    CONNECTIONS: Final = 4
+    # After an error, a request without an answer has lost its connection.
+    ANSWER_SECONDS: Final = 5.0
+    REQUEST: Final = format_request("/slow/1", method="POST", body=b"x")
+    # Of connections to servers and other nodes.
+    OPENING_HANDLERS: Final = (
+        "BackendConnection.connection_made",
+        "BackendPool._open",
+        "FrameConnection._flush",
+        "MeshLink._connect",
+        "MeshServer._accept",
+    )
+    PACKAGE: Final = Path(_host_node.__file__).parent.name
+
+    async def asyncSetUp(self) -> None:
+        self.addCleanup(sys.settrace, None)
+
+    async def check_event(self, trace: Callable[..., Any] | None) -> None:
+        """Send requests while events are traced; check their answers."""
+        cluster = await self.start_cluster(
+            respond_later, time_limit=timedelta(seconds=0.5)
+        )
+        connections = [
+            await cluster.connect(index % 2)
+            for index in range(self.CONNECTIONS)
+        ]
+        sys.settrace(trace)
+        for _, writer in connections:
+            writer.write(self.REQUEST)
+        outcomes = await asyncio.gather(
+            *(self.read_outcome(reader) for reader, _ in connections)
+        )
+        sys.settrace(None)
+        # At most the connection of the event, or the link between nodes.
+        self.assertNotIn("no answer", outcomes)
+        self.assertGreaterEqual(outcomes.count("200"), 1)
+        for host in (0, 1):
+            response = await cluster.send_request(
+                "/slow/2", method="POST", body=b"x", host=host
+            )
+            self.assertEqual(200, response.status)
+        for _, writer in connections:
+            writer.close()
+        await cluster.close()
+
+    async def read_outcome(self, reader: asyncio.StreamReader) -> str:
+        """Return the status of an answer, or how it was missed."""
+        try:
+            async with asyncio.timeout(self.ANSWER_SECONDS):
+                return str((await read_response(reader)).status)
+        except TimeoutError:
+            return "no answer"
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return "closed"
+
+    def find_event(self, frame: FrameType) -> str | None:
+        """Return the handler that an event loop calls in a new frame."""
+        caller = frame.f_back
+        if caller is not None and self.is_of_package(caller):
+            return None
+        return frame.f_code.co_qualname if self.is_of_package(frame) else None
+
+    def is_of_package(self, frame: FrameType) -> bool:
+        """Return whether a frame is one of this package."""
+        return Path(frame.f_code.co_filename).parent.name == self.PACKAGE
+
+    async def collect_handlers(self) -> list[str]:
+        """Return all handlers of events that the requests cause."""
+        handlers: set[str] = set()
+
+        def collect(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            handler = self.find_event(frame)
+            if event == "call" and handler is not None:
+                handlers.add(handler)
+
+        await self.check_event(collect)
+        return sorted(handlers)
+
+    async def check_handlers(self, handlers: list[str]) -> None:
+        """Send requests once for each handler, which fails once."""
+        for handler in handlers:
+            with self.subTest(handler=handler):
+                await self.check_event(partial(self.raise_in, handler))
+
+    async def test_each_handler_fails_once(self) -> None:
+        handlers = await self.collect_handlers()
+        self.assertGreater(len(handlers), 8)
+        await self.check_handlers(
+            [name for name in handlers if name not in self.OPENING_HANDLERS]
+        )
+
+    async def test_each_handler_of_opened_connections_fails_once(self) -> None:
+        await self.check_handlers(list(self.OPENING_HANDLERS))
+
+    def raise_in(
+        self, handler: str, frame: FrameType, event: str, arg: object
+    ) -> None:
+        """Raise an error as a handler is called for the first time."""
+        del arg
+        if event == "call" and self.find_event(frame) == handler:
+            raise MemoryError
+
+
 class ControlStopFaultTest(StopFaultTestCase):
     """Guards against a failed step that cuts off an operator's edit."""
 
