Test that a lack of descriptors costs no kept connection

A node with a limit of 40 descriptors and 80 connections more than it can accept serves a kept connection, later a new one, and ends with status 0 on SIGTERM.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,6 +5,7 @@
 import io
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -766,6 +767,52 @@
             raise MemoryError
 
 
+class DescriptorsUsedUpTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a lack of descriptors that costs kept connections."""
+
+    LIMIT: Final = 40
+    REQUEST: Final = b"GET /read/1 HTTP/1.1\r\nHost: any\r\n\r\n"
+
+    async def test_kept_connections_are_served(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = PlatformFleet(Path(folder.name))
+        self.addAsyncCleanup(fleet.close)
+        address = "127.0.2.1"
+        await fleet.start(address)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while '"started"' not in fleet.read_log(address):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        process = fleet.processes[address]
+        limits = (self.LIMIT, self.LIMIT)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        kept = await asyncio.open_connection(address, fleet.outbound_port)
+        await self.check_answer(*kept)
+        others = [
+            await asyncio.open_connection(address, fleet.outbound_port)
+            for _ in range(2 * self.LIMIT)
+        ]
+        for _ in range(5):
+            await self.check_answer(*kept)
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        for _, writer in others:
+            writer.close()
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        new = await asyncio.open_connection(address, fleet.outbound_port)
+        await self.check_answer(*new)
+        kept[1].close()
+        new[1].close()
+        self.assertEqual(0, await fleet.stop(address, signal.SIGTERM))
+
+    async def check_answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send a request and check that it is answered."""
+        writer.write(self.REQUEST)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            self.assertEqual(503, (await read_response(reader)).status)
+
+
 class ControlStopFaultTest(StopFaultTestCase):
     """Guards against a failed step that cuts off an operator's edit."""
 
