--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,27 +1,67 @@
 """Tests of the ways in which a process ends, and of what its log tells."""
 
 import asyncio
+import inspect
 import io
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
+import time
 import unittest
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import replace
-from datetime import UTC, datetime
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, replace
+from datetime import UTC, datetime, timedelta
+from functools import partial
 from pathlib import Path
-from typing import Any, Final
+from random import Random
+from types import FrameType
+from typing import Any, ClassVar, Final
+from unittest.mock import patch
 
+from bench.processes import find_free_ports
+
+from sequoiaseam import _control, _host_node, _tasks
+from sequoiaseam._access import Role, TrustedNetwork
+from sequoiaseam._clock import ProcessClock
 from sequoiaseam._commands import MemberState
+from sequoiaseam._control import Control
+from sequoiaseam._control_messages import CALL_PATH, create_control_codec
 from sequoiaseam._feed import FeedSnapshot
+from sequoiaseam._host_node import HostNode
 from sequoiaseam._logs import Level, configure_logging
+from sequoiaseam._mesh_frames import RunResult
+from sequoiaseam._operator_messages import (
+    ApplyRequest,
+    EditAnswer,
+    EditOutcome,
+)
 from sequoiaseam._process_end import MARKER_FILE, EndMarker
-from tests.hosts import HostCluster, echo_body
+from sequoiaseam._program import Service, ServiceRun
+from sequoiaseam._rpc import Channel, StreamEndedError
+from sequoiaseam._settings import ControlSettings, Endpoint
+from sequoiaseam._tables import Tables
+from sequoiaseam.errors import SeamError
+from tests.hosts import (
+    LOCALHOST,
+    HostCluster,
+    echo_body,
+    format_request,
+    read_response,
+)
 from tests.platform_fleet import PlatformFleet
+from tests.test_drain import (
+    CALL,
+    DrainTestCase,
+    ignore_request,
+    respond_later,
+)
 
 WAIT_LIMIT_SECONDS: Final = 20.0
 POLL_INTERVAL_SECONDS: Final = 0.05
@@ -271,6 +311,586 @@
         self.assertEqual(1, text.count("last process of this node is still"))
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Step:
+    """A function that a part of a stop calls, with the caller's name."""
+
+    caller: str
+    module: str
+    called: str
+
+
+class StopFaultTestCase(DrainTestCase):
+    """Base of tests in which a step of a stop fails."""
+
+    # Parts of a stop are the functions of this file that these call.
+    file: ClassVar[str]
+    stop_functions: ClassVar[tuple[Any, ...]]
+    # Their errors come from the steps that they run.
+    GUARD_FILES: Final = (_tasks.__file__,)
+    # Called by the event loop in its debug mode, and by a finalizer.
+    IGNORED_MODULES: Final = ("traceback", "_weakrefset")
+    # Without these, callers can't get an answer.
+    answering_steps: ClassVar[tuple[str, ...]] = ()
+    steps_min: ClassVar[int]
+
+    async def asyncSetUp(self) -> None:
+        self.addCleanup(sys.settrace, None)
+        self.failed_steps = 0
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Stop a service; check what its callers get."""
+        raise NotImplementedError
+
+    async def stop(self, service: Service) -> None:  # type: ignore[override]
+        """Drain and close a service, whatever the drain raises."""
+        run = ServiceRun(service, "host-0")
+        await run._guard("drain", service.drain(timedelta(0)))
+        await run._guard("close", service.close())
+
+    async def collect_steps(self) -> list[Step]:
+        """Return all functions that parts of a stop call."""
+        steps: set[Step] = set()
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            step = self.find_step(frame)
+            if event == "call" and step is not None:
+                steps.add(step)
+
+        async def stop(service: Service) -> None:
+            sys.settrace(trace)
+            await self.stop(service)
+            sys.settrace(None)
+
+        await self.check_stop(stop)
+        return sorted(steps)
+
+    def find_step(self, frame: FrameType) -> Step | None:
+        """Return the step that a new frame belongs to, if it is one."""
+        caller = self.find_caller(frame)
+        code = frame.f_code
+        if (
+            caller is None
+            or caller.f_code.co_filename != self.file
+            or code.co_filename in self.GUARD_FILES
+            or code.co_name.startswith("<")
+            or frame.f_globals.get("__name__") in self.IGNORED_MODULES
+            or not self.is_part_of_stop(caller)
+        ):
+            return None
+        return Step(
+            caller.f_code.co_qualname,
+            frame.f_globals.get("__name__", ""),
+            code.co_qualname,
+        )
+
+    def find_caller(self, frame: FrameType) -> FrameType | None:
+        """Return the frame that called another, not counting guards."""
+        caller = frame.f_back
+        while caller is not None and (
+            caller.f_code.co_filename in self.GUARD_FILES
+        ):
+            caller = caller.f_back
+        return caller
+
+    def is_part_of_stop(self, frame: FrameType) -> bool:
+        """Return whether a drain or close has called a frame."""
+        codes = [function.__code__ for function in self.stop_functions]
+        ancestor: FrameType | None = frame
+        while ancestor is not None:
+            if ancestor.f_code in codes:
+                return True
+            ancestor = ancestor.f_back
+        return False
+
+    async def check_steps_that_fail_once(self) -> None:
+        """Stop once for each step, which fails the first time."""
+        steps = await self.collect_steps()
+        self.assertGreater(len(steps), self.steps_min)
+        for step in steps:
+            with self.subTest(step=step):
+                await self.check_stop(partial(self.fail_once, step))
+        # A few depend on which event comes first.
+        self.assertGreater(self.failed_steps, 0.9 * len(steps))
+
+    def prepare_failure(self) -> None:
+        """Do what a test does as a step is called that will fail."""
+
+    async def fail_once(self, step: Step, service: Service) -> None:
+        """Stop a service; the first call of a step raises an error."""
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            # The interpreter stops tracing as an error comes out of here.
+            del arg
+            if event == "call" and self.find_step(frame) == step:
+                self.prepare_failure()
+                raise MemoryError
+
+        sys.settrace(trace)
+        try:
+            await self.stop(service)
+        finally:
+            self.failed_steps += sys.gettrace() is None
+            sys.settrace(None)
+
+    async def check_steps_that_fail_always(self) -> None:
+        """Stop once for each step, which fails each time."""
+        steps = [
+            step
+            for step in await self.collect_steps()
+            if "<locals>" not in step.called
+            and step.called not in self.answering_steps
+        ]
+        self.assertGreater(len(steps), self.steps_min)
+        for step in steps:
+            with self.subTest(step=step):
+                await self.check_stop(
+                    partial(self.fail_always, step), answered=False
+                )
+        self.assertGreater(self.failed_steps, 0.9 * len(steps))
+
+    def find_module(self) -> Any:
+        """Return the module of the parts of a stop."""
+        return sys.modules[self.stop_functions[0].__module__]
+
+    async def fail_always(self, step: Step, service: Service) -> None:
+        """Stop a service; each call of a step by a caller raises an error."""
+        *owner_names, name = step.called.split(".")
+        owner: Any = sys.modules[step.module]
+        for owner_name in owner_names:
+            owner = getattr(owner, owner_name)
+        if not owner_names and hasattr(self.find_module(), name):
+            owner = self.find_module()
+        if step.module == "asyncio.tasks":
+            owner = asyncio
+        original = inspect.getattr_static(owner, name)
+        is_property = isinstance(original, property)
+        function: Any = original.fget if is_property else original
+        failed = False
+
+        def fail(*args: Any, **kwargs: Any) -> Any:
+            nonlocal failed
+            caller = self.find_caller(sys._getframe())
+            if (
+                caller is not None
+                and caller.f_code.co_qualname == step.caller
+                and self.is_part_of_stop(caller)
+            ):
+                failed = True
+                raise MemoryError
+            return function(*args, **kwargs)
+
+        with patch.object(
+            owner, name, property(fail) if is_property else fail
+        ):
+            await self.stop(service)
+        self.failed_steps += failed
+
+
+class StopFaultTest(StopFaultTestCase):
+    """Guards against a step of a stop that fails and skips the others.
+
+    Callers of the requests in progress would get no answer, as the end of
+    the process closes their connections.
+    """
+
+    # Of a stop. Runs that never end are refused at five sixths of it.
+    TIME_LIMIT: Final = timedelta(seconds=0.5)
+    file = _host_node.__file__
+    stop_functions = (HostNode.drain, HostNode.close)
+    answering_steps = ("HostNode._refuse_unfinished", "Ingress.refuse_pending")
+    steps_min = 50
+
+    async def prepare(self) -> HostCluster:
+        """Start two hosts, and requests that are in progress on the first.
+
+        Its server runs its callers' requests and a call of the other host,
+        and there are more than it has slots for.
+        """
+        cluster = await self.start_cluster(
+            ignore_request, time_limit=self.TIME_LIMIT
+        )
+        for index, slots in enumerate((2, 8)):
+            cluster.report_server(index, 2, slots=slots)
+        return cluster
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Stop the first host as its program does; check what callers get."""
+        del answered  # Requests are answered whichever step fails.
+        cluster = await self.prepare()
+        node = cluster.nodes[0]
+        connections = [await cluster.connect() for _ in range(7)]
+        (_, idle_writer), *in_use = connections
+        for index, (_, writer) in enumerate(in_use):
+            writer.write(
+                format_request(f"/slow/{index}", method="POST", body=b"x")
+            )
+        results: list[RunResult | None] = []
+        cluster.nodes[1]._start_call("host-0", CALL, results.append)
+        await self.wait_until(
+            lambda: (
+                node._ingress.pending_request_count == len(in_use)
+                and node._executor.busy
+            )
+        )
+        await self.wait_until(lambda: self.count_runs(cluster) > 0)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await stop(node)
+            answers = [await read_response(reader) for reader, _ in in_use]
+            for reader, _ in connections:
+                self.assertEqual(b"", await reader.read())
+        run_targets = {
+            request.head.split()[1].decode()
+            for server in cluster.servers
+            for request in server.received
+        }
+        for index, answer in enumerate(answers):
+            # 503 says that a request hasn't run.
+            has_run = f"/slow/{index}" in run_targets
+            self.assertIn(answer.status, (502,) if has_run else (502, 503))
+        await self.wait_until(lambda: results)
+        with self.assertRaises(OSError):
+            await cluster.connect()
+        for _, writer in connections:
+            writer.close()
+        idle_writer.close()
+        await cluster.close()
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_each_step_fails_always(self) -> None:
+        await self.check_steps_that_fail_always()
+
+
+class StartFaultTest(StopFaultTestCase):
+    """Guards against a start that ends with requests read and not answered.
+
+    A step of it fails, or a signal comes as it is called.
+    """
+
+    file = _host_node.__file__
+    stop_functions = (HostNode.start,)
+    steps_min = 4
+
+    async def stop(self, service: Service) -> None:  # type: ignore[override]
+        """Run a service from its start to its end."""
+        run = ServiceRun(service, "host-0")
+        await run.run()
+        self.reasons.append(run.reason)
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Run a node, and send it requests from the first moment on."""
+        del answered
+        self.reasons: list[str] = []
+        (port,) = find_free_ports(1)
+        node = HostCluster(
+            [echo_body], shutdown_time_limit=timedelta(seconds=0.5)
+        )._create_node(0)
+        node._settings = replace(
+            node._settings, caller_endpoint=Endpoint(LOCALHOST, port)
+        )
+        self.port = port
+        self.connection: socket.socket | None = None
+        ending = asyncio.get_running_loop().call_later(
+            0.2, os.kill, os.getpid(), signal.SIGTERM
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await stop(node)
+        # The program now ends at once.
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection((LOCALHOST, port))
+        ending.cancel()
+        self.assertIn(self.reasons, (["start failed"], ["SIGTERM"]))
+        if self.connection is not None:
+            self.connection.settimeout(WAIT_LIMIT_SECONDS)
+            answer = self.connection.recv(4096)
+            self.assertEqual(b"HTTP/1.1 503", answer[:12])
+            self.connection.close()
+
+    def prepare_failure(self) -> None:
+        """Send a request as the step is called, if the node listens."""
+        with suppress(ConnectionRefusedError):
+            self.connection = socket.create_connection((LOCALHOST, self.port))
+            self.connection.sendall(
+                format_request("/slow/1", method="POST", body=b"x")
+            )
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_a_signal_comes_at_each_step(self) -> None:
+        for step in await self.collect_steps():
+            with self.subTest(step=step):
+                await self.check_stop(partial(self.signal_once, step))
+                self.assertEqual(["SIGTERM"], self.reasons)
+
+    async def signal_once(self, step: Step, service: Service) -> None:
+        """Run a service; two signals come as a step is called."""
+
+        def trace(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            if event == "call" and self.find_step(frame) == step:
+                sys.settrace(None)
+                self.prepare_failure()
+                os.kill(os.getpid(), signal.SIGTERM)
+                os.kill(os.getpid(), signal.SIGINT)
+
+        sys.settrace(trace)
+        await self.stop(service)
+        sys.settrace(None)
+
+
+class EventFaultTest(DrainTestCase):
+    """Guards against an event whose error costs more than its own request.
+
+    Those of other connections are answered, and the node goes on.
+    """
+
+    CONNECTIONS: Final = 4
+    # After an error, a request without an answer has lost its connection.
+    ANSWER_SECONDS: Final = 5.0
+    REQUEST: Final = format_request("/slow/1", method="POST", body=b"x")
+    # Of connections to servers and other nodes.
+    OPENING_HANDLERS: Final = (
+        "BackendConnection.connection_made",
+        "BackendPool._open",
+        "FrameConnection._flush",
+        "MeshLink._connect",
+        "MeshServer._accept",
+    )
+    PACKAGE: Final = Path(_host_node.__file__).parent.name
+
+    async def asyncSetUp(self) -> None:
+        self.addCleanup(sys.settrace, None)
+
+    async def check_event(self, trace: Callable[..., Any] | None) -> None:
+        """Send requests while events are traced; check their answers."""
+        cluster = await self.start_cluster(
+            respond_later, time_limit=timedelta(seconds=0.5)
+        )
+        connections = [
+            await cluster.connect(index % 2)
+            for index in range(self.CONNECTIONS)
+        ]
+        sys.settrace(trace)
+        for _, writer in connections:
+            writer.write(self.REQUEST)
+        outcomes = await asyncio.gather(
+            *(self.read_outcome(reader) for reader, _ in connections)
+        )
+        sys.settrace(None)
+        # At most the connection of the event, or the link between nodes.
+        self.assertNotIn("no answer", outcomes)
+        self.assertGreaterEqual(outcomes.count("200"), 1)
+        for host in (0, 1):
+            response = await cluster.send_request(
+                "/slow/2", method="POST", body=b"x", host=host
+            )
+            self.assertEqual(200, response.status)
+        for _, writer in connections:
+            writer.close()
+        await cluster.close()
+
+    async def read_outcome(self, reader: asyncio.StreamReader) -> str:
+        """Return the status of an answer, or how it was missed."""
+        try:
+            async with asyncio.timeout(self.ANSWER_SECONDS):
+                return str((await read_response(reader)).status)
+        except TimeoutError:
+            return "no answer"
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return "closed"
+
+    def find_event(self, frame: FrameType) -> str | None:
+        """Return the handler that an event loop calls in a new frame."""
+        caller = frame.f_back
+        if caller is not None and self.is_of_package(caller):
+            return None
+        return frame.f_code.co_qualname if self.is_of_package(frame) else None
+
+    def is_of_package(self, frame: FrameType) -> bool:
+        """Return whether a frame is one of this package."""
+        return Path(frame.f_code.co_filename).parent.name == self.PACKAGE
+
+    async def collect_handlers(self) -> list[str]:
+        """Return all handlers of events that the requests cause."""
+        handlers: set[str] = set()
+
+        def collect(frame: FrameType, event: str, arg: object) -> None:
+            del arg
+            handler = self.find_event(frame)
+            if event == "call" and handler is not None:
+                handlers.add(handler)
+
+        await self.check_event(collect)
+        return sorted(handlers)
+
+    async def check_handlers(self, handlers: list[str]) -> None:
+        """Send requests once for each handler, which fails once."""
+        for handler in handlers:
+            with self.subTest(handler=handler):
+                await self.check_event(partial(self.raise_in, handler))
+
+    async def test_each_handler_fails_once(self) -> None:
+        handlers = await self.collect_handlers()
+        self.assertGreater(len(handlers), 8)
+        await self.check_handlers(
+            [name for name in handlers if name not in self.OPENING_HANDLERS]
+        )
+
+    async def test_each_handler_of_opened_connections_fails_once(self) -> None:
+        await self.check_handlers(list(self.OPENING_HANDLERS))
+
+    def raise_in(
+        self, handler: str, frame: FrameType, event: str, arg: object
+    ) -> None:
+        """Raise an error as a handler is called for the first time."""
+        del arg
+        if event == "call" and self.find_event(frame) == handler:
+            raise MemoryError
+
+
+class DescriptorsUsedUpTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a lack of descriptors that costs kept connections."""
+
+    LIMIT: Final = 40
+    REQUEST: Final = b"GET /read/1 HTTP/1.1\r\nHost: any\r\n\r\n"
+
+    async def test_kept_connections_are_served(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        fleet = PlatformFleet(Path(folder.name))
+        self.addAsyncCleanup(fleet.close)
+        address = "127.0.2.1"
+        await fleet.start(address)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while '"started"' not in fleet.read_log(address):  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        process = fleet.processes[address]
+        limits = (self.LIMIT, self.LIMIT)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        kept = await asyncio.open_connection(address, fleet.outbound_port)
+        await self.check_answer(*kept)
+        others = [
+            await asyncio.open_connection(address, fleet.outbound_port)
+            for _ in range(2 * self.LIMIT)
+        ]
+        for _ in range(5):
+            await self.check_answer(*kept)
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        for _, writer in others:
+            writer.close()
+        await asyncio.sleep(POLL_INTERVAL_SECONDS)
+        new = await asyncio.open_connection(address, fleet.outbound_port)
+        await self.check_answer(*new)
+        kept[1].close()
+        new[1].close()
+        self.assertEqual(0, await fleet.stop(address, signal.SIGTERM))
+
+    async def check_answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send a request and check that it is answered."""
+        writer.write(self.REQUEST)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            self.assertEqual(503, (await read_response(reader)).status)
+
+
+class ControlStopFaultTest(StopFaultTestCase):
+    """Guards against a failed step that cuts off an operator's edit."""
+
+    file = _control.__file__
+    stop_functions = (Control.drain, Control.close)
+    steps_min = 7
+
+    async def check_stop(
+        self,
+        stop: Callable[[Service], Awaitable[None]],
+        *,
+        answered: bool = True,
+    ) -> None:
+        """Stop a control host while it writes an edit to its disk."""
+        real_fsync = os.fsync
+        written = threading.Event()
+
+        def sync_slowly(descriptor: int) -> None:
+            written.set()
+            time.sleep(0.2)
+            real_fsync(descriptor)
+
+        (port,) = find_free_ports(1)
+        endpoint = Endpoint(LOCALHOST, port)
+        with tempfile.TemporaryDirectory() as folder:
+            control = Control(
+                ControlSettings(
+                    name="control-1",
+                    domain="north",
+                    region="south",
+                    data=Path(folder),
+                    listen=endpoint,
+                    replicas={"control-1": endpoint},
+                    secrets=None,
+                ),
+                ProcessClock(),
+                Random(1),
+            )
+            await control.start()
+            await self.wait_until(lambda: control._leadership is not None)
+            with patch("os.fsync", sync_slowly):
+                edit = asyncio.create_task(self.send_edit(port))
+                await self.wait_until(
+                    lambda: control._calls_in_progress and written.is_set()
+                )
+                async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+                    await stop(control)
+                    answer = await edit
+            if answered:
+                self.assertEqual(EditOutcome.ACCEPTED, answer)
+            with self.assertRaises(OSError):
+                await asyncio.open_connection(LOCALHOST, port)
+            # Whatever a failed step has left open.
+            await control.close()
+
+    async def send_edit(self, port: int) -> EditOutcome | None:
+        """Return the outcome of an edit, None if the call was cut off."""
+        try:
+            answer = await Channel(
+                LOCALHOST, port, create_control_codec()
+            ).call(
+                CALL_PATH,
+                ApplyRequest("edit-1", "operator", 0, Tables()),
+                proof=TrustedNetwork("operator", Role.OPERATOR).create_proof(),
+                timeout_seconds=WAIT_LIMIT_SECONDS,
+            )
+        except (SeamError, StreamEndedError):
+            return None
+        assert isinstance(answer, EditAnswer)
+        return answer.outcome
+
+    async def test_each_step_fails_once(self) -> None:
+        await self.check_steps_that_fail_once()
+
+    async def test_each_step_fails_always(self) -> None:
+        await self.check_steps_that_fail_always()
+
+
 @contextmanager
 def capture_events() -> Iterator[io.StringIO]:
     """Log to memory."""
