--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -1,9 +1,12 @@
 """Control host: replica, node sessions, leadership and operator calls."""
 
 import asyncio
+import contextlib
 import os
 import secrets
+from collections.abc import Iterator
 from datetime import datetime, timedelta
+from functools import partial
 from random import Random
 from typing import Any, Final, Protocol
 
@@ -40,6 +43,11 @@
 from sequoiaseam._group_repair import RepairPlanner
 from sequoiaseam._leadership import Leadership
 from sequoiaseam._logs import Level, log_event
+from sequoiaseam._memory import (
+    MemoryBudget,
+    MemoryUse,
+    compute_held_bytes_limit,
+)
 from sequoiaseam._operator_messages import EditAnswer, FollowRequest
 from sequoiaseam._operator_requests import (
     QUORUM_TIMEOUT,
@@ -47,6 +55,7 @@
     OperatorRequestHandler,
     OperatorRequestHooks,
 )
+from sequoiaseam._process_end import EndMarker, log_former_process
 from sequoiaseam._replica import ReplicaConfig
 from sequoiaseam._replica_messages import (
     Membership,
@@ -65,7 +74,8 @@
 from sequoiaseam._sessions import NodeSessions, SessionHooks
 from sequoiaseam._settings import ControlSettings, Endpoint, Secrets
 from sequoiaseam._state import FleetState
-from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._tables import Importance
+from sequoiaseam._tasks import StepGuard, TaskGroup
 from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=100)
@@ -76,6 +86,9 @@
 # Includes the time for disk work in progress.
 CLOSE_TIME_LIMIT: Final = OPERATOR_CALL_TIME_LIMIT + timedelta(seconds=2)
 IDENTITY_BYTES: Final = 16
+# Memory that a document takes while it is decoded, compared and logged,
+# relative to its size.
+DOCUMENT_MEMORY_RATIO: Final = 32
 # Revisions whose log indices are kept; older ones are in force everywhere.
 REVISION_INDICES_MAX: Final = 10_000
 
@@ -98,6 +111,7 @@
         self._logged_exclusion = False
         self._codec = create_control_codec()
         self._tasks = TaskGroup()
+        self._guard = StepGuard(settings.name)
         self._links = ControlLinks(
             PeerHello(settings.name, settings.domain),
             self._codec,
@@ -156,6 +170,10 @@
                 find_revision_index=self._find_index,
             ),
         )
+        self._memory = MemoryBudget(
+            compute_held_bytes_limit(settings.memory_limit_bytes)
+        )
+        self._end_marker = EndMarker(settings.data)
         self._rpc_server: RpcServer | None = None
         self._calls_in_progress: set[asyncio.Task[Any]] = set()
         # Set at the end of a drain.
@@ -166,6 +184,7 @@
     async def start(self) -> None:
         """Open the listener and join the replication group."""
         await self._replica_runner.start()
+        self._tasks.start(self._follow_former_process())
         self._rpc_server = RpcServer(
             self._authenticator,
             self._clock,
@@ -198,24 +217,54 @@
         measured from the request to stop, ``elapsed`` ago.
         """
         if self._rpc_server is not None:
-            self._rpc_server.stop_accepting()
-        deadline = self._clock.now() - elapsed + time_limit
+            self._guard.run(self._rpc_server.stop_accepting)
+        deadline = self._guard.run(
+            lambda: self._clock.now() - elapsed + time_limit
+        )
+        if deadline is not None:
+            await self._guard.wait(partial(self._wait_for_calls, deadline))
+        # Set in the same step as the last check, as a call that starts later
+        # would be cut off by ``close``.
+        self._closing = True
+
+    async def _wait_for_calls(self, deadline: datetime) -> None:
         while self._calls_in_progress and self._clock.now() < deadline:
             await asyncio.wait(
                 self._calls_in_progress,
                 timeout=(deadline - self._clock.now()).total_seconds(),
             )
-        # Set in the same step as the last check, as a call that starts later
-        # would be cut off by ``close``.
-        self._closing = True
 
     async def close(self) -> None:
         """Close the listener and all connections."""
-        await self._tasks.cancel()
-        await self._links.close()
+        guard = self._guard
+        await guard.wait(self._tasks.cancel)
+        await guard.wait(self._links.close)
         if self._rpc_server is not None:
-            await self._rpc_server.close()
-        await self._replica_runner.close()
+            await guard.wait(self._rpc_server.close)
+        await guard.wait(self._replica_runner.close)
+
+    def describe_state(self) -> dict[str, object]:
+        """Return log fields on what is in progress."""
+        return {
+            "calls": len(self._calls_in_progress),
+            "role": "leader" if self._leadership is not None else "follower",
+            "leader": self._leader or "",
+            "applied_index": self._replica_runner.applied_index,
+        }
+
+    async def _follow_former_process(self) -> None:
+        """Log how the last process of this host ended, if that is known."""
+        former = await asyncio.to_thread(
+            self._end_marker.start, self._clock.now()
+        )
+        if former is not None:
+            log_former_process(self._settings.name, former)
+
+    async def record_end(self, reason: str) -> None:
+        """Record for the next process that this one ends in order."""
+        await asyncio.to_thread(
+            self._end_marker.end, self._clock.now(), reason
+        )
 
     def _tick(self) -> None:
         now = self._clock.now()
@@ -452,6 +501,25 @@
         """Return the name of the leader, or None if it is unknown."""
         return self._leader
 
+    @contextlib.contextmanager
+    def hold_document(self, size: int) -> Iterator[None]:
+        """Charge a document of this size in bytes until it is handled.
+
+        Raise SeamError, before it is read, if it doesn't fit into memory.
+        """
+        # One fits alone, whatever its size.
+        charged = min(
+            DOCUMENT_MEMORY_RATIO * size, self._memory.largest_request_bytes
+        )
+        if not self._memory.reserve_request(
+            MemoryUse.REQUESTS, charged, Importance.CRITICAL
+        ):
+            raise SeamError(ErrorCode.OVERLOAD, "too many large documents")
+        try:
+            yield
+        finally:
+            self._memory.release(MemoryUse.REQUESTS, charged)
+
     async def replace_document(self, command: ReplaceDocument) -> EditAnswer:
         """Commit a whole document; raise SeamError if unconfirmed."""
         return await self._request_handler.replace_document(command)
--- a/src/sequoiaseam/_mesh.py
+++ b/src/sequoiaseam/_mesh.py
@@ -1,33 +1,32 @@
-"""Multiplexed calls between nodes over plain TCP connections.
+"""Calls on other nodes, multiplexed over plain TCP connections.
 
-A frame consists of a four-byte length prefix and a MessagePack array
-whose first item is the tag of its type. Each node opens its own
-connection to every node that it calls: the side that opened it sends
-calls, the other side sends the results. Frames posted within one
-iteration of the event loop are sent in one write.
+Each node opens its own connection to every node that it calls: the side
+that opened it sends calls, the other side sends the results. A large body
+of an answer is granted once it fits into this node's memory.
 """
 
 import asyncio
 import contextlib
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
+from functools import partial
 from typing import Any, Final
 
 import msgspec
 
 from sequoiaseam._clock import Clock
-from sequoiaseam._listeners import (
-    Listener,
-    accept_waiting,
-    connect,
-    open_listener,
-    register_accepted,
-)
+from sequoiaseam._listeners import connect
 from sequoiaseam._logs import Level, describe_error, log_event
+from sequoiaseam._memory import LARGE_MIN_BYTES, MemoryBudget
+from sequoiaseam._mesh_bodies import (
+    IncomingAnswer,
+    UnexpectedFrameError,
+    create_incomplete_refusal,
+)
+from sequoiaseam._mesh_connection import FrameConnection, FrameTooLongError
 from sequoiaseam._mesh_frames import (
-    Frame,
+    BodyPart,
     MeshLeave,
     MeshPing,
     RunAnswer,
@@ -35,195 +34,95 @@
     RunCancel,
     RunRefusal,
     RunResult,
-    decode_frame,
-    encode_frame,
 )
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._silence import SilenceTimer
-from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unread_input import InputPoll, has_unread_input
+from sequoiaseam._tasks import TaskGroup, run_each
 from sequoiaseam.const import CONNECTION_PING_INTERVAL, CONNECTION_TIMEOUT
 from sequoiaseam.errors import ErrorCode
 
-LENGTH_PREFIX: Final = struct.Struct(">I")
-FRAME_MAX_BYTES: Final = 72 * 1024 * 1024
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
 # A link without calls for this long is closed, so that in a large fleet a
 # node holds and checks only the connections that it uses.
 LINK_IDLE_TIMEOUT: Final = timedelta(seconds=10)
-# Time for other nodes to learn that a node closes its connections.
-LEAVE_TIMEOUT: Final = timedelta(milliseconds=100)
-
 
 ResultCallback = Callable[[RunResult | None], None]
 SilenceCallback = Callable[[], None]
-# Runs a call and returns the function that cancels it.
-CallRunner = Callable[
-    [RunCall, Callable[[RunResult], None]], Callable[[], None]
-]
-
-
-class FrameConnection(asyncio.Protocol):
-    """Split received data into frames and batch the frames to send.
-
-    ``received_data`` is set by any data; the owner resets it.
-    """
-
-    def __init__(
-        self,
-        on_frame: Callable[[Any], None],
-        on_close: Callable[[], None],
-    ) -> None:
-        self._on_frame = on_frame
-        self._on_close = on_close
-        self._transport: Any = None
-        self._buffer = bytearray()
-        self._outgoing: list[bytes] = []
-        self._outgoing_frames: list[Frame] = []
-        self._end_poll: InputPoll | None = None
-        # Set before ``closed``: nothing more can be written.
-        self._ending = False
-        self.received_data = False
-        self.closed = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport of the new connection."""
-        self._transport = transport
-        self._flush()
-
-    def eof_received(self) -> bool:
-        """Let the event loop close the connection."""
-        self._ending = True
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Mark the connection as closed and notify its owner."""
-        del exc
-        self.closed = self._ending = True
-        self._on_close()
-
-    def data_received(self, data: bytes) -> None:
-        """Pass on each complete frame.
-
-        A frame that is too long or malformed closes the connection.
-        """
-        self.received_data = True
-        buffer = self._buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= LENGTH_PREFIX.size:
-            (size,) = LENGTH_PREFIX.unpack_from(buffer, start)
-            if size > FRAME_MAX_BYTES:
-                self._abort_with_warning("frame too long")
-                return
-            end = start + LENGTH_PREFIX.size + size
-            if len(buffer) < end:
-                break
-            content = bytes(buffer[start + LENGTH_PREFIX.size : end])
-            start = end
-            try:
-                frame = decode_frame(content)
-            except (msgspec.DecodeError, UnicodeDecodeError):
-                self._abort_with_warning("malformed frame")
-                return
-            try:
-                self._on_frame(frame)
-            except Exception as error:  # noqa: BLE001
-                log_event(
-                    Level.ERROR,
-                    "unexpected error; closing mesh connection",
-                    frame=type(frame).__name__,
-                    **describe_error(error),
-                )
-                self.abort()
-                return
-        del buffer[:start]
-
-    def _abort_with_warning(self, reason: str) -> None:
-        log_event(
-            Level.WARNING,
-            "closing mesh connection after an invalid frame",
-            reason=reason,
-        )
-        self.abort()
-
-    def post(self, frame: Frame) -> None:
-        """Send a frame, batched with others of this event loop iteration."""
-        if not self._outgoing:
-            asyncio.get_running_loop().call_soon(self._flush)
-        content = encode_frame(frame)
-        self._outgoing.append(LENGTH_PREFIX.pack(len(content)))
-        self._outgoing.append(content)
-        self._outgoing_frames.append(frame)
-
-    def _flush(self) -> None:
-        if self._ending or self._transport is None or not self._outgoing:
-            return
-        if self._has_calls_to_send and self._has_ended():
-            # What is written now would count as sent.
-            self._ending = True
-            return
-        outgoing, self._outgoing = self._outgoing, []
-        self._outgoing_frames = []
-        self._transport.write(b"".join(outgoing))
 
-    @property
-    def _has_calls_to_send(self) -> bool:
-        return any(isinstance(f, RunCall) for f in self._outgoing_frames)
 
-    def _has_ended(self) -> bool:
-        """Return whether the other side has closed the connection."""
-        if self._end_poll is None:
-            self._end_poll = InputPoll(self._transport, end_only=True)
-        return self._end_poll.check()
-
-    def list_unwritten(self) -> list[Frame]:
-        """Return the posted frames of which nothing was written."""
-        return self._outgoing_frames
-
-    @property
-    def has_unread_data(self) -> bool:
-        """Return whether data waits in the kernel for the event loop."""
-        return self._transport is not None and has_unread_input(
-            self._transport
-        )
-
-    @property
-    def has_unsent_data(self) -> bool:
-        """Return whether posted frames are not yet in the socket's buffer."""
-        if self.closed or self._transport is None:
-            return False
-        return (
-            bool(self._outgoing) or self._transport.get_write_buffer_size() > 0
-        )
-
-    def change_owner(
-        self,
-        on_frame: Callable[[Any], None],
-        on_close: Callable[[], None],
-    ) -> None:
-        """Notify another owner from now on."""
-        self._on_frame = on_frame
-        self._on_close = on_close
-
-    def close_idle(self) -> None:
-        """Close the connection without notifying its owner."""
-        self._on_close = lambda: None
-        self.abort()
-
-    def abort(self) -> None:
-        """Close the connection at once, without flushing."""
-        self._ending = True
-        if self._transport is not None:
-            self._transport.abort()
-
-
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True, eq=False)
 class _PendingCall:
     """A call without a result."""
 
     on_result: ResultCallback
     on_silence: SilenceCallback
+    answer: IncomingAnswer | None = None
+
+    def finish(self, result: RunResult | None) -> None:
+        """Pass on the result, and release the memory of an answer."""
+        try:
+            self.on_result(result)
+        finally:
+            self.release()
+
+    def release(self) -> None:
+        """Release the memory of an answer."""
+        answer, self.answer = self.answer, None
+        if answer is not None:
+            answer.release()
+
+
+class _PendingCalls:
+    """Calls on one connection that wait for their results."""
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
+        self.by_id: dict[int, _PendingCall] = {}
+
+    def read_result(
+        self, frame: Any, connection: FrameConnection
+    ) -> RunResult | None:
+        """Return the result of a call if the frame completes one."""
+        if isinstance(frame, RunAnswer):
+            if frame.body_length:
+                return self._await_body(frame, connection)
+            return frame
+        if isinstance(frame, RunRefusal):
+            return frame
+        if isinstance(frame, BodyPart):
+            call = self.by_id.get(frame.call_id)
+            if call is None:
+                # Sent before the other node learned that it was cancelled.
+                return None
+            if call.answer is None:
+                msg = "body part of no answer"
+                raise UnexpectedFrameError(msg)
+            return call.answer.add(frame.data)
+        return None
+
+    def _await_body(
+        self, announced: RunAnswer, connection: FrameConnection
+    ) -> RunResult | None:
+        """Wait for the body of an answer, or give up one that never fits."""
+        call = self.by_id.get(announced.call_id)
+        if call is None:
+            return None
+        if call.answer is not None or announced.body:
+            msg = "body announced twice"
+            raise UnexpectedFrameError(msg)
+        if announced.body_length > self._budget.largest_response_bytes:
+            connection.post(RunCancel(announced.call_id))
+            return create_incomplete_refusal(announced)
+        call.answer = IncomingAnswer(announced, self._budget, connection.post)
+        return None
+
+    def take(
+        self, call_id: int, connection: FrameConnection
+    ) -> _PendingCall | None:
+        """Remove a call that has ended, and stop sending its body."""
+        if connection.drop_body(call_id):
+            connection.post(RunCancel(call_id))
+        return self.by_id.pop(call_id, None)
 
 
 class _SilentConnection:
@@ -236,7 +135,7 @@
     def __init__(
         self,
         connection: FrameConnection,
-        pending: dict[int, _PendingCall],
+        pending: _PendingCalls,
         on_end: Callable[["_SilentConnection"], None],
     ) -> None:
         self._connection = connection
@@ -245,36 +144,41 @@
         connection.change_owner(self._handle_frame, self._handle_close)
 
     def _handle_frame(self, frame: Any) -> None:
-        if isinstance(frame, RunAnswer | RunRefusal):
-            self._finish(frame.call_id, frame)
-        elif isinstance(frame, MeshLeave):
+        if isinstance(frame, MeshLeave):
             for call_id in [
-                i for i in self._pending if i > frame.last_call_id
+                i for i in self._pending.by_id if i > frame.last_call_id
             ]:
                 self._finish(call_id, create_unsent_refusal(call_id))
+            return
+        result = self._pending.read_result(frame, self._connection)
+        if result is not None:
+            self._finish(result.call_id, result)
 
     def _finish(self, call_id: int, result: RunResult) -> None:
-        call = self._pending.pop(call_id, None)
+        call = self._pending.take(call_id, self._connection)
         self._close_if_unused()
         if call is not None:
-            call.on_result(result)
+            call.finish(result)
 
     def cancel(self, call_id: int) -> None:
         """Cancel a call, unless it isn't pending here."""
-        if self._pending.pop(call_id, None) is not None:
+        call = self._pending.by_id.pop(call_id, None)
+        if call is not None:
+            call.release()
+            self._connection.drop_body(call_id)
             self._connection.post(RunCancel(call_id))
             self._close_if_unused()
 
     def _close_if_unused(self) -> None:
-        if not self._pending:
+        if not self._pending.by_id:
             # The end of the connection cancels what the node still runs.
             self.close()
 
     def _handle_close(self) -> None:
         self._on_end(self)
-        pending, self._pending = self._pending, {}
-        for call in pending.values():
-            call.on_result(None)
+        calls = list(self._pending.by_id.values())
+        self._pending.by_id.clear()
+        run_each(partial(call.finish, None) for call in calls)
 
     def close(self) -> None:
         """Close the connection."""
@@ -294,8 +198,10 @@
         endpoint: Endpoint,
         clock: Clock,
         on_reachability_change: Callable[[bool], None],
+        budget: MemoryBudget,
     ) -> None:
         self.endpoint = endpoint
+        self._budget = budget
         self._on_reachability_change = on_reachability_change
         self._closed = False
         self._unreachable = False
@@ -304,7 +210,7 @@
         self._clock = clock
         self._connection: FrameConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
-        self._pending: dict[int, _PendingCall] = {}
+        self._pending = _PendingCalls(budget)
         self._silent_connections: set[_SilentConnection] = set()
         self._retired = False
         self._unsent: dict[int, RunCall] = {}
@@ -332,26 +238,50 @@
         """
         self._next_id += 1
         call_id = self._next_id
-        if self._peer_leaves:
+        connection = self._connection
+        if self._peer_leaves or (connection and connection.congested):
             on_result(create_unsent_refusal(call_id))
             return call_id
         call = msgspec.structs.replace(call, call_id=call_id)
-        self._pending[call_id] = _PendingCall(on_result, on_silence)
+        self._pending.by_id[call_id] = _PendingCall(on_result, on_silence)
         self._last_call_at = self._clock.now()
-        if self._connection is not None:
-            self._connection.post(call)
+        if connection is not None:
+            self._post_call(connection, call)
         else:
             self._unsent[call_id] = call
             self._start_connecting()
         return call_id
 
+    def _post_call(self, connection: FrameConnection, call: RunCall) -> None:
+        """Send a call, with its body in parts if it is large."""
+        body = call.body
+        is_large = len(body) > LARGE_MIN_BYTES
+        if is_large:
+            call = msgspec.structs.replace(
+                call, body=b"", body_length=len(body)
+            )
+        try:
+            connection.post(call)
+        except FrameTooLongError:
+            self._pending.by_id.pop(call.call_id).finish(
+                create_unsent_refusal(
+                    call.call_id, ErrorCode.HEADERS_TOO_LARGE
+                )
+            )
+            return
+        if is_large:
+            connection.post_body(call.call_id, body)
+
     def cancel(self, call_id: int) -> None:
         """Cancel a call, also on the other node if it was sent."""
-        if self._pending.pop(call_id, None) is None:
+        call = self._pending.by_id.pop(call_id, None)
+        if call is None:
             for silent_connection in list(self._silent_connections):
                 silent_connection.cancel(call_id)
             return
+        call.release()
         if self._unsent.pop(call_id, None) is None and self._connection:
+            self._connection.drop_body(call_id)
             self._connection.post(RunCancel(call_id))
 
     def _start_connecting(self) -> None:
@@ -359,13 +289,40 @@
             self._connect_task = asyncio.get_running_loop().create_task(
                 self._connect(),
             )
+            self._connect_task.add_done_callback(self._end_connecting)
+
+    def _end_connecting(self, task: asyncio.Task[None]) -> None:
+        """Give up the calls of a connection that failed unexpectedly.
+
+        Those that were posted before the error count as sent.
+        """
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is None:
+            return
+        log_event(
+            Level.ERROR,
+            "unexpected error; closing mesh connection",
+            peer=str(self.endpoint),
+            **describe_error(error),
+        )
+        self._connect_task = None
+        self._unreachable = True
+        connection = self._connection
+        self._fail_unsent()
+        if connection is not None:
+            connection.abort()
+
+    def _create_connection(self) -> FrameConnection:
+        return FrameConnection(
+            self._handle_frame, self._handle_close, self._budget
+        )
 
     async def _connect(self) -> None:
         try:
             connection = await connect(
-                lambda: FrameConnection(
-                    self._handle_frame, self._handle_close
-                ),
+                self._create_connection,
                 self.endpoint.host,
                 self.endpoint.port,
                 CONNECT_TIMEOUT.total_seconds(),
@@ -381,65 +338,107 @@
             self._on_reachability_change(False)  # noqa: FBT003
             self._fail_unsent()
         else:
-            self._connection = connection
-            self._unreachable = self._peer_leaves = False
-            self._silence.restart(self._clock.now())
-            self._on_reachability_change(True)  # noqa: FBT003
-            unsent, self._unsent = self._unsent, {}
-            for call in unsent.values():
-                connection.post(call)
+            self._use_connection(connection)
         finally:
             self._connect_task = None
 
+    def _use_connection(self, connection: FrameConnection) -> None:
+        """Send the calls that waited for a connection.
+
+        The other node may have closed it, or announced that, before this
+        step: nothing written on it would run.
+        """
+        if connection.closed or self._peer_leaves:
+            connection.close_idle()
+            self._unreachable = True
+            self._peer_leaves = False
+            self._fail_unsent()
+            return
+        self._connection = connection
+        self._unreachable = False
+        self._silence.restart(self._clock.now())
+        self._on_reachability_change(True)  # noqa: FBT003
+        unsent, self._unsent = self._unsent, {}
+        for call in unsent.values():
+            self._post_call(connection, call)
+
     def _fail_unsent(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for call_id in unsent:
-            call = self._pending.pop(call_id)
-            call.on_result(create_unsent_refusal(call_id))
+            call = self._pending.by_id.pop(call_id)
+            call.finish(create_unsent_refusal(call_id))
 
     def _handle_frame(self, frame: Any) -> None:
-        if isinstance(frame, RunAnswer | RunRefusal):
-            call = self._pending.pop(frame.call_id, None)
-            if call is not None:
-                call.on_result(frame)
-        elif isinstance(frame, MeshLeave):
+        if isinstance(frame, MeshLeave):
+            # It may come before this node learns that it is connected.
             self._handle_leave(frame.last_call_id)
-        if self._peer_leaves and not self._pending and self._connection:
+        elif self._connection is not None:
+            self._handle_result(frame, self._connection)
+        if self._peer_leaves and not self._pending.by_id and self._connection:
             self._connection.abort()
 
+    def _handle_result(self, frame: Any, connection: FrameConnection) -> None:
+        if isinstance(frame, BodyPart) and frame.call_id > self._next_id:
+            msg = "body part of an unknown call"
+            raise UnexpectedFrameError(msg)
+        result = self._pending.read_result(frame, connection)
+        if result is not None:
+            call = self._pending.take(result.call_id, connection)
+            if call is not None:
+                call.finish(result)
+
     def _handle_leave(self, last_call_id: int) -> None:
         """Refuse the calls that the other node hasn't started."""
         self._peer_leaves = True
         self._unreachable = True
         self._on_reachability_change(False)  # noqa: FBT003
-        for call_id in [i for i in self._pending if i > last_call_id]:
-            call = self._pending.pop(call_id, None)
+        for call_id in [i for i in self._pending.by_id if i > last_call_id]:
+            self._unsent.pop(call_id, None)
+            if self._connection is not None:
+                self._connection.drop_body(call_id)
+            call = self._pending.by_id.pop(call_id, None)
             if call is not None:
-                call.on_result(create_unsent_refusal(call_id))
+                call.finish(create_unsent_refusal(call_id))
 
     def _handle_close(self) -> None:
         """Report the calls that were sent as lost: each may have run."""
         connection, self._connection = self._connection, None
-        unwritten = set()
+        unwritten: set[int] = set()
         if connection is not None:
-            unwritten = {
+            # A call runs once its body is complete.
+            unwritten.update(connection.list_incomplete_bodies())
+            unwritten.update(
                 frame.call_id
                 for frame in connection.list_unwritten()
                 if isinstance(frame, RunCall)
-            }
+            )
         if not self._closed and not self._peer_leaves:
             self._unreachable = True
-            self._on_reachability_change(False)  # noqa: FBT003
+            run_each((partial(self._on_reachability_change, False),))  # noqa: FBT003
         self._peer_leaves = False
-        pending, self._pending = self._pending, {}
+        pending, self._pending = self._pending, _PendingCalls(self._budget)
         unsent = set(self._unsent)
-        for call_id, call in pending.items():
+        ended: list[Callable[[], None]] = []
+        for call_id, call in pending.by_id.items():
             if call_id in unsent:
-                self._pending[call_id] = call
+                self._pending.by_id[call_id] = call
             elif call_id in unwritten:
-                call.on_result(create_unsent_refusal(call_id))
+                refusal = create_unsent_refusal(call_id)
+                ended.append(partial(call.finish, refusal))
             else:
-                call.on_result(None)
+                ended.append(partial(call.finish, None))
+        run_each(ended)
+
+    def _take_incomplete(
+        self, connection: FrameConnection
+    ) -> dict[int, _PendingCall]:
+        """Withdraw the calls whose bodies are incomplete: none has run."""
+        calls = {}
+        for call_id in connection.list_incomplete_bodies():
+            call = self._pending.take(call_id, connection)
+            if call is not None:
+                calls[call_id] = call
+        return calls
 
     def _keep_for_calls(self, connection: FrameConnection) -> bool:
         """Keep a silent connection for the calls in progress.
@@ -447,10 +446,10 @@
         Return False if there are none. None counts as unsent, as the
         connection may still be written to.
         """
-        if not self._pending:
+        if not self._pending.by_id:
             return False
-        pending, self._pending = self._pending, {}
-        calls = list(pending.values())
+        pending, self._pending = self._pending, _PendingCalls(self._budget)
+        calls = list(pending.by_id.values())
         self._connection = None
         self._peer_leaves = False
         self._unreachable = True
@@ -477,7 +476,7 @@
                 self._start_connecting()
             return
         is_idle = now - self._last_call_at >= LINK_IDLE_TIMEOUT
-        if is_idle and not self._pending:
+        if is_idle and not self._pending.by_id:
             self._connection = None
             self._peer_leaves = False
             connection.close_idle()
@@ -486,26 +485,32 @@
             # Any received data proves as much as a returned ping.
             connection.received_data = False
             self._silence.restart(now)
-            if not self._pending:
+            if not self._pending.by_id:
                 return
         elif self._silence.check(now) and not connection.has_unread_data:
-            is_kept = self._keep_for_calls(connection)
-            log_event(
-                Level.WARNING,
-                "closing unresponsive connection to node",
-                peer=str(self.endpoint),
-                kept_for_calls=is_kept,
-            )
-            if not is_kept:
-                connection.abort()
+            self._handle_silence(connection)
             return
         self._ping_count += 1
         connection.post(MeshPing(self._ping_count))
 
+    def _handle_silence(self, connection: FrameConnection) -> None:
+        incomplete = self._take_incomplete(connection)
+        is_kept = self._keep_for_calls(connection)
+        log_event(
+            Level.WARNING,
+            "closing unresponsive connection to node",
+            peer=str(self.endpoint),
+            kept_for_calls=is_kept,
+        )
+        if not is_kept:
+            connection.abort()
+        for call_id, call in incomplete.items():
+            call.finish(create_unsent_refusal(call_id))
+
     @property
     def busy(self) -> bool:
         """Return whether a call waits for its result."""
-        return bool(self._pending or self._silent_connections)
+        return bool(self._pending.by_id or self._silent_connections)
 
     def retire(self) -> None:
         """Refuse the calls that were not sent, and report no more changes.
@@ -530,11 +535,13 @@
             self._connection.abort()
 
 
-def create_unsent_refusal(call_id: int) -> RunRefusal:
+def create_unsent_refusal(
+    call_id: int, code: ErrorCode = ErrorCode.CONNECTION_LOST
+) -> RunRefusal:
     """Return the refusal of a call that was never sent."""
     return RunRefusal(
         call_id,
-        ErrorCode.CONNECTION_LOST,
+        code,
         may_have_run=False,
         retry_after_ms=0,
         load=0.0,
@@ -542,131 +549,6 @@
     )
 
 
-class MeshServer:
-    """Accept connections of other nodes and run their calls."""
-
-    def __init__(self, run: CallRunner) -> None:
-        self._run = run
-        self._listener: Listener | None = None
-        self._connections: set[_IncomingConnection] = set()
-        self._closing = False
-        self._all_closed = asyncio.Event()
-        # Handling of connections that ``leave`` has accepted.
-        self._tasks = TaskGroup()
-
-    async def start(self, host: str, port: int) -> int:
-        """Start listening and return the port."""
-        self._listener = await open_listener(self._accept, host, port)
-        return self._listener.port
-
-    def _accept(self) -> FrameConnection:
-        incoming = _IncomingConnection(self._run, self._remove)
-        self._connections.add(incoming)
-        if self._closing:
-            incoming.leave()
-        return incoming.connection
-
-    def _remove(self, incoming: "_IncomingConnection") -> None:
-        self._connections.discard(incoming)
-        if not self._connections:
-            self._all_closed.set()
-
-    @property
-    def has_unsent_data(self) -> bool:
-        """Return whether results are still being sent to other nodes."""
-        return any(
-            incoming.connection.has_unsent_data
-            for incoming in self._connections
-        )
-
-    def leave(self) -> None:
-        """Start no more calls, and announce it to the other nodes.
-
-        They learn which calls weren't started.
-        """
-        if self._closing:
-            return
-        self._closing = True
-        if self._listener is not None:
-            for accepted in accept_waiting(self._listener):
-                self._tasks.start(register_accepted(self._accept, accepted))
-            self._listener.server.close()
-        for incoming in self._connections:
-            incoming.leave()
-
-    async def close(self) -> None:
-        """Leave, stop listening and close all connections.
-
-        The other nodes close the connections as they learn of it. Those that
-        remain after LEAVE_TIMEOUT are aborted.
-        """
-        self.leave()
-        await self._tasks.drain()
-        if self._connections:
-            self._all_closed.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LEAVE_TIMEOUT.total_seconds()):
-                    await self._all_closed.wait()
-        for incoming in list(self._connections):
-            incoming.connection.abort()
-
-
-class _IncomingConnection:
-    """Connection opened by another node, and the calls it sent."""
-
-    def __init__(
-        self,
-        run: CallRunner,
-        on_close: Callable[["_IncomingConnection"], None],
-    ) -> None:
-        self._run = run
-        self._on_close = on_close
-        self.running_calls: dict[int, Callable[[], None]] = {}
-        self._last_call_id = 0
-        self._leaving = False
-        self.connection = FrameConnection(
-            self._handle_frame, self._handle_close
-        )
-
-    def _handle_frame(self, frame: Any) -> None:
-        if isinstance(frame, RunCall):
-            if not self._leaving:
-                self._start_call(frame)
-        elif isinstance(frame, RunCancel):
-            cancel = self.running_calls.pop(frame.call_id, None)
-            if cancel is not None:
-                cancel()
-        elif isinstance(frame, MeshPing):
-            self.connection.post(frame)
-
-    def leave(self) -> None:
-        """Start no more calls, and announce it to the other node."""
-        self._leaving = True
-        self.connection.post(MeshLeave(self._last_call_id))
-
-    def _start_call(self, call: RunCall) -> None:
-        self._last_call_id = call.call_id
-        finished = False
-
-        def finish(result: RunResult) -> None:
-            nonlocal finished
-            finished = True
-            self.running_calls.pop(call.call_id, None)
-            if not self.connection.closed:
-                self.connection.post(result)
-
-        cancel = self._run(call, finish)
-        if not finished:
-            self.running_calls[call.call_id] = cancel
-
-    def _handle_close(self) -> None:
-        """Cancel the calls of the node that lost its connection."""
-        self._on_close(self)
-        running_calls, self.running_calls = self.running_calls, {}
-        for cancel in running_calls.values():
-            cancel()
-
-
 class Mesh:
     """Links to other nodes, by name.
 
@@ -678,8 +560,10 @@
         self,
         clock: Clock,
         on_reachability_change: Callable[[str, bool], None],
+        budget: MemoryBudget,
     ) -> None:
         self._clock = clock
+        self._budget = budget
         self._on_reachability_change = on_reachability_change
         self._links: dict[str, MeshLink] = {}
         # Links to former members and addresses that calls still use.
@@ -708,6 +592,7 @@
             endpoint,
             self._clock,
             lambda reachable: self._on_reachability_change(name, reachable),
+            self._budget,
         )
         if old_link is not None:
             self._retire(old_link)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+from collections import Counter
 from collections.abc import Coroutine, Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -14,10 +15,16 @@
 
 import aiohttp
 
-from tests.platform_fleet import PlatformFleet
+from tests.platform_fleet import NODE_LIMITS, PlatformFleet, get_limits
 from tests.soak.callers import Caller, RequestIds
 from tests.soak.calls import Period
-from tests.soak.losses import Bounds, Events, find_losses
+from tests.soak.losses import (
+    Bounds,
+    Events,
+    OwnEnd,
+    describe_own_end,
+    find_losses,
+)
 from tests.soak.operator import Operator, wait_until
 from tests.soak.record import GRACE_PERIOD_SECONDS, Record
 from tests.soak.relay import Fault, FaultRelay
@@ -32,6 +39,7 @@
 )
 from tests.soak.servers import BackendServer, Place
 from tests.soak.site import STORES, Site
+from tests.soak.uploads import LargeLoad, build_uploads_schedule
 from tests.soak.waymarks import STOPPED_RATIO, build_waymarks_schedule
 
 # Callers that reach their node through a relay, if there are relays: one
@@ -48,7 +56,10 @@
 # How long control hosts are down that were killed together.
 DOWN_SECONDS: Final = 0.7
 WATCH_SECONDS: Final = 0.05
-MEMORY_CHECK_SECONDS: Final = 1.0
+# How often a supervisor looks at its processes, and how soon it starts one
+# again that has ended.
+SUPERVISION_SECONDS: Final = 0.02
+RESTART_SECONDS: Final = 0.3
 BOUNDS: Final = Bounds(
     grace_period=GRACE_PERIOD_SECONDS,
     connectivity_window=3.0,
@@ -61,8 +72,8 @@
 SEEDS: Final = 3
 # How far a clock is stepped, forward or backward.
 STEPS_SECONDS: Final = (-2.4, 2.4)
-# What a supervisor lets a process use.
-MEMORY_BYTES_MAX: Final = 296 * 1024 * 1024
+# Of a node's memory, which leaves a margin below what ends it.
+NODE_PEAK_BYTES_MAX: Final = NODE_LIMITS.memory_bytes * 2 // 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +124,19 @@
         self._server_count = 0
         self._callers: list[Caller] = []
         self._relays: dict[str, FaultRelay] = {}
+        self._load = LargeLoad(
+            self._record,
+            self._create_rng("large load"),
+            self._ids,
+            site,
+            self._fleet.outbound_port,
+        )
+        self._own_ends: list[OwnEnd] = []
+        # Processes whose end the soak has asked for or recorded.
+        self._explained_ends: set[asyncio.subprocess.Process] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
+        # Largest resident size of each process, over all its starts.
+        self._peaks: dict[str, int] = {}
         self._longest_stop = 0.0
         # How late the soak itself was, which delays what it sees.
         self._lateness = 0.0
@@ -126,7 +150,12 @@
         """Run the schedule and return what was seen."""
         try:
             await self._start()
-            await self._play()
+            supervision = asyncio.create_task(self._supervise())
+            try:
+                await self._play()
+            finally:
+                supervision.cancel()
+                await asyncio.gather(*self._restarts)
         finally:
             for server in self._servers.values():
                 await server.close()
@@ -144,8 +173,14 @@
             f"{self._record.summarize()}; strikes: "
             f"{dict(sorted(self._record.strikes.items()))}; longest stop "
             f"{self._longest_stop:.2f} s, the soak was late by at most "
-            f"{self._lateness:.2f} s",
-            (*failures, *self._read_log_lines()),
+            f"{self._lateness:.2f} s; peaks: {self._format_peaks()}; ended by "
+            f"themselves: {len(self._own_ends)}",
+            (
+                *self._describe_own_ends(),
+                *self._describe_peaks(),
+                *failures,
+                *self._read_log_lines(),
+            ),
             tuple(self._notes),
         )
 
@@ -261,6 +296,18 @@
         self._record.check_all()
         self._check_losses()
         self._check_served()
+        if self._site.large_routes:
+            self._note_other_requests()
+
+    def _note_other_requests(self) -> None:
+        """Note how many requests beside those with large bodies succeed."""
+        counts = Counter(
+            f"{call.connection} {'served' if call.served else 'not served'}"
+            for call in self._record.calls.values()
+            if not self._site.find_route(call.target).large
+        )
+        parts = [f"{name}: {count}" for name, count in sorted(counts.items())]
+        self._notes.append(f"requests with small bodies, {', '.join(parts)}")
 
     def _check_losses(self) -> None:
         """Check the rule LOST where the record found no failure."""
@@ -373,15 +420,18 @@
             return self._servers[action.address].spoil_answers(action.duration)
         return {
             Kind.REPLACE_SERVER: self._replace_server,
-            Kind.REMOVE_SERVER: self._remove_server,
+            Kind.REMOVE_SERVER: self._replace_server,
             Kind.RELEASE: self._release,
             Kind.BURST: self._burst,
+            Kind.UPLOAD: self._load.upload,
+            Kind.EXPORT: self._load.export,
+            Kind.CROWD: self._load.crowd,
             Kind.RELOAD: self._reload,
             Kind.STALL_DISK: self._stall_disk,
             Kind.STEP_CLOCK: self._step_clock,
             Kind.STOP: self._stop,
             Kind.KILL: self._kill,
-            Kind.DELAY: self._delay,
+            Kind.DELAY: self._pause,
             Kind.PAUSE: self._pause,
         }[kind](action)
 
@@ -430,11 +480,17 @@
             fault.end = self._record.now()
 
     async def _replace_server(self, action: Action) -> None:
+        """Take a server away, in some cases its node too, and start others."""
         former = self._servers[action.address]
         if former.leaving:
             return
+        removed = action.kind is Kind.REMOVE_SERVER
         period = self._record.add_stop(name_server_relay(action.address))
-        await former.leave(action.duration)
+        await former.leave(
+            REMOVED_DRAIN_SECONDS if removed else action.duration
+        )
+        if removed:
+            await self._stop(action)
         await self._start_server(action.address)
         period.end = self._record.now()
 
@@ -453,17 +509,6 @@
                 group.create_task(self._stop(step))
                 await asyncio.sleep(RELEASE_GAP_SECONDS)
 
-    async def _remove_server(self, action: Action) -> None:
-        """Take a server and then its node away, and add both again."""
-        former = self._servers[action.address]
-        if former.leaving:
-            return
-        period = self._record.add_stop(name_server_relay(action.address))
-        await former.leave(REMOVED_DRAIN_SECONDS)
-        await self._stop(action)
-        await self._start_server(action.address)
-        period.end = self._record.now()
-
     async def _stop(self, action: Action) -> None:
         """Stop a process as planned and start it again.
 
@@ -533,6 +578,7 @@
         fault = self._record.add_fault(address, "killed")
         process = self._fleet.processes.get(address)
         if process is not None and process.returncode is None:
+            self._explained_ends.add(process)
             send_signal(process, signal.SIGKILL)
             await process.wait()
         fault.end = self._record.now()
@@ -562,23 +608,18 @@
             await self._restart(address, 0)
 
     async def _pause(self, action: Action) -> None:
+        """Pause a process, which is no fault if it is a mere delay."""
         process = self._fleet.processes.get(action.address)
         if process is None or process.returncode is not None:
             return
-        fault = self._record.add_fault(action.address, "paused")
-        send_signal(process, signal.SIGSTOP)
-        await asyncio.sleep(action.duration)
-        send_signal(process, signal.SIGCONT)
-        fault.end = self._record.now()
-
-    async def _delay(self, action: Action) -> None:
-        """Pause a process for as long as a busy machine may delay it."""
-        process = self._fleet.processes.get(action.address)
-        if process is None or process.returncode is not None:
-            return
+        fault = None
+        if action.kind is Kind.PAUSE:
+            fault = self._record.add_fault(action.address, "paused")
         send_signal(process, signal.SIGSTOP)
         await asyncio.sleep(action.duration)
         send_signal(process, signal.SIGCONT)
+        if fault is not None:
+            fault.end = self._record.now()
 
     async def _stall_disk(self, action: Action) -> None:
         fault = self._record.add_fault(action.address, "stalled disk")
@@ -632,17 +673,57 @@
     # Supervision.
 
     async def _watch(self) -> None:
-        """Start processes again that end by themselves or are too large."""
-        loop = asyncio.get_running_loop()
-        checked_at = loop.time()
+        """Measure how late this process is."""
         while True:
             await self._poll()
-            if loop.time() - checked_at < MEMORY_CHECK_SECONDS:
-                continue
-            checked_at = loop.time()
+
+    async def _supervise(self) -> None:
+        """Do as the platform does with processes that end or are too large.
+
+        Those that end without being asked to are started again.
+        """
+        while True:
+            await asyncio.sleep(SUPERVISION_SECONDS)
             for address, lock in self._locks.items():
-                if not lock.locked():
-                    await self._check_process(address, lock)
+                process = self._fleet.processes.get(address)
+                if process is None:
+                    continue
+                self._check_memory(address, process)
+                if process.returncode is None or lock.locked():
+                    continue
+                self._add_own_end(
+                    address, process, f"status {process.returncode}"
+                )
+                restart = asyncio.create_task(
+                    self._restart_ended(address, process)
+                )
+                self._restarts.add(restart)
+                restart.add_done_callback(self._restarts.discard)
+
+    def _check_memory(
+        self, address: str, process: asyncio.subprocess.Process
+    ) -> None:
+        """Kill a process that has used more than its memory."""
+        size = self._fleet.find_peak_memory(address)
+        self._peaks[address] = max(self._peaks.get(address, 0), size)
+        if size > get_limits(address).memory_bytes:
+            self._add_own_end(address, process, f"used {size} bytes")
+            send_signal(process, signal.SIGKILL)
+
+    def _add_own_end(
+        self, address: str, process: asyncio.subprocess.Process, what: str
+    ) -> None:
+        """Record that a process ended, unless the reason is known."""
+        if process not in self._explained_ends:
+            self._explained_ends.add(process)
+            self._own_ends.append(OwnEnd(address, self._record.now(), what))
+
+    async def _restart_ended(
+        self, address: str, process: asyncio.subprocess.Process
+    ) -> None:
+        async with self._locks[address]:
+            if self._fleet.processes.get(address) is process:
+                await self._restart(address, RESTART_SECONDS)
 
     async def _poll(self) -> None:
         """Wait until the next look at all connections."""
@@ -656,21 +737,25 @@
             loop.time() if lateness < WATCH_SECONDS else due - WATCH_SECONDS
         )
 
-    async def _check_process(self, address: str, lock: asyncio.Lock) -> None:
-        process = self._fleet.processes[address]
-        if process.returncode is None:
-            size = self._fleet.read_memory(address)
-            if size <= MEMORY_BYTES_MAX:
-                return
-            send_signal(process, signal.SIGKILL)
-            self._record.fail(f"{address} used {size} bytes")
-        else:
-            self._record.fail(
-                f"{address} ended by itself with status {process.returncode}"
+    def _describe_own_ends(self) -> Iterator[str]:
+        for end in self._own_ends:
+            yield describe_own_end(
+                end, self._record.calls.values(), self._record.started_at
             )
-        async with lock:
-            await process.wait()
-            await self._restart(address, 0)
+
+    def _describe_peaks(self) -> Iterator[str]:
+        for node in self._site.nodes:
+            if self._peaks.get(node, 0) > NODE_PEAK_BYTES_MAX:
+                yield (
+                    f"{node} used {self._peaks[node]} bytes at the peak, more "
+                    f"than {NODE_PEAK_BYTES_MAX}"
+                )
+
+    def _format_peaks(self) -> str:
+        return ", ".join(
+            f"{address} {size // 1_000_000} MB"
+            for address, size in sorted(self._peaks.items())
+        )
 
     # Logs.
 
@@ -714,6 +799,8 @@
     cancel_on_sigterm()
     if site.name == "waymarks":
         schedule = build_waymarks_schedule(seed, seconds, site)
+    elif site.name == "uploads":
+        schedule = build_uploads_schedule(seed, seconds, site)
     else:
         schedule = build_schedule(seed, seconds, site.nodes, site.controls)
     async with asyncio.timeout(seconds + OVERHEAD_SECONDS_MAX):
