--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -323,6 +323,8 @@
         reader.data_received(GET_LINE + HOST_FIELD + CRLF)
         reader_transport.unsent_size = 4 * MEBIBYTE
         self.recorder.requests.pop().respond(200, b"", bytes(4 * MEBIBYTE))
+        # The one that has stalled for longest is cut off first.
+        self.clock.advance(SWEEP_TIME)
         sender, sender_transport = self.open_connection()
         sender.data_received(
             b"POST /urgent/b HTTP/1.1\r\n"
