Close a connection between nodes whose first write fails

Cause: an error in connection_made, such as a MemoryError, left a connection that uvloop writes to and doesn't read: its calls waited for their deadlines. Change: the connection is closed.

--- a/src/sequoiaseam/_mesh_connection.py
+++ b/src/sequoiaseam/_mesh_connection.py
@@ -89,11 +89,22 @@
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport of the new connection."""
+        """Store the transport of the new connection.
+
+        uvloop doesn't read from a connection after an error here.
+        """
         self._transport = transport
-        # Writing is paused whenever the kernel doesn't take all data.
-        self._transport.set_write_buffer_limits(0)
-        self._write_parts()
+        try:
+            # Writing is paused whenever the kernel doesn't take all data.
+            self._transport.set_write_buffer_limits(0)
+            self._write_parts()
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                Level.ERROR,
+                "unexpected error; closing mesh connection",
+                **describe_error(error),
+            )
+            self.abort()
 
     def pause_writing(self) -> None:
         """Write no parts of bodies for now."""
