Refuse malformed and unread requests also in the compiled server

What callers would have seen: a closed connection in place of 400, 408, 413, 431 or 503, with the modules that scripts/build compiles. Cause: mypyc gives a variable one type, and two handlers of _parse named errors of different types alike, so the second one raised TypeError.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -485,8 +485,8 @@
             self._parser.feed_data(data)
             if self._reading and not self._in_body:
                 self._reserve(self._head_size)
-        except RejectedRequestError as error:
-            return error.with_traceback(None)
+        except RejectedRequestError as rejection:
+            return rejection.with_traceback(None)
         except httptools.HttpParserCallbackError as error:
             rejected = error.__context__
             if not isinstance(rejected, RejectedRequestError):
