--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -156,6 +156,9 @@
             finally:
                 supervision.cancel()
                 await asyncio.gather(*self._restarts)
+                # Without it, no check of memory and ends was made.
+                with contextlib.suppress(asyncio.CancelledError):
+                    await supervision
         finally:
             for server in self._servers.values():
                 await server.close()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -136,6 +136,15 @@
     def test_requests_that_a_process_over_its_memory_cuts(self) -> None:
         self.check_own_end(GrowingSoak, "used [0-9]{8} bytes")
 
+    def test_a_supervisor_that_fails(self) -> None:
+        """Guard against a soak that passes without its checks."""
+        error = RuntimeError("supervisor")
+        with (
+            patch.object(Soak, "_check_memory", side_effect=error),
+            self.assertRaisesRegex(RuntimeError, "supervisor"),
+        ):
+            self.run_soak(Soak)
+
     def test_a_node_that_comes_close_to_its_memory(self) -> None:
         with patch("tests.soak.run.NODE_PEAK_BYTES_MAX", 10_000_000):
             self.assertIn("at the peak", self.run_soak(Soak))
