--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -602,6 +602,27 @@
                     self.assertTrue(transport.closed)
                     self.assertEqual(len(recorder.requests), 1)
 
+    def test_a_request_cut_off_by_the_last_response_is_never_started(
+        self,
+    ) -> None:
+        """Its caller sends it again, and its memory is released."""
+        head = POST_LINE + HOST_FIELD + b"Content-Length: 4\r\n\r\n"
+        for part in (POST_LINE, head, head + b"bod"):
+            with self.subTest(part=part):
+                self.setUp()
+                self.receive("/1")
+                self.connection.data_received(part)
+                self.server.closing = True
+                self.respond("/1")
+                self.assertTrue(self.transport.closed)
+                self.connection.data_received(CRLF + b"y" + head + b"body")
+                self.connection.connection_lost(None)
+                self.assertEqual(self.list_started(), ["/1"])
+                self.assertEqual(
+                    split_responses(self.transport.written), [(200, b"/1")]
+                )
+                self.assertEqual(self.server.budget.held_bytes, 0)
+
     def test_malformed_bytes_end_the_connection_after_the_answers(
         self,
     ) -> None:
