Add the limit on requests to a cold server to the tables

Cause: a pool could not state how many requests a cold backend server may get, and the platform's cold-per-s and cold-start-s weren't decoded.

Change: Pool.cold_rate with its column, 0 for no limit; both fields of a service; HeaderNames.warmup_remaining, which isn't passed on to callers. A cold time of a heartbeat beyond ten minutes is taken as ten minutes, as 1e300 overflowed. Nothing uses the limit yet.

--- a/src/sequoiaseam/_header_names.py
+++ b/src/sequoiaseam/_header_names.py
@@ -29,8 +29,10 @@
     the caller still waits). Requests to backend servers also carry
     ``caller_pool`` (the pool of the host that received the request),
     ``workspace`` and ``expected_server_id`` (a server with another id
-    responds with status 421). Backend servers send ``not_run`` and
-    ``load`` (numbers of running and waiting requests and of slots).
+    responds with status 421). Backend servers send ``not_run``,
+    ``load`` (numbers of running and waiting requests and of slots) and
+    ``warmup_remaining`` (milliseconds for which they are still cold; "" if
+    they send no such field).
     """
 
     request_id: bytes
@@ -40,6 +42,7 @@
     expected_server_id: bytes
     not_run: bytes
     load: bytes
+    warmup_remaining: bytes = b""
 
     @property
     def reserved_fields(self) -> frozenset[bytes]:
@@ -57,4 +60,4 @@
     @property
     def internal_response_fields(self) -> frozenset[bytes]:
         """Return the response fields that are not passed on to callers."""
-        return frozenset((self.load,))
+        return frozenset((self.load, self.warmup_remaining))
--- a/src/sequoiaseam/_tablefile.py
+++ b/src/sequoiaseam/_tablefile.py
@@ -93,6 +93,7 @@
         "queue": Column("queue", *INTEGER_FORMAT),
         "warmup": Column("warmup", *DURATION_FORMAT),
         "retry_share": Column("retry_share", *DECIMAL_FORMAT),
+        "cold_rate": Column("cold_rate", *DECIMAL_FORMAT),
     },
     "workspace": {
         "rate": Column("rate", *DECIMAL_FORMAT),
--- a/src/sequoiaseam/_tables.py
+++ b/src/sequoiaseam/_tables.py
@@ -105,7 +105,8 @@
     each backend server announces. ``queue`` limits the requests that
     wait for a backend server; with ``AS_ANNOUNCED`` it is a fraction of
     its slots. ``retry_share`` is the maximum share of retries in a
-    node's traffic to the pool.
+    node's traffic to the pool. ``cold_rate`` is how many requests per
+    second a backend server gets while it is cold, 0 for no limit.
     """
 
     name: str
@@ -114,6 +115,7 @@
     queue: int = 200
     warmup: timedelta = timedelta(seconds=10)
     retry_share: float = 0.1
+    cold_rate: float = 0.0
 
     def for_server(
         self, announced_slots: int, warmup_remaining: timedelta
@@ -326,6 +328,7 @@
                 WARMUP_MAX.total_seconds(),
             ),
             "retry_share": (pool.retry_share, 0.0, 1.0),
+            "cold_rate": (pool.cold_rate, 0.0, RATE_MAX_PER_S),
         },
     )
 
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -32,6 +32,7 @@
     expected_server_id=b"x-expected",
     not_run=b"x-not-run",
     load=b"x-load",
+    warmup_remaining=b"x-cold-ms",
 )
 LOCALHOST: Final = "127.0.0.1"
 API_KEY: Final = "coop-key-1"
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -10,7 +10,7 @@
 from typing import Any, Final
 
 from sequoiaseam._state import FleetState
-from sequoiaseam._tables import Importance
+from sequoiaseam._tables import Importance, Pool
 from sequoiaseam.errors import SeamError
 
 PLATFORM_DIRECTORY: Final = Path(__file__).parent.parent / "platform"
@@ -175,6 +175,43 @@
     return result is not None and result.status.value == "accepted"
 
 
+class ColdServerTest(unittest.TestCase):
+    """Guards against cold servers that get requests without a limit."""
+
+    def decode_pool(self, **fields: object) -> Pool:
+        services = {"one": {"max-connections": 30, **fields}, "two": {}}
+        body = encode_json({**DOCUMENT, "services": services})
+        return wire.decode_document(body).tables.pools["one"]
+
+    def test_decodes_the_limit_and_the_time_of_a_service(self) -> None:
+        pool = self.decode_pool(**{"cold-per-s": 12.5, "cold-start-s": 6})
+        self.assertEqual(pool.cold_rate, 12.5)
+        self.assertEqual(pool.warmup, timedelta(seconds=6))
+
+    def test_a_service_without_them_is_as_before(self) -> None:
+        pool = self.decode_pool()
+        self.assertEqual(pool.cold_rate, 0.0)
+        self.assertEqual(pool.warmup, Pool("one").warmup)
+
+    def test_refuses_values_out_of_range(self) -> None:
+        for name in ("cold-per-s", "cold-start-s"):
+            services: dict[str, Any] = {"one": {name: -1}, "two": {}}
+            body = encode_json({**DOCUMENT, "services": services})
+            with self.subTest(name=name):
+                self.assertFalse(is_accepted(body))
+
+    def test_bounds_the_time_of_a_false_heartbeat(self) -> None:
+        report = wire.decode_heartbeat(
+            "i-1", encode_json({**HEARTBEAT, "cold-remaining-s": 1e300})
+        )
+        self.assertEqual(report.warmup_remaining, timedelta(minutes=10))
+
+    def test_names_the_header_of_the_cold_time(self) -> None:
+        name = b"x-sequoiaseam-cold-start-ms"
+        self.assertEqual(wire.HEADER_NAMES.warmup_remaining, name)
+        self.assertIn(name, wire.HEADER_NAMES.internal_response_fields)
+
+
 class HeartbeatTest(unittest.TestCase):
     """Guards against routing to servers that don't exist or have left."""
 
