Limit the requests that a cold server is given

Cause: a cold backend server got as many requests as its concurrency limit allowed, however many that were in a second.

Admission asks it before each start and refuses at once, with a code that is rerouted, what can't start in its waiting time. Without a rate nothing changes.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -5,6 +5,7 @@
 from datetime import datetime, timedelta
 from typing import Final
 
+from sequoiaseam._cold_start import ColdStart
 from sequoiaseam._limiter import Completion, Limiter
 from sequoiaseam._pressure import (
     MEASUREMENT_INTERVAL,
@@ -66,9 +67,12 @@
         slots: int,
         now: datetime,
         rng: random.Random,
+        cold_start: ColdStart | None = None,
     ) -> None:
         self._pool = pool
         self._rng = rng
+        # Without one, requests start at any rate.
+        self._cold_start = cold_start or ColdStart(now)
         self._limiter = Limiter(_compute_slots(pool, slots), pool.warmup, now)
         self._queue = AdmissionQueue()
         self._pressure_gauge = PressureGauge(now)
@@ -202,6 +206,10 @@
         expiry = self._queue.find_next_expiry(
             lambda group: self._limiter.service_times.estimate(now, group)
         )
+        if self._queue:
+            cold_wait = self._cold_start.estimate_wait(now, 1)
+            if cold_wait:
+                due = min(due, now + cold_wait)
         return due if expiry is None else max(now, min(due, expiry))
 
     def configure(
@@ -259,6 +267,10 @@
         # only just meet its deadline.
         has_standing_queue = self._has_standing_queue(now)
         service_times = self._limiter.service_times
+        is_limited = self._cold_start.is_limited(now)
+        if is_limited:
+            # What waits for a cold server doesn't show the load of the pool.
+            self._pressure_gauge.record_blocked()
         for expired in self._queue.expire(
             now,
             lambda group: service_times.estimate(
@@ -267,19 +279,47 @@
         ):
             self._pressure_gauge.record_refusal(expired.importance)
             code = ErrorCode.DEADLINE
+            if is_limited:
+                # Another server, which isn't cold, may run it in time.
+                code = ErrorCode.QUEUE_FULL
             actions.append(self._refuse(expired.ticket_id, code))
         while (ticket := self._select_next(now)) is not None:
             self._start(now, ticket)
             actions.append(Start(ticket.ticket_id))
+        if is_limited:
+            actions += self._refuse_beyond_cold_limit(now)
         self._pressure_gauge.record_queue(self._queue.counts_by_importance)
         self._update_pressure(now)
         return actions
 
+    def _refuse_beyond_cold_limit(
+        self, now: datetime
+    ) -> list[AdmissionAction]:
+        """Refuse the tickets that a cold server can't start in time.
+
+        Higher priorities come first. Others learn at once that they have to
+        look for another server.
+        """
+        actions: list[AdmissionAction] = []
+        position = 1
+        for ticket in self._queue.list_by_priority():
+            start_by = ticket.deadline
+            if ticket.start_by is not None:
+                start_by = min(start_by, ticket.start_by)
+            wait = self._cold_start.estimate_wait(now, position)
+            if now + wait <= start_by:
+                position += 1
+                continue
+            self._queue.remove(ticket.ticket_id)
+            code = ErrorCode.QUEUE_FULL
+            actions.append(self._refuse(ticket.ticket_id, code))
+        return actions
+
     def _select_next(self, now: datetime) -> Ticket | None:
         if self._exclusive_running:
             self._pressure_gauge.record_blocked()
             return None
-        if not self._has_free_slot():
+        if not self._has_free_slot() or not self._cold_start.allows_start(now):
             return None
         allow_exclusive = not self._runs or now >= self._shared_until
         newest_first = self._has_standing_queue(now)
@@ -320,6 +360,7 @@
             and not self._exclusive_running
             and not ticket.exclusive
             and self._has_free_slot()
+            and self._cold_start.allows_start(now)
             and ticket.deadline - now
             >= self._limiter.service_times.estimate(now, ticket.latency_group)
         )
@@ -335,6 +376,7 @@
         if ticket.ticket_id in self._queue:
             self._queue.dequeue(ticket)
         self._pressure_gauge.record_start()
+        self._cold_start.record_start(now)
         self._limiter.start(now)
         self._runs[ticket.ticket_id] = _RunningRequest(
             now, ticket.exclusive, ticket.latency_group
--- a/src/sequoiaseam/_queue.py
+++ b/src/sequoiaseam/_queue.py
@@ -207,6 +207,15 @@
             fair_queue.drop_flow(key)
         return ticket
 
+    def list_by_priority(self) -> list[Ticket]:
+        """Return the waiting tickets, the highest priority first.
+
+        Those of one priority are in the order of their arrival.
+        """
+        return sorted(
+            self._tickets.values(), key=lambda ticket: -ticket.priority
+        )
+
     def find_victim(self, *, newest_first: bool = False) -> Ticket | None:
         """Return the ticket to evict when the queue is full.
 
