Limit cold servers on the node beside them

Cause: a server that became cold, in an incarnation or by a restart between two reports, got full load.

Change: HostCallExecutor learns the cold time from reports, also within an incarnation, and from responses. It treats the server as cold from a refused connection, the loss of all connections or assume_cold until the next report. While nothing may start, it reports a load of 2 to the callers. A timer starts calls that may wait for less than a tick.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -1,5 +1,6 @@
 """Execution of calls on the backend server of the host."""
 
+import asyncio
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 from sequoiaseam._announcements import ServerReport
 from sequoiaseam._call_attribution import CallAttribution, ParentRun
 from sequoiaseam._clock import Clock
+from sequoiaseam._cold_start import ColdStart
 from sequoiaseam._crash_guard import CrashGuard
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
 from sequoiaseam._http_client import (
@@ -58,6 +60,7 @@
 # A quarantine lasts for minutes; callers give up long before.
 QUARANTINE_RETRY_AFTER: Final = timedelta(minutes=1)
 MISDIRECTED_REQUEST_STATUS: Final = 421
+COLD_TIME_DIGITS_MAX: Final = 9
 
 
 @dataclass(slots=True, eq=False)
@@ -95,6 +98,7 @@
     report: ServerReport
     connections: BackendPool
     admission: Admission
+    cold_start: ColdStart
     last_reported_at: datetime
     # True from a failed connection until the next report of the server.
     connection_refused: bool = False
@@ -134,6 +138,7 @@
         self._retry_limiter = TreeRetryLimiter(SERVER_RETRIES_MIN)
         self._get_pool: Callable[[str], Pool | None] = lambda _: None
         self._log = RateLimitedLog(clock)
+        self._cold_start_timer: asyncio.TimerHandle | None = None
         self.closing = False
         # Set at the start of a drain.
         self._stop_schedule: StopSchedule | None = None
@@ -153,6 +158,8 @@
 
     async def close(self) -> None:
         """Cancel the tasks and close the connections."""
+        if self._cold_start_timer is not None:
+            self._cold_start_timer.cancel()
         await self._tasks.cancel()
         await self._crash_guard.close()
         if self._session is not None:
@@ -202,6 +209,8 @@
         session.report = report
         session.last_reported_at = now
         session.connection_refused = False
+        self._update_cold_rate(now, session)
+        session.cold_start.record_report(now, report.warmup_remaining)
         if report.leaving:
             self._refuse_queued(now, session)
 
@@ -212,15 +221,26 @@
         """
         former = self._session
         pool = self._get_pool(report.pool) or Pool(report.pool)
+        cold_start = ColdStart(now, pool.cold_rate, report.warmup_remaining)
+        if former is not None:
+            cold_start.inherit(now, former.cold_start)
         self._session = _Session(
             report,
-            BackendPool(report.host, report.port, self._clock, self._budget),
+            BackendPool(
+                report.host,
+                report.port,
+                self._clock,
+                self._budget,
+                lambda: self._assume_cold(cold_start, "connections lost"),
+            ),
             Admission(
                 pool.for_server(report.slots, report.warmup_remaining),
                 report.slots,
                 now,
                 self._rng,
+                cold_start,
             ),
+            cold_start,
             now,
         )
         log_event(
@@ -236,6 +256,35 @@
             former.connections.close()
             self._former_pools.append(former.connections)
 
+    def assume_cold(self, now: datetime) -> None:
+        """Treat the server as cold until its next report."""
+        session = self._session
+        if session is None:
+            # It gets no requests before its first report.
+            return
+        self._assume_cold(session.cold_start, "evacuation withdrawn")
+        actions = session.admission.tick(now)
+        self._apply_actions(now, session, actions)
+
+    def _assume_cold(self, cold_start: ColdStart, reason: str) -> None:
+        now = self._clock.now()
+        if cold_start.rate > 0 and not cold_start.is_cold(now):
+            report = self.report
+            self._log.log(
+                Level.INFO,
+                "backend server may be cold",
+                server=report.server_id if report else "",
+                reason=reason,
+                rate=cold_start.rate,
+            )
+        cold_start.assume_cold(now)
+
+    def _update_cold_rate(self, now: datetime, session: _Session) -> None:
+        """Apply the pool's limit, which may be edited or known late."""
+        pool = self._get_pool(session.report.pool)
+        if pool is not None:
+            session.cold_start.set_rate(now, pool.cold_rate)
+
     def _refuse_queued(
         self,
         now: datetime,
@@ -339,8 +388,32 @@
             self._apply_actions(
                 now, session, session.admission.offer(now, ticket)
             )
+            self._schedule_cold_start(now, session)
         return lambda: self._cancel(run)
 
+    def _schedule_cold_start(self, now: datetime, session: _Session) -> None:
+        """Wake up when the limit of a cold server allows the next start.
+
+        Calls may wait for less than the interval of the ticks.
+        """
+        if self._cold_start_timer is not None or not session.admission.queued:
+            return
+        wait = session.cold_start.estimate_wait(now, 1)
+        if timedelta(0) < wait < TICK_INTERVAL:
+            # Timers may fire up to a millisecond before their time.
+            self._cold_start_timer = asyncio.get_running_loop().call_later(
+                (wait + MILLISECOND).total_seconds(), self._start_waiting
+            )
+
+    def _start_waiting(self) -> None:
+        self._cold_start_timer = None
+        session = self._session
+        if session is not None:
+            now = self._clock.now()
+            actions = session.admission.tick(now)
+            self._apply_actions(now, session, actions)
+            self._schedule_cold_start(now, session)
+
     def _allow_run(self, now: datetime, call: RunCall) -> bool:
         """Return whether the pool's retry share allows the run; count it."""
         if call.repeat:
@@ -495,6 +568,7 @@
     ) -> tuple[Completion, RunResult]:
         if failure is Failure.UNREACHABLE:
             session.connection_refused = True
+            self._assume_cold(session.cold_start, "connection refused")
             result = self._create_refusal(now, run, ErrorCode.NO_SERVER)
             return Completion.CANCELLED, result
         log_event(
@@ -520,6 +594,8 @@
                 refused = True
             elif name == self._header_names.load:
                 self._record_server_load(now, session, value)
+            elif name == self._header_names.warmup_remaining:
+                _record_cold_time(now, session.cold_start, value)
             elif name == b"content-encoding":
                 return ErrorCode.INCOMPLETE
         return ErrorCode.SHED if refused else None
@@ -593,7 +669,8 @@
         if session is None:
             return 0.0
         admission = session.admission
-        return (admission.running + admission.queued) / admission.limit
+        load = (admission.running + admission.queued) / admission.limit
+        return max(load, session.cold_start.measure_load(self._clock.now()))
 
     def _list_pressures(
         self,
@@ -637,9 +714,11 @@
         if session is None:
             return
         now = self._clock.now()
+        self._update_cold_rate(now, session)
         if self._runs:
             actions = session.admission.tick(now)
             self._apply_actions(now, session, actions)
+            self._schedule_cold_start(now, session)
         session.connections.sweep(now)
         if self._former_pools:
             self._former_pools = [p for p in self._former_pools if p.in_use]
@@ -647,6 +726,14 @@
                 pool.sweep(now)
 
 
+def _record_cold_time(
+    now: datetime, cold_start: ColdStart, value: bytes
+) -> None:
+    """Record the cold time that a response states; ignore other values."""
+    if value.isdigit() and len(value) <= COLD_TIME_DIGITS_MAX:
+        cold_start.record_response(now, int(value) * MILLISECOND)
+
+
 def _read_length(fields: HeaderFields) -> int:
     for name, value in fields:
         if name == b"content-length" and value.isdigit():
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -130,12 +130,22 @@
     """Ignore the outcome of a request that has ended."""
 
 
+def _ignore_loss() -> None:
+    """Ignore the loss of all connections."""
+
+
 class BackendPool:
     """Connection pool of one backend server."""
 
     def __init__(
-        self, host: str, port: int, clock: Clock, budget: MemoryBudget
+        self,
+        host: str,
+        port: int,
+        clock: Clock,
+        budget: MemoryBudget,
+        on_connections_lost: Callable[[], None] = _ignore_loss,
     ) -> None:
+        self._on_connections_lost = on_connections_lost
         self._host = host
         self._port = port
         self._clock = clock
@@ -273,6 +283,13 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def record_loss(self) -> None:
+        """Report that the server has closed the last open connection."""
+        if not self._closed and not any(
+            connection.is_open for connection in self.connections
+        ):
+            self._on_connections_lost()
+
     def sweep(self, now: datetime) -> None:
         """Close the connections that have been idle too long or cut off.
 
@@ -317,6 +334,8 @@
         self._transport: Any = None
         self._request: PendingRequest | None = None
         self._closed = False
+        # Whether this side has closed the connection.
+        self._aborted = False
         self._input_poll: InputPoll | None = None
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.idle_since = pool.last_sweep
@@ -354,6 +373,11 @@
         """Return whether the server probably still accepts requests."""
         return not self._closed and now - self.idle_since < self._idle_timeout
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether neither side has closed the connection."""
+        return not self._closed
+
     @property
     def has_unread_input(self) -> bool:
         """Return whether the end of the stream, or bytes, wait unread.
@@ -382,7 +406,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, without flushing."""
-        self._closed = True
+        self._closed = self._aborted = True
         self._request = None
         held = self._detach_memory()
         self._reset_response()
@@ -406,6 +430,8 @@
         """
         self._closed = True
         self._pool.remove(self)
+        if not self._aborted:
+            self._pool.record_loss()
         if self._request is None:
             return
         if self._reads_until_close and exc is None:
