Test the limit of a cold server under load over TCP

Cause: the bound was tested on the decisions only.

Change: callers of two hosts ask for far more than a cold server may get; no second holds more than the bound, as the server receives the requests.

--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -1,5 +1,6 @@
 """Tests of the limit on the requests to a cold backend server."""
 
+import asyncio
 import random
 import unittest
 from bisect import bisect_left
@@ -346,6 +347,31 @@
         self.assertNotIn("x-cold-ms", responses[0].head.lower())
         self.assertEqual(len(cluster.servers[0].received), 2)
 
+    async def test_no_second_holds_more_than_the_bound(self) -> None:
+        """Callers of two hosts ask far more than a cold server may get."""
+        loop = asyncio.get_running_loop()
+        times: list[float] = []
+
+        def respond(request: ReceivedRequest) -> None:
+            times.append(loop.time())
+            request.respond(200, b"whole", "X-Cold-Ms: 60000")
+
+        cluster = await self.start_store(respond, RATE, count=2)
+        cluster.report_server(1, 2, leaving=True)
+        ends_at = loop.time() + 2.5
+
+        async def keep_asking(host: int) -> None:
+            while loop.time() < ends_at:
+                await cluster.send_request("/read/1", host=host)
+                await asyncio.sleep(0.01)
+
+        await asyncio.gather(*(keep_asking(i % 2) for i in range(8)))
+        received = [EPOCH + time * SECOND for time in times]
+        self.assertLessEqual(
+            find_most_in_a_second(received), RATE_RATIO_MAX * RATE + EXTRA_MAX
+        )
+        self.assertGreater(len(times), RATE)
+
     async def test_calls_to_a_cold_server_are_rerouted(self) -> None:
         """The other server of the pool serves what the cold one can't."""
 
