--- a/src/sequoiaseam/_header_names.py
+++ b/src/sequoiaseam/_header_names.py
@@ -30,7 +30,8 @@
     ``caller_pool`` (the pool of the host that received the request),
     ``workspace`` and ``expected_server_id`` (a server with another id
     responds with status 421). Backend servers send ``not_run`` and
-    ``load`` (numbers of running and waiting requests and of slots).
+    ``load`` (numbers of running and waiting requests and of slots, and
+    from some the duration of work in percent of the usual one).
     """
 
     request_id: bytes
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -35,6 +35,7 @@
 from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
+from sequoiaseam._server_load import parse_server_load
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import Pool
@@ -48,8 +49,8 @@
 # A backend server that misses three reports is considered gone.
 REPORT_SILENCE_TIMEOUT: Final = timedelta(seconds=6)
 METHODS_WITHOUT_BODY: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
-LOAD_FIELD_PARTS: Final = 3
-LOAD_DIGITS_MAX: Final = 9
+# A malformed field may be long, and a log line has its start only.
+LOGGED_FIELD_BYTES_MAX: Final = 60
 # Retries that a backend server accepts in 10 s at any request rate.
 SERVER_RETRIES_MIN: Final = 2.0
 # Part of the fleet's retries that the servers of a pool divide among them.
@@ -531,14 +532,16 @@
         value: bytes,
     ) -> None:
         """Record the load that the server reports; ignore malformed values."""
-        parts = value.split(b",")
-        if len(parts) != LOAD_FIELD_PARTS or not all(
-            p.isdigit() and len(p) <= LOAD_DIGITS_MAX for p in parts
-        ):
+        load = parse_server_load(value)
+        if load is None:
+            self._log.log(
+                Level.WARNING,
+                "malformed load of a backend server ignored",
+                server=session.report.server_id,
+                value=value[:LOGGED_FIELD_BYTES_MAX].decode("latin-1"),
+            )
             return
-        running, waiting, slots = map(int, parts)
-        load = min(1.0, (running + waiting) / max(1, slots))
-        session.admission.record_load(now, load)
+        session.admission.record_load(now, load.utilization)
 
     def _create_answer(
         self,
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -453,6 +453,18 @@
                 assert session is not None
                 self.assertEqual(session.admission.running, 0)
 
+    async def test_the_fourth_number_of_a_load_is_accepted(self) -> None:
+        def respond(request: ReceivedRequest) -> None:
+            request.respond(200, b"whole", "X-Load: 8,1,8,250")
+
+        cluster = await self.start_cluster((respond,))
+        response = await cluster.send_request("/slow/1")
+        self.assertEqual(response.status, 200)
+        session = cluster.nodes[0]._executor._session
+        assert session is not None
+        limiter = session.admission._limiter
+        self.assertEqual(limiter._reported_load, 1.0)
+
 
 class BodyLimitTest(HostTestCase):
     """Guards against bodies that no message between nodes can hold.
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -125,6 +125,25 @@
         )
         self.assertEqual(edit.tables.limits.headers, 8192)
 
+    def test_only_safe_and_download_routes_are_idempotent(self) -> None:
+        """A request of any other type must not run twice."""
+        for route_type, idempotent in (
+            ("safe", True),
+            ("download", True),
+            ("unsafe", False),
+            ("upload", False),
+            ("", False),
+            ("Safe", False),
+        ):
+            with self.subTest(route_type=route_type):
+                route = {**ROUTE, "route-type": route_type}
+                edit = wire.decode_document(
+                    encode_json({**DOCUMENT, "routes": {"r-1": route}})
+                )
+                self.assertEqual(
+                    edit.tables.routes["r-1"].idempotent, idempotent
+                )
+
     def test_refuses_invalid_documents(self) -> None:
         def change_document(**fields: Any) -> bytes:
             return encode_json({**DOCUMENT, **fields})
