Pass the capacity and pace of a server to the balancers of callers

Nodes that choose a member knew its load relative to an unknown number of runs, and not how fast it works at the moment.

RunAnswer and RunRefusal have the trailing fields capacity, the runs that the executing node allows, and pace, the average of what the server states over 0.1 s. Frames without them decode as 0 (unknown) and 1.0. A stated pace is taken as 0.5 to 4 by the executing node and once more by the balancer, which doesn't use it yet; a capacity as at most 100,000.

tests.test_server_load, test_docs, test_host_node, test_mesh, test_mesh_bodies, test_containment and test_balancer pass.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._server_load import PACE_MAX, PACE_MIN, PACE_USUAL
 
 RAMP_DURATION: Final = timedelta(seconds=10)
 RAMP_START_FRACTION: Final = 0.1
@@ -56,6 +57,8 @@
 # A reported load may be false, so it can at most halve a member's share.
 REPORTED_LOAD_WEIGHT: Final = 1.0
 REPORTED_LOAD_LIFETIME: Final = timedelta(seconds=2)
+# Bounds the calculation with a false capacity.
+REPORTED_CAPACITY_MAX: Final = 100_000
 CONSECUTIVE_FAILURES_TO_EJECT: Final = 3
 FAILURE_RATE_MAX: Final = 0.5
 FAILURE_RATE_SAMPLES: Final = 20
@@ -101,6 +104,8 @@
     ejected_at: datetime | None = None
     probe_started_at: datetime | None = None
     reported_load: float = 0.0
+    reported_capacity: int = 0
+    reported_pace: float = PACE_USUAL
     load_reported_at: datetime | None = None
 
     def is_available(self) -> bool:
@@ -373,8 +378,19 @@
             peer.unreachable = False
             peer.ramp_started_at = now
 
-    def record_load(self, now: datetime, name: str, load: float) -> None:
-        """Record the load that a member reports, over 1 if calls wait."""
+    def record_load(
+        self,
+        now: datetime,
+        name: str,
+        load: float,
+        capacity: int = 0,
+        pace: float = PACE_USUAL,
+    ) -> None:
+        """Record the load that a member reports, over 1 if calls wait.
+
+        ``capacity`` is how many runs it allows at the same time, 0 if
+        unknown, and ``pace`` the relative duration of its work.
+        """
         peer = self._peers.get(name)
         if peer is not None and load == load:
             self._get_load_around(peer).record_load(
@@ -382,6 +398,12 @@
             )
             peer.reported_load = min(1.0, max(0.0, load))
             peer.load_reported_at = now
+            peer.reported_capacity = min(REPORTED_CAPACITY_MAX, capacity)
+            peer.reported_pace = (
+                min(PACE_MAX, max(PACE_MIN, pace))
+                if pace == pace
+                else PACE_USUAL
+            )
 
     def _add_to_group(self, peer: _Peer) -> None:
         member = peer.member
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 from typing import Final
@@ -35,7 +35,11 @@
 from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
-from sequoiaseam._server_load import parse_server_load
+from sequoiaseam._server_load import (
+    PACE_USUAL,
+    PaceAverage,
+    parse_server_load,
+)
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import Pool
@@ -99,6 +103,7 @@
     last_reported_at: datetime
     # True from a failed connection until the next report of the server.
     connection_refused: bool = False
+    pace: PaceAverage = field(default_factory=PaceAverage)
 
 
 class HostCallExecutor:
@@ -542,6 +547,8 @@
             )
             return
         session.admission.record_load(now, load.utilization)
+        if load.pace is not None:
+            session.pace.record(now, load.pace)
 
     def _create_answer(
         self,
@@ -560,6 +567,8 @@
             length,
             self._measure_load(),
             self._list_pressures(now, run.call.route),
+            capacity=self._get_capacity(),
+            pace=self._get_pace(now),
         )
 
     def _create_refusal(
@@ -578,6 +587,8 @@
             retry_after // MILLISECOND,
             self._measure_load(),
             self._list_pressures(now, run.call.route),
+            self._get_capacity(),
+            self._get_pace(now),
         )
 
     def _refuse(
@@ -598,6 +609,15 @@
         admission = session.admission
         return (admission.running + admission.queued) / admission.limit
 
+    def _get_capacity(self) -> int:
+        """Return how many runs are allowed at once, 0 without a server."""
+        session = self._session
+        return 0 if session is None else session.admission.limit
+
+    def _get_pace(self, now: datetime) -> float:
+        session = self._session
+        return PACE_USUAL if session is None else session.pace.get(now)
+
     def _list_pressures(
         self,
         now: datetime,
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -623,7 +623,9 @@
         now: datetime,
         result: RunResult,
     ) -> None:
-        self._balancer.record_load(now, host_name, result.load)
+        self._balancer.record_load(
+            now, host_name, result.load, result.capacity, result.pace
+        )
         route = pending.route
         if route is not None:
             if not pending.nested and isinstance(result, RunAnswer):
--- a/src/sequoiaseam/_mesh_bodies.py
+++ b/src/sequoiaseam/_mesh_bodies.py
@@ -208,4 +208,6 @@
         retry_after_ms=0,
         load=result.load,
         pressures=[],
+        capacity=result.capacity,
+        pace=result.pace,
     )
--- a/src/sequoiaseam/_mesh_frames.py
+++ b/src/sequoiaseam/_mesh_frames.py
@@ -25,6 +25,7 @@
 # memory of the node that reads them.
 CallBodyLength = Annotated[int, msgspec.Meta(ge=0, le=BODY_LIMIT_MAX_BYTES)]
 AnswerBodyLength = Annotated[int, msgspec.Meta(ge=0, lt=2**40)]
+Capacity = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class RunCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -68,7 +69,9 @@
     requests are queued. ``pressures`` lists each pool that a run of the
     route reaches, with its pressure level and the calls per run.
     ``body_length`` isn't 0 if the body follows in parts after a grant, and
-    is then its length; ``body`` is empty.
+    is then its length; ``body`` is empty. ``capacity`` is how many runs the
+    executing node allows at the same time, 0 if unknown. ``pace`` is the
+    duration of work there relative to the usual one.
     """
 
     call_id: int
@@ -79,12 +82,15 @@
     load: float
     pressures: list[tuple[str, float, float]]
     body_length: AnswerBodyLength = 0
+    capacity: Capacity = 0
+    pace: float = 1.0
 
 
 class RunRefusal(msgspec.Struct, frozen=True, array_like=True, tag=3):
     """A call without a response.
 
     ``may_have_run`` is set if the backend server may have run the request.
+    ``load``, ``pressures``, ``capacity`` and ``pace`` are those of an answer.
     """
 
     call_id: int
@@ -93,6 +99,8 @@
     retry_after_ms: int
     load: float
     pressures: list[tuple[str, float, float]]
+    capacity: Capacity = 0
+    pace: float = 1.0
 
 
 class RunCancel(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,9 +8,14 @@
 from datetime import timedelta
 from itertools import pairwise
 
-from sequoiaseam._balancer import Balancer, CallResult
+from sequoiaseam._balancer import (
+    REPORTED_CAPACITY_MAX,
+    Balancer,
+    CallResult,
+)
 from sequoiaseam._clock import EPOCH
 from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._server_load import PACE_MAX, PACE_MIN
 from tests.builders import build_member
 
 SCHEDULES = int(os.environ.get("SEQUOIASEAM_SCHEDULES", "500"))
@@ -137,6 +142,21 @@
         self.assertGreater(fixture.count_calls(100)["m1"], 60)
         fixture.balancer.record_load(fixture.now, "m0", float("nan"))
 
+    def test_false_capacity_and_pace_are_bounded(self) -> None:
+        fixture = Fixture(build_members(2))
+        for pace in (1e300, -1e300, float("nan"), float("inf"), 0.0):
+            with self.subTest(pace=pace):
+                fixture.balancer.record_load(
+                    fixture.now, "m0", 0.5, 2**60, pace
+                )
+                peer = fixture.balancer._peers["m0"]
+                self.assertLessEqual(
+                    peer.reported_capacity, REPORTED_CAPACITY_MAX
+                )
+                self.assertLessEqual(peer.reported_pace, PACE_MAX)
+                self.assertGreaterEqual(peer.reported_pace, PACE_MIN)
+                self.assertGreater(fixture.count_calls(100)["m1"], 20)
+
     def test_new_member_ramps_up(self) -> None:
         fixture = Fixture(build_members(2))
         fixture.balancer.update(fixture.now, build_members(3))
--- a/tests/test_containment.py
+++ b/tests/test_containment.py
@@ -104,6 +104,7 @@
             "unknown code": replace_field(REFUSAL, 2, "NEW_CODE"),
             "status of an interim response": replace_field(ANSWER, 2, 103),
             "status that does not exist": replace_field(ANSWER, 2, 700),
+            "negative capacity": replace_field(ANSWER, 9, -1),
             "code of another type": replace_field(REFUSAL, 2, 5),
             "invalid text": replace_field(CALL, 2, "read").replace(
                 b"read", b"\xff\xfe\xfd\xfc"
@@ -122,6 +123,15 @@
                 self.assertEqual(self.receive(content), (False, 1))
                 self.assertEqual(decode_frame(content), message)
 
+    def test_frames_without_the_last_fields_are_read(self) -> None:
+        """A node of the previous release sends none of them."""
+        for message, field_count in ((REFUSAL, 7), (ANSWER, 9), (ANSWER, 8)):
+            with self.subTest(message=type(message).__name__):
+                fields = msgspec.msgpack.decode(encode_frame(message))
+                older = msgspec.msgpack.encode(fields[:field_count])
+                self.assertEqual(decode_frame(older), message)
+                self.assertEqual((message.capacity, message.pace), (0, 1.0))
+
     @given(st.lists(VALUES, max_size=18))
     def test_any_values_are_read_or_close_the_connection(
         self, values: list[Any]
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -464,6 +464,10 @@
         assert session is not None
         limiter = session.admission._limiter
         self.assertEqual(limiter._reported_load, 1.0)
+        self.assertGreater(session.pace.get(cluster.nodes[0]._clock.now()), 1)
+        (peer,) = cluster.nodes[0]._balancer._peers.values()
+        self.assertEqual(peer.reported_capacity, session.admission.limit)
+        self.assertGreater(peer.reported_pace, 1)
 
 
 class BodyLimitTest(HostTestCase):
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -2,8 +2,18 @@
 
 import random
 import unittest
+from datetime import timedelta
 
-from sequoiaseam._server_load import ServerLoad, parse_server_load
+from sequoiaseam._clock import EPOCH
+from sequoiaseam._server_load import (
+    PACE_LIFETIME,
+    PACE_MAX,
+    PACE_MIN,
+    PACE_USUAL,
+    PaceAverage,
+    ServerLoad,
+    parse_server_load,
+)
 from tests.seeds import iterate_seeds
 
 
@@ -62,5 +72,45 @@
                 parse_server_load(value)
 
 
+class PaceAverageTest(unittest.TestCase):
+    """Guards against a pace that is followed late, for too long or too far."""
+
+    STEP = timedelta(milliseconds=10)
+
+    def setUp(self) -> None:
+        self.now = EPOCH
+        self.average = PaceAverage()
+
+    def record(self, pace: float, duration: timedelta) -> float:
+        """State a pace for some time and return the average."""
+        for _ in range(duration // self.STEP):
+            self.now += self.STEP
+            self.average.record(self.now, pace)
+        return self.average.get(self.now)
+
+    def test_follows_a_neighbour_within_its_time(self) -> None:
+        """A neighbour makes work 2.5 times as long for 0.6 s."""
+        self.assertAlmostEqual(self.record(1.0, timedelta(seconds=1)), 1.0)
+        slowed = self.record(2.5, timedelta(milliseconds=300))
+        self.assertGreater(slowed, 2.3)
+        restored = self.record(1.0, timedelta(milliseconds=300))
+        self.assertLess(restored, 1.2)
+
+    def test_one_response_decides_little(self) -> None:
+        self.record(1.0, timedelta(seconds=1))
+        self.assertLess(self.record(4.0, self.STEP), 1.4)
+
+    def test_a_false_pace_is_bounded(self) -> None:
+        second = timedelta(seconds=1)
+        self.assertLessEqual(self.record(1e7, second), PACE_MAX)
+        self.assertGreaterEqual(self.record(0.0, 2 * second), PACE_MIN)
+
+    def test_a_pace_is_forgotten(self) -> None:
+        self.record(4.0, timedelta(seconds=1))
+        self.now += PACE_LIFETIME + self.STEP
+        self.assertEqual(self.average.get(self.now), PACE_USUAL)
+        self.assertLess(self.record(4.0, self.STEP), 3.0)
+
+
 if __name__ == "__main__":
     unittest.main()
