--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 from typing import Final
@@ -37,6 +37,11 @@
 from sequoiaseam._pressure import PoolPressure, PressureMap
 from sequoiaseam._queue import Ticket
 from sequoiaseam._retry import TreeRetryLimiter
+from sequoiaseam._server_load import (
+    PACE_USUAL,
+    PaceAverage,
+    parse_server_load,
+)
 from sequoiaseam._settings import Endpoint
 from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import Pool
@@ -50,8 +55,8 @@
 # A backend server that misses three reports is considered gone.
 REPORT_SILENCE_TIMEOUT: Final = timedelta(seconds=6)
 METHODS_WITHOUT_BODY: Final = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
-LOAD_FIELD_PARTS: Final = 3
-LOAD_DIGITS_MAX: Final = 9
+# A malformed field may be long, and a log line has its start only.
+LOGGED_FIELD_BYTES_MAX: Final = 60
 # Retries that a backend server accepts in 10 s at any request rate.
 SERVER_RETRIES_MIN: Final = 2.0
 # Part of the fleet's retries that the servers of a pool divide among them.
@@ -102,6 +107,7 @@
     last_reported_at: datetime
     # True from a failed connection until the next report of the server.
     connection_refused: bool = False
+    pace: PaceAverage = field(default_factory=PaceAverage)
 
 
 class HostCallExecutor:
@@ -607,14 +613,18 @@
         value: bytes,
     ) -> None:
         """Record the load that the server reports; ignore malformed values."""
-        parts = value.split(b",")
-        if len(parts) != LOAD_FIELD_PARTS or not all(
-            p.isdigit() and len(p) <= LOAD_DIGITS_MAX for p in parts
-        ):
+        load = parse_server_load(value)
+        if load is None:
+            self._log.log(
+                Level.WARNING,
+                "malformed load of a backend server ignored",
+                server=session.report.server_id,
+                value=value[:LOGGED_FIELD_BYTES_MAX].decode("latin-1"),
+            )
             return
-        running, waiting, slots = map(int, parts)
-        load = min(1.0, (running + waiting) / max(1, slots))
-        session.admission.record_load(now, load)
+        session.admission.record_load(now, load.utilization)
+        if load.pace is not None:
+            session.pace.record(now, load.pace)
 
     def _create_answer(
         self,
@@ -633,6 +643,8 @@
             length,
             self._measure_load(),
             self._list_pressures(now, run.call.route),
+            capacity=self._get_capacity(),
+            pace=self._get_pace(now),
         )
 
     def _create_refusal(
@@ -651,6 +663,8 @@
             retry_after // MILLISECOND,
             self._measure_load(),
             self._list_pressures(now, run.call.route),
+            self._get_capacity(),
+            self._get_pace(now),
         )
 
     def _refuse(
@@ -672,6 +686,15 @@
         load = (admission.running + admission.queued) / admission.limit
         return max(load, session.cold_start.measure_load(self._clock.now()))
 
+    def _get_capacity(self) -> int:
+        """Return how many runs are allowed at once, 0 without a server."""
+        session = self._session
+        return 0 if session is None else session.admission.limit
+
+    def _get_pace(self, now: datetime) -> float:
+        session = self._session
+        return PACE_USUAL if session is None else session.pace.get(now)
+
     def _list_pressures(
         self,
         now: datetime,
