Divide the limits on retries between importance classes

Cause: where a pool rejects 0.55 of its requests, the calls of trees with four and eight calls there ask for most retries and use the limits. A single call of the highest class, which a retry would complete, mostly finds none left. Change: RetryShare and TreeRetryLimiter count calls, asked and used retries by class. A class may use what the classes above it don't need, at least an eighth of what is available to the next higher one. The limits on all retries are unchanged.

--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -345,10 +345,11 @@
         """Return whether the pool's retry share allows the run; count it."""
         if call.repeat:
             return self._retry_limiter.allow(
-                now, {call.pool: 1.0}, self._get_retry_share
+                now, {call.pool: 1.0}, self._get_retry_share, call.importance
             )
-        if not call.begun:
-            self._retry_limiter.record(now, call.pool)
+        self._retry_limiter.record(
+            now, call.pool, call.importance, nested=call.begun
+        )
         return True
 
     def _get_retry_share(self, name: str) -> float:
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -423,7 +423,9 @@
             self._refuse(pending, ErrorCode.DRAINING)
             return
         if not pending.nested:
-            self._tree_retry_limiter.record(now, pending.pool)
+            self._tree_retry_limiter.record(
+                now, pending.pool, pending.importance
+            )
             retry_after = self._pressure.decide(
                 now,
                 route.name,
@@ -473,7 +475,7 @@
         if not self._stop_allows_attempt(now):
             self._refuse(pending, ErrorCode.DRAINING)
             return
-        self._get_retry_share(pending.pool).record(now)
+        self._get_retry_share(pending.pool).record(now, pending.importance)
         self._forward(pending, now)
 
     def _choose_pool(self, route: Route) -> str:
@@ -763,11 +765,13 @@
     def _may_spend_retry(self, pending: PendingRequest, route: Route) -> bool:
         """Charge a retry to the limits of the pools that it reaches.
 
+        The limits are divided by class. A nested call has that of its run.
         For a nested call, the tree's limit is enforced by the hosts of the
         called pool, as this host receives few root requests for that pool.
         """
         now = self._clock.now()
-        if not self._get_retry_share(pending.pool).allow(now):
+        importance = pending.importance
+        if not self._get_retry_share(pending.pool).allow(now, importance):
             return False
         if pending.nested:
             return True
@@ -777,7 +781,7 @@
             pending.pool: calls_by_pool.get(pending.pool, 1.0),
         }
         return self._tree_retry_limiter.allow(
-            now, costs, self._get_retry_share_limit
+            now, costs, self._get_retry_share_limit, importance
         )
 
     def _get_retry_share_limit(self, pool: str) -> float:
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,7 +3,9 @@
 import os
 import random
 import unittest
-from datetime import timedelta
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime, timedelta
 
 from sequoiaseam._clock import EPOCH
 from sequoiaseam._retry import (
@@ -12,6 +14,8 @@
     TreeRetryLimiter,
     compute_retry_after,
 )
+from sequoiaseam._tables import Importance
+from tests.seeds import iterate_seeds
 
 SCHEDULES = int(os.environ.get("SEQUOIASEAM_SCHEDULES", "500"))
 
@@ -165,6 +169,176 @@
         self.assertEqual(sum(allowed), 10)
 
 
+@dataclass(frozen=True)
+class Caller:
+    """Calls of one class to a scarce pool, per second and run."""
+
+    importance: Importance
+    rate: float
+    nested: bool
+    calls: int = 1
+
+
+class ScarceRetriesTest(unittest.TestCase):
+    """Guards against retries of trees that fail anyway.
+
+    The load is a pool that rejects 0.55 of its requests, whatever its
+    load, while trees of four and eight calls there and single calls of the
+    highest class ask for retries that are too few for all.
+    """
+
+    REJECTED = 0.55
+    DURATION = 30
+    CALLERS = (
+        Caller(Importance.CRITICAL, 52, nested=False),
+        Caller(Importance.HIGH, 900, nested=True),
+        Caller(Importance.NORMAL, 700, nested=True),
+    )
+
+    def simulate(
+        self,
+        callers: tuple[Caller, ...],
+        seed: int,
+        record: Callable[[datetime, Caller], None],
+        allow: Callable[[datetime, Caller], bool],
+    ) -> tuple[dict[Importance, int], dict[Importance, int]]:
+        """Return the retries asked for and allowed after the first 10 s."""
+        rng = random.Random(seed)
+        rates = [caller.rate for caller in callers]
+        asked = dict.fromkeys(Importance, 0)
+        allowed = dict.fromkeys(Importance, 0)
+        now = EPOCH
+        while now < EPOCH + timedelta(seconds=self.DURATION):
+            now += timedelta(seconds=rng.expovariate(sum(rates)))
+            counts = now > EPOCH + timedelta(seconds=10)
+            (caller,) = rng.choices(callers, rates)
+            record(now, caller)
+            for _ in range(2):
+                if rng.random() >= self.REJECTED:
+                    break
+                asked[caller.importance] += counts
+                if not allow(now, caller):
+                    break
+                allowed[caller.importance] += counts
+        return asked, allowed
+
+    def check(
+        self,
+        asked: dict[Importance, int],
+        allowed: dict[Importance, int],
+        limit: float,
+    ) -> None:
+        highest = Importance.CRITICAL
+        total = sum(allowed.values())
+        # The number of calls in a window, and so its limit, varies.
+        self.assertLessEqual(total, 1.15 * limit)
+        self.assertGreater(total, 0.85 * limit)
+        self.assertGreaterEqual(
+            allowed[highest], min(0.95 * asked[highest], 0.8 * limit)
+        )
+        # The lower classes aren't left without any.
+        self.assertGreater(total - allowed[highest], 0)
+
+    def test_a_server_runs_retries_of_the_highest_class(self) -> None:
+        for seed in iterate_seeds(3):
+            limiter = TreeRetryLimiter(2.0)
+
+            def record(
+                now: datetime,
+                caller: Caller,
+                limiter: TreeRetryLimiter = limiter,
+            ) -> None:
+                limiter.record(
+                    now, "scarce", caller.importance, nested=caller.nested
+                )
+
+            def allow(
+                now: datetime,
+                caller: Caller,
+                limiter: TreeRetryLimiter = limiter,
+            ) -> bool:
+                return limiter.allow(
+                    now, {"scarce": 1.0}, lambda _: 0.2, caller.importance
+                )
+
+            with self.subTest(seed=seed):
+                # 0.2 of 52 root requests a second for 20 s.
+                result = self.simulate(self.CALLERS, seed, record, allow)
+                self.check(*result, limit=0.2 * 52 * 20)
+
+    def test_a_node_sends_retries_of_the_highest_class(self) -> None:
+        callers = (
+            Caller(Importance.CRITICAL, 2.6, nested=False),
+            Caller(Importance.HIGH, 46, nested=True),
+            Caller(Importance.NORMAL, 36, nested=True),
+        )
+        for seed in iterate_seeds(3):
+            share = RetryShare(0.2)
+
+            def record(
+                now: datetime, caller: Caller, share: RetryShare = share
+            ) -> None:
+                share.record(now, caller.importance)
+
+            def allow(
+                now: datetime, caller: Caller, share: RetryShare = share
+            ) -> bool:
+                return share.allow(now, caller.importance)
+
+            with self.subTest(seed=seed):
+                # A share of 0.2 of all calls is a quarter of the first ones.
+                result = self.simulate(callers, seed, record, allow)
+                self.check(*result, limit=0.25 * 84.6 * 20)
+
+    def test_trees_of_many_calls_leave_the_entry_its_retries(self) -> None:
+        callers = (
+            Caller(Importance.CRITICAL, 2.6, nested=False),
+            Caller(Importance.HIGH, 11, nested=True, calls=4),
+        )
+        for seed in iterate_seeds(3):
+            limiter = TreeRetryLimiter(1.0)
+
+            def record(
+                now: datetime,
+                caller: Caller,
+                limiter: TreeRetryLimiter = limiter,
+            ) -> None:
+                pool = "history" if caller.nested else "scarce"
+                limiter.record(now, pool, caller.importance)
+
+            def allow(
+                now: datetime,
+                caller: Caller,
+                limiter: TreeRetryLimiter = limiter,
+            ) -> bool:
+                costs = {"scarce": float(caller.calls)}
+                if caller.nested:
+                    costs["history"] = 1.0
+                return limiter.allow(
+                    now, costs, lambda _: 0.2, caller.importance
+                )
+
+            with self.subTest(seed=seed):
+                _, allowed = self.simulate(callers, seed, record, allow)
+                # An eighth of 0.2 of 26 root requests is less than a tree.
+                self.assertEqual(allowed[Importance.HIGH], 0)
+                # Two windows of 5.2 retries each, of which only whole ones
+                # can be used.
+                self.assertGreaterEqual(allowed[Importance.CRITICAL], 7)
+
+    def test_a_class_that_asks_alone_has_the_whole_limit(self) -> None:
+        limiter = TreeRetryLimiter(1.0)
+        for _ in range(500):
+            limiter.record(EPOCH, "scarce", Importance.LOW)
+        allowed = [
+            limiter.allow(
+                EPOCH, {"scarce": 1.0}, lambda _: 0.2, Importance.LOW
+            )
+            for _ in range(200)
+        ]
+        self.assertEqual(sum(allowed), 100)
+
+
 class RetryAfterTest(unittest.TestCase):
     """Guards against callers that all retry at the same time."""
 
