Don't begin call trees that a rejecting pool will break off

Cause: RouteThrottle learns that a route's trees fail from ten failed trees of that route. In a fleet with several such routes, each is opened again as soon as its few probes are too few to be a rate, and its trees use the scarce pool. Change: nodes count the calls of each class that a pool rejects after their retries, and exchange the rates with their pings. TreeAdmission multiplies them over the calls that a run of a route makes, and admits root requests in proportion below 0.3, one in ten at least. The refusal logs the pool, the calls, the rate and the expected success.

--- a/src/sequoiaseam/_domain_load.py
+++ b/src/sequoiaseam/_domain_load.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
 
@@ -22,6 +22,11 @@
 # Higher success rates change nothing at a node and aren't sent.
 SUCCESS_RATE_SENT_MAX: Final = 0.6
 LEVEL_SENT_MIN: Final = 0.01
+# Rejections of the last moments count most, so that a recovery shows within
+# two seconds.
+REJECTION_HALF_LIFE: Final = timedelta(milliseconds=500)
+# Lower rates of rejection change nothing, also for trees of many calls.
+REJECTION_RATE_SENT_MIN: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +38,20 @@
     failed: int
 
 
+@dataclass(frozen=True, slots=True)
+class PoolRejections:
+    """Calls of a class to a pool since a node's last report.
+
+    ``calls`` have ended, ``rejected`` of them by the pool's rejection, after
+    their retries. Nodes report the pools that reject calls only.
+    """
+
+    pool: str
+    importance: int
+    calls: int
+    rejected: int
+
+
 @dataclass(frozen=True, slots=True)
 class NodeLoad:
     """What a node has measured: its pool's pressure level, and responses."""
@@ -40,27 +59,41 @@
     pool: str
     level: float
     outcomes: tuple[RouteOutcomes, ...] = ()
+    rejections: tuple[PoolRejections, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class DomainLoad:
-    """Mean pressure level by pool, and success rate by failing route."""
+    """Mean pressure level by pool, and success rate by failing route.
+
+    ``rejection_rates`` are the fractions of calls that pools reject after
+    retries, by pool and importance.
+    """
 
     levels: Mapping[str, float]
     success_rates: Mapping[str, float]
+    rejection_rates: Mapping[str, Mapping[int, float]] = field(
+        default_factory=dict
+    )
+
+    @property
+    def has_content(self) -> bool:
+        """Return whether there is anything to tell the nodes."""
+        return bool(self.levels or self.success_rates or self.rejection_rates)
 
 
 @dataclass(slots=True)
 class _OutcomeCounts:
-    """Responses of a route, fewer with age."""
+    """Responses of a route or of a pool to a class, fewer with age."""
 
     updated_at: datetime
     succeeded: float = 0.0
     failed: float = 0.0
+    half_life: timedelta = OUTCOME_HALF_LIFE
 
     def decay(self, now: datetime) -> None:
         """Reduce the counts by the time since the last update."""
-        factor = 0.5 ** ((now - self.updated_at) / OUTCOME_HALF_LIFE)
+        factor = 0.5 ** ((now - self.updated_at) / self.half_life)
         self.succeeded *= factor
         self.failed *= factor
         self.updated_at = now
@@ -78,6 +111,7 @@
     def __init__(self) -> None:
         self._reports: dict[str, tuple[datetime, NodeLoad]] = {}
         self._counts_by_route: dict[str, _OutcomeCounts] = {}
+        self._counts_by_pool: dict[tuple[str, int], _OutcomeCounts] = {}
         self._summary = DomainLoad({}, {})
         self._summarized_at: datetime | None = None
 
@@ -91,6 +125,14 @@
             counts.decay(now)
             counts.succeeded += outcomes.succeeded
             counts.failed += outcomes.failed
+        for rejections in load.rejections:
+            counts = self._counts_by_pool.setdefault(
+                (rejections.pool, rejections.importance),
+                _OutcomeCounts(now, half_life=REJECTION_HALF_LIFE),
+            )
+            counts.decay(now)
+            counts.succeeded += rejections.calls - rejections.rejected
+            counts.failed += rejections.rejected
 
     def summarize(self, now: datetime) -> DomainLoad:
         """Return the load of the domain as of about now."""
@@ -100,7 +142,9 @@
         ):
             self._summarized_at = now
             self._summary = DomainLoad(
-                self._average_levels(now), self._find_failing_routes(now)
+                self._average_levels(now),
+                self._find_failing_routes(now),
+                self._find_rejecting_pools(now),
             )
         return self._summary
 
@@ -128,3 +172,16 @@
             elif counts.success_rate < SUCCESS_RATE_SENT_MAX:
                 rates[route] = counts.success_rate
         return rates
+
+    def _find_rejecting_pools(
+        self, now: datetime
+    ) -> dict[str, dict[int, float]]:
+        rates: dict[str, dict[int, float]] = {}
+        for (pool, importance), counts in list(self._counts_by_pool.items()):
+            counts.decay(now)
+            rate = 1 - counts.success_rate
+            if counts.succeeded + counts.failed < 1:
+                del self._counts_by_pool[pool, importance]
+            elif rate > REJECTION_RATE_SENT_MIN:
+                rates.setdefault(pool, {})[importance] = rate
+        return rates
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -673,6 +673,7 @@
             pressure.pool if pressure else "",
             pressure.level if pressure else 0.0,
             self._ingress.take_outcomes(),
+            self._ingress.take_rejections(),
         )
         return self._view.build_ping(now, load)
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -12,7 +12,11 @@
 from sequoiaseam._balancer import Balancer, CallResult
 from sequoiaseam._call_attribution import CallAttribution
 from sequoiaseam._clock import Clock
-from sequoiaseam._domain_load import DomainLoad, RouteOutcomes
+from sequoiaseam._domain_load import (
+    DomainLoad,
+    PoolRejections,
+    RouteOutcomes,
+)
 from sequoiaseam._feed import NodeView
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
 from sequoiaseam._http_server import (
@@ -42,6 +46,7 @@
     combine_importance,
     find_most_common_importance,
 )
+from sequoiaseam._tree_admission import TreeAdmission
 from sequoiaseam.const import DEFAULT_ROUTE_TIMEOUT, OPEN_WORKSPACE
 from sequoiaseam.errors import (
     DEFAULT_HTTP_STATUS,
@@ -187,6 +192,7 @@
         self._retry_shares: dict[str, tuple[float, RetryShare]] = {}
         self._tree_retry_limiter = TreeRetryLimiter(POOL_RETRIES_MIN)
         self._route_throttle = RouteThrottle(rng)
+        self._tree_admission = TreeAdmission(rng)
         self._pending_requests: set[PendingRequest] = set()
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
@@ -212,11 +218,16 @@
         """Return the responses to root requests since the last call."""
         return self._route_throttle.take_outcomes()
 
+    def take_rejections(self) -> tuple[PoolRejections, ...]:
+        """Return the calls to pools that reject some since the last call."""
+        return self._tree_admission.take_rejections(self._clock.now())
+
     def observe_domain(self, load: DomainLoad) -> None:
         """Apply what the nodes of this failure domain have measured."""
         now = self._clock.now()
         self._pressure.observe_domain(now, load.levels)
         self._route_throttle.observe_domain(now, load.success_rates)
+        self._tree_admission.observe_domain(now, load.rejection_rates)
 
     # Requests that don't fit into memory.
 
@@ -436,16 +447,46 @@
             if retry_after is not None:
                 self._refuse(pending, ErrorCode.OVERLOAD, retry_after)
                 return
-            if not self._route_throttle.allow(now, route.name):
-                retry_after = FAILING_ROUTE_RETRY_AFTER * self._rng.uniform(
-                    0.5, 1.5
-                )
-                self._refuse(
-                    pending, ErrorCode.OVERLOAD, retry_after, failing=True
-                )
+            if not self._may_begin_tree(pending, route, now):
                 return
         self._spend_quota(pending)
 
+    def _may_begin_tree(
+        self, pending: PendingRequest, route: Route, now: datetime
+    ) -> bool:
+        """Return whether the tree may complete; refuse the request if not."""
+        admission = self._tree_admission
+        forecast = None
+        if admission.has_rejections:
+            forecast = admission.forecast(
+                now,
+                pending.importance,
+                pending.pool,
+                self._pressure.find_calls_by_pool(route.name),
+            )
+        fraction = self._route_throttle.compute_admitted_fraction(
+            now, route.name
+        )
+        if admission.admit(forecast, fraction):
+            return True
+        details: dict[str, object] = {}
+        if forecast is not None:
+            details = {
+                "pool": forecast.pool,
+                "calls": round(forecast.calls, 2),
+                "rejection_rate": round(forecast.rejection_rate, 3),
+                "success": round(forecast.success, 4),
+            }
+        retry_after = FAILING_ROUTE_RETRY_AFTER * self._rng.uniform(0.5, 1.5)
+        self._refuse(
+            pending,
+            ErrorCode.OVERLOAD,
+            retry_after,
+            failing=True,
+            **details,
+        )
+        return False
+
     def _spend_quota(self, pending: PendingRequest) -> None:
         workspace = self._view.tables.workspaces.get(pending.workspace)
         if workspace is None or not workspace.limited:
@@ -798,6 +839,26 @@
 
     # Completion.
 
+    def _record_call(
+        self, pending: PendingRequest, code: ErrorCode | None
+    ) -> None:
+        """Record whether the pool rejected a call, after its retries.
+
+        ``code`` is that of the refusal, None for a response. Calls that end
+        otherwise say nothing about the pool. Those of repeated runs are
+        refused by a limit on retries without having been sent.
+        """
+        rejected = code is ErrorCode.SHED or (
+            code is ErrorCode.RETRIES_EXHAUSTED and not pending.repeat
+        )
+        if code is None or rejected:
+            self._tree_admission.record(
+                self._clock.now(),
+                pending.pool,
+                pending.importance,
+                rejected=rejected,
+            )
+
     def _finish(self, pending: PendingRequest) -> None:
         pending.finished = True
         self._pending_requests.discard(pending)
@@ -827,6 +888,7 @@
 
     def _respond(self, pending: PendingRequest, result: RunAnswer) -> None:
         self._finish(pending)
+        self._record_call(pending, None)
         pending.request.respond(
             result.status,
             result.fields,
@@ -893,6 +955,7 @@
             self._respond(pending, failure)
             return
         self._finish(pending)
+        self._record_call(pending, code)
         now = self._clock.now()
         schedule = self.stop_schedule
         status = choose_status(code, may_have_run=pending.may_have_run)
--- a/src/sequoiaseam/_route_throttle.py
+++ b/src/sequoiaseam/_route_throttle.py
@@ -67,13 +67,15 @@
 
     def allow(self, now: datetime, route: str) -> bool:
         """Return whether to admit a root request."""
+        admitted_fraction = self.compute_admitted_fraction(now, route)
+        return admitted_fraction >= 1 or self._rng.random() < admitted_fraction
+
+    def compute_admitted_fraction(self, now: datetime, route: str) -> float:
+        """Return the fraction of root requests to admit."""
         success_rate = self._get_stats(now, route).success_rate
         if success_rate >= SUCCESS_RATE_MIN:
-            return True
-        admitted_fraction = max(
-            PROBE_FRACTION, success_rate / SUCCESS_RATE_MIN
-        )
-        return self._rng.random() < admitted_fraction
+            return 1.0
+        return max(PROBE_FRACTION, success_rate / SUCCESS_RATE_MIN)
 
     def _get_stats(self, now: datetime, route: str) -> _RouteStats:
         stats = self._stats_by_route.get(route)
--- a/src/sequoiaseam/_sessions.py
+++ b/src/sequoiaseam/_sessions.py
@@ -206,13 +206,12 @@
         if age > CONFIGURATION_LEASE / 2:
             session.waiting_ping = ping
         load = self._domain_load.summarize(now)
-        has_content = load.levels or load.success_rates
         session.post(
             Pong(
                 ping.sent,
                 confirmation.index,
                 age,
-                load if has_content else None,
+                load if load.has_content else None,
             )
         )
 
