Refuse costly root requests of a class before cheap ones

Cause: within the class that a pool's pressure level sheds in part, only the share of the workspace decided. A request whose run makes eight calls to the pool was admitted as often as one that makes one call. Change: PressureMap.decide puts the root requests of a class into bands by their calls to the limiting pool, a band for each power of two. The bands with most calls are refused first, and each is admitted at least a quarter of the mean. Within a band, the shares of workspaces decide as before. The refusal logs pool, pool_level and calls.

--- a/src/sequoiaseam/_filters.py
+++ b/src/sequoiaseam/_filters.py
@@ -307,18 +307,18 @@
 
         Less important requests are refused first.
         """
-        retry_after = self._pressure.decide(
+        refusal = self._pressure.decide(
             self._clock.now(),
             exchange.get_route().name,
             exchange.importance,
             exchange.workspace,
             exchange.weight,
         )
-        if retry_after is not None:
+        if refusal is not None:
             raise RefusalError(
                 ErrorCode.OVERLOAD,
                 "a service that the request needs is overloaded",
-                retry_after=retry_after,
+                retry_after=refusal.retry_after,
             )
         return await proceed(exchange)
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -437,15 +437,22 @@
             self._tree_retry_limiter.record(
                 now, pending.pool, pending.importance
             )
-            retry_after = self._pressure.decide(
+            refusal = self._pressure.decide(
                 now,
                 route.name,
                 pending.importance,
                 pending.workspace,
                 pending.weight,
             )
-            if retry_after is not None:
-                self._refuse(pending, ErrorCode.OVERLOAD, retry_after)
+            if refusal is not None:
+                self._refuse(
+                    pending,
+                    ErrorCode.OVERLOAD,
+                    refusal.retry_after,
+                    pool=refusal.pool,
+                    pool_level=round(refusal.level, 3),
+                    calls=round(refusal.calls, 2),
+                )
                 return
             if not self._may_begin_tree(pending, route, now):
                 return
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -76,6 +76,18 @@
 # Call counts are smoothed because each host counts a route's calls
 # separately.
 CALLS_SMOOTHING_FACTOR: Final = 0.1
+# Call counts this far from the middle of their band, in bands, belong to
+# another one. It is above 0.5 so that a count at an edge doesn't alternate.
+BAND_EDGE: Final = 0.7
+# Range of the bands. Call counts come from other nodes and may be any number.
+BAND_CALLS_MIN: Final = 1 / 16
+BAND_CALLS_MAX: Final = 1024.0
+# The mix of routes changes slowly, and a node sees few requests of each.
+BAND_LOAD_RETAINED: Final = 0.98
+# A band of routes is admitted at least this fraction of the mean.
+MEAN_ADMISSION_FRACTION_MIN: Final = 0.25
+# Accuracy of the smallest admission, in halvings.
+ADMISSION_HALVINGS: Final = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +106,19 @@
     calls: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class RootRefusal:
+    """Refusal of a root request, and what decided it.
+
+    ``calls`` is the number of calls that its run would make to ``pool``.
+    """
+
+    retry_after: timedelta
+    pool: str
+    level: float
+    calls: float
+
+
 class PressureGauge:
     """Compute the pressure level of one backend server from its queue."""
 
@@ -298,11 +323,25 @@
 
     last_seen: datetime
     calls: float
+    # Binary logarithm of the number of calls, rounded.
+    band: int = 0
+
+    def __post_init__(self) -> None:
+        self.band = round(self._measure_magnitude())
 
     def update(self, now: datetime, calls: float) -> None:
         """Update the moving average of calls per run."""
         self.last_seen = now
+        if calls == self.calls:
+            return
         self.calls += CALLS_SMOOTHING_FACTOR * (calls - self.calls)
+        magnitude = self._measure_magnitude()
+        if abs(magnitude - self.band) > BAND_EDGE:
+            self.band = round(magnitude)
+
+    def _measure_magnitude(self) -> float:
+        calls = max(BAND_CALLS_MIN, self.calls)
+        return math.log2(min(BAND_CALLS_MAX, calls))
 
 
 @dataclass(slots=True)
@@ -408,6 +447,150 @@
             sparse.refused_fraction = fraction
 
 
+@dataclass(slots=True)
+class _CostBand:
+    """Root requests of one class that make about as many calls to a pool."""
+
+    fair_share: _FairShare
+    # Requests of the current interval and the calls that they make.
+    arrivals: int = 0
+    calls: float = 0.0
+    # The same per interval.
+    rate: float = 0.0
+    load: float = 0.0
+    refused_fraction: float = 0.0
+
+
+@dataclass(slots=True)
+class _CostOrder:
+    """Order of refusal of the root requests for one pool and class.
+
+    Those that make most calls to the pool are refused first, as refusing
+    one of them leaves room for several others. Among those that make
+    about as many calls, the fair shares of workspaces decide.
+    """
+
+    interval_start: datetime
+    fraction: float = 0.0
+    bands: dict[int, _CostBand] = field(default_factory=dict)
+
+    def record(
+        self,
+        now: datetime,
+        reached_pool: _ReachedPool,
+        workspace: str,
+        weight: float,
+    ) -> _CostBand:
+        """Count an arrival; return its band."""
+        count = (now - self.interval_start) // MEASUREMENT_INTERVAL
+        if count > 0:
+            self.interval_start += count * MEASUREMENT_INTERVAL
+            self._close_intervals(count)
+        number = reached_pool.band
+        band = self.bands.get(number)
+        if band is None:
+            band = self.bands[number] = _CostBand(_FairShare(now))
+            self._apply_fraction(self.fraction)
+        band.arrivals += 1
+        band.calls += reached_pool.calls
+        band.fair_share.record(now, workspace, weight)
+        return band
+
+    def should_refuse(
+        self, band: _CostBand, workspace: str, fraction: float
+    ) -> bool:
+        """Return whether to refuse the current arrival of a workspace."""
+        if len(self.bands) == 1:
+            return band.fair_share.should_refuse(workspace, fraction)
+        if abs(fraction - self.fraction) > 0.01:
+            self._apply_fraction(fraction)
+        return band.fair_share.should_refuse(workspace, band.refused_fraction)
+
+    def _close_intervals(self, count: int) -> None:
+        retained: float = BAND_LOAD_RETAINED ** min(count, 1000)
+        for number, band in list(self.bands.items()):
+            band.rate = retained * band.rate + (1 - retained) * (
+                band.arrivals / count
+            )
+            band.load = retained * band.load + (1 - retained) * (
+                band.calls / count
+            )
+            band.arrivals = 0
+            band.calls = 0.0
+            if band.rate < 1e-6 and len(self.bands) > 1:
+                del self.bands[number]
+        self._apply_fraction(self.fraction)
+
+    def _apply_fraction(self, fraction: float) -> None:
+        self.fraction = fraction
+        if not fraction or len(self.bands) == 1:
+            return
+        numbers = sorted(self.bands, reverse=True)
+        refused_fractions = divide_refusals(
+            [
+                (self.bands[number].rate, self.bands[number].load)
+                for number in numbers
+            ],
+            fraction,
+        )
+        for number, refused_fraction in zip(
+            numbers, refused_fractions, strict=True
+        ):
+            self.bands[number].refused_fraction = refused_fraction
+
+
+def divide_refusals(
+    demands: Sequence[tuple[float, float]], fraction: float
+) -> list[float]:
+    """Return the fraction of each demand to refuse, the first ones first.
+
+    ``demands`` are pairs of a request rate and the load that it causes. The
+    given fraction of the whole load is refused, but no demand is admitted
+    less than a quarter as often as the mean request.
+    """
+    if not sum(load for _, load in demands):
+        return [fraction] * len(demands)
+    refused = _refuse_in_order(demands, fraction, 0.0)
+    if _is_admission_fair(demands, refused):
+        return refused
+    lowest, highest = 0.0, 1 - fraction
+    for _ in range(ADMISSION_HALVINGS):
+        admitted_min = (lowest + highest) / 2
+        refused = _refuse_in_order(demands, fraction, admitted_min)
+        if _is_admission_fair(demands, refused):
+            highest = admitted_min
+        else:
+            lowest = admitted_min
+    return _refuse_in_order(demands, fraction, highest)
+
+
+def _refuse_in_order(
+    demands: Sequence[tuple[float, float]],
+    fraction: float,
+    admitted_min: float,
+) -> list[float]:
+    """Refuse a fraction of the load; admit a fraction of each demand."""
+    remaining = fraction * sum(load for _, load in demands)
+    refused_fractions = []
+    for _, load in demands:
+        refused = min(1 - admitted_min, remaining / load if load else 1.0)
+        refused_fractions.append(refused if remaining > 0 else 0.0)
+        remaining -= refused * load
+    return refused_fractions
+
+
+def _is_admission_fair(
+    demands: Sequence[tuple[float, float]], refused_fractions: Sequence[float]
+) -> bool:
+    """Return whether each demand is admitted a quarter of the mean or more."""
+    requests = admitted = 0.0
+    for (rate, _), refused in zip(demands, refused_fractions, strict=True):
+        requests += rate
+        admitted += rate * (1 - refused)
+    admitted_min = MEAN_ADMISSION_FRACTION_MIN * admitted
+    return (1 - max(refused_fractions)) * requests >= admitted_min
+
+
 def compute_rate_cap(
     rates: Mapping[str, tuple[float, float]],
     fraction: float,
@@ -440,7 +623,7 @@
         self._domain_levels: Mapping[str, float] = {}
         self._domain_levels_at: datetime | None = None
         self._route_pools: dict[str, dict[str, _ReachedPool]] = {}
-        self._fair_shares: dict[tuple[str, Importance], _FairShare] = {}
+        self._cost_orders: dict[tuple[str, Importance], _CostOrder] = {}
 
     def observe(
         self,
@@ -490,35 +673,47 @@
         importance: Importance,
         workspace: str,
         weight: float,
-    ) -> timedelta | None:
-        """Return how long a refused root request should wait to retry.
+    ) -> RootRefusal | None:
+        """Return the refusal of a root request, None if it is admitted.
 
-        Return None if the request is admitted. This must be called for
-        each root request, because it counts the arrivals from which the
+        This must be called for each root request, because it counts the
+        arrivals from which the order of refusal within a class and the
         fair shares of workspaces are computed.
         """
         highest_level = 0.0
-        limiting_share: _FairShare | None = None
-        for pool, reached_pool in list(
-            self._route_pools.get(route, {}).items()
-        ):
+        limiting_pool = ""
+        limiting_order: _CostOrder | None = None
+        limiting_band: _CostBand | None = None
+        reached_pools = self._route_pools.get(route, {})
+        for pool, reached_pool in list(reached_pools.items()):
             if now - reached_pool.last_seen > ROUTE_POOL_LIFETIME:
-                del self._route_pools[route][pool]
+                del reached_pools[pool]
                 continue
             key = (pool, importance)
-            fair_share = self._fair_shares.setdefault(key, _FairShare(now))
-            fair_share.record(now, workspace, weight)
+            order = self._cost_orders.get(key)
+            if order is None:
+                order = self._cost_orders[key] = _CostOrder(now)
+            band = order.record(now, reached_pool, workspace, weight)
             level = self._measure_level(now, pool)
             if level > highest_level:
-                highest_level, limiting_share = level, fair_share
-        if limiting_share is None or not self._is_refused(
-            limiting_share,
-            importance,
-            workspace,
-            highest_level,
-        ):
+                highest_level, limiting_pool = level, pool
+                limiting_order, limiting_band = order, band
+        if limiting_order is None or limiting_band is None:
             return None
-        return compute_retry_after(self._rng, highest_level - importance)
+        if importance == int(highest_level):
+            is_refused = limiting_order.should_refuse(
+                limiting_band, workspace, highest_level - importance
+            )
+        else:
+            is_refused = importance < highest_level
+        if not is_refused:
+            return None
+        return RootRefusal(
+            compute_retry_after(self._rng, highest_level - importance),
+            limiting_pool,
+            highest_level,
+            reached_pools[limiting_pool].calls,
+        )
 
     def find_calls_by_pool(self, route: str) -> Mapping[str, float]:
         """Return the average calls that one run of a route makes, by pool."""
@@ -538,14 +733,3 @@
             PoolPressure(pool, self._measure_level(now, pool))
             for pool in sorted(pools)
         )
-
-    def _is_refused(
-        self,
-        fair_share: _FairShare,
-        importance: Importance,
-        workspace: str,
-        level: float,
-    ) -> bool:
-        if importance != int(level):
-            return importance < level
-        return fair_share.should_refuse(workspace, level - int(level))
--- a/tests/test_domain_load.py
+++ b/tests/test_domain_load.py
@@ -82,6 +82,35 @@
                 refused = self.simulate(1, 1.5, importance)
                 self.assertAlmostEqual(refused, fraction, delta=0.02)
 
+    def test_costly_requests_are_refused_first(self) -> None:
+        rng = random.Random(1)
+        nodes = [PressureMap(random.Random(i)) for i in range(NODES)]
+        calls = {"costly": 8.0, "cheap": 1.0}
+        sent = dict.fromkeys(calls, 0)
+        admitted = dict.fromkeys(calls, 0)
+        now = next_pong = EPOCH
+        while now < EPOCH + 2 * DURATION:
+            now += SECOND * rng.expovariate(REQUESTS_PER_SECOND)
+            if now >= next_pong:
+                next_pong += PING_INTERVAL
+                for node in nodes:
+                    for route, count in calls.items():
+                        pressure = PoolPressure(POOL, 1.5, count)
+                        node.observe(now, route, (pressure,))
+                    node.observe_domain(now, {POOL: 1.5})
+            route = rng.choice(("costly", "cheap"))
+            workspace = f"w{rng.randrange(WORKSPACES)}"
+            refusal = rng.choice(nodes).decide(
+                now, route, Importance.NORMAL, workspace, 1.0
+            )
+            if now > EPOCH + DURATION:
+                sent[route] += 1
+                admitted[route] += refusal is None
+        load = sum(calls[route] * admitted[route] for route in calls)
+        load /= sum(calls[route] * sent[route] for route in calls)
+        self.assertAlmostEqual(load, 0.5, delta=0.12)
+        self.assertGreater(admitted["cheap"] / sent["cheap"], 0.85)
+
     def test_a_busy_workspace_is_refused_before_sparse_ones(self) -> None:
         pressures = PressureMap(random.Random(1))
         rng = random.Random(2)
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -8,7 +8,8 @@
 from dataclasses import replace
 from datetime import timedelta
 from functools import partial
-from typing import Final
+from typing import Final, cast
+from unittest.mock import patch
 
 import tests.hosts
 from sequoiaseam._announcements import ServerReport
@@ -19,6 +20,7 @@
     SERVER_RETRIES_MIN,
 )
 from sequoiaseam._ingress import choose_status, compute_slot_wait_limit
+from sequoiaseam._logs import Level
 from sequoiaseam._pressure import LEVEL_MAX, PoolPressure
 from sequoiaseam._tables import (
     BODY_LIMIT_MAX_BYTES,
@@ -567,6 +569,57 @@
         self.assertFalse(node._quota_gate._waiting)
 
 
+class RejectingPoolTest(HostTestCase):
+    """Guards against trees that are begun though their calls are rejected."""
+
+    async def test_trees_of_many_calls_are_refused_at_the_entry(self) -> None:
+        cluster = await self.start_cluster((respond_not_run,))
+        ingress = cluster.nodes[0]._ingress
+        records: list[dict[str, object]] = []
+
+        def log(_level: Level, event: str, **fields: object) -> None:
+            if event == "request refused":
+                records.append(fields)
+
+        with patch.object(ingress._log, "log", log):
+            for _ in range(60):
+                await cluster.send_request("/open/1", key=None)
+            records.clear()
+            for _ in range(40):
+                now = ingress._clock.now()
+                calls = (PoolPressure("store", 0.0, 9.0),)
+                ingress._pressure._route_pools.pop("read", None)
+                ingress._pressure.observe(now, "read", calls)
+                await cluster.send_request("/read/1")
+        expected = [fields for fields in records if "success" in fields]
+        # One in ten is admitted as a probe.
+        self.assertGreater(len(expected), 20)
+        for fields in expected:
+            self.assertIs(fields["code"], ErrorCode.OVERLOAD)
+            self.assertTrue(fields["failing"])
+            self.assertEqual((fields["pool"], fields["calls"]), ("store", 8.0))
+            self.assertFalse(fields["may_have_run"])
+
+    async def test_a_refusal_by_pressure_names_the_pool(self) -> None:
+        cluster = await self.start_cluster((echo_body,))
+        ingress = cluster.nodes[0]._ingress
+        full_pools = (PoolPressure("store", LEVEL_MAX, 4.0),)
+        later = ingress._clock.now() + timedelta(milliseconds=100)
+        for _ in range(50):
+            ingress._pressure.observe(later, "read", full_pools)
+        records: list[dict[str, object]] = []
+
+        def log(_level: Level, _event: str, **fields: object) -> None:
+            records.append(fields)
+
+        with patch.object(ingress._log, "log", log):
+            response = await cluster.send_request("/read/1")
+        self.assertEqual(response.status, 503)
+        (fields,) = records
+        self.assertEqual((fields["pool"], fields["calls"]), ("store", 4.0))
+        self.assertGreater(cast("float", fields["pool_level"]), 3.0)
+
+
 class SlotWaitLimitTest(unittest.TestCase):
     """Guards against refused nested calls.
 
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -1,6 +1,7 @@
 """Tests of pool pressure and the shedding of root requests."""
 
 import heapq
+import math
 import os
 import random
 import unittest
@@ -15,6 +16,7 @@
     PoolPressure,
     PressureMap,
     compute_rate_cap,
+    divide_refusals,
 )
 from sequoiaseam._queue import Ticket
 from sequoiaseam._tables import Importance, Pool
@@ -106,13 +108,11 @@
             highest_level = max(p.level, q.level)
             importance = rng.choice(list(Importance))
             workspace = rng.choice("abc")
-            retry_after = pressures.decide(
-                now, route, importance, workspace, 1.0
-            )
+            refusal = pressures.decide(now, route, importance, workspace, 1.0)
             if importance >= highest_level:
-                self.assertIsNone(retry_after)
-            if retry_after is not None:
-                self.assertGreater(retry_after, timedelta(0))
+                self.assertIsNone(refusal)
+            if refusal is not None:
+                self.assertGreater(refusal.retry_after, timedelta(0))
 
     def test_refuses_lower_classes_completely(self) -> None:
         pressures = PressureMap(random.Random(1))
@@ -123,6 +123,108 @@
             self.assertIsNone(pressures.decide(now, "r", CRITICAL, "a", 1.0))
 
 
+class CostOrderTest(unittest.TestCase):
+    """Guards against refusing cheap requests in place of costly ones.
+
+    The load is one class with many requests that call a scarce pool eight
+    times each, and few that call it once.
+    """
+
+    POOL = "billing"
+
+    def simulate(
+        self, level: float, costly_share: float = 0.8
+    ) -> tuple[dict[str, float], float]:
+        """Return the admitted fractions by route, and that of all calls."""
+        rng = random.Random(1)
+        pressures = PressureMap(random.Random(2))
+        calls = {"costly": 8.0, "cheap": 1.0}
+        sent: Counter[str] = Counter()
+        admitted: Counter[str] = Counter()
+        for index in range(30_000):
+            now = EPOCH + index * MS
+            for route, count in calls.items():
+                pressure = PoolPressure(self.POOL, level, count)
+                pressures.observe(now, route, (pressure,))
+            route = "costly" if rng.random() < costly_share else "cheap"
+            # Each workspace uses one of the routes only.
+            workspace = f"{route}{rng.randrange(5)}"
+            refusal = pressures.decide(now, route, NORMAL, workspace, 1.0)
+            if index > 5000:
+                sent[route] += 1
+                admitted[route] += refusal is None
+        load = sum(calls[route] * admitted[route] for route in calls)
+        return (
+            {route: admitted[route] / sent[route] for route in calls},
+            load / sum(calls[route] * sent[route] for route in calls),
+        )
+
+    def test_costly_requests_are_refused_first(self) -> None:
+        admitted, load = self.simulate(1.5)
+        self.assertGreater(admitted["cheap"], 0.95)
+        self.assertAlmostEqual(load, 0.5, delta=0.05)
+
+    def test_costly_requests_are_not_starved(self) -> None:
+        for costly_share in (0.2, 0.8):
+            with self.subTest(costly_share=costly_share):
+                admitted, load = self.simulate(1.9, costly_share)
+                mean = (
+                    costly_share * admitted["costly"]
+                    + (1 - costly_share) * admitted["cheap"]
+                )
+                # The fair shares of workspaces are refused in whole requests.
+                self.assertGreater(admitted["costly"], 0.9 * 0.25 * mean)
+                self.assertGreater(admitted["cheap"], admitted["costly"])
+                self.assertAlmostEqual(load, 0.1, delta=0.03)
+
+    def test_the_refusal_says_what_decided_it(self) -> None:
+        pressures = PressureMap(random.Random(1))
+        levels = (PoolPressure("quotes", 0.5), PoolPressure("billing", 3.0, 8))
+        for _ in range(50):
+            pressures.observe(EPOCH, "accept", levels)
+        refusal = pressures.decide(EPOCH, "accept", NORMAL, "coop", 1.0)
+        assert refusal is not None
+        self.assertEqual((refusal.pool, refusal.calls), ("billing", 8.0))
+        self.assertAlmostEqual(refusal.level, 3.0)
+
+    def test_any_call_count_has_a_band(self) -> None:
+        pressures = PressureMap(random.Random(1))
+        for calls in (0.0, -1.0, math.nan, math.inf, 1e300):
+            for _ in range(2):
+                pressure = PoolPressure("billing", 0.0, calls)
+                pressures.observe(EPOCH, f"r{calls}", (pressure,))
+            pressures.decide(EPOCH, f"r{calls}", NORMAL, "coop", 1.0)
+
+    def test_divisions(self) -> None:
+        for seed in range(SCHEDULES):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                costs = sorted(
+                    (rng.choice((0.2, 1, 4, 8, 64)) for _ in range(3)),
+                    reverse=True,
+                )
+                rates = [rng.choice((0.01, 1, 20)) for _ in costs]
+                loads = [
+                    rate * cost
+                    for rate, cost in zip(rates, costs, strict=True)
+                ]
+                fraction = rng.uniform(0, 0.99)
+                refused = divide_refusals(
+                    list(zip(rates, loads, strict=True)), fraction
+                )
+                refused_load = sum(
+                    load * part
+                    for load, part in zip(loads, refused, strict=True)
+                )
+                self.assertAlmostEqual(refused_load, fraction * sum(loads))
+                self.assertEqual(refused, sorted(refused, reverse=True))
+                mean = sum(
+                    rate * (1 - part)
+                    for rate, part in zip(rates, refused, strict=True)
+                ) / sum(rates)
+                self.assertGreaterEqual(1 - max(refused), 0.25 * mean - 1e-9)
+
+
 class RateCapTest(unittest.TestCase):
     """Guards against rate caps that shed too much or too little."""
 
