--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -204,6 +204,13 @@
     return rng.random() < 0.55
 
 
+def reject_some_until(
+    recovers_at: datetime,
+) -> Callable[[random.Random, datetime], bool]:
+    """Return a pool that rejects 0.55 of the requests until a time."""
+    return lambda rng, now: now < recovers_at and reject_some(rng, now)
+
+
 class LimitedPool:
     """A pool that rejects what exceeds its rate in 50 ms."""
 
@@ -267,13 +274,10 @@
     def test_a_pool_that_recovers(self) -> None:
         for seed in iterate_seeds(3):
             with self.subTest(seed=seed):
-                recovers_at = EPOCH + 10 * SECOND
                 simulation = ScarcePoolSimulation(
                     seed,
                     (IMPORTANT, *CHEAP),
-                    lambda rng, now, at=recovers_at: (  # type: ignore[misc]
-                        now < at and reject_some(rng, now)
-                    ),
+                    reject_some_until(EPOCH + 10 * SECOND),
                 )
                 simulation.run(12 * SECOND)
                 counts = simulation.run(5 * SECOND)
