Merge the order and the retries at scarce pools

Cause: where a pool rejects requests whatever its load, retries went to whoever asked first, and call trees were begun that it breaks off; within a class, the order didn't know what a request asks of the pool. Change: limits on retries are divided by class (_retry), trees are admitted by the probability that they succeed (_tree_admission), and requests that make most calls to a limiting pool are refused first within their class (_pressure).

--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -12,7 +12,11 @@
 from sequoiaseam._balancer import Balancer, CallResult
 from sequoiaseam._call_attribution import CallAttribution
 from sequoiaseam._clock import Clock
-from sequoiaseam._domain_load import DomainLoad, RouteOutcomes
+from sequoiaseam._domain_load import (
+    DomainLoad,
+    PoolRejections,
+    RouteOutcomes,
+)
 from sequoiaseam._feed import NodeView
 from sequoiaseam._header_names import HOP_BY_HOP_FIELDS, HeaderNames
 from sequoiaseam._http_server import (
@@ -42,6 +46,7 @@
     combine_importance,
     find_most_common_importance,
 )
+from sequoiaseam._tree_admission import TreeAdmission
 from sequoiaseam.const import DEFAULT_ROUTE_TIMEOUT, OPEN_WORKSPACE
 from sequoiaseam.errors import (
     DEFAULT_HTTP_STATUS,
@@ -187,6 +192,7 @@
         self._retry_shares: dict[str, tuple[float, RetryShare]] = {}
         self._tree_retry_limiter = TreeRetryLimiter(POOL_RETRIES_MIN)
         self._route_throttle = RouteThrottle(rng)
+        self._tree_admission = TreeAdmission(rng)
         self._pending_requests: set[PendingRequest] = set()
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
@@ -212,11 +218,16 @@
         """Return the responses to root requests since the last call."""
         return self._route_throttle.take_outcomes()
 
+    def take_rejections(self) -> tuple[PoolRejections, ...]:
+        """Return the calls to pools that reject some since the last call."""
+        return self._tree_admission.take_rejections(self._clock.now())
+
     def observe_domain(self, load: DomainLoad) -> None:
         """Apply what the nodes of this failure domain have measured."""
         now = self._clock.now()
         self._pressure.observe_domain(now, load.levels)
         self._route_throttle.observe_domain(now, load.success_rates)
+        self._tree_admission.observe_domain(now, load.rejection_rates)
 
     # Requests that don't fit into memory.
 
@@ -423,27 +434,66 @@
             self._refuse(pending, ErrorCode.DRAINING)
             return
         if not pending.nested:
-            self._tree_retry_limiter.record(now, pending.pool)
-            retry_after = self._pressure.decide(
+            self._tree_retry_limiter.record(
+                now, pending.pool, pending.importance
+            )
+            refusal = self._pressure.decide(
                 now,
                 route.name,
                 pending.importance,
                 pending.workspace,
                 pending.weight,
             )
-            if retry_after is not None:
-                self._refuse(pending, ErrorCode.OVERLOAD, retry_after)
-                return
-            if not self._route_throttle.allow(now, route.name):
-                retry_after = FAILING_ROUTE_RETRY_AFTER * self._rng.uniform(
-                    0.5, 1.5
-                )
+            if refusal is not None:
                 self._refuse(
-                    pending, ErrorCode.OVERLOAD, retry_after, failing=True
+                    pending,
+                    ErrorCode.OVERLOAD,
+                    refusal.retry_after,
+                    pool=refusal.pool,
+                    pool_level=round(refusal.level, 3),
+                    calls=round(refusal.calls, 2),
                 )
                 return
+            if not self._may_begin_tree(pending, route, now):
+                return
         self._spend_quota(pending)
 
+    def _may_begin_tree(
+        self, pending: PendingRequest, route: Route, now: datetime
+    ) -> bool:
+        """Return whether the tree may complete; refuse the request if not."""
+        admission = self._tree_admission
+        forecast = None
+        if admission.has_rejections:
+            forecast = admission.forecast(
+                now,
+                pending.importance,
+                pending.pool,
+                self._pressure.find_calls_by_pool(route.name),
+            )
+        fraction = self._route_throttle.compute_admitted_fraction(
+            now, route.name
+        )
+        if admission.admit(forecast, fraction):
+            return True
+        details: dict[str, object] = {}
+        if forecast is not None:
+            details = {
+                "pool": forecast.pool,
+                "calls": round(forecast.calls, 2),
+                "rejection_rate": round(forecast.rejection_rate, 3),
+                "success": round(forecast.success, 4),
+            }
+        retry_after = FAILING_ROUTE_RETRY_AFTER * self._rng.uniform(0.5, 1.5)
+        self._refuse(
+            pending,
+            ErrorCode.OVERLOAD,
+            retry_after,
+            failing=True,
+            **details,
+        )
+        return False
+
     def _spend_quota(self, pending: PendingRequest) -> None:
         workspace = self._view.tables.workspaces.get(pending.workspace)
         if workspace is None or not workspace.limited:
@@ -473,7 +523,7 @@
         if not self._stop_allows_attempt(now):
             self._refuse(pending, ErrorCode.DRAINING)
             return
-        self._get_retry_share(pending.pool).record(now)
+        self._get_retry_share(pending.pool).record(now, pending.importance)
         self._forward(pending, now)
 
     def _choose_pool(self, route: Route) -> str:
@@ -765,11 +815,13 @@
     def _may_spend_retry(self, pending: PendingRequest, route: Route) -> bool:
         """Charge a retry to the limits of the pools that it reaches.
 
+        The limits are divided by class. A nested call has that of its run.
         For a nested call, the tree's limit is enforced by the hosts of the
         called pool, as this host receives few root requests for that pool.
         """
         now = self._clock.now()
-        if not self._get_retry_share(pending.pool).allow(now):
+        importance = pending.importance
+        if not self._get_retry_share(pending.pool).allow(now, importance):
             return False
         if pending.nested:
             return True
@@ -779,7 +831,7 @@
             pending.pool: calls_by_pool.get(pending.pool, 1.0),
         }
         return self._tree_retry_limiter.allow(
-            now, costs, self._get_retry_share_limit
+            now, costs, self._get_retry_share_limit, importance
         )
 
     def _get_retry_share_limit(self, pool: str) -> float:
@@ -796,6 +848,26 @@
 
     # Completion.
 
+    def _record_call(
+        self, pending: PendingRequest, code: ErrorCode | None
+    ) -> None:
+        """Record whether the pool rejected a call, after its retries.
+
+        ``code`` is that of the refusal, None for a response. Calls that end
+        otherwise say nothing about the pool. Those of repeated runs are
+        refused by a limit on retries without having been sent.
+        """
+        rejected = code is ErrorCode.SHED or (
+            code is ErrorCode.RETRIES_EXHAUSTED and not pending.repeat
+        )
+        if code is None or rejected:
+            self._tree_admission.record(
+                self._clock.now(),
+                pending.pool,
+                pending.importance,
+                rejected=rejected,
+            )
+
     def _finish(self, pending: PendingRequest) -> None:
         pending.finished = True
         self._pending_requests.discard(pending)
@@ -825,6 +897,7 @@
 
     def _respond(self, pending: PendingRequest, result: RunAnswer) -> None:
         self._finish(pending)
+        self._record_call(pending, None)
         pending.request.respond(
             result.status,
             result.fields,
@@ -891,6 +964,7 @@
             self._respond(pending, failure)
             return
         self._finish(pending)
+        self._record_call(pending, code)
         now = self._clock.now()
         schedule = self.stop_schedule
         status = choose_status(code, may_have_run=pending.may_have_run)
