Give up requests that a backend server never answers

Cause: a server that can't queue a request never answers it. The caller waited until its deadline, and an idempotent request wasn't repeated.

Change: _unanswered finds requests that are quiet for 10 times the 90th percentile of their route's service times while three later ones have ended, or, without these, for half of their time. HostCallExecutor closes the connections of idempotent ones and ends them as INCOMPLETE; the others keep their slots until their deadlines.

--- a/src/sequoiaseam/_call_attribution.py
+++ b/src/sequoiaseam/_call_attribution.py
@@ -117,6 +117,13 @@
             _remove(self._runs_by_deadline, (run.deadline, run_id))
             _remove(self._runs_by_start, (run.began_at, run_id))
 
+    def has_made_call(self, run_id: int) -> bool:
+        """Return whether a call was attributed to a run."""
+        run = self._runs.get(run_id)
+        return run is not None and (
+            run.calls_in_progress > 0 or run.active_at > run.began_at
+        )
+
     @property
     def has_runs(self) -> bool:
         """Return whether the backend server runs a request."""
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 from typing import Final
@@ -41,6 +41,7 @@
 from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._unanswered import SilentRequest, UnansweredRequests
 from sequoiaseam.errors import ErrorCode
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
@@ -99,9 +100,13 @@
     connections: BackendPool
     admission: Admission
     cold_start: ColdStart
+    unanswered: UnansweredRequests
     last_reported_at: datetime
     # True from a failed connection until the next report of the server.
     connection_refused: bool = False
+    # Slots of requests that were given up but that the server may run, with
+    # the times until which they are held.
+    held_slots: list[tuple[datetime, int]] = field(default_factory=list)
 
 
 class HostCallExecutor:
@@ -137,15 +142,24 @@
         self._cached_pressures: dict[str, _CachedPressures] = {}
         self._retry_limiter = TreeRetryLimiter(SERVER_RETRIES_MIN)
         self._get_pool: Callable[[str], Pool | None] = lambda _: None
+        self._get_objective: Callable[[str], timedelta | None] = lambda _: None
         self._log = RateLimitedLog(clock)
         self._cold_start_timer: asyncio.TimerHandle | None = None
         self.closing = False
         # Set at the start of a drain.
         self._stop_schedule: StopSchedule | None = None
 
-    def start(self, get_pool: Callable[[str], Pool | None]) -> None:
-        """Start the periodic processing of the queue."""
+    def start(
+        self,
+        get_pool: Callable[[str], Pool | None],
+        get_objective: Callable[[str], timedelta | None] = lambda _: None,
+    ) -> None:
+        """Start the periodic processing of the queue.
+
+        ``get_objective`` returns the objective of a route, if it has one.
+        """
         self._get_pool = get_pool
+        self._get_objective = get_objective
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._crash_guard.start()
 
@@ -241,6 +255,7 @@
                 cold_start,
             ),
             cold_start,
+            UnansweredRequests(now),
             now,
         )
         log_event(
@@ -438,6 +453,7 @@
             run.server_request.cancel()
         session = self._session
         if session is not None:
+            session.unanswered.discard(run.ticket_id)
             now = self._clock.now()
             actions = session.admission.cancel(now, run.ticket_id)
             self._apply_actions(now, session, actions)
@@ -485,6 +501,14 @@
             lambda outcome: self._finish_run(session, run, outcome),
         )
         self._crash_guard.start_run(run.ticket_id, call)
+        session.unanswered.start(
+            now,
+            run.ticket_id,
+            call.route,
+            run.deadline - now,
+            self._get_objective(call.route),
+            repeat=call.repeat,
+        )
         session.connections.send(run.server_request)
 
     def _format_head(
@@ -522,6 +546,10 @@
         now = self._clock.now()
         run.release_body()
         self.attribution.end_run(run.ticket_id)
+        if isinstance(outcome, BackendResponse):
+            session.unanswered.finish(now, run.ticket_id)
+        else:
+            session.unanswered.discard(run.ticket_id)
         if outcome is Failure.BROKEN:
             self._crash_guard.end_broken_run(
                 run.ticket_id,
@@ -539,6 +567,82 @@
         if session is self._session:
             self._apply_actions(now, session, actions)
 
+    def _end_unanswered(self, now: datetime, session: _Session) -> None:
+        """Give up the requests that the server will never answer."""
+        for silent in session.unanswered.find_silent(now, self._is_quiet):
+            run = self._runs.get(silent.request_id)
+            if run is not None and run.server_request is not None:
+                self._end_silent_run(
+                    now, session, run, run.server_request, silent
+                )
+
+    def _is_quiet(self, run_id: int) -> bool:
+        run = self._runs.get(run_id)
+        return (
+            run is not None
+            and run.server_request is not None
+            and run.server_request.is_quiet
+            and not self.attribution.has_made_call(run_id)
+        )
+
+    def _end_silent_run(
+        self,
+        now: datetime,
+        session: _Session,
+        run: _Run,
+        request: PendingRequest,
+        silent: SilentRequest,
+    ) -> None:
+        """End a run that may be repeated; others wait for their deadlines.
+
+        Neither leaves its connection to another request.
+        """
+        self._log.log(
+            Level.INFO,
+            "request unanswered by the backend server",
+            request_id=run.call.request_id,
+            route=run.call.route,
+            server=session.report.server_id,
+            ended=run.call.idempotent,
+            quiet_time=silent.quiet_time,
+            later_ended=silent.later_ended,
+            time_left=run.deadline - now,
+        )
+        if not run.call.idempotent:
+            request.retire_connection()
+            return
+        request.cancel()
+        run.release_body()
+        del self._runs[run.ticket_id]
+        self.attribution.end_run(run.ticket_id)
+        self._crash_guard.end_run(run.ticket_id, complete=False)
+        session.unanswered.discard(run.ticket_id)
+        actions: tuple[AdmissionAction, ...] = ()
+        if silent.later_ended:
+            actions = session.admission.finish(
+                now, run.ticket_id, Completion.FAILED
+            )
+        else:
+            # The server may only be late and still run it.
+            session.held_slots.append((run.deadline, run.ticket_id))
+        run.on_result(
+            self._create_refusal(
+                now, run, ErrorCode.INCOMPLETE, may_have_run=True
+            )
+        )
+        self._apply_actions(now, session, actions)
+
+    def _release_held_slots(self, now: datetime, session: _Session) -> None:
+        held, session.held_slots = session.held_slots, []
+        for until, ticket_id in held:
+            if now < until:
+                session.held_slots.append((until, ticket_id))
+                continue
+            actions = session.admission.finish(
+                now, ticket_id, Completion.CANCELLED
+            )
+            self._apply_actions(now, session, actions)
+
     def _classify_outcome(
         self,
         now: datetime,
@@ -719,6 +823,8 @@
             actions = session.admission.tick(now)
             self._apply_actions(now, session, actions)
             self._schedule_cold_start(now, session)
+        self._end_unanswered(now, session)
+        self._release_held_slots(now, session)
         session.connections.sweep(now)
         if self._former_pools:
             self._former_pools = [p for p in self._former_pools if p.in_use]
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -214,7 +214,7 @@
     async def start(self) -> None:
         """Open the listeners and connect to a control host."""
         settings = self._settings
-        self._executor.start(self._get_pool)
+        self._executor.start(self._get_pool, self._get_objective)
         self._mesh.start()
         mesh_endpoint = settings.mesh_endpoint
         self.mesh_port = await self._mesh_server.start(
@@ -593,6 +593,10 @@
     def _get_pool(self, name: str) -> Pool | None:
         return self._view.tables.pools.get(name)
 
+    def _get_objective(self, route: str) -> timedelta | None:
+        row = self._view.tables.routes.get(route)
+        return row.objective if row else None
+
     # Other nodes.
 
     def _start_call(
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -115,6 +115,16 @@
         if self.connection is not None:
             self.connection.abort()
 
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether it was sent whole and nothing came back yet."""
+        return self.connection is not None and self.connection.is_quiet
+
+    def retire_connection(self) -> None:
+        """Let no other request be sent on the connection of this one."""
+        if self.connection is not None:
+            self.connection.retire()
+
     def _end(self) -> None:
         """Release the request's data and what the callback refers to.
 
@@ -388,6 +398,18 @@
             self._input_poll = InputPoll(self._transport)
         return self._input_poll.check()
 
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether a request was sent whole and nothing came back."""
+        return (
+            not self._received_size
+            and not self._transport.get_write_buffer_size()
+        )
+
+    def retire(self) -> None:
+        """Close the connection once its request has ended."""
+        self._closed = True
+
     def send(self, request: PendingRequest) -> None:
         """Send a request; the connection must be idle."""
         self._request = request
