Test that a restarted node waits for its server's first report

Cause: the rule that a node knows nothing of its server after a restart was not tested for cold servers.

--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -19,6 +19,7 @@
     ColdStart,
 )
 from sequoiaseam._limiter import Completion
+from sequoiaseam._mesh_frames import RunCall, RunRefusal, RunResult
 from sequoiaseam._queue import Ticket
 from sequoiaseam._tables import Importance, Pool
 from sequoiaseam.errors import ErrorCode
@@ -27,6 +28,7 @@
     Handler,
     HostCluster,
     ReceivedRequest,
+    echo_body,
 )
 from tests.seeds import iterate_seeds
 from tests.test_host_node import HostTestCase
@@ -441,6 +443,40 @@
         ]
         self.assertEqual(statuses, [200, 200, 503])
 
+    async def test_a_restarted_node_waits_for_the_first_report(self) -> None:
+        """It doesn't know whether its server is cold."""
+        cluster = await self.start_store(echo_body, RATE)
+        node = cluster._create_node(0)
+        await node.start()
+        self.addAsyncCleanup(node.close)
+        node._executor.assume_cold(node._clock.now())
+        results: list[RunResult] = []
+        call = RunCall(
+            1,
+            "read",
+            "store",
+            "GET",
+            "/read/1",
+            b"",
+            b"",
+            "7",
+            "coop",
+            "coop",
+            Importance.NORMAL,
+            1.0,
+            100,
+            1000,
+            begun=False,
+            idempotent=True,
+            repeat=False,
+        )
+        node._executor.run(call, results.append)
+        (result,) = results
+        assert isinstance(result, RunRefusal)
+        self.assertIs(result.code, ErrorCode.NO_SERVER)
+        self.assertFalse(result.may_have_run)
+        self.assertEqual(cluster.servers[0].received, [])
+
     async def test_a_pool_without_a_rate_is_not_limited(self) -> None:
         def respond(request: ReceivedRequest) -> None:
             request.respond(200, b"whole", "X-Cold-Ms: 60000")
