Keep new requests from the servers of an evacuated failure domain

Cause: nothing stops requests to the servers of a whole domain for planned work; a drain of each node is lost with its process and can't be withdrawn. Change: SetEvacuation in the replicated log states whether a domain is evacuated. The balancer never chooses a member there, and the node beside a server refuses what has not been sent to it as EVACUATED, not run, which the entry node reroutes; runs in progress end. The rule that at most half of a pool is ejected counts the members that are left only.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -3,7 +3,7 @@
 import enum
 import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
@@ -102,12 +102,24 @@
     probe_started_at: datetime | None = None
     reported_load: float = 0.0
     load_reported_at: datetime | None = None
+    # Whether the member's failure domain is evacuated.
+    evacuated: bool = False
 
     def is_available(self) -> bool:
         """Return whether the member may be called at all."""
         state = self.member.state
         serves = state in (MemberState.WARMING, MemberState.SERVING)
-        return serves and not self.unreachable
+        return serves and not self.unreachable and not self.evacuated
+
+    def set_evacuated(self, now: datetime, *, evacuated: bool) -> None:
+        """Stop calling the member, or call it again, with a ramp.
+
+        Results from before say little about the server by then.
+        """
+        if self.evacuated and not evacuated:
+            self.ramp_started_at = now
+            self.reset_failures()
+        self.evacuated = evacuated
 
     def compute_unsuccessful_rate(self, now: datetime) -> float:
         """Return the recent rate of calls refused or failed."""
@@ -191,6 +203,10 @@
         yield from self.other_domains
         yield from self.other_regions
 
+    def list_usable(self) -> list[_Peer]:
+        """Return the members whose failure domains aren't evacuated."""
+        return [peer for peer in self.iterate() if not peer.evacuated]
+
 
 class Balancer:
     """Choose members of pools by this node's own measurements."""
@@ -213,8 +229,16 @@
         # By pool, and whether the members are in this failure domain.
         self._locality_loads: dict[tuple[str, bool], _LocalityLoad] = {}
 
-    def update(self, now: datetime, members: Mapping[str, Member]) -> None:
-        """Set the members of the pools that this node calls."""
+    def update(
+        self,
+        now: datetime,
+        members: Mapping[str, Member],
+        evacuated_domains: Collection[str] = (),
+    ) -> None:
+        """Set the members of the pools that this node calls.
+
+        Those in evacuated failure domains are never chosen.
+        """
         peers: dict[str, _Peer] = {}
         for name, member in members.items():
             old = self._peers.get(name)
@@ -224,6 +248,9 @@
             else:
                 old.member = member
                 peers[name] = old
+            peers[name].set_evacuated(
+                now, evacuated=member.domain in evacuated_domains
+            )
         self._peers = peers
         self._groups = {}
         for peer in peers.values():
@@ -515,7 +542,7 @@
                 self._eject(now, peer)
 
     def _may_eject(self, group: _PoolMembers) -> bool:
-        peers = list(group.iterate())
+        peers = group.list_usable()
         ejected = sum(p.ejected_until is not None for p in peers)
         return 2 * (ejected + 1) <= len(peers)
 
@@ -575,9 +602,9 @@
     def _limit_ejections(self, group: _PoolMembers) -> None:
         """End the oldest ejections while over half the pool is ejected.
 
-        The proportion grows when members leave.
+        The proportion grows when members leave or are evacuated.
         """
-        peers = list(group.iterate())
+        peers = group.list_usable()
         ejected = sorted(
             (p for p in peers if p.ejected_until is not None),
             key=lambda p: p.ejected_at or p.ramp_started_at,
--- a/src/sequoiaseam/_call_executor.py
+++ b/src/sequoiaseam/_call_executor.py
@@ -51,6 +51,7 @@
 # How long an interrupted request is kept as a crash suspect. The crash of a
 # server that restarts at once is detected only by its next announcement.
 CRASH_SUSPECT_DURATION: Final = 2 * ANNOUNCE_INTERVAL
+EVACUATED_MESSAGE: Final = "the failure domain is evacuated"
 COMPLETION_BY_CODE: Final = {
     ErrorCode.SHED: Completion.SHED,
     ErrorCode.TIMEOUT: Completion.TIMEOUT,
@@ -153,6 +154,8 @@
         self._ids = itertools.count(1)
         self._tasks = TaskGroup()
         self._draining = False
+        # Whether the failure domain of this host is evacuated.
+        self._evacuated = False
         self._active_calls = 0
         self._idle = asyncio.Event()
         # Attempts proved never to start that have not been reported yet.
@@ -241,6 +244,17 @@
         if self._session is not None:
             self._session.async_admission.admission.drain(self._clock.now())
 
+    def set_evacuated(self, *, evacuated: bool) -> None:
+        """Refuse calls while the failure domain of this host is evacuated.
+
+        Those that wait for a slot are refused; runs in progress go on.
+        """
+        self._evacuated = evacuated
+        if evacuated and self._session is not None:
+            self._session.async_admission.refuse_all(
+                ErrorCode.EVACUATED, EVACUATED_MESSAGE
+            )
+
     def refuse_queued(self) -> None:
         """Refuse the calls that wait for a slot, at the end of a drain."""
         if self._session is not None:
@@ -372,6 +386,8 @@
             recorded = _get_recorded_outcome(await grant)
             if recorded is not None:
                 return self._create_answer(received, recorded)
+            # The evacuation may have begun meanwhile.
+            self._require_not_evacuated()
         ticket = Ticket(
             next(self._ids),
             call.importance,
@@ -410,8 +426,13 @@
             )
         if self._draining:
             raise RefusalError(ErrorCode.DRAINING, "the node is draining")
+        self._require_not_evacuated()
         return session
 
+    def _require_not_evacuated(self) -> None:
+        if self._evacuated:
+            raise RefusalError(ErrorCode.EVACUATED, EVACUATED_MESSAGE)
+
     def _refuse_attempt(self, plan: AttemptPlan) -> None:
         attempt = plan.intent.attempt
         self._pending_grants.discard(attempt)
--- a/src/sequoiaseam/_commands.py
+++ b/src/sequoiaseam/_commands.py
@@ -163,8 +163,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Restore:
-    """Restore the tables and keys of a backup in a new, empty group.
+    """Restore a backup in a new, empty group.
 
+    It consists of the tables, the keys and the evacuated failure domains.
     ``revision`` is that of the backup, so that numbering continues there.
     """
 
@@ -173,6 +174,21 @@
     revision: int
     tables: Tables
     keys: tuple[KeyRecord, ...]
+    evacuated_domains: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SetEvacuation:
+    """Evacuate a failure domain, or end its evacuation.
+
+    Backend servers in an evacuated domain get no new requests. The command
+    states the wanted state, so that sending it again changes nothing.
+    """
+
+    edit_id: str
+    operator: str
+    domain: str
+    evacuated: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +206,7 @@
     | CrashReported
     | ControlAddressSet
     | Restore
+    | SetEvacuation
     | Noop
 )
 COMMAND_TYPES: tuple[type[Command], ...] = (
@@ -202,5 +219,6 @@
     CrashReported,
     ControlAddressSet,
     Restore,
+    SetEvacuation,
     Noop,
 )
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -24,6 +24,7 @@
     ControlAddressSet,
     CrashReported,
     ReplaceDocument,
+    SetEvacuation,
 )
 from sequoiaseam._control_links import ControlLinks
 from sequoiaseam._control_messages import (
@@ -39,6 +40,7 @@
     Relay,
     create_control_codec,
 )
+from sequoiaseam._evacuation import log_evacuations
 from sequoiaseam._feed import FeedSource
 from sequoiaseam._group_repair import RepairPlanner
 from sequoiaseam._leadership import Leadership
@@ -86,6 +88,7 @@
 # Includes the time for disk work in progress.
 CLOSE_TIME_LIMIT: Final = OPERATOR_CALL_TIME_LIMIT + timedelta(seconds=2)
 IDENTITY_BYTES: Final = 16
+EDIT_ID_BYTES: Final = 16
 # Memory that a document takes while it is decoded, compared and logged,
 # relative to its size.
 DOCUMENT_MEMORY_RATIO: Final = 32
@@ -362,7 +365,9 @@
         return self._replica_runner.confirmation
 
     def _apply(self, index: int, command: Command) -> None:
+        evacuated = self._state.evacuated_domains
         result = self._state.apply(index, command)
+        self._log_evacuations(evacuated)
         for node, message in self._sessions.feed.publish(index, command):
             self._sessions.post(node, message)
         self._event_log.record(self._state, command)
@@ -383,6 +388,17 @@
         self._entry_applied.set()
         self._entry_applied = asyncio.Event()
 
+    def _log_evacuations(self, before: tuple[str, ...]) -> None:
+        """Log each change of the evacuated failure domains."""
+        state = self._state
+        if state.evacuated_domains != before:
+            log_evacuations(
+                before,
+                state.evacuated_domains,
+                self._settings.name,
+                state.index,
+            )
+
     def _record_revision(self, revision: int, index: int) -> None:
         """Keep the index of a revision; drop the oldest beyond the limit."""
         self._revision_indices.setdefault(revision, index)
@@ -411,7 +427,10 @@
         self._replace_state(FleetState.load(data))
 
     def _replace_state(self, state: FleetState) -> None:
+        evacuated = self._state.evacuated_domains
         self._state = state
+        if state.index:
+            self._log_evacuations(evacuated)
         self._update_links()
         self._sessions.feed.replace_state(self._state)
 
@@ -524,6 +543,19 @@
         """Commit a whole document; raise SeamError if unconfirmed."""
         return await self._request_handler.replace_document(command)
 
+    async def set_evacuation(
+        self, operator: str, domain: str, *, evacuated: bool
+    ) -> EditAnswer:
+        """Evacuate a failure domain, or end its evacuation.
+
+        Raise SeamError if the order is unconfirmed; it may be given again.
+        """
+        return await self._request_handler.set_evacuation(
+            SetEvacuation(
+                secrets.token_hex(EDIT_ID_BYTES), operator, domain, evacuated
+            )
+        )
+
     async def read_document(self) -> bytes:
         """Return the newest document; raise SeamError if unconfirmed."""
         return await self._request_handler.read_document()
--- a/src/sequoiaseam/_feed.py
+++ b/src/sequoiaseam/_feed.py
@@ -65,6 +65,7 @@
     members: tuple[Member, ...]
     groups: Mapping[int, WitnessGroup]
     quarantine: tuple[CrashReported, ...]
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,7 @@
     a node's index can be applied as well. ``tables`` is None if
     unchanged, and otherwise holds the rows that changed. ``pools`` is as
     in a snapshot; a view ignores deltas for pools other than its own.
+    ``evacuated`` holds all evacuated failure domains, None if unchanged.
     """
 
     after: int
@@ -88,6 +90,7 @@
     left: tuple[str, ...] = ()
     groups: Mapping[int, WitnessGroup] = field(default_factory=dict)
     quarantine: tuple[CrashReported, ...] = ()
+    evacuated: tuple[str, ...] | None = None
 
 
 FeedMessage = FeedSnapshot | FeedDelta
@@ -138,6 +141,7 @@
     # Pools that routes began to use; their members are new to nodes that
     # follow the pools of all routes.
     added_pools: frozenset[str]
+    evacuations_changed: bool = False
 
     def count_rows(self) -> int:
         """Return the number of rows that are named in this record."""
@@ -269,6 +273,7 @@
         self._baseline_keys = state.keys
         self._baseline_members = state.members
         self._baseline_groups = state.groups
+        self._baseline_evacuated = state.evacuated_domains
 
     def _build_change_record(
         self, index: int, command: Command
@@ -296,6 +301,9 @@
             shards=shards,
             crashes=(command,) if isinstance(command, CrashReported) else (),
             added_pools=added_pools,
+            evacuations_changed=(
+                state.evacuated_domains != self._baseline_evacuated
+            ),
         )
 
     def _build_update(self, subscriber: _Subscriber) -> FeedMessage:
@@ -323,6 +331,7 @@
             members=self._select_members(pools, state.members),
             groups=dict(state.groups),
             quarantine=state.quarantine,
+            evacuated=state.evacuated_domains,
         )
 
     def _build_delta(
@@ -353,6 +362,9 @@
             left=self._find_removed(subscriber.pools, changed_members),
             groups=groups,
             quarantine=tuple(c for r in records for c in r.crashes),
+            evacuated=state.evacuated_domains
+            if any(r.evacuations_changed for r in records)
+            else None,
         )
 
     def _build_tables_delta(
@@ -415,6 +427,7 @@
         self.members: Mapping[str, Member] = MappingProxyType({})
         self.groups: Mapping[int, WitnessGroup] = MappingProxyType({})
         self.quarantine: tuple[CrashReported, ...] = ()
+        self.evacuated_domains: tuple[str, ...] = ()
         self._keys: dict[str, KeyRecord] = {}
         # Time of the last change of the index, on the node's clock.
         self.updated_at: datetime | None = None
@@ -506,6 +519,7 @@
         )
         self.groups = MappingProxyType(dict(snapshot.groups))
         self.quarantine = snapshot.quarantine
+        self.evacuated_domains = snapshot.evacuated
 
     def _merge_delta(self, delta: FeedDelta) -> None:
         self.index = delta.index
@@ -524,6 +538,8 @@
             self.groups = MappingProxyType({**self.groups, **delta.groups})
         for report in delta.quarantine:
             self.quarantine = add_crash_report(self.quarantine, report)
+        if delta.evacuated is not None:
+            self.evacuated_domains = delta.evacuated
         if delta.members or delta.left:
             # The replicated log has decided which incarnation is current,
             # so rows are taken without comparing incarnations.
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -135,6 +135,8 @@
         self._get_pool: Callable[[str], Pool | None] = lambda _: None
         self._log = RateLimitedLog(clock)
         self.closing = False
+        # Whether the failure domain of this host is evacuated.
+        self._evacuated = False
         # Set at the start of a drain.
         self._stop_schedule: StopSchedule | None = None
 
@@ -241,6 +243,7 @@
         now: datetime,
         session: _Session,
         is_refused: Callable[[_Run], bool] = lambda _: True,
+        code: ErrorCode = ErrorCode.DRAINING,
     ) -> None:
         """Refuse the calls that haven't started, all or some of them."""
         for run in [
@@ -249,7 +252,44 @@
             if r.server_request is None and is_refused(r)
         ]:
             session.admission.cancel(now, run.ticket_id)
-            self._refuse(run, ErrorCode.DRAINING)
+            self._refuse(run, code)
+
+    # The evacuation of this host's failure domain.
+
+    def set_evacuated(self, now: datetime, *, evacuated: bool) -> None:
+        """Refuse calls while the failure domain of this host is evacuated.
+
+        Those that wait are refused as not run, and may be rerouted. Runs in
+        progress go on to their ends.
+        """
+        was_evacuated, self._evacuated = self._evacuated, evacuated
+        if evacuated and not was_evacuated:
+            self._refuse_unsent(now)
+        elif was_evacuated and not evacuated:
+            self.assume_cold(now)
+
+    def _refuse_unsent(self, now: datetime) -> None:
+        """Refuse the calls of which the backend server has got nothing.
+
+        They are queued, or their connections are still being opened.
+        """
+        if self._session is not None:
+            self._refuse_queued(now, self._session, code=ErrorCode.EVACUATED)
+        for run in list(self._runs.values()):
+            request = run.server_request
+            if request is not None and request.connection is None:
+                self._cancel(run)
+                run.on_result(
+                    self._create_refusal(now, run, ErrorCode.EVACUATED)
+                )
+
+    def assume_cold(self, now: datetime) -> None:
+        """Take the backend server as cold until its next report.
+
+        Called when the evacuation of this host's failure domain ends: the
+        server has had no requests for some time, and what it last reported
+        is of before. No limit on cold servers is in force yet.
+        """
 
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Start only calls from now on that can't outlast the stop.
@@ -318,6 +358,8 @@
         session = self._session
         if session is None or session.report.pool != call.pool:
             self._refuse(run, ErrorCode.NO_SERVER)
+        elif self._evacuated:
+            self._refuse(run, ErrorCode.EVACUATED)
         elif not self.is_serving(now) or self._may_outlast_stop(run):
             self._refuse(run, ErrorCode.DRAINING)
         elif self._crash_guard.is_quarantined(call):
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -27,6 +27,7 @@
 from sequoiaseam._crash_guard import CrashGuard
 from sequoiaseam._crash_reports import CrashReporter
 from sequoiaseam._domain_load import NodeLoad
+from sequoiaseam._evacuation import log_evacuations
 from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
 from sequoiaseam._header_names import HeaderNames
 from sequoiaseam._host_call_executor import HostCallExecutor
@@ -381,7 +382,11 @@
 
     def format_metrics(self) -> bytes:
         """Return this node's metrics in the text format of Prometheus."""
-        return format_memory_metrics(self._memory)
+        count = len(self._view.evacuated_domains)
+        return (
+            format_memory_metrics(self._memory)
+            + f"sequoiaseam_evacuated_domains {count}\n".encode()
+        )
 
     def _log_memory(self) -> None:
         log_memory(self._settings.name, self._memory)
@@ -700,10 +705,13 @@
         now = self._clock.now()
         view = self._view
         previous_tables = view.tables
+        previous_evacuated = view.evacuated_domains
         if not view.apply(now, message):
             self._uplink.post(self._create_hello())
         # Precedes what refuses calls, which are then passed to members.
-        self._balancer.update(now, view.members)
+        self._balancer.update(now, view.members, view.evacuated_domains)
+        if view.evacuated_domains != previous_evacuated:
+            self._follow_evacuations(now, previous_evacuated)
         report = self._executor.report
         if report is not None:
             server_count = sum(
@@ -724,6 +732,18 @@
             self._http_server.limits = replace(limits, body=body_limit)
             log_event(Level.INFO, "tables in force", revision=view.revision)
 
+    def _follow_evacuations(
+        self, now: datetime, previous: tuple[str, ...]
+    ) -> None:
+        """Apply a change of the evacuated failure domains on this host."""
+        settings, view = self._settings, self._view
+        log_evacuations(
+            previous, view.evacuated_domains, settings.name, view.index
+        )
+        self._executor.set_evacuated(
+            now, evacuated=settings.domain in view.evacuated_domains
+        )
+
     def _follow_former_incarnation(self) -> None:
         """Ignore reports of a server that left before this node restarted."""
         member = self._view.members.get(self._settings.name)
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -74,6 +74,7 @@
 REROUTABLE_CODES: Final = frozenset(
     (
         ErrorCode.DRAINING,
+        ErrorCode.EVACUATED,
         ErrorCode.NO_SERVER,
         ErrorCode.CONNECTION_LOST,
         ErrorCode.QUEUE_FULL,
--- a/src/sequoiaseam/_metrics.py
+++ b/src/sequoiaseam/_metrics.py
@@ -55,6 +55,7 @@
         ErrorCode.QUOTA,
         ErrorCode.NO_SERVER,
         ErrorCode.DRAINING,
+        ErrorCode.EVACUATED,
         ErrorCode.RETRIES_EXHAUSTED,
         ErrorCode.NO_WITNESSES,
         ErrorCode.SERVER_FAILED,
@@ -479,9 +480,12 @@
 class MetricsCollector(Collector):
     """Export a node's metrics to prometheus-client on each scrape."""
 
-    def __init__(self, metrics: NodeMetrics, now: datetime) -> None:
+    def __init__(
+        self, metrics: NodeMetrics, now: datetime, evacuated_domains: int = 0
+    ) -> None:
         self._metrics = metrics
         self._now = now
+        self._evacuated_domains = evacuated_domains
 
     def collect(self) -> Iterator[MetricFamily]:
         """Yield the metric families."""
@@ -501,6 +505,11 @@
         yield _collect_refusals(rows)
         yield from _collect_histograms(rows)
         yield from self._collect_overload()
+        yield GaugeMetricFamily(
+            "sequoiaseam_evacuated_domains",
+            "Failure domains whose backend servers get no new requests",
+            value=float(self._evacuated_domains),
+        )
 
     def _collect_overload(self) -> Iterator[MetricFamily]:
         report = self._metrics.build_report(self._now, ())
@@ -574,8 +583,10 @@
         yield family
 
 
-def format_metrics(metrics: NodeMetrics, now: datetime) -> bytes:
+def format_metrics(
+    metrics: NodeMetrics, now: datetime, evacuated_domains: int = 0
+) -> bytes:
     """Return a node's metrics in the Prometheus text format."""
     registry = CollectorRegistry()
-    registry.register(MetricsCollector(metrics, now))
+    registry.register(MetricsCollector(metrics, now, evacuated_domains))
     return generate_latest(registry)
--- a/src/sequoiaseam/_node.py
+++ b/src/sequoiaseam/_node.py
@@ -36,6 +36,7 @@
     DispatchHooks,
 )
 from sequoiaseam._edge import Edge, start_listener
+from sequoiaseam._evacuation import log_evacuations
 from sequoiaseam._exchange import chain_filters
 from sequoiaseam._feed import FeedDelta, FeedSnapshot, NodeView, Ping, Pong
 from sequoiaseam._filters import (
@@ -318,7 +319,11 @@
         self._runners.append(runner)
 
     async def _handle_metrics(self, _: web.Request) -> web.Response:
-        text = format_metrics(self.metrics, self._clock.now())
+        text = format_metrics(
+            self.metrics,
+            self._clock.now(),
+            len(self.view.evacuated_domains),
+        )
         return web.Response(body=text, content_type="text/plain")
 
     @property
@@ -519,9 +524,14 @@
     def _apply_feed(self, message: FeedSnapshot | FeedDelta) -> None:
         now = self._clock.now()
         revision = self.view.revision
+        evacuated = self.view.evacuated_domains
         if not self.view.apply(now, message):
             self._uplink.post(self._create_hello())
-        self._balancer.update(now, self.view.members)
+        self._balancer.update(
+            now, self.view.members, self.view.evacuated_domains
+        )
+        if self.view.evacuated_domains != evacuated:
+            self._follow_evacuations(evacuated)
         self._peer_links.close_departed()
         self._witness_adapter.assign()
         self._crash_reporter.follow_view()
@@ -536,6 +546,12 @@
                 revision=self.view.revision,
             )
 
+    def _follow_evacuations(self, previous: tuple[str, ...]) -> None:
+        """Apply a change of the evacuated failure domains on this host."""
+        settings, domains = self._settings, self.view.evacuated_domains
+        log_evacuations(previous, domains, settings.name, self.view.index)
+        self.executor.set_evacuated(evacuated=settings.domain in domains)
+
     async def _push_report(self, pull_id: int) -> None:
         """Send the report; yield to the event loop after each row."""
         now = self._clock.now()
@@ -565,5 +581,7 @@
         return tuple(
             name
             for name, member in self.view.members.items()
-            if member.pool == pool and member.state is MemberState.SERVING
+            if member.pool == pool
+            and member.state is MemberState.SERVING
+            and member.domain not in self.view.evacuated_domains
         )
--- a/src/sequoiaseam/_operator_messages.py
+++ b/src/sequoiaseam/_operator_messages.py
@@ -97,6 +97,7 @@
     tables: Tables
     keys: tuple[KeySummary, ...]
     members: tuple[Member, ...]
+    evacuated_domains: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +116,7 @@
     MEMBERS = "members"
     WITNESSES = "witnesses"
     QUARANTINE = "quarantine"
+    EVACUATION = "evacuation"
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +197,16 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuateRequest:
+    """Evacuate a failure domain, or end its evacuation."""
+
+    edit_id: str
+    operator: str
+    domain: str
+    evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ReplaceRequest:
     """Replace a control host; ``new`` is the IP:port of the new one.
@@ -268,6 +280,9 @@
     async def drain(self, request: DrainRequest) -> EditAnswer:
         """Drain a node's backend server."""
 
+    async def evacuate(self, request: EvacuateRequest) -> EditAnswer:
+        """Evacuate a failure domain, or end its evacuation."""
+
     async def replace(self, request: ReplaceRequest) -> EditAnswer:
         """Replace a control host."""
 
@@ -310,6 +325,7 @@
     StatusRequest,
     StatusAnswer,
     DrainRequest,
+    EvacuateRequest,
     ReplaceRequest,
     BackupRequest,
     BackupAnswer,
--- a/src/sequoiaseam/_operator_requests.py
+++ b/src/sequoiaseam/_operator_requests.py
@@ -20,6 +20,7 @@
     MemberState,
     ReplaceDocument,
     Restore,
+    SetEvacuation,
     WithdrawKey,
     WitnessesAssigned,
 )
@@ -32,6 +33,7 @@
     DrainRequest,
     EditAnswer,
     EditOutcome,
+    EvacuateRequest,
     FollowEvent,
     FollowKind,
     InForceAnswer,
@@ -194,6 +196,10 @@
     elif isinstance(command, AddKey):
         kind = FollowKind.KEY_ADDED
         summary = f"{command.key.key_id} for {command.key.workspace}"
+    elif isinstance(command, SetEvacuation):
+        kind = FollowKind.EVACUATION
+        state_name = "evacuated" if command.evacuated else "in service"
+        summary = f"{command.domain} {state_name}"
     else:
         kind, summary = FollowKind.KEY_WITHDRAWN, command.key_id
     return FollowEvent(
@@ -300,6 +306,21 @@
             ),
         )
 
+    @_handle.register
+    async def _(self, request: EvacuateRequest) -> object:
+        return await self.set_evacuation(
+            SetEvacuation(
+                request.edit_id,
+                request.operator,
+                request.domain,
+                request.evacuated,
+            ),
+        )
+
+    async def set_evacuation(self, command: SetEvacuation) -> EditAnswer:
+        """Commit the evacuation of a failure domain, or its end."""
+        return await self._commit_edit(command)
+
     async def replace_document(self, command: ReplaceDocument) -> EditAnswer:
         """Commit a whole document; a repeat returns the first answer."""
         return await self._commit_edit(command)
@@ -350,6 +371,7 @@
                 for key in state.keys.values()
             ),
             tuple(state.members.values()),
+            state.evacuated_domains,
         )
 
     async def _wait_for_read_barrier(self) -> None:
@@ -474,6 +496,7 @@
                 state.revision,
                 state.tables,
                 tuple(state.keys.values()),
+                state.evacuated_domains,
             ),
         )
 
--- a/src/sequoiaseam/_return_wait.py
+++ b/src/sequoiaseam/_return_wait.py
@@ -26,6 +26,7 @@
         ErrorCode.SHED,
         ErrorCode.NO_SERVER,
         ErrorCode.DRAINING,
+        ErrorCode.EVACUATED,
     )
 )
 
--- a/src/sequoiaseam/_state.py
+++ b/src/sequoiaseam/_state.py
@@ -26,6 +26,7 @@
     MembersChanged,
     ReplaceDocument,
     Restore,
+    SetEvacuation,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
@@ -45,6 +46,10 @@
 CRASH_REPORTS_MAX: Final = 1000
 CRASH_RETENTION: Final = timedelta(minutes=10)
 KEY_ID_LENGTH_MAX: Final = 64  # characters
+# Bound what orders with made-up names may add to the state, of which each
+# snapshot and each node has a copy.
+DOMAIN_LENGTH_MAX: Final = 256  # characters
+EVACUATED_DOMAINS_MAX: Final = 256
 
 
 class EditStatus(enum.Enum):
@@ -71,7 +76,14 @@
     message: str = ""
 
 
-Edit = EditTables | AddKey | WithdrawKey | Restore | ReplaceDocument
+Edit = (
+    EditTables
+    | AddKey
+    | WithdrawKey
+    | Restore
+    | ReplaceDocument
+    | SetEvacuation
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +100,7 @@
     results: tuple[EditResult, ...]
     controls: Mapping[str, ControlAddressSet]
     document: bytes = b""
+    evacuated_domains: tuple[str, ...] = ()
 
 
 def add_crash_report(
@@ -128,7 +141,12 @@
 
 
 def _compute_next_revision(revision: int, edit: Edit) -> int:
-    """Return the revision after an accepted edit."""
+    """Return the revision after an accepted edit.
+
+    Documents are based on a revision, so an evacuation must not change it.
+    """
+    if isinstance(edit, SetEvacuation):
+        return revision
     if isinstance(edit, ReplaceDocument):
         return edit.revision
     return revision + 1
@@ -150,6 +168,9 @@
         )
         # The last accepted document, byte for byte as it was sent.
         self.document = b""
+        # Sorted names of the failure domains whose backend servers get no
+        # new requests.
+        self.evacuated_domains: tuple[str, ...] = ()
         self._results: dict[str, EditResult] = {}
         # Results of refused documents, for callers that wait for one.
         # They don't decide resends and aren't part of a snapshot.
@@ -186,6 +207,7 @@
             tuple(self._results.values()),
             dict(self.control_addresses),
             self.document,
+            self.evacuated_domains,
         )
         return msgspec.msgpack.encode((FORMAT_VERSION, snapshot))
 
@@ -222,6 +244,7 @@
         state.quarantine = snapshot.quarantine
         state.control_addresses = MappingProxyType(dict(snapshot.controls))
         state.document = snapshot.document
+        state.evacuated_domains = snapshot.evacuated_domains
         state._results = {r.edit_id: r for r in snapshot.results}
         return state
 
@@ -231,7 +254,9 @@
         if known_result is not None:
             return known_result
         base_revision = (
-            None if isinstance(edit, Restore) else edit.base_revision
+            None
+            if isinstance(edit, Restore | SetEvacuation)
+            else edit.base_revision
         )
         if base_revision is not None and base_revision != self.revision:
             status = EditStatus.CONFLICT
@@ -352,6 +377,10 @@
             return EditStatus.INVALID, error.message
         self.tables = edit.tables
         self.keys = MappingProxyType({key.key_id: key for key in edit.keys})
+        # An order that this group has acknowledged stays in force.
+        self.evacuated_domains = tuple(
+            sorted({*self.evacuated_domains, *edit.evacuated_domains})
+        )
         self.revision = max(0, edit.revision - 1)
         # Requests may have run before the data was lost, so no witness
         # may be treated as the first one of its shard.
@@ -363,6 +392,25 @@
         )
         return EditStatus.ACCEPTED, ""
 
+    @_execute_edit.register
+    def _execute_set_evacuation(
+        self, edit: SetEvacuation
+    ) -> tuple[EditStatus, str]:
+        if not 0 < len(edit.domain) <= DOMAIN_LENGTH_MAX:
+            return (
+                EditStatus.INVALID,
+                "the name of the failure domain is empty or too long",
+            )
+        domains = set(self.evacuated_domains)
+        if edit.evacuated:
+            domains.add(edit.domain)
+        else:
+            domains.discard(edit.domain)
+        if len(domains) > EVACUATED_DOMAINS_MAX:
+            return EditStatus.INVALID, "too many failure domains are evacuated"
+        self.evacuated_domains = tuple(sorted(domains))
+        return EditStatus.ACCEPTED, ""
+
     def _get_epoch(self, shard: int) -> int:
         group = self.groups.get(shard)
         return 0 if group is None else group.epoch
--- a/tests/test_call_executor.py
+++ b/tests/test_call_executor.py
@@ -12,10 +12,11 @@
 from sequoiaseam._call_executor import CallExecutor, CallExecutorHooks
 from sequoiaseam._clock import ProcessClock
 from sequoiaseam._commands import CrashReported
-from sequoiaseam._frames import CallFrame, RefusalFrame
+from sequoiaseam._frames import AnswerFrame, CallFrame, RefusalFrame
 from sequoiaseam._handles import HandleTable
 from sequoiaseam._quarantine import QuarantineList
 from sequoiaseam._tables import Importance, Pool
+from sequoiaseam._verdict import Verdict
 from sequoiaseam.errors import ErrorCode
 
 CALL_FRAME = CallFrame(
@@ -122,6 +123,54 @@
         await asyncio.gather(*tasks)
         server.close()
 
+    async def test_an_evacuation_refuses_waiting_and_later_calls(
+        self,
+    ) -> None:
+        """Calls that wait are refused as not run, and the run goes on."""
+        started, release = asyncio.Event(), asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            started.set()
+            await release.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        announcement = Announcement("store", f"http://127.0.0.1:{port}", 1)
+        self.executor.accept_announcement(announcement)
+        tasks = [
+            asyncio.create_task(
+                self.executor.run(
+                    replace(CALL_FRAME, path=f"/records/{number}")
+                ),
+            )
+            for number in range(3)
+        ]
+        async with asyncio.timeout(5.0):
+            await started.wait()
+            self.executor.set_evacuated(evacuated=True)
+            refused = [
+                *await asyncio.gather(*tasks[1:]),
+                await self.executor.run(CALL_FRAME),
+            ]
+            release.set()
+            answer = await tasks[0]
+        for result in refused:
+            assert isinstance(result, RefusalFrame)
+            self.assertIs(result.code, ErrorCode.EVACUATED)
+            self.assertIs(result.verdict, Verdict.NOT_RUN)
+        self.assertIsInstance(answer, AnswerFrame)
+        self.executor.set_evacuated(evacuated=False)
+        async with asyncio.timeout(5.0):
+            result = await self.executor.run(CALL_FRAME)
+        self.assertIsInstance(result, AnswerFrame)
+
     async def test_changed_slots_are_not_a_crash(self) -> None:
         # A changed number of slots must neither make running requests
         # crash suspects nor refuse queued ones.
--- a/tests/test_host_node.py
+++ b/tests/test_host_node.py
@@ -594,6 +594,81 @@
                 )
 
 
+class EvacuationTest(HostTestCase):
+    """Guards against requests that are lost as their server is evacuated."""
+
+    async def test_waiting_requests_move_and_runs_end(self) -> None:
+        """Evacuate the domain of a server that has a queue."""
+        cluster = await self.start_cluster((never_respond, echo_body))
+        other = cluster.nodes[1]
+        other._settings = replace(other._settings, domain="domain-2")
+        self.apply_change(cluster, 2, MemberState.JOINING, ())
+        tasks = [
+            asyncio.create_task(cluster.send_request("/slow/1", method=method))
+            for method in ("GET", "POST") * 6
+        ]
+        executor = cluster.nodes[0]._executor
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            while not (  # noqa: ASYNC110
+                cluster.servers[0].received
+                and executor._session
+                and executor._session.admission.queued
+            ):
+                await asyncio.sleep(0.01)
+        run_count = len(cluster.servers[0].received)
+        self.apply_change(cluster, 3, MemberState.SERVING, ("domain-1",))
+        for request in list(cluster.servers[0].received):
+            request.respond(200, b"late")
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            responses = await asyncio.gather(*tasks)
+            bodies = [r.body for r in responses if r.status == 200]
+            later = await cluster.send_request("/read/1")
+        self.assertEqual(bodies.count(b"late"), run_count)
+        self.assertLessEqual({r.status for r in responses}, {200, 503})
+        self.assertGreater(bodies.count(b"whole"), 0)
+        self.assertEqual(later.status, 200)
+        self.assertEqual(len(cluster.servers[0].received), run_count)
+        self.assertIn(
+            b"sequoiaseam_evacuated_domains 1\n", other.format_metrics()
+        )
+
+    async def test_a_node_that_does_not_know_yet_reroutes(self) -> None:
+        """Only the node beside the evacuated server knows of the order."""
+        cluster = await self.start_cluster((echo_body, echo_body))
+        (first, second) = cluster.nodes
+        second._executor.set_evacuated(second._clock.now(), evacuated=True)
+        for method in ("GET", "POST") * 20:
+            response = await cluster.send_request("/read/1", method=method)
+            self.assertEqual(response.status, 200)
+        self.assertEqual(cluster.servers[1].received, [])
+        first._executor.set_evacuated(first._clock.now(), evacuated=True)
+        response = await cluster.send_request("/read/1")
+        self.assertEqual(response.status, 503)
+        self.assertEqual(len(cluster.servers[0].received), 40)
+
+    def apply_change(
+        self,
+        cluster: HostCluster,
+        index: int,
+        state: MemberState,
+        evacuated: tuple[str, ...],
+    ) -> None:
+        """Set the state of the second host, which is in domain-2."""
+        for node in reversed(cluster.nodes):
+            member = replace(
+                node._view.members["host-1"], domain="domain-2", state=state
+            )
+            node._apply_feed(
+                FeedDelta(
+                    index - 1,
+                    index,
+                    1,
+                    members=(member,),
+                    evacuated=evacuated,
+                )
+            )
+
+
 class DisconnectTest(HostTestCase):
     """Guards against work for callers that left and on leaving servers."""
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -68,7 +68,8 @@
     def test_prometheus_text_format(self) -> None:
         self.metrics.record(EPOCH, build_sample(ErrorCode.QUOTA))
         self.metrics.record(EPOCH, build_sample())
-        text = format_metrics(self.metrics, EPOCH).decode()
+        text = format_metrics(self.metrics, EPOCH, 2).decode()
+        self.assertIn("sequoiaseam_evacuated_domains 2.0\n", text)
         self.assertRegex(text, r'refused_total\{.*code="QUOTA".*\} 1\.0')
         self.assertRegex(text, r'queue_seconds_bucket\{.*le="0\.001".*\} 1\.0')
         self.assertRegex(text, r"total_seconds_sum\{.*\} 0\.006")
