Add the commands that start and end an evacuation

Cause: an operator can't give the order. Change: evacuate start and evacuate end, show evacuations. One that is given again empties no pool. Existing tests: test_cli knows one more edit, test_docs two more commands. Result (arm64): tests.test_cli and tests.test_docs pass.

--- a/src/sequoiaseam/_cli.py
+++ b/src/sequoiaseam/_cli.py
@@ -55,6 +55,13 @@
     key_app.command(edits.key_withdraw, name="withdraw")
     key_app.command(views.key_list, name="list")
     app.command(key_app)
+    evacuate_app = App(
+        name="evacuate",
+        help="Keep requests from the backend servers of a failure domain.",
+    )
+    evacuate_app.command(edits.evacuate_start, name="start")
+    evacuate_app.command(edits.evacuate_end, name="end")
+    app.command(evacuate_app)
     control_app = App(name="control", help="Operate the control hosts.")
     control_app.command(edits.replace, name="replace")
     control_app.command(views.control_status, name="status")
--- a/src/sequoiaseam/_cli_edits.py
+++ b/src/sequoiaseam/_cli_edits.py
@@ -14,6 +14,7 @@
     UsageError,
     WaitOptions,
 )
+from sequoiaseam._evacuation import count_servers, find_emptied_pools
 from sequoiaseam._operator_edits import (
     EXIT_CODE_TEXTS,
     OUTCOME_ERROR_CODES,
@@ -30,6 +31,7 @@
     DrainRequest,
     EditAnswer,
     EditOutcome,
+    EvacuateRequest,
     OperatorClient,
     ReplaceRequest,
     RestoreRequest,
@@ -328,6 +330,83 @@
             lambda client: client.drain(request),
         )
 
+    async def evacuate_start(
+        self,
+        domain: str,
+        *,
+        remote: ConnectionOptions,
+        dry_run: bool = False,
+        allow_empty_pools: bool = False,
+    ) -> int:
+        """Give the backend servers of a failure domain no new requests.
+
+        Requests in progress there finish.
+
+        Parameters
+        ----------
+        domain
+            Failure domain to evacuate.
+        dry_run
+            List the pools that would have no server left, without giving
+            the order.
+        allow_empty_pools
+            Give the order even if pools would have no server left.
+
+        """
+        request = EvacuateRequest(
+            make_edit_id(), remote.operator, domain, evacuated=True
+        )
+        async with self._env.open_client(remote) as client:
+            emptied_pools = self._preview_evacuation(
+                await client.show(ShowRequest()), domain
+            )
+            if dry_run:
+                return ExitCode.DONE
+            if emptied_pools and not allow_empty_pools:
+                self._env.print_message(
+                    "not evacuated: pools would have no server left; "
+                    "confirm with --allow-empty-pools"
+                )
+                return ExitCode.REFUSED
+        return await self._submit_edit(
+            remote,
+            NO_WAIT,
+            request.edit_id,
+            lambda client: client.evacuate(request),
+        )
+
+    def _preview_evacuation(
+        self, current: ShowAnswer, domain: str
+    ) -> tuple[str, ...]:
+        """Print what an evacuation affects; return the emptied pools."""
+        server_count = count_servers(current.members, domain)
+        self._env.print_message(
+            f"backend servers in rotation in {domain}: {server_count}"
+        )
+        emptied_pools = find_emptied_pools(
+            current.members, current.evacuated_domains, domain
+        )
+        for pool in emptied_pools:
+            self._env.print_result(f"pool {pool}: no server left")
+        return emptied_pools
+
+    async def evacuate_end(
+        self,
+        domain: str,
+        *,
+        remote: ConnectionOptions,
+    ) -> int:
+        """Give the backend servers of a failure domain requests again."""
+        request = EvacuateRequest(
+            make_edit_id(), remote.operator, domain, evacuated=False
+        )
+        return await self._submit_edit(
+            remote,
+            NO_WAIT,
+            request.edit_id,
+            lambda client: client.evacuate(request),
+        )
+
     async def replace(
         self,
         old: str,
--- a/src/sequoiaseam/_cli_views.py
+++ b/src/sequoiaseam/_cli_views.py
@@ -57,7 +57,9 @@
 )
 from sequoiaseam.errors import ErrorCode
 
-ShowTarget = Literal["all", "routes", "pools", "workspaces", "keys", "members"]
+ShowTarget = Literal[
+    "all", "routes", "pools", "workspaces", "keys", "members", "evacuations"
+]
 FOLLOW_RETRY_DELAY_S: Final = 1.0
 MAX_FOLLOW_ATTEMPTS: Final = 10
 DEFAULT_LIVE_INTERVAL_S: Final = 2.0
@@ -77,7 +79,7 @@
         remote: ConnectionOptions,
         ini: bool = False,
     ) -> int:
-        """Show the committed tables, keys and members.
+        """Show the committed tables, keys, members and evacuated domains.
 
         Parameters
         ----------
--- a/src/sequoiaseam/_operator_client.py
+++ b/src/sequoiaseam/_operator_client.py
@@ -22,6 +22,7 @@
     BackupRequest,
     DrainRequest,
     EditAnswer,
+    EvacuateRequest,
     FollowEvent,
     FollowRequest,
     HostReport,
@@ -178,6 +179,10 @@
             raise UnreachableError("no control host answered")
         raise error
 
+    async def evacuate(self, request: EvacuateRequest) -> EditAnswer:
+        """Evacuate a failure domain, or end its evacuation."""
+        return await self._request_any_host(request, EditAnswer)
+
     async def replace(self, request: ReplaceRequest) -> EditAnswer:
         """Replace a control host."""
         return await self._request_any_host(request, EditAnswer)
--- a/src/sequoiaseam/_views.py
+++ b/src/sequoiaseam/_views.py
@@ -80,6 +80,15 @@
     )
 
 
+def build_evacuations_table(domains: Iterable[str]) -> ConsoleTable:
+    """Return the evacuated failure domains as a table."""
+    return ConsoleTable(
+        title="evacuated domains",
+        column_titles=("domain",),
+        rows=[(domain,) for domain in domains],
+    )
+
+
 def build_show_tables(answer: ShowAnswer) -> Mapping[str, ConsoleTable]:
     """Return the tables by the names that ``show`` accepts."""
     return {
@@ -88,6 +97,7 @@
         "workspaces": build_rows_table(answer.tables, "workspace"),
         "keys": build_keys_table(answer.keys),
         "members": build_members_table(answer.members),
+        "evacuations": build_evacuations_table(answer.evacuated_domains),
     }
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,6 +19,7 @@
     BackupAnswer,
     EditAnswer,
     EditOutcome,
+    EvacuateRequest,
     FollowEvent,
     FollowKind,
     InForceAnswer,
@@ -69,7 +70,10 @@
     "follow": (EVENT, UNREACHABLE),
     "edit": (ACCEPTED,),
 }
-EDIT_METHODS = ("apply", "add_key", "withdraw_key", "drain", "replace")
+EDIT_METHODS = (
+    *("apply", "add_key", "withdraw_key", "drain", "replace"),
+    "evacuate",
+)
 
 
 class FakeClient:
@@ -296,9 +300,14 @@
         self.assertIn("key withdraw coop-", err)
 
     def test_other_edits_send_their_arguments(self) -> None:
-        cases = {
+        cases: dict[tuple[str, ...], dict[str, object]] = {
             ("key", "withdraw", "k1"): {"key_id": "k1"},
             ("drain", "node-1"): {"host": "node-1"},
+            ("evacuate", "end", "domain-1"): {
+                "domain": "domain-1",
+                "evacuated": False,
+                "operator": "ana",
+            },
             ("control", "replace", "c1", "c4=10.0.0.4:7", "--yes"): {
                 "old": "c1",
                 "new_name": "c4",
@@ -315,6 +324,60 @@
                 for name, value in values.items():
                     self.assertEqual(getattr(request, name), value)
 
+    def test_an_order_that_empties_pools_needs_an_option(self) -> None:
+        """The only server of the pool "history" is in domain-1."""
+        command = ("evacuate", "start", "domain-1")
+        for options, expected_code, is_sent in (
+            ((), 1, False),
+            (("--dry-run",), 0, False),
+            (("--dry-run", "--allow-empty-pools"), 0, False),
+            (("--allow-empty-pools",), 0, True),
+        ):
+            with self.subTest(options=options):
+                client = FakeClient()
+                code, out, _ = self.run_command(client, *command, *options)
+                self.assertEqual(code, expected_code)
+                self.assertIn("pool history: no server left", out)
+                orders = [
+                    (r.domain, r.evacuated)
+                    for r in client.requests
+                    if isinstance(r, EvacuateRequest)
+                ]
+                self.assertEqual(orders, [("domain-1", True)] * is_sent)
+
+    def test_an_order_that_empties_no_pool_is_sent(self) -> None:
+        """One that is given again empties none either."""
+        (show,) = DEFAULT_ANSWERS["show"]
+        evacuated = replace(show, evacuated_domains=("domain-1",))
+        for domain, answer in (("absent", show), ("domain-1", evacuated)):
+            with self.subTest(domain=domain):
+                client = FakeClient(show=(answer,))
+                code, out, _ = self.run_command(
+                    client, "evacuate", "start", domain
+                )
+                self.assertEqual((code, out), (0, ""))
+                self.assertIsInstance(client.requests[-1], EvacuateRequest)
+
+    def test_an_order_with_an_unknown_outcome_is_sent_again(self) -> None:
+        client = FakeClient(edit=(UNKNOWN, UNREACHABLE, ACCEPTED))
+        code, _, _ = self.run_command(
+            client, "evacuate", "start", "domain-1", "--allow-empty-pools"
+        )
+        self.assertEqual(code, 0)
+        orders = [r for r in client.requests if isinstance(r, EvacuateRequest)]
+        self.assertEqual(len(orders), 3)
+        self.assertEqual(len({order.edit_id for order in orders}), 1)
+
+    def test_show_lists_evacuated_domains(self) -> None:
+        (show,) = DEFAULT_ANSWERS["show"]
+        answer = replace(show, evacuated_domains=("domain-3",))
+        for tokens in (("show",), ("show", "evacuations")):
+            with self.subTest(tokens=tokens):
+                client = FakeClient(show=(answer,))
+                code, out, _ = self.run_command(client, *tokens)
+                self.assertEqual(code, 0)
+                self.assertIn("domain-3", out)
+
     def test_views_print_the_answer(self) -> None:
         cases = {
             ("show",): ("coop-1", "node-1", "quotes", "history"),
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -30,7 +30,7 @@
     *("apply", "show", "follow", "check", "key add", "key withdraw"),
     *("key list", "report", "histogram", "status", "drain"),
     *("control replace", "control status", "control backup"),
-    *("control restore", "completion"),
+    *("control restore", "completion", "evacuate start", "evacuate end"),
 )
 COMMAND_ENVIRONMENT: Final = {
     "SEQUOIASEAM_CONTROL": "127.0.0.1:1",
