--- a/tests/test_platform_system.py
+++ b/tests/test_platform_system.py
@@ -1,7 +1,10 @@
 """Tests of the platform's programs as processes on loopback."""
 
 import asyncio
+import contextlib
+import itertools
 import json
+import re
 import signal
 import tempfile
 import unittest
@@ -24,6 +27,9 @@
 )
 WAIT_TIMEOUT: Final = 40.0
 POLL_INTERVAL: Final = 0.2
+HEARTBEAT_INTERVAL: Final = 1.5
+# Seconds from the acknowledgement until an order is in force on all nodes.
+EVACUATION_TIME_LIMIT: Final = 5.0
 API_KEYS: Final = ("key-one", "key-two")
 # Memory of the smallest hosts that run a control host.
 CONTROL_MEMORY_MAX_BYTES: Final = 296 * 1024 * 1024
@@ -290,6 +296,200 @@
             have_both_served, "the second part of the split isn't served"
         )
 
+    async def test_an_evacuation_holds_until_it_is_withdrawn(self) -> None:
+        """Guard against an order that isn't in force, or is lost.
+
+        All control hosts are killed after its acknowledgement, and a node of
+        the domain starts after them.
+        """
+        near, far = NODE_ADDRESSES
+        self.fleet.zones[far] = "east"
+        servers = {}
+        for address in (*CONTROL_ADDRESSES, near, far):
+            await self.fleet.start(address)
+        await self.put_configuration(build_document(3, 0))
+        for address in NODE_ADDRESSES:
+            servers[address] = ScriptedServer(answer_with_attempt_id)
+            await servers[address].start()
+            self.addCleanup(servers[address].close)
+            reports = asyncio.create_task(
+                self.report_server(address, servers[address])
+            )
+            self.addCleanup(reports.cancel)
+        await self.wait_until_served(near, servers[far], far)
+        await self.wait_until_served(far, servers[near], near)
+        await self.order("evacuate.start", "", 400)
+        await self.order("evacuate.end", "", 400)
+        # A resend is accepted as well.
+        await self.order("evacuate.start", "east")
+        await self.order("evacuate.start", "east")
+        async with asyncio.timeout(EVACUATION_TIME_LIMIT):
+            await self.wait_until_evacuated(*NODE_ADDRESSES)
+        await self.assert_unserved(servers[far])
+        # The order changes no version, so that documents are still accepted.
+        await self.put_configuration(build_document(4, 3))
+        await self.fleet.stop(far)
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.stop(address)
+        # A node that is cut off goes on with its last state.
+        self.assertEqual(await self.read_evacuated_domains(near), 1)
+        for address in CONTROL_ADDRESSES:
+            await self.fleet.start(address, bootstrap=False)
+        for address in CONTROL_ADDRESSES:
+            await self.read_configuration(address)
+            self.assertIn(
+                '"event": "evacuation in force"',
+                self.fleet.read_last_run(address),
+            )
+        await self.fleet.start(far, bootstrap=False)
+        for address in NODE_ADDRESSES:
+            await self.wait_until_status(address, API_KEYS[0], 200)
+        self.assertEqual(await self.read_evacuated_domains(far), 1)
+        await self.assert_unserved(servers[far])
+        await self.order("evacuate.end", "east")
+        await self.wait_until_served(near, servers[far], far)
+        for address in (*CONTROL_ADDRESSES, *NODE_ADDRESSES):
+            self.assertIn(
+                '"event": "evacuation ended"',
+                self.fleet.read_last_run(address),
+            )
+            self.assertNotIn(
+                '"code": "EVACUATED"', self.fleet.read_log(address)
+            )
+
+    async def test_an_order_survives_the_loss_of_its_leader(self) -> None:
+        """Guard against an order that is refused when it is sent again.
+
+        The leader is killed between the order and its acknowledgement.
+        """
+        node = NODE_ADDRESSES[0]
+        for address in (*CONTROL_ADDRESSES, node):
+            await self.fleet.start(address)
+        await self.put_configuration(build_document(3, 0))
+        leader = await self.find_leader()
+        first = asyncio.create_task(
+            self.call_api(leader, "call=evacuate.start&of=east")
+        )
+        await asyncio.sleep(0)
+        await self.fleet.stop(leader)
+        await first
+        await self.order("evacuate.start", "east")
+        async with asyncio.timeout(EVACUATION_TIME_LIMIT):
+            await self.wait_until_evacuated(node)
+        await self.fleet.start(leader, bootstrap=False)
+        await self.read_configuration(leader)
+        self.assertIn(
+            '"event": "evacuation in force"', self.fleet.read_last_run(leader)
+        )
+
+    async def find_leader(self) -> str:
+        """Return the one host that others redirect an order to.
+
+        The order is the withdrawal of one that was never given.
+        """
+        found: list[str] = []
+
+        async def is_found() -> bool:
+            statuses = {}
+            for address in CONTROL_ADDRESSES:
+                url = (
+                    f"http://{address}:{self.fleet.api_port}/sequoiaseam/rpc"
+                    "?call=evacuate.end&of=none"
+                )
+                async with self.session.post(
+                    url, allow_redirects=False
+                ) as response:
+                    statuses[address] = response.status
+                    if response.status == 307:
+                        self.assertTrue(
+                            response.headers["Location"].endswith(
+                                "/sequoiaseam/rpc?call=evacuate.end&of=none"
+                            )
+                        )
+            found[:] = [a for a, status in statuses.items() if status == 200]
+            return sorted(statuses.values()) == [200, 307, 307]
+
+        await self.wait_until(is_found, "no host redirects to the leader")
+        return found[0]
+
+    async def report_server(
+        self, address: str, server: ScriptedServer
+    ) -> None:
+        """Send the heartbeats of a server, also while its node is down."""
+        for sequence in itertools.count(1):
+            with contextlib.suppress(AssertionError):
+                await self.send_heartbeat(address, server, sequence=sequence)
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+
+    async def order(self, call: str, domain: str, expected: int = 200) -> None:
+        """Send an order to the hosts in turn until one decides it."""
+
+        async def is_answered() -> bool:
+            for address in CONTROL_ADDRESSES:
+                status, _ = await self.call_api(
+                    address, f"call={call}&of={domain}"
+                )
+                if status not in (0, 503):
+                    self.assertEqual(status, expected)
+                    return True
+            return False
+
+        await self.wait_until(is_answered, f"no control host took {call}")
+
+    async def read_evacuated_domains(self, address: str) -> int:
+        """Return how many domains are evacuated according to a node."""
+        url = f"http://{address}:{self.fleet.api_port}/metrics"
+        async with self.session.get(url) as response:
+            text = await response.text()
+        found = re.search(r"^sequoiaseam_evacuated_domains (\d+)$", text, re.M)
+        assert found is not None
+        return int(found[1])
+
+    async def wait_until_evacuated(self, *nodes: str) -> None:
+        """Wait until one domain is evacuated according to the nodes."""
+
+        async def is_evacuated() -> bool:
+            counts = [await self.read_evacuated_domains(n) for n in nodes]
+            return set(counts) == {1}
+
+        await self.wait_until(is_evacuated, "the order is not in force")
+
+    async def wait_until_served(
+        self, entry: str, server: ScriptedServer, name: str
+    ) -> None:
+        """Wait until a server has got a request from a node's callers."""
+        count = len(server.received)
+
+        async def is_served() -> bool:
+            await asyncio.gather(
+                *(self.request_status(entry, API_KEYS[0]) for _ in range(10))
+            )
+            return len(server.received) > count
+
+        await self.wait_until(is_served, f"{entry} didn't use {name}")
+
+    async def assert_unserved(self, server: ScriptedServer) -> None:
+        """Check that callers of all nodes are served, by other servers."""
+        count = len(server.received)
+        for _ in range(5):
+            statuses = await asyncio.gather(
+                *(
+                    self.request_status(address, API_KEYS[0])
+                    for address in NODE_ADDRESSES * 4
+                )
+            )
+            self.assertEqual(set(statuses), {200}, self.list_refusals())
+        self.assertEqual(len(server.received), count)
+
+    def list_refusals(self) -> list[str]:
+        """Return the log lines of the refusals at all nodes."""
+        return [
+            line
+            for address in NODE_ADDRESSES
+            for line in self.fleet.read_log(address).splitlines()
+            if '"request refused"' in line
+        ]
+
     async def test_two_uploads_of_the_largest_size_fit_into_memory(
         self,
     ) -> None:
