Ramp up a returned domain's servers for its own callers too

Cause: calls stay in a failure domain of low load whatever the members' scores are, so that the ramp after an evacuation had no effect on them: in a trial of 50 calls at a time, 0 or 50 of 50 went to the returned domain, with nothing between. All its members come back at once, so none takes the rest. Change: during this ramp a call stays in its domain with the ramp's probability. The ramp after an ejection is as it was.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -102,8 +102,10 @@
     probe_started_at: datetime | None = None
     reported_load: float = 0.0
     load_reported_at: datetime | None = None
-    # Whether the member's failure domain is evacuated.
+    # Whether the member's failure domain is evacuated, or was before the
+    # current ramp.
     evacuated: bool = False
+    was_evacuated: bool = False
 
     def is_available(self) -> bool:
         """Return whether the member may be called at all."""
@@ -118,6 +120,7 @@
         """
         if self.evacuated and not evacuated:
             self.ramp_started_at = now
+            self.was_evacuated = True
             self.reset_failures()
         self.evacuated = evacuated
 
@@ -337,6 +340,13 @@
                 now, peer
             ) > LOCAL_SILENCE_MAX:
                 continue
+            if (
+                peer.was_evacuated
+                and self._rng.random() >= peer.compute_ramp_fraction(now)
+            ):
+                # All members of the domain come back at once, so that none
+                # of them would take the calls beyond the ramp.
+                continue
             score = self._score(now, group, peer)
             if best is None or score < least:
                 best, least = peer, score
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -412,6 +412,17 @@
         self.assertLess(during_ramp, before / 2)
         self.assertGreater(count_concurrent(200), before / 2)
 
+    def test_calls_of_the_own_domain_come_back_with_the_ramp(self) -> None:
+        """Calls stay in a domain of low load, but not in one that is cold."""
+        self.count_domains(200)
+        self.evacuate("domain-1")
+        self.count_domains(200)
+        self.evacuate()
+        self.assertLess(self.count_domains(50)["domain-1"], 25)
+        self.now += RAMP_DURATION
+        self.call()
+        self.assertGreater(self.count_domains(100)["domain-1"], 90)
+
     def test_the_ramp_starts_at_the_withdrawal_only_once(self) -> None:
         self.evacuate("domain-2")
         self.evacuate()
