Report no pressure of an evacuated server

Cause: an evacuated server is idle, but its node went on reporting its level with responses and to the control host. The mean of its pool in its domain, whose callers use servers elsewhere, would stay near 0 while those are overloaded. Found by reading the uses of measure_pressure. Change: neither kind of node reports a level of its own server while its domain is evacuated.

--- a/src/sequoiaseam/_call_executor.py
+++ b/src/sequoiaseam/_call_executor.py
@@ -634,7 +634,8 @@
         pressures: dict[str, float],
     ) -> tuple[tuple[str, float], ...]:
         session = self._session
-        if session is not None:
+        # An evacuated server is idle, unlike the others of its pool.
+        if session is not None and not self._evacuated:
             now = self._clock.now()
             own_pressure = session.async_admission.admission.measure_pressure(
                 now
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -187,9 +187,13 @@
         )
 
     def measure_pressure(self, now: datetime) -> PoolPressure | None:
-        """Return the pressure on the backend server, None without one."""
+        """Return the pressure on the backend server, None without one.
+
+        An evacuated server is idle. It would lower the mean of its pool,
+        whose other servers have its load.
+        """
         session = self._session
-        if session is None:
+        if session is None or self._evacuated:
             return None
         return session.admission.measure_pressure(now)
 
@@ -646,13 +650,15 @@
         session = self._session
         if session is None:
             return []
-        own_pressure = session.admission.measure_pressure(now)
         cached = self._cached_pressures.get(route)
         if cached is None or now - cached.collected_at >= PRESSURE_CACHE_TTL:
             cached = _CachedPressures(
                 now, self._collect_called_pressures(now, route)
             )
             self._cached_pressures[route] = cached
+        own_pressure = self.measure_pressure(now)
+        if own_pressure is None:
+            return [*cached.levels]
         return [(own_pressure.pool, own_pressure.level, 1.0), *cached.levels]
 
     def _collect_called_pressures(
--- a/tests/test_call_executor.py
+++ b/tests/test_call_executor.py
@@ -165,6 +165,7 @@
             assert isinstance(result, RefusalFrame)
             self.assertIs(result.code, ErrorCode.EVACUATED)
             self.assertIs(result.verdict, Verdict.NOT_RUN)
+            self.assertEqual(result.pressures, ())
         self.assertIsInstance(answer, AnswerFrame)
         self.executor.set_evacuated(evacuated=False)
         async with asyncio.timeout(5.0):
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -582,6 +582,20 @@
         assert self.executor._session is not None
         self.assertEqual(self.executor._session.admission.running, 0)
 
+    async def test_an_evacuated_server_does_not_count_as_an_idle_one(
+        self,
+    ) -> None:
+        """Its pool's other servers have its load, so they are under more."""
+        self.run_call(1)
+        self.set_evacuated(evacuated=True)
+        self.run_call(2)
+        self.connections.sent[0].finish(BackendResponse(200, [], b"whole"))
+        for call_id in (1, 2):
+            self.assertEqual(self.results[call_id].pressures, [])
+        self.assertIsNone(self.executor.measure_pressure(self.clock.now()))
+        self.set_evacuated(evacuated=False)
+        self.assertIsNotNone(self.executor.measure_pressure(self.clock.now()))
+
     async def test_a_server_that_restarts_meanwhile_gets_no_calls(
         self,
     ) -> None:
