Test orders of evacuation on random schedules

Cause: lost, repeated and resynchronized messages, restarts and ejections in any order were not covered. Change: a view matches the log after each resync; no evacuated member is chosen.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -30,6 +30,7 @@
 from sequoiaseam._feed import (
     FEED_TYPES,
     FeedDelta,
+    FeedMessage,
     FeedSnapshot,
     FeedSource,
     NodeView,
@@ -52,6 +53,7 @@
 from sequoiaseam.errors import ErrorCode
 from tests.builders import build_member, build_tables
 from tests.hosts import HEADER_NAMES
+from tests.seeds import iterate_seeds
 
 MS = timedelta(milliseconds=1)
 SECOND = timedelta(seconds=1)
@@ -302,6 +304,100 @@
         self.assertEqual(decoded.evacuated, ())
 
 
+class FeedFuzzTest(unittest.TestCase):
+    """Guards against views that differ from the log after lost messages."""
+
+    def test_views_match_the_log(self) -> None:
+        for seed in iterate_seeds(100):
+            with self.subTest(seed=seed):
+                self.run_schedule(random.Random(seed))
+
+    def run_schedule(self, rng: random.Random) -> None:
+        """Order at random; a node loses and repeats messages, and resyncs."""
+        state = build_state()
+        source = FeedSource(state)
+        view = NodeView()
+        sent: list[FeedMessage] = []
+
+        def subscribe() -> None:
+            message = source.subscribe(
+                "n", view.index, None, has_pool_members=view.has_pool_members
+            )
+            if message is not None:
+                view.apply(EPOCH, message)
+
+        for number in range(60):
+            command = build_order(
+                f"e{rng.randrange(50)}",
+                f"d{rng.randrange(4)}",
+                evacuated=rng.random() < 0.5,
+            )
+            index = state.index + 1
+            state.apply(index, command)
+            for _, message in source.publish(index, command):
+                sent.append(message)
+                if rng.random() < 0.7:
+                    view.apply(EPOCH, message)
+            if sent and rng.random() < 0.2:
+                view.apply(EPOCH, rng.choice(sent))
+            if rng.random() < 0.2:
+                subscribe()
+            if rng.random() < 0.05:
+                state = FleetState.load(state.dump())
+                source.replace_state(state)
+            if number % 20 == 19:
+                subscribe()
+                self.assertEqual(view.index, state.index)
+                self.assertEqual(
+                    view.evacuated_domains, state.evacuated_domains
+                )
+
+
+class BalancerFuzzTest(unittest.TestCase):
+    """Guards against a choice of an evacuated member in any state."""
+
+    def test_evacuated_members_are_never_chosen(self) -> None:
+        for seed in iterate_seeds(100):
+            with self.subTest(seed=seed):
+                self.run_schedule(random.Random(seed))
+
+    def run_schedule(self, rng: random.Random) -> None:
+        balancer = Balancer("m0", "d0", "south", rng)
+        members = {
+            f"m{n}": build_member(f"m{n}", domain=f"d{n % 3}")
+            for n in range(9)
+        }
+        evacuated: frozenset[str] = frozenset()
+        now = EPOCH
+        for _ in range(400):
+            now += rng.choice((1, 10, 500)) * MS
+            if rng.random() < 0.05:
+                restarted = rng.choice(list(members))
+                member = members[restarted]
+                members[restarted] = replace(
+                    member, incarnation=member.incarnation + 1
+                )
+            if rng.random() < 0.1:
+                evacuated = frozenset(
+                    d for d in ("d0", "d1", "d2") if rng.random() < 0.3
+                )
+            balancer.update(now, members, evacuated)
+            excluded = frozenset(rng.sample(list(members), 2))
+            name = balancer.choose(now, "history", excluded)
+            if name is None:
+                # At most half of the members that are left are ejected.
+                left = [
+                    m for m in members.values() if m.domain not in evacuated
+                ]
+                usable = [m for m in left if m.name not in excluded]
+                self.assertLessEqual(2 * len(usable), len(left))
+                continue
+            self.assertNotIn(members[name].domain, evacuated)
+            balancer.start(now, name)
+            balancer.record_load(now, name, rng.random() * 2)
+            balancer.finish(now, name, rng.choice(list(CallResult)), 10 * MS)
+
+
 class BalancerTest(unittest.TestCase):
     """Guards against calls to an evacuated server, or a surge at its end."""
 
