--- a/src/sequoiaseam/_quota.py
+++ b/src/sequoiaseam/_quota.py
@@ -255,7 +255,9 @@
     """The token buckets at the control leader, for one term.
 
     A new owner doesn't know its predecessor's grants, so it starts with
-    empty buckets and grants nothing until those grants have expired.
+    empty buckets and grants nothing until those grants have expired. The
+    holder of a quota lease owns buckets too, for the time of its lease;
+    it needs no ``takeover_wait``, as the leader waits before it leases.
     """
 
     def __init__(
@@ -263,9 +265,11 @@
         now: datetime,
         term: int,
         workspaces: Mapping[str, Workspace],
+        *,
+        takeover_wait: timedelta = TAKEOVER_WAIT,
     ) -> None:
         self._term = term
-        self._grants_from = now + TAKEOVER_WAIT
+        self._grants_from = now + takeover_wait
         self._next_grant_id = 1
         self._buckets: dict[str, _Bucket] = {}
         self.configure(now, workspaces)
