Let control hosts hold quota leases

The leader granted all tokens, also while it was frozen. Where the fleet has 1,000 pairs of a node and a limited workspace and three control hosts or more, it now leases the workspaces to the other control hosts, and nodes' asks go to the holder. Whether leases are in force is part of the replicated state, so that a new leader knows if a former one may have leased.

--- a/src/sequoiaseam/_commands.py
+++ b/src/sequoiaseam/_commands.py
@@ -175,6 +175,13 @@
     keys: tuple[KeyRecord, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SetQuotaLeases:
+    """Let the leader lease the quota's buckets, or grant from them itself."""
+
+    in_force: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Noop:
     """Do nothing; committing it commits the entries of earlier terms."""
@@ -190,6 +197,7 @@
     | CrashReported
     | ControlAddressSet
     | Restore
+    | SetQuotaLeases
     | Noop
 )
 COMMAND_TYPES: tuple[type[Command], ...] = (
@@ -202,5 +210,6 @@
     CrashReported,
     ControlAddressSet,
     Restore,
+    SetQuotaLeases,
     Noop,
 )
--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -18,7 +18,7 @@
     TrustedNetwork,
     Verifier,
 )
-from sequoiaseam._clock import Clock
+from sequoiaseam._clock import Clock, create_incarnation
 from sequoiaseam._commands import (
     Command,
     ControlAddressSet,
@@ -56,6 +56,12 @@
     OperatorRequestHooks,
 )
 from sequoiaseam._process_end import EndMarker, log_former_process
+from sequoiaseam._quota_host import QuotaHooks, QuotaHost
+from sequoiaseam._quota_lease_messages import (
+    QuotaLeaseAnswer,
+    QuotaLeaseReport,
+)
+from sequoiaseam._quota_messages import QuotaAsk, QuotaSettles
 from sequoiaseam._replica import ReplicaConfig
 from sequoiaseam._replica_messages import (
     Membership,
@@ -79,6 +85,8 @@
 from sequoiaseam.errors import ErrorCode, SeamError
 
 TICK_INTERVAL: Final = timedelta(milliseconds=100)
+# A fraction of the quota leases' report interval.
+QUOTA_TICK_INTERVAL: Final = timedelta(milliseconds=50)
 ALIVE_REPORT_INTERVAL: Final = timedelta(milliseconds=500)
 # Time for the answers to operators' calls in a planned stop. An edit waits
 # for a majority first.
@@ -113,7 +121,7 @@
         self._tasks = TaskGroup()
         self._guard = StepGuard(settings.name)
         self._links = ControlLinks(
-            PeerHello(settings.name, settings.domain),
+            PeerHello(settings.name, settings.domain, quota_leases=True),
             self._codec,
             clock,
             rng,
@@ -126,6 +134,8 @@
         self._event_log = FollowEventLog()
         self._leadership: Leadership | None = None
         self._leader: str | None = None
+        # Term in which the leader is known.
+        self._term = 0
         self._entry_applied = asyncio.Event()
         self._last_alive_report_at = clock.now()
         # Log indices of the newest revisions applied since startup.
@@ -159,6 +169,20 @@
                 on_confirmed=self._sessions.answer_waiting_pings,
             ),
         )
+        self._quota_host = QuotaHost(
+            settings.name,
+            create_incarnation(clock.now(), rng),
+            self._codec,
+            QuotaHooks(
+                post_to_node=self._sessions.post,
+                post_to_host=self._links.post,
+                get_state=lambda: self._state,
+                get_leader=self._get_leader_and_term,
+                get_leadership=lambda: self._leadership,
+                lease_valid=self._is_lease_valid,
+                list_voters=self._list_voters,
+            ),
+        )
         self._request_handler = OperatorRequestHandler(
             lambda: self._state,
             self._replica_runner,
@@ -200,6 +224,10 @@
         await self._rpc_server.start(listen.host, listen.port)
         self._update_links()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
+        self._tasks.start_periodic(
+            QUOTA_TICK_INTERVAL,
+            lambda: self._quota_host.tick(self._clock.now()),
+        )
 
     @property
     def close_time_limit(self) -> timedelta:
@@ -218,6 +246,7 @@
         """
         if self._rpc_server is not None:
             self._guard.run(self._rpc_server.stop_accepting)
+        self._guard.run(lambda: self._quota_host.leave(self._clock.now()))
         deadline = self._guard.run(
             lambda: self._clock.now() - elapsed + time_limit
         )
@@ -245,11 +274,14 @@
 
     def describe_state(self) -> dict[str, object]:
         """Return log fields on what is in progress."""
+        held_shards, held_workspaces = self._quota_host.count_held()
         return {
             "calls": len(self._calls_in_progress),
             "role": "leader" if self._leadership is not None else "follower",
             "leader": self._leader or "",
             "applied_index": self._replica_runner.applied_index,
+            "quota_lease_shards": held_shards,
+            "quota_lease_workspaces": held_workspaces,
         }
 
     async def _follow_former_process(self) -> None:
@@ -424,7 +456,7 @@
             await self._entry_applied.wait()
 
     def _handle_role_change(self, change: RoleChanged) -> None:
-        self._leader = change.leader
+        self._leader, self._term = change.leader, change.term
         log_event(
             Level.INFO,
             "role changed",
@@ -442,7 +474,9 @@
                 lambda: self._state,
                 self._rng,
                 self._start_proposal,
+                host=self._settings.name,
                 assigns_witnesses=self._settings.assigns_witnesses,
+                quota_leases=self._settings.quota_leases,
             )
 
     def _start_proposal(self, command: Command) -> None:
@@ -465,8 +499,15 @@
         await self._sessions.serve(stream, identity.name)
 
     def _forward_to_leader(self, node: str, message: Any) -> None:
-        """Pass a node's message to the leader, on this host or another."""
-        if self._leadership is not None:
+        """Pass a node's message to the leader, on this host or another.
+
+        Quota may be leased to another host than the leader.
+        """
+        if isinstance(message, QuotaAsk | QuotaSettles):
+            self._quota_host.receive_from_node(
+                self._clock.now(), node, message
+            )
+        elif self._leadership is not None:
             answer = self._handle_node_message(message)
             if answer is not None:
                 self._sessions.post(node, answer)
@@ -486,9 +527,21 @@
         return self._leadership.receive(
             now,
             message,
-            lease_valid=self._replica_runner.replica.lease_valid(now),
+            lease_valid=self._is_lease_valid(now),
         )
 
+    def _is_lease_valid(self, now: datetime) -> bool:
+        return self._replica_runner.replica.lease_valid(now)
+
+    def _list_voters(self) -> tuple[str, ...]:
+        membership = self._replica_runner.replica.status().membership
+        if membership is None:
+            return ()
+        return tuple(voter.host for voter in membership.voters)
+
+    def _get_leader_and_term(self) -> tuple[str, int] | None:
+        return None if self._leader is None else (self._leader, self._term)
+
     # Interface for programs that embed a control host.
 
     @property
@@ -536,6 +589,7 @@
         if not isinstance(hello, PeerHello) or hello.name != identity.name:
             return
         self._domains[hello.name] = hello.domain
+        self._quota_host.record_host(hello.name, capable=hello.quota_leases)
         async for message in stream:
             if isinstance(message, PeerPing):
                 await stream.send_message(message)
@@ -548,6 +602,11 @@
                 self._leadership.renew_leases(self._clock.now(), message)
         elif isinstance(message, Relay):
             self._handle_relay(sender, message)
+        elif isinstance(message, QuotaLeaseReport):
+            now = self._clock.now()
+            self._quota_host.receive_report(now, sender, message)
+        elif isinstance(message, QuotaLeaseAnswer):
+            self._quota_host.receive_answer(self._clock.now(), message)
         else:
             self._replica_runner.receive(sender, message)
 
@@ -557,6 +616,10 @@
         if relay.answer:
             self._sessions.post(relay.node, message)
             return
+        if isinstance(message, QuotaAsk | QuotaSettles):
+            now = self._clock.now()
+            self._quota_host.receive_relay(now, sender, relay, message)
+            return
         answer = self._handle_node_message(message)
         if answer is not None:
             self._links.post(
--- a/src/sequoiaseam/_control_messages.py
+++ b/src/sequoiaseam/_control_messages.py
@@ -9,6 +9,10 @@
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._metrics import NodeReport
 from sequoiaseam._operator_messages import OPERATOR_MESSAGE_TYPES
+from sequoiaseam._quota_lease_messages import (
+    QuotaLeaseAnswer,
+    QuotaLeaseReport,
+)
 from sequoiaseam._quota_messages import (
     QuotaAsk,
     QuotaGrant,
@@ -86,11 +90,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Relay:
-    """Message of a node forwarded to the leader, or the response to it."""
+    """Message of a node forwarded to another host, or the response to it.
+
+    ``origin`` is set once a receiver has passed the message on: the host of
+    the node's session, which gets the response. It isn't passed on again.
+    """
 
     node: str
     payload: bytes = field(repr=False)
     answer: bool = False
+    origin: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,10 +111,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerHello:
-    """First message of a control host, with its name and failure domain."""
+    """First message of a control host, with its name and failure domain.
+
+    ``quota_leases`` tells that its version knows the messages of the quota
+    leases; a host of an earlier version would close the connection.
+    """
 
     name: str
     domain: str = ""
+    quota_leases: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +147,8 @@
         QuotaGrant,
         QuotaSettle,
         QuotaSettles,
+        QuotaLeaseReport,
+        QuotaLeaseAnswer,
         NodeHello,
         ReportPull,
         ReportPush,
--- a/src/sequoiaseam/_leadership.py
+++ b/src/sequoiaseam/_leadership.py
@@ -5,12 +5,14 @@
 from random import Random
 from typing import Any, Final
 
-from sequoiaseam._commands import Command
+from sequoiaseam._commands import Command, SetQuotaLeases
 from sequoiaseam._control_messages import AliveBatch
 from sequoiaseam._members import MemberGone, MemberRegistry, MemberReport
-from sequoiaseam._quota import (
-    QuotaOwner,
+from sequoiaseam._quota_lease_messages import (
+    QuotaLeaseAnswer,
+    QuotaLeaseReport,
 )
+from sequoiaseam._quota_leases import ControlGroup, LeaderQuota
 from sequoiaseam._quota_messages import (
     QuotaAsk,
     QuotaSettles,
@@ -38,7 +40,9 @@
         rng: Random,
         propose: Callable[[Command], None],
         *,
+        host: str = "",
         assigns_witnesses: bool = True,
+        quota_leases: bool = False,
     ) -> None:
         self._get_state = get_state
         self.term = term
@@ -48,8 +52,15 @@
         self._assigns_witnesses = assigns_witnesses
         self._registry = MemberRegistry(now)
         self._registry.start_leading(now, state.members)
-        self._quota = QuotaOwner(now, term, state.tables.workspaces)
-        self._tables = state.tables
+        self._quota = LeaderQuota(
+            now,
+            term,
+            host,
+            state.tables.workspaces,
+            index=state.index,
+            in_force=state.quota_leases,
+            enabled=quota_leases,
+        )
         self._last_plan_time = now
         self._formation_started = now
         # Last log index that each node is known to have applied.
@@ -91,10 +102,31 @@
             self._propose(command)
 
     def update_tables(self, now: datetime) -> None:
-        """Apply an edit of the tables to the quota."""
-        if self._get_state().tables is not self._tables:
-            self._tables = self._get_state().tables
-            self._quota.configure(now, self._tables.workspaces)
+        """Apply a change of the replicated state to the quota."""
+        state = self._get_state()
+        self._quota.update(
+            now,
+            state.tables.workspaces,
+            index=state.index,
+            in_force=state.quota_leases,
+        )
+
+    def plan_quota_leases(self, now: datetime, group: ControlGroup) -> None:
+        """Put leases in force or end them; needs a valid leader lease."""
+        members = len(self._get_state().members)
+        in_force = self._quota.plan(now, members, group)
+        if in_force is not None:
+            self._propose(SetQuotaLeases(in_force))
+
+    def receive_lease_report(
+        self, now: datetime, report: QuotaLeaseReport, voters: tuple[str, ...]
+    ) -> QuotaLeaseAnswer | None:
+        """Answer a holder's report; needs a valid leader lease."""
+        return self._quota.receive_report(now, report, voters)
+
+    def find_quota_holder(self, now: datetime, workspace: str) -> str | None:
+        """Return the control host to which a workspace's quota is leased."""
+        return self._quota.find_holder(now, workspace)
 
     def receive(
         self,
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -124,7 +124,8 @@
     the group only if ``forms_group`` is set. Without ``secrets``, all
     peers on the network are trusted. ``assigns_witnesses`` is False in
     fleets whose requests each enter at a single node, which needs no
-    witnesses to run them at most once.
+    witnesses to run them at most once. With ``quota_leases``, a leader may
+    lease the quota of workspaces to the other control hosts.
     """
 
     name: str
@@ -139,6 +140,7 @@
     automatic_repair: bool = False
     forms_group: bool = True
     assigns_witnesses: bool = True
+    quota_leases: bool = True
     # The process is ended by its supervisor if it takes more memory.
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
 
--- a/src/sequoiaseam/_state.py
+++ b/src/sequoiaseam/_state.py
@@ -26,6 +26,7 @@
     MembersChanged,
     ReplaceDocument,
     Restore,
+    SetQuotaLeases,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
@@ -88,6 +89,7 @@
     results: tuple[EditResult, ...]
     controls: Mapping[str, ControlAddressSet]
     document: bytes = b""
+    quota_leases: bool = False
 
 
 def add_crash_report(
@@ -150,6 +152,9 @@
         )
         # The last accepted document, byte for byte as it was sent.
         self.document = b""
+        # Whether a leader may lease the quota to other control hosts. A new
+        # leader then reckons with leases of its predecessors.
+        self.quota_leases = False
         self._results: dict[str, EditResult] = {}
         # Results of refused documents, for callers that wait for one.
         # They don't decide resends and aren't part of a snapshot.
@@ -186,6 +191,7 @@
             tuple(self._results.values()),
             dict(self.control_addresses),
             self.document,
+            self.quota_leases,
         )
         return msgspec.msgpack.encode((FORMAT_VERSION, snapshot))
 
@@ -222,6 +228,7 @@
         state.quarantine = snapshot.quarantine
         state.control_addresses = MappingProxyType(dict(snapshot.controls))
         state.document = snapshot.document
+        state.quota_leases = snapshot.quota_leases
         state._results = {r.edit_id: r for r in snapshot.results}
         return state
 
@@ -388,6 +395,10 @@
                 merged[shard] = group
         self.groups = MappingProxyType(merged)
 
+    @_apply_command.register
+    def _apply_quota_leases(self, command: SetQuotaLeases) -> None:
+        self.quota_leases = command.in_force
+
     @_apply_command.register
     def _apply_address(self, command: ControlAddressSet) -> None:
         self.control_addresses = MappingProxyType(
