Test quota leases with frozen leaders and lost holders

A holder gives up leases that end soon instead of reporting them to a new leader, which an earlier one might count as ended while it may still act.

--- a/src/sequoiaseam/_quota_leases.py
+++ b/src/sequoiaseam/_quota_leases.py
@@ -47,6 +47,10 @@
 LEASE_TAKEOVER_WAIT: Final = (LEASE + ELECTION_TIMEOUT_MIN + GRANT_TTL) * (
     1 + 4 * CLOCK_DRIFT_MAX
 )
+# A holder gives up a lease that ends within this time instead of reporting it
+# to a new leader. An earlier leader that may still act for a while could
+# count such a lease as ended and give the shard to another host.
+CLAIM_TIME_MIN: Final = ELECTION_TIMEOUT_MIN * (1 + 4 * CLOCK_DRIFT_MAX)
 REPORT_INTERVAL: Final = timedelta(milliseconds=250)
 # A report replaces the one before, whose answer then has no effect. Waiting
 # longer for an answer lets a slow leader renew leases at all, and still
@@ -474,7 +478,9 @@
         """Return a report, unless one has been sent at this very time."""
         if now <= self._sent:
             return None
-        self._end_expired(now)
+        self._end_expired(
+            now if term == self._reported_term else now + CLAIM_TIME_MIN
+        )
         self._sent, self._reported_term = now, term
         self._unanswered = QuotaLeaseReport(
             self._host,
--- a/tests/test_stateful_quota_leases.py
+++ b/tests/test_stateful_quota_leases.py
@@ -252,6 +252,26 @@
                     self.elect((host + 1) % 3)
         self.wait(step)
 
+    @precondition(lambda self: not any(self.frozen))
+    @rule(host=HOST, late=st.sampled_from((2900, 400, 2500, 3300)))
+    def answer_late(self, host: int, late: int) -> None:
+        """Freeze a host between its report and the answer, and cut it off."""
+        self.cut_off(host, cut=True)
+        self.wait(300)
+        reports = [
+            number
+            for number, (sender, _, message) in enumerate(self.lease_mail)
+            if sender == host and isinstance(message, QuotaLeaseReport)
+        ]
+        if reports:
+            self.deliver_lease_mail(reports[-1], 1)
+        self.freeze(host, frozen=True)
+        self.wait(late)
+        self.freeze(host, frozen=False)
+        if self.lease_mail and self.lease_mail[-1][1] == host:
+            self.deliver_lease_mail(len(self.lease_mail) - 1, 1)
+        self.wait(1000)
+
     def send(self, sender: int, target: int, message: LeaseMail) -> None:
         self.lease_mail.append((sender, target, message))
         if sender == target or not (
