--- a/src/sequoiaseam/_quota_leases.py
+++ b/src/sequoiaseam/_quota_leases.py
@@ -65,6 +65,8 @@
 # start once the group is stable and are made a few at a time.
 MOVES_WAIT: Final = timedelta(seconds=5)
 MOVES_PER_REPORT_MAX: Final = 2
+# Asks expire the grants of their workspace; this is for those without any.
+OWNER_TICK_INTERVAL: Final = timedelta(seconds=1)
 # Reporters are forgotten after this time without a report.
 REPORTER_TTL: Final = timedelta(seconds=30)
 
@@ -348,6 +350,7 @@
         # The holders of the shards as the leader last sent them.
         self._hosts: tuple[str | None, ...] = (None,) * SHARDS
         self._leaving = False
+        self._owners_ticked_at = _NEVER
 
     @property
     def held(self) -> tuple[int, ...]:
@@ -380,8 +383,10 @@
     def tick(self, now: datetime) -> None:
         """End expired leases and grants."""
         self._end_expired(now)
-        for lease in self._leases.values():
-            lease.owner.tick(now)
+        if now - self._owners_ticked_at >= OWNER_TICK_INTERVAL:
+            self._owners_ticked_at = now
+            for lease in self._leases.values():
+                lease.owner.tick(now)
 
     def report(
         self, now: datetime, term: int, index: int
@@ -605,6 +610,10 @@
         wait = END_WAIT if in_force else START_WAIT
         if now - self._change_since < wait:
             return None
+        # Leases would start only after this wait, and nobody would grant
+        # until then.
+        if not in_force and now - self._elected_at < LEASE_TAKEOVER_WAIT:
+            return None
         if self._allocator is not None:
             # Not reopened in this term, as the outcome of a proposal to end
             # the leases may not be known.
