--- a/src/sequoiaseam/_quota_host.py
+++ b/src/sequoiaseam/_quota_host.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any, Final
 
 from sequoiaseam._codec import Codec
@@ -18,6 +18,8 @@
 from sequoiaseam._state import FleetState
 from sequoiaseam._tables import Tables
 
+# The rule that puts leases in force reads all workspaces.
+PLAN_INTERVAL: Final = timedelta(milliseconds=500)
 # Number of hosts that a node's message has passed before this one.
 _FROM_NODE: Final = 0
 _RELAYED: Final = 1
@@ -58,6 +60,7 @@
         self._holder = QuotaLeaseHolder(name, session)
         self._tables: Tables | None = None
         self._logged: frozenset[int] = frozenset()
+        self._planned_at: datetime | None = None
         # Control hosts whose version knows the messages of the leases.
         self._capable = {name}
 
@@ -71,12 +74,10 @@
 
     def tick(self, now: datetime) -> None:
         """Expire leases and grants; report to the leader if that is due."""
+        if self._planned_at is None or now - self._planned_at >= PLAN_INTERVAL:
+            self._planned_at = now
+            self._plan(now)
         state = self._hooks.get_state()
-        leadership = self._hooks.get_leadership()
-        if leadership is not None and self._hooks.lease_valid(now):
-            voters = self._hooks.list_voters()
-            group = ControlGroup(voters, frozenset(self._capable))
-            leadership.plan_quota_leases(now, group)
         if not state.quota_leases:
             self._holder.end_all()
         else:
@@ -85,6 +86,13 @@
             self._report(now, state)
         self._log_changes()
 
+    def _plan(self, now: datetime) -> None:
+        leadership = self._hooks.get_leadership()
+        if leadership is not None and self._hooks.lease_valid(now):
+            voters = self._hooks.list_voters()
+            group = ControlGroup(voters, frozenset(self._capable))
+            leadership.plan_quota_leases(now, group)
+
     def _configure(self, now: datetime, state: FleetState) -> None:
         if state.tables is not self._tables:
             self._tables = state.tables
--- a/tests/test_control_quota_leases.py
+++ b/tests/test_control_quota_leases.py
@@ -4,6 +4,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from datetime import datetime, timedelta
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -11,7 +12,7 @@
 from bench.processes import find_free_ports
 
 from sequoiaseam._clock import EPOCH, ProcessClock
-from sequoiaseam._commands import EditTables, MembersChanged
+from sequoiaseam._commands import EditTables
 from sequoiaseam._control import Control
 from sequoiaseam._members import MemberReport
 from sequoiaseam._quota_leases import SHARDS
@@ -24,6 +25,7 @@
 HOST: Final = "127.0.0.1"
 WAIT_LIMIT_SECONDS: Final = 30.0
 POLL_SECONDS: Final = 0.05
+FOREVER: Final = EPOCH + timedelta(days=100_000)
 WORKSPACES: Final = {
     f"w{number}": Workspace(f"w{number}", 50.0, 50) for number in range(20)
 }
@@ -82,8 +84,8 @@
         runner = self.controls[leader]._replica_runner
         tables = Tables(workspaces=WORKSPACES)
         await runner.propose(EditTables("edit", "operator", 0, tables))
-        members = tuple(build_member(f"m{number}") for number in range(60))
-        await runner.propose(MembersChanged(members))
+        for number in range(60):
+            self.add_session(leader, f"m{number}", FOREVER)
         followers = sorted(self.controls.keys() - {leader})
         await self.wait_for(
             lambda: sum(map(self.count_held, followers)) == SHARDS
@@ -96,16 +98,22 @@
             grants = await self.ask_all(name, control)
             self.assertEqual(set(grants), set(WORKSPACES))
 
+    def add_session(
+        self, name: str, node: str, last_received_at: datetime
+    ) -> NodeSession:
+        """Add the session of a node, reported while it was active lately."""
+        report = MemberReport(build_member(node))
+        session = NodeSession(node, report, 0, last_received_at)
+        self.controls[name]._sessions._sessions[node] = session
+        return session
+
     async def ask_all(
         self, name: str, control: Control
     ) -> dict[str, QuotaGrant]:
         """Ask one host for a token of each workspace until all are given."""
         grants: dict[str, QuotaGrant] = {}
         node = f"node-{name}"
-        # A session that was last active long ago isn't reported to the leader.
-        report = MemberReport(build_member(node))
-        session = NodeSession(node, report, 0, EPOCH)
-        control._sessions._sessions[node] = session
+        session = self.add_session(name, node, EPOCH)
         async with asyncio.timeout(WAIT_LIMIT_SECONDS):
             ask_id = 0
             while len(grants) < len(WORKSPACES):
--- a/tests/test_quota_leases.py
+++ b/tests/test_quota_leases.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import Any, Final
 
+import msgspec
+
 from sequoiaseam._clock import EPOCH
 from sequoiaseam._commands import Command, SetQuotaLeases
 from sequoiaseam._control_messages import Relay, create_control_codec
@@ -319,6 +321,24 @@
     return QuotaAsk("n0", 1, "w0", ask_id, 1, 1, 1, 0)
 
 
+class MessageTest(unittest.TestCase):
+    """Guards against messages that an earlier version can't read."""
+
+    def test_leases_work_after_encoding_and_old_hellos_are_read(self) -> None:
+        report = QuotaLeaseReport("c1", 1 << 60, 3, EPOCH, ((4, 3 << 32),), 7)
+        answer = QuotaLeaseAnswer(
+            1 << 60, 3, EPOCH, ((4, 3 << 32),), ("c1",), bytes(SHARDS)
+        )
+        for message in (report, answer):
+            self.assertEqual(CODEC.decode(CODEC.encode(message)), message)
+        fields = {"name": "c1", "domain": "north"}
+        hello = CODEC.decode(msgspec.msgpack.encode(("PeerHello", fields)))
+        self.assertFalse(hello.quota_leases)
+        later = fields | {"quota_leases": True, "later": 1}
+        hello = CODEC.decode(msgspec.msgpack.encode(("PeerHello", later)))
+        self.assertTrue(hello.quota_leases)
+
+
 class HolderTest(unittest.TestCase):
     """Guards against a holder that grants without a lease."""
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from unittest import mock
 
+import msgspec
 from bench._hosts import make_command, make_key
 
 from sequoiaseam import _state
@@ -17,6 +18,7 @@
     EditTables,
     MembersChanged,
     Restore,
+    SetQuotaLeases,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
@@ -116,6 +118,16 @@
 class RestoreTest(unittest.TestCase):
     """Guards against a backup that overwrites a group in use."""
 
+    def test_quota_leases_survive_a_snapshot_and_default_to_none(self) -> None:
+        # A new leader that forgot them would grant beside their holders.
+        state = build_state()
+        state.apply(2, SetQuotaLeases(in_force=True))
+        self.assertTrue(FleetState.load(state.dump()).quota_leases)
+        version, fields = msgspec.msgpack.decode(state.dump())
+        del fields["quota_leases"]
+        older = msgspec.msgpack.encode((version, fields))
+        self.assertFalse(FleetState.load(older).quota_leases)
+
     def test_backup_is_restored_into_an_empty_state_only(self) -> None:
         source = build_state()
         source.apply(source.index + 1, AddKey("k", "ana", None, make_key(1)))
