--- a/src/sequoiaseam/_commands.py
+++ b/src/sequoiaseam/_commands.py
@@ -191,6 +191,13 @@
     evacuated: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SetQuotaLeases:
+    """Let the leader lease the quota's buckets, or grant from them itself."""
+
+    in_force: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Noop:
     """Do nothing; committing it commits the entries of earlier terms."""
@@ -207,6 +214,7 @@
     | ControlAddressSet
     | Restore
     | SetEvacuation
+    | SetQuotaLeases
     | Noop
 )
 COMMAND_TYPES: tuple[type[Command], ...] = (
@@ -220,5 +228,6 @@
     ControlAddressSet,
     Restore,
     SetEvacuation,
+    SetQuotaLeases,
     Noop,
 )
--- a/src/sequoiaseam/_state.py
+++ b/src/sequoiaseam/_state.py
@@ -27,6 +27,7 @@
     ReplaceDocument,
     Restore,
     SetEvacuation,
+    SetQuotaLeases,
     WithdrawKey,
     WitnessesAssigned,
     WitnessGroup,
@@ -101,6 +102,7 @@
     controls: Mapping[str, ControlAddressSet]
     document: bytes = b""
     evacuated_domains: tuple[str, ...] = ()
+    quota_leases: bool = False
 
 
 def add_crash_report(
@@ -171,6 +173,9 @@
         # Sorted names of the failure domains whose backend servers get no
         # new requests.
         self.evacuated_domains: tuple[str, ...] = ()
+        # Whether a leader may lease the quota to other control hosts. A new
+        # leader then reckons with leases of its predecessors.
+        self.quota_leases = False
         self._results: dict[str, EditResult] = {}
         # Results of refused documents, for callers that wait for one.
         # They don't decide resends and aren't part of a snapshot.
@@ -208,6 +213,7 @@
             dict(self.control_addresses),
             self.document,
             self.evacuated_domains,
+            self.quota_leases,
         )
         return msgspec.msgpack.encode((FORMAT_VERSION, snapshot))
 
@@ -245,6 +251,7 @@
         state.control_addresses = MappingProxyType(dict(snapshot.controls))
         state.document = snapshot.document
         state.evacuated_domains = snapshot.evacuated_domains
+        state.quota_leases = snapshot.quota_leases
         state._results = {r.edit_id: r for r in snapshot.results}
         return state
 
@@ -436,6 +443,10 @@
                 merged[shard] = group
         self.groups = MappingProxyType(merged)
 
+    @_apply_command.register
+    def _apply_quota_leases(self, command: SetQuotaLeases) -> None:
+        self.quota_leases = command.in_force
+
     @_apply_command.register
     def _apply_address(self, command: ControlAddressSet) -> None:
         self.control_addresses = MappingProxyType(
