Derive the time to ask again from the end of the former lease

While no host held a workspace, the leader told nodes to ask again after 50 ms. With many waiting workspaces that is five times the asks of a takeover before; it now tells the remaining time, up to 250 ms.

--- a/src/sequoiaseam/_quota_leases.py
+++ b/src/sequoiaseam/_quota_leases.py
@@ -67,6 +67,8 @@
 MOVES_PER_REPORT_MAX: Final = 2
 # Asks expire the grants of their workspace; this is for those without any.
 OWNER_TICK_INTERVAL: Final = timedelta(seconds=1)
+# A free shard is leased with the next report of a host that has room for it.
+LEASE_RETRY_AFTER_MIN: Final = REPORT_INTERVAL / 5
 # Reporters are forgotten after this time without a report.
 REPORTER_TTL: Final = timedelta(seconds=30)
 
@@ -178,6 +180,10 @@
         """Return the host that may hold the lease of a workspace."""
         return self._find_host(now, self._shards[find_shard(workspace)])
 
+    def find_free_time(self, workspace: str) -> datetime:
+        """Return from when a workspace may be leased, unless renewed."""
+        return self._shards[find_shard(workspace)].free_at
+
     def is_free(self, now: datetime) -> bool:
         """Return whether no lease and no grant under one can be valid."""
         return all(record.free_at <= now for record in self._shards)
@@ -661,11 +667,18 @@
             ttl=GRANT_TTL,
             inside=ask.waiting,
             hold=ask.waiting,
-            retry_after=RETRY_AFTER_MAX / 5,
+            retry_after=self._estimate_wait(now, ask.workspace),
             pace=RETRY_AFTER_MIN,
             opening=True,
         )
 
+    def _estimate_wait(self, now: datetime, workspace: str) -> timedelta:
+        """Return when a node should ask again for an unleased workspace."""
+        if self._allocator is None:
+            return RETRY_AFTER_MAX
+        wait = self._allocator.find_free_time(workspace) - now
+        return min(max(wait, LEASE_RETRY_AFTER_MIN), RETRY_AFTER_MAX)
+
     def settle(self, now: datetime, settle: QuotaSettle) -> None:
         """Apply the settlement of a grant made directly."""
         if self._owner is not None:
--- a/tests/test_quota_leases.py
+++ b/tests/test_quota_leases.py
@@ -16,6 +16,7 @@
 from sequoiaseam._leadership import Leadership
 from sequoiaseam._quota import (
     GRANT_TTL,
+    RETRY_AFTER_MAX,
     Admit,
     QuotaAction,
     QuotaSpender,
@@ -32,6 +33,7 @@
     END_WAIT,
     HOLDER_LEASE,
     LEASE,
+    LEASE_RETRY_AFTER_MIN,
     LEASE_TAKEOVER_WAIT,
     REPORT_INTERVAL,
     SHARDS,
@@ -583,6 +585,14 @@
         grant = quota.ask(EPOCH + 60 * SECOND, build_ask(1))
         self.assertEqual((grant.tokens, grant.opening), (0, True))
         self.assertEqual(grant.hold, 1)
+        for wait, retry_after in (
+            (SECOND, RETRY_AFTER_MAX),
+            (200 * MS, 200 * MS),
+            (-SECOND, LEASE_RETRY_AFTER_MIN),
+        ):
+            now = EPOCH + LEASE_TAKEOVER_WAIT - wait
+            answer = quota.ask(now, build_ask(1))
+            self.assertEqual(answer.retry_after, retry_after)
 
 
 if __name__ == "__main__":
