--- a/tests/test_quota_leases.py
+++ b/tests/test_quota_leases.py
@@ -46,6 +46,7 @@
 from sequoiaseam._quota_messages import QuotaAsk, QuotaGrant, QuotaSettles
 from sequoiaseam._state import FleetState
 from sequoiaseam._tables import Tables, Workspace
+from sequoiaseam.const import CLOCK_DRIFT_MAX, ELECTION_TIMEOUT_MIN
 from tests.builders import build_member
 
 MS: Final = timedelta(milliseconds=1)
@@ -371,6 +372,13 @@
         self.assertIsNotNone(self.ask(EPOCH + HOLDER_LEASE - MS))
         self.assertIsNone(self.ask(EPOCH + HOLDER_LEASE))
 
+    def test_lease_ends_in_time_by_the_slowest_clock(self) -> None:
+        slow, fast = 1 - CLOCK_DRIFT_MAX, 1 + CLOCK_DRIFT_MAX
+        # The leader's clock is fast while the holder's is slow.
+        self.assertLess(HOLDER_LEASE / slow * fast, LEASE)
+        # An earlier leader may act for this long after an election.
+        self.assertGreaterEqual(CLAIM_TIME_MIN / fast, ELECTION_TIMEOUT_MIN)
+
     def test_answer_to_an_earlier_report_has_no_effect(self) -> None:
         first = self.report(EPOCH)
         self.report(EPOCH + SECOND)
