Spread calls evenly over servers that many nodes call

The rule of failure domains moved the calls of a whole domain at once.

For pools that eight nodes or more call for each member, a node now spreads its own calls in progress evenly, which it knows without delay, and chooses in proportion to speed and share. Other pools are balanced as before. Calls with a short objective prefer fast members.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -9,6 +9,17 @@
 from typing import Final
 
 from sequoiaseam._commands import Member, MemberState
+from sequoiaseam._load_estimate import (
+    CALLERS_PER_MEMBER_MIN,
+    CANDIDATES_MAX,
+    LoadEstimate,
+    PoolLoad,
+    compute_capacity_ratio,
+    compute_local_speed_fraction,
+    compute_rank,
+    limit_slowness,
+    sample_candidates,
+)
 from sequoiaseam._server_load import PACE_MAX, PACE_MIN, PACE_USUAL
 
 RAMP_DURATION: Final = timedelta(seconds=10)
@@ -57,6 +68,11 @@
 # A reported load may be false, so it can at most halve a member's share.
 REPORTED_LOAD_WEIGHT: Final = 1.0
 REPORTED_LOAD_LIFETIME: Final = timedelta(seconds=2)
+# A call whose objective is shorter than this many mean latencies of its pool
+# prefers members that are fast at this moment.
+SHORT_OBJECTIVE_LATENCIES: Final = 10.0
+# A member that reports less than this has capacity for more calls.
+CAPACITY_LOAD_MAX: Final = 0.7
 # Bounds the calculation with a false capacity.
 REPORTED_CAPACITY_MAX: Final = 100_000
 CONSECUTIVE_FAILURES_TO_EJECT: Final = 3
@@ -106,6 +122,7 @@
     reported_load: float = 0.0
     reported_capacity: int = 0
     reported_pace: float = PACE_USUAL
+    estimate: LoadEstimate = field(default_factory=LoadEstimate)
     load_reported_at: datetime | None = None
 
     def is_available(self) -> bool:
@@ -114,6 +131,13 @@
         serves = state in (MemberState.WARMING, MemberState.SERVING)
         return serves and not self.unreachable
 
+    def is_load_known(self, now: datetime) -> bool:
+        """Return whether the member reported its load recently."""
+        return (
+            self.load_reported_at is not None
+            and now - self.load_reported_at < REPORTED_LOAD_LIFETIME
+        )
+
     def compute_unsuccessful_rate(self, now: datetime) -> float:
         """Return the recent rate of calls refused or failed."""
         if self.last_result_at is None:
@@ -189,6 +213,10 @@
     local: list[_Peer] = field(default_factory=list)
     other_domains: list[_Peer] = field(default_factory=list)
     other_regions: list[_Peer] = field(default_factory=list)
+    has_many_callers: bool = False
+    load: PoolLoad = field(default_factory=PoolLoad)
+    refused: int = 0
+    refused_with_capacity: int = 0
 
     def iterate(self) -> Iterable[_Peer]:
         """Yield all members."""
@@ -196,6 +224,29 @@
         yield from self.other_domains
         yield from self.other_regions
 
+    def count(self) -> int:
+        """Return the number of members."""
+        return (
+            len(self.local) + len(self.other_domains) + len(self.other_regions)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class PoolBalance:
+    """Loads of a pool's members that reported recently, and refusals.
+
+    ``refused_with_capacity`` counts calls that a member refused while
+    another one had reported a low load.
+    """
+
+    pool: str
+    fullest: str
+    fullest_load: float
+    emptiest: str
+    emptiest_load: float
+    refused: int
+    refused_with_capacity: int
+
 
 class Balancer:
     """Choose members of pools by this node's own measurements."""
@@ -230,19 +281,32 @@
                 old.member = member
                 peers[name] = old
         self._peers = peers
-        self._groups = {}
+        former_groups, self._groups = self._groups, {}
         for peer in peers.values():
             self._add_to_group(peer)
-        for group in self._groups.values():
+        for pool, group in self._groups.items():
             self._limit_ejections(group)
+            if pool in former_groups:
+                former = former_groups[pool]
+                group.load = former.load
+                group.refused = former.refused
+                group.refused_with_capacity = former.refused_with_capacity
+            group.has_many_callers = (
+                len(peers) >= CALLERS_PER_MEMBER_MIN * group.count()
+            )
 
     def choose(
         self,
         now: datetime,
         pool: str,
         exclude: frozenset[str] = frozenset(),
+        objective: timedelta | None = None,
     ) -> str | None:
-        """Return the member to call, or None if there is none."""
+        """Return the member to call, or None if there is none.
+
+        A call with a short ``objective`` prefers fast members if many nodes
+        call the pool.
+        """
         group = self._groups.get(pool)
         if group is None:
             return None
@@ -250,6 +314,9 @@
         if probed is not None:
             probed.probe_started_at = now
             return probed.member.name
+        if group.has_many_callers:
+            shared = self._choose_by_share(now, pool, exclude, objective)
+            return shared.member.name if shared else None
         if self._prefers_local(now, pool):
             local = self._choose_local(now, group, exclude)
             if local is not None:
@@ -267,6 +334,98 @@
                     best, least = peer, score
         return best.member.name if best else None
 
+    def _choose_by_share(
+        self,
+        now: datetime,
+        pool: str,
+        exclude: frozenset[str],
+        objective: timedelta | None,
+    ) -> _Peer | None:
+        """Return a member by this node's calls and the members' shares.
+
+        Members of other regions are only called if there are no others.
+        """
+        group = self._groups[pool]
+        local = _select_usable(group.local, exclude)
+        usable = local
+        if not local or self._rng.random() >= self._compute_local_fraction(
+            now, group, local
+        ):
+            usable = local + _select_usable(group.other_domains, exclude)
+        usable = usable or _select_usable(group.other_regions, exclude)
+        if len(usable) < 2:
+            return usable[0] if usable else None
+        if len(usable) > CANDIDATES_MAX:
+            indexes = sample_candidates(self._rng, len(usable))
+            usable = [usable[index] for index in indexes]
+        total_capacity = 0
+        for peer in usable:
+            total_capacity += peer.reported_capacity
+        mean_capacity = total_capacity / len(usable)
+        prefers_fast = self._is_short(pool, objective)
+        best: _Peer | None = None
+        least = 0.0
+        for peer in usable:
+            rank = compute_rank(
+                self._rng,
+                peer.in_flight,
+                self._measure_slowness(now, group, peer),
+                self._compute_share(now, group, peer, mean_capacity),
+                prefers_fast=prefers_fast,
+            )
+            if best is None or rank < least:
+                best, least = peer, rank
+        return best
+
+    def _compute_local_fraction(
+        self, now: datetime, group: _PoolMembers, local: list[_Peer]
+    ) -> float:
+        """Return the part of the calls that stay in this failure domain."""
+        fraction = group.load.compute_local_fraction(now)
+        if fraction <= 0.0:
+            return 0.0
+        slowness = min(self._measure_slowness(now, group, p) for p in local)
+        return fraction * compute_local_speed_fraction(slowness)
+
+    def _is_short(self, pool: str, objective: timedelta | None) -> bool:
+        """Return whether a pool's calls take much of an objective."""
+        if not objective:
+            return False
+        mean_s = self._mean_latencies_s.get((pool, None), LATENCY_DEFAULT_S)
+        return objective.total_seconds() < SHORT_OBJECTIVE_LATENCIES * mean_s
+
+    def _measure_slowness(
+        self, now: datetime, group: _PoolMembers, peer: _Peer
+    ) -> float:
+        """Return the slowness that this node has measured itself."""
+        slowness = 1.0
+        if peer.slowness is not None:
+            slowness = self._estimate_slowness(now, group, peer)
+        if peer.in_flight:
+            silence = self._measure_silence(now, peer) / LOCAL_SILENCE_MAX
+            slowness = max(slowness, silence)
+        return limit_slowness(slowness)
+
+    def _compute_share(
+        self,
+        now: datetime,
+        group: _PoolMembers,
+        peer: _Peer,
+        mean_capacity: float,
+    ) -> float:
+        """Return a member's share, relative to that of an ordinary one."""
+        share = peer.estimate.compute_share_factor(now, group.load.mean)
+        if peer.reported_capacity != mean_capacity:
+            share *= compute_capacity_ratio(
+                peer.reported_capacity, mean_capacity
+            )
+        if now - peer.ramp_started_at < RAMP_DURATION:
+            share *= max(peer.compute_ramp_fraction(now), group.load.ramp_min)
+        if peer.unsuccessful_rate > UNSUCCESSFUL_RATE_MIN:
+            unsuccessful_rate = peer.compute_unsuccessful_rate(now)
+            share /= 1 + UNSUCCESSFUL_PENALTY * unsuccessful_rate
+        return share
+
     def _prefers_local(self, now: datetime, pool: str) -> bool:
         """Return whether a call should stay in this failure domain.
 
@@ -327,6 +486,7 @@
             if not peer.in_flight:
                 peer.last_heard_at = now
             peer.in_flight += 1
+            peer.estimate.record_start()
 
     def finish(
         self,
@@ -344,6 +504,7 @@
         if peer is None:
             return
         peer.in_flight = max(0, peer.in_flight - 1)
+        peer.estimate.record_end()
         peer.last_heard_at = now
         unsuccessful = result is not CallResult.OK
         self._get_load_around(peer).record_result(unsuccessful=unsuccessful)
@@ -353,6 +514,7 @@
         )
         peer.last_result_at = now
         if result is CallResult.REFUSED:
+            self._count_refusal(now, peer)
             # A refusal doesn't tell whether the server fails.
             peer.probe_started_at = None
             return
@@ -365,6 +527,44 @@
         else:
             self._count_failure(now, peer, failed=result != CallResult.OK)
 
+    def list_balances(self, now: datetime) -> list[PoolBalance]:
+        """Return the balance of each pool with two recent reports."""
+        balances = []
+        for pool, group in self._groups.items():
+            known = [p for p in group.iterate() if p.is_load_known(now)]
+            if len(known) < 2:
+                continue
+            fullest = max(known, key=_get_reported_load)
+            emptiest = min(known, key=_get_reported_load)
+            balances.append(
+                PoolBalance(
+                    pool,
+                    fullest.member.name,
+                    fullest.estimate.load,
+                    emptiest.member.name,
+                    emptiest.estimate.load,
+                    group.refused,
+                    group.refused_with_capacity,
+                )
+            )
+        return balances
+
+    def _count_refusal(self, now: datetime, refusing: _Peer) -> None:
+        group = self._groups[refusing.member.pool]
+        group.refused += 1
+        peers = [*group.local, *group.other_domains]
+        # Of large pools, only some members are looked at for each refusal.
+        for index in sample_candidates(self._rng, len(peers)):
+            peer = peers[index]
+            if (
+                peer is not refusing
+                and peer.is_available()
+                and peer.is_load_known(now)
+                and peer.estimate.load < CAPACITY_LOAD_MAX
+            ):
+                group.refused_with_capacity += 1
+                return
+
     def mark_unreachable(self, now: datetime, name: str) -> None:  # noqa: ARG002
         """Stop calling a member whose connection is silent or closed."""
         peer = self._peers.get(name)
@@ -404,6 +604,13 @@
                 if pace == pace
                 else PACE_USUAL
             )
+            peer.estimate.record_report(
+                now, load, peer.reported_capacity, peer.reported_pace
+            )
+            group = self._groups[peer.member.pool]
+            group.load.record_report(
+                now, load, is_local=peer.member.domain == self._domain
+            )
 
     def _add_to_group(self, peer: _Peer) -> None:
         member = peer.member
@@ -420,13 +627,7 @@
         peers: list[_Peer],
         exclude: frozenset[str],
     ) -> list[_Peer]:
-        usable = [
-            peer
-            for peer in peers
-            if peer.ejected_until is None
-            and peer.is_available()
-            and peer.member.name not in exclude
-        ]
+        usable = _select_usable(peers, exclude)
         if len(usable) < 2:
             return usable
         # The order is random because the first of equal scores is chosen.
@@ -609,6 +810,20 @@
             peer.reset_failures()
 
 
+def _get_reported_load(peer: _Peer) -> float:
+    return peer.estimate.load
+
+
+def _select_usable(peers: list[_Peer], exclude: frozenset[str]) -> list[_Peer]:
+    return [
+        peer
+        for peer in peers
+        if peer.ejected_until is None
+        and peer.is_available()
+        and peer.member.name not in exclude
+    ]
+
+
 def _is_probe_pending(now: datetime, peer: _Peer) -> bool:
     return (
         peer.probe_started_at is not None
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -505,7 +505,10 @@
 
     def _forward(self, pending: PendingRequest, now: datetime) -> None:
         host_name = self._balancer.choose(
-            now, pending.pool, pending.tried_hosts
+            now,
+            pending.pool,
+            pending.tried_hosts,
+            pending.route.objective if pending.route else None,
         )
         if host_name is None:
             self._refuse_unless_running(pending, ErrorCode.NO_SERVER)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -212,8 +212,13 @@
 class BalancerFuzz:
     """Seeded random schedule, checked against a model of the members."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, other_nodes: int = 0) -> None:
         self.rng = random.Random(seed)
+        # Members of another pool, which call this one as well.
+        self.others = {
+            f"other{n}": build_member(f"other{n}", pool="other")
+            for n in range(other_nodes)
+        }
         self.balancer = Balancer("me", "d0", "south", self.rng)
         self.now = EPOCH
         self.members: dict[str, Member] = {}
@@ -252,7 +257,7 @@
             if restarted:
                 self.unreachable.discard(name)
             self.members[name] = member
-        self.balancer.update(self.now, dict(self.members))
+        self.balancer.update(self.now, self.members | self.others)
 
     def toggle_reachability(self) -> None:
         if self.members:
@@ -290,6 +295,14 @@
             name = self.in_flight.pop(self.rng.randrange(len(self.in_flight)))
             result = self.rng.choice(list(CallResult))
             self.balancer.finish(self.now, name, result, 5 * MS)
+            if self.others:
+                self.balancer.record_load(
+                    self.now,
+                    name,
+                    self.rng.choice((0.0, 0.5, 3.0, -1.0, float("nan"))),
+                    self.rng.choice((0, 1, 53, 2**60)),
+                    self.rng.choice((0.0, 1.0, 9.0, float("nan"))),
+                )
 
 
 class BalancerFuzzTest(unittest.TestCase):
@@ -299,3 +312,38 @@
         for seed in range(SCHEDULES):
             with self.subTest(seed=seed):
                 BalancerFuzz(seed).run(150)
+
+    def test_schedules_with_many_callers(self) -> None:
+        for seed in range(SCHEDULES // 2):
+            with self.subTest(seed=seed):
+                BalancerFuzz(seed, other_nodes=60).run(150)
+
+
+class ManyCallersTest(unittest.TestCase):
+    """Guards against the choice for many callers in other pools."""
+
+    def test_only_pools_with_eight_nodes_a_member_use_it(self) -> None:
+        for node_count, expected in ((23, False), (24, True)):
+            with self.subTest(node_count=node_count):
+                members = build_members(3)
+                for n in range(node_count - 3):
+                    members[f"o{n}"] = build_member(f"o{n}", pool="other")
+                balancer = Fixture(members).balancer
+                group = balancer._groups["history"]
+                self.assertEqual(group.has_many_callers, expected)
+                self.assertFalse(balancer._groups["other"].has_many_callers)
+
+    def test_calls_of_one_node_are_spread_evenly(self) -> None:
+        members = build_members(3)
+        for n in range(60):
+            members[f"o{n}"] = build_member(f"o{n}", pool="other")
+        fixture = Fixture(members)
+        counts = fixture.count_concurrent_calls(300)
+        self.assertGreater(min(counts.values()), 80)
+
+    def test_large_pools_are_sampled(self) -> None:
+        members = build_members(40)
+        for n in range(280):
+            members[f"o{n}"] = build_member(f"o{n}", pool="other")
+        counts = Fixture(members).count_calls(2000)
+        self.assertEqual(len(counts), 40)
