Show uneven load of a pool's servers to operators

Operators couldn't see whether servers of a pool were idle while others refused calls. A node now serves the loads of the fullest and the emptiest server of each pool at /metrics, with the calls that servers refused and those refused while another server had capacity.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -16,6 +16,7 @@
 from sequoiaseam._access import TrustedNetwork
 from sequoiaseam._allocator import TRIM_INTERVAL, MemoryTrimmer
 from sequoiaseam._announcements import ServerReport, StaleReportFilter
+from sequoiaseam._balance_report import format_balance_metrics, log_balance
 from sequoiaseam._balancer import Balancer
 from sequoiaseam._clock import Clock, create_incarnation
 from sequoiaseam._commands import LeavingServer, Member, MemberState
@@ -32,7 +33,7 @@
 from sequoiaseam._host_call_executor import HostCallExecutor
 from sequoiaseam._http_server import HttpServer
 from sequoiaseam._ingress import Ingress
-from sequoiaseam._logs import Level, log_event
+from sequoiaseam._logs import Level, RateLimitedLog, log_event
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._memory import (
     DEFAULT_MEMORY_LIMIT_BYTES,
@@ -172,6 +173,7 @@
             settings.region,
             rng,
         )
+        self._balance_log = RateLimitedLog(clock)
         self._memory = MemoryBudget(
             compute_held_bytes_limit(settings.memory_limit_bytes)
         )
@@ -228,6 +230,7 @@
         self._ticked_at = self._clock.now()
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._tasks.start_periodic(REPORT_INTERVAL, self._log_memory)
+        self._tasks.start_periodic(REPORT_INTERVAL, self._log_balance)
         self._tasks.start_periodic(
             TRIM_INTERVAL, MemoryTrimmer(self._memory).check
         )
@@ -381,7 +384,14 @@
 
     def format_metrics(self) -> bytes:
         """Return this node's metrics in the text format of Prometheus."""
-        return format_memory_metrics(self._memory)
+        balances = self._balancer.list_balances(self._clock.now())
+        return format_memory_metrics(self._memory) + format_balance_metrics(
+            balances
+        )
+
+    def _log_balance(self) -> None:
+        balances = self._balancer.list_balances(self._clock.now())
+        log_balance(self._balance_log, self._settings.name, balances)
 
     def _log_memory(self) -> None:
         log_memory(self._settings.name, self._memory)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,10 +8,12 @@
 from datetime import timedelta
 from itertools import pairwise
 
+from sequoiaseam._balance_report import format_balance_metrics
 from sequoiaseam._balancer import (
     REPORTED_CAPACITY_MAX,
     Balancer,
     CallResult,
+    PoolBalance,
 )
 from sequoiaseam._clock import EPOCH
 from sequoiaseam._commands import Member, MemberState
@@ -347,3 +349,62 @@
             members[f"o{n}"] = build_member(f"o{n}", pool="other")
         counts = Fixture(members).count_calls(2000)
         self.assertEqual(len(counts), 40)
+
+
+class PoolBalanceTest(unittest.TestCase):
+    """Guards against uneven load that no operator sees."""
+
+    def setUp(self) -> None:
+        self.fixture = Fixture(build_members(3))
+        self.balancer = self.fixture.balancer
+
+    def report(self, *loads: float) -> None:
+        for n, load in enumerate(loads):
+            self.balancer.record_load(self.fixture.now, f"m{n}", load)
+
+    def refuse(self, name: str) -> None:
+        now = self.fixture.now
+        self.balancer.start(now, name)
+        self.balancer.finish(now, name, CallResult.REFUSED, MS)
+
+    def test_tells_the_fullest_and_the_emptiest_member(self) -> None:
+        self.report(0.5, 1.2, 0.3)
+        (balance,) = self.balancer.list_balances(self.fixture.now)
+        self.assertEqual(
+            (balance.pool, balance.fullest, balance.emptiest),
+            ("history", "m1", "m2"),
+        )
+        self.assertEqual(
+            (balance.fullest_load, balance.emptiest_load), (1.2, 0.3)
+        )
+
+    def test_counts_refusals_while_another_member_had_capacity(self) -> None:
+        self.report(1.0, 1.0, 0.9)
+        self.refuse("m0")
+        self.report(1.0, 1.0, 0.3)
+        self.refuse("m0")
+        self.refuse("m2")
+        self.balancer.update(self.fixture.now, build_members(3))
+        (balance,) = self.balancer.list_balances(self.fixture.now)
+        self.assertEqual(
+            (balance.refused, balance.refused_with_capacity), (3, 1)
+        )
+
+    def test_old_reports_are_left_out(self) -> None:
+        self.report(1.0, 1.0, 0.9)
+        self.fixture.now += 3 * SECOND
+        self.assertEqual(self.balancer.list_balances(self.fixture.now), [])
+
+    def test_metrics_escape_the_name_of_a_pool(self) -> None:
+        balance = PoolBalance('a"b\n', "m1", 1.25, "m2", 0.5, 3, 1)
+        label = r'pool="a\"b\n"'
+        refused = "sequoiaseam_pool_refused_calls"
+        self.assertEqual(
+            format_balance_metrics([balance]).decode().splitlines(),
+            [
+                f'sequoiaseam_pool_load{{{label},server="fullest"}} 1.25',
+                f'sequoiaseam_pool_load{{{label},server="emptiest"}} 0.5',
+                f"{refused}{{{label}}} 3",
+                f"{refused}_with_capacity{{{label}}} 1",
+            ],
+        )
