--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,10 +8,12 @@
 from datetime import timedelta
 from itertools import pairwise
 
+from sequoiaseam._balance_report import format_balance_metrics
 from sequoiaseam._balancer import (
     REPORTED_CAPACITY_MAX,
     Balancer,
     CallResult,
+    PoolBalance,
 )
 from sequoiaseam._clock import EPOCH
 from sequoiaseam._commands import Member, MemberState
@@ -212,8 +214,13 @@
 class BalancerFuzz:
     """Seeded random schedule, checked against a model of the members."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, other_nodes: int = 0) -> None:
         self.rng = random.Random(seed)
+        # Members of another pool, which call this one as well.
+        self.others = {
+            f"other{n}": build_member(f"other{n}", pool="other")
+            for n in range(other_nodes)
+        }
         self.balancer = Balancer("me", "d0", "south", self.rng)
         self.now = EPOCH
         self.members: dict[str, Member] = {}
@@ -252,7 +259,7 @@
             if restarted:
                 self.unreachable.discard(name)
             self.members[name] = member
-        self.balancer.update(self.now, dict(self.members))
+        self.balancer.update(self.now, self.members | self.others)
 
     def toggle_reachability(self) -> None:
         if self.members:
@@ -290,6 +297,14 @@
             name = self.in_flight.pop(self.rng.randrange(len(self.in_flight)))
             result = self.rng.choice(list(CallResult))
             self.balancer.finish(self.now, name, result, 5 * MS)
+            if self.others:
+                self.balancer.record_load(
+                    self.now,
+                    name,
+                    self.rng.choice((0.0, 0.5, 3.0, -1.0, float("nan"))),
+                    self.rng.choice((0, 1, 53, 2**60)),
+                    self.rng.choice((0.0, 1.0, 9.0, float("nan"))),
+                )
 
 
 class BalancerFuzzTest(unittest.TestCase):
@@ -299,3 +314,97 @@
         for seed in range(SCHEDULES):
             with self.subTest(seed=seed):
                 BalancerFuzz(seed).run(150)
+
+    def test_schedules_with_many_callers(self) -> None:
+        for seed in range(SCHEDULES // 2):
+            with self.subTest(seed=seed):
+                BalancerFuzz(seed, other_nodes=60).run(150)
+
+
+class ManyCallersTest(unittest.TestCase):
+    """Guards against the choice for many callers in other pools."""
+
+    def test_only_pools_with_eight_nodes_a_member_use_it(self) -> None:
+        for node_count, expected in ((23, False), (24, True)):
+            with self.subTest(node_count=node_count):
+                members = build_members(3)
+                for n in range(node_count - 3):
+                    members[f"o{n}"] = build_member(f"o{n}", pool="other")
+                balancer = Fixture(members).balancer
+                group = balancer._groups["history"]
+                self.assertEqual(group.has_many_callers, expected)
+                self.assertFalse(balancer._groups["other"].has_many_callers)
+
+    def test_calls_of_one_node_are_spread_evenly(self) -> None:
+        members = build_members(3)
+        for n in range(60):
+            members[f"o{n}"] = build_member(f"o{n}", pool="other")
+        fixture = Fixture(members)
+        counts = fixture.count_concurrent_calls(300)
+        self.assertGreater(min(counts.values()), 80)
+
+    def test_large_pools_are_sampled(self) -> None:
+        members = build_members(40)
+        for n in range(280):
+            members[f"o{n}"] = build_member(f"o{n}", pool="other")
+        counts = Fixture(members).count_calls(2000)
+        self.assertEqual(len(counts), 40)
+
+
+class PoolBalanceTest(unittest.TestCase):
+    """Guards against uneven load that no operator sees."""
+
+    def setUp(self) -> None:
+        self.fixture = Fixture(build_members(3))
+        self.balancer = self.fixture.balancer
+
+    def report(self, *loads: float) -> None:
+        for n, load in enumerate(loads):
+            self.balancer.record_load(self.fixture.now, f"m{n}", load)
+
+    def refuse(self, name: str) -> None:
+        now = self.fixture.now
+        self.balancer.start(now, name)
+        self.balancer.finish(now, name, CallResult.REFUSED, MS)
+
+    def test_tells_the_fullest_and_the_emptiest_member(self) -> None:
+        self.report(0.5, 1.2, 0.3)
+        (balance,) = self.balancer.list_balances(self.fixture.now)
+        self.assertEqual(
+            (balance.pool, balance.fullest, balance.emptiest),
+            ("history", "m1", "m2"),
+        )
+        self.assertEqual(
+            (balance.fullest_load, balance.emptiest_load), (1.2, 0.3)
+        )
+
+    def test_counts_refusals_while_another_member_had_capacity(self) -> None:
+        self.report(1.0, 1.0, 0.9)
+        self.refuse("m0")
+        self.report(1.0, 1.0, 0.3)
+        self.refuse("m0")
+        self.refuse("m2")
+        self.balancer.update(self.fixture.now, build_members(3))
+        (balance,) = self.balancer.list_balances(self.fixture.now)
+        self.assertEqual(
+            (balance.refused, balance.refused_with_capacity), (3, 1)
+        )
+
+    def test_old_reports_are_left_out(self) -> None:
+        self.report(1.0, 1.0, 0.9)
+        self.fixture.now += 3 * SECOND
+        self.assertEqual(self.balancer.list_balances(self.fixture.now), [])
+
+    def test_metrics_escape_the_name_of_a_pool(self) -> None:
+        balance = PoolBalance('a"b\n', "m1", 1.25, "m2", 0.5, 3, 1)
+        label = r'pool="a\"b\n"'
+        refused = "sequoiaseam_pool_refused_calls"
+        self.assertEqual(
+            format_balance_metrics([balance]).decode().splitlines(),
+            [
+                f'sequoiaseam_pool_load{{{label},server="fullest"}} 1.25',
+                f'sequoiaseam_pool_load{{{label},server="emptiest"}} 0.5',
+                f"{refused}{{{label}}} 3",
+                f"{refused}_with_capacity{{{label}}} 1",
+            ],
+        )
