Bound a node's connections by file-descriptors; read requests sent ahead in turn

Cause: a node accepted all that the system gives it, so a crowd that stays connected took any number of descriptors. All requests of one read of 256 KiB were parsed, charged and answered at once, whether or not the caller reads. With 40 such callers at a path without a route, no other request was answered within 40 s.

Change: each listener has a share of file-descriptors. Near its share it closes connections that wait for their callers, the longest idle first, and refuses new ones only if none is idle. A read is parsed in parts, while fewer than four requests wait; callers who are more than 64 requests ahead have the later ones read in turn. No request is started while the kernel doesn't take the connection's responses, except in a stop. Callers turned away are counted at /metrics and logged with a bound on the lines.

--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -19,6 +19,13 @@
 from sequoiaseam._balancer import Balancer
 from sequoiaseam._clock import Clock, create_incarnation
 from sequoiaseam._commands import LeavingServer, Member, MemberState
+from sequoiaseam._connection_limit import (
+    CALLER_FRACTION,
+    DEFAULT_DESCRIPTOR_LIMIT,
+    MESH_FRACTION,
+    ConnectionLimit,
+    compute_connection_limit,
+)
 from sequoiaseam._control_messages import (
     ControlHosts,
     NodeHello,
@@ -107,6 +114,8 @@
     fleet_retries: int = 0
     # The process is ended by its supervisor if it takes more memory.
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    # The file descriptors that the process may have open.
+    descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT
     log_level: str = "info"
 
 
@@ -189,7 +198,11 @@
             self._memory,
             settings.fleet_retries,
         )
-        self._mesh_server = MeshServer(self._executor.run, self._memory)
+        self._mesh_server = MeshServer(
+            self._executor.run,
+            self._memory,
+            self._create_connection_limit(MESH_FRACTION),
+        )
         self._ingress = Ingress(
             clock,
             rng,
@@ -204,11 +217,21 @@
             self._start_call,
         )
         self._http_server = HttpServer(
-            clock, self._ingress, self._memory, self._ingress
+            clock,
+            self._ingress,
+            self._memory,
+            self._ingress,
+            self._create_connection_limit(CALLER_FRACTION),
         )
         self.mesh_port = settings.mesh_endpoint.port
         self.caller_port = settings.caller_endpoint.port
 
+    def _create_connection_limit(self, fraction: float) -> ConnectionLimit:
+        """Return the limit of a listener with this share of descriptors."""
+        return ConnectionLimit(
+            compute_connection_limit(self._settings.descriptor_limit, fraction)
+        )
+
     # Lifecycle.
 
     async def start(self) -> None:
@@ -381,7 +404,10 @@
 
     def format_metrics(self) -> bytes:
         """Return this node's metrics in the text format of Prometheus."""
-        return format_memory_metrics(self._memory)
+        return (
+            format_memory_metrics(self._memory)
+            + self._http_server.turned_away.format_metrics()
+        )
 
     def _log_memory(self) -> None:
         log_memory(self._settings.name, self._memory)
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -18,6 +18,13 @@
 
 from sequoiaseam._body_buffer import BodyBuffer
 from sequoiaseam._clock import Clock
+from sequoiaseam._connection_limit import (
+    CALLER_FRACTION,
+    DEFAULT_DESCRIPTOR_LIMIT,
+    IDLE_MIN,
+    ConnectionLimit,
+    compute_connection_limit,
+)
 from sequoiaseam._listeners import (
     Listener,
     accept_waiting,
@@ -33,6 +40,12 @@
 )
 from sequoiaseam._tables import CallerLimits, Importance
 from sequoiaseam._tasks import TaskGroup, run_each
+from sequoiaseam._turned_away import (
+    CLOSED_IDLE,
+    STALLED,
+    TOO_MANY_CONNECTIONS,
+    TurnedAwayCallers,
+)
 from sequoiaseam._unread_input import (
     end_connection,
     find_readable,
@@ -51,6 +64,19 @@
 FIRST_REQUEST_TIMEOUT: Final = timedelta(milliseconds=500)
 # Requests read beyond those in progress before reading is paused.
 PIPELINED_REQUESTS_MAX: Final = 4
+# How much is parsed at a time while requests begin in the data. The event loop
+# reads up to 256 KiB at once, which may hold thousands of requests.
+PARSED_PART_BYTES: Final = 4 * 1024
+# The same within a chunked body, whose end isn't known.
+PARSED_CHUNKED_BYTES: Final = 64 * 1024
+# Callers who have sent more requests than this ahead of the responses have the
+# later ones read in turn, a limited number for all of them together in each
+# interval. The event loop would have no time for other callers.
+SENT_AHEAD_MAX: Final = 64
+SENT_AHEAD_REQUESTS_PER_INTERVAL: Final = 32
+SENT_AHEAD_INTERVAL: Final = timedelta(milliseconds=10)
+# How much of a caller's is parsed in its turn.
+SENT_AHEAD_PART_BYTES: Final = 512
 # Pipelined requests handled at the same time. The responses of all but the
 # first are held back until it is their turn.
 CONCURRENT_REQUESTS_MAX: Final = 4
@@ -215,12 +241,18 @@
         handler: RequestHandler,
         budget: MemoryBudget | None = None,
         classifier: RequestClassifier | None = None,
+        connection_limit: ConnectionLimit | None = None,
+        listener_name: str = "callers",
     ) -> None:
         self.clock = clock
         self.handler = handler
         self.budget = budget or MemoryBudget(DEFAULT_HELD_BYTES_LIMIT)
         self.classifier = classifier or _EqualRequests()
         self.limits = CallerLimits()
+        self._connection_limit = connection_limit or ConnectionLimit(
+            compute_connection_limit(DEFAULT_DESCRIPTOR_LIMIT, CALLER_FRACTION)
+        )
+        self.turned_away = TurnedAwayCallers(listener_name, clock)
         # Set during shutdown: each response then closes its connection.
         self.closing = False
         self._accepting = True
@@ -228,6 +260,9 @@
         # registered yet.
         self._unregistered_count = 0
         self.connections: set[ServerConnection] = set()
+        # Those that wait for their turn to have more requests read.
+        self._sent_ahead: deque[ServerConnection] = deque()
+        self._in_turns = False
         self._listener: Listener | None = None
         self._tasks = TaskGroup()
 
@@ -314,9 +349,49 @@
         The event loop may report one that it accepted before the listener
         was closed.
         """
-        if self._accepting:
-            self.connections.add(connection)
-        return self._accepting
+        if not self._accepting:
+            return False
+        if not self.closing:
+            self._close_idle_for_room()
+        if self._connection_limit.is_full(len(self.connections)):
+            self.turned_away.record(
+                TOO_MANY_CONNECTIONS, open=len(self.connections)
+            )
+            return False
+        self.connections.add(connection)
+        return True
+
+    def _close_idle_for_room(self) -> None:
+        """Close connections that wait for their callers, if there are many."""
+        now = self.clock.now()
+        for connection in self._connection_limit.select_idle(
+            self.connections, now
+        ):
+            connection.close_for_room(now)
+
+    def queue_sent_ahead(self, connection: "ServerConnection") -> None:
+        """Let a caller who has sent far ahead wait for its turn."""
+        self._sent_ahead.append(connection)
+        if len(self._sent_ahead) == 1 and not self._in_turns:
+            self._schedule_turns()
+
+    def _schedule_turns(self) -> None:
+        asyncio.get_running_loop().call_later(
+            SENT_AHEAD_INTERVAL.total_seconds(), self._read_sent_ahead
+        )
+
+    def _read_sent_ahead(self) -> None:
+        """Read the next requests of callers who have sent far ahead."""
+        self._in_turns = True
+        request_count = 0
+        for _ in range(len(self._sent_ahead)):
+            request_count += self._sent_ahead.popleft().parse_later()
+            is_enough = request_count >= SENT_AHEAD_REQUESTS_PER_INTERVAL
+            if is_enough and not self.closing:
+                break
+        self._in_turns = False
+        if self._sent_ahead:
+            self._schedule_turns()
 
     def _sweep(self) -> None:
         now = self.clock.now()
@@ -361,6 +436,15 @@
         # would keep the received data in memory by its traceback.
         self._rejected: UnreadRefusal | None = None
         self._reading_paused = False
+        # Received data that isn't parsed yet, and what is charged for it.
+        self._unparsed = b""
+        self._unparsed_charge = 0
+        self._parsing = False
+        self._parse_scheduled = False
+        # Requests read since all data was last parsed.
+        self._sent_ahead = 0
+        # Whether responses wait for the kernel to take them.
+        self._write_paused = False
         # Set when the last response of a shutdown waits for one more read.
         self._last_read_begun = False
         self._opened_at = self._phase_started_at = server.clock.now()
@@ -384,6 +468,7 @@
         self._target = b""
         self._fields: HeaderFields = []
         self._body: BodyBuffer | None = None
+        self._body_length = 0
         self._received_size = 0
         self._in_body = False
         # Whether the caller waits for a 100 response before the body.
@@ -396,6 +481,7 @@
             bool(self._in_progress)
             or self._reading
             or bool(self._waiting)
+            or bool(self._unparsed)
             or self._transport.get_write_buffer_size() > 0
         )
 
@@ -428,18 +514,21 @@
         """Register a new connection."""
         self._transport = transport
         if not self._server.register(self):
+            self._ended = True
             self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the handler of the disconnect."""
         if exc is not None:
             self.end_cause = type(exc).__name__
+        self._ended = True
         self._server.connections.discard(self)
         # It refers back to this connection, which would stay in memory until
         # a garbage collection.
         self._parser = None
         self._record_unsent(0, self._server.clock.now())
         waiting, self._waiting = self._waiting, deque()
+        self._drop_unparsed()
         self._reset_request()
         in_progress, self._in_progress = self._in_progress, deque()
         held_responses, self._held_responses = self._held_responses, {}
@@ -461,20 +550,130 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data; ignore any that follows a malformed request.
 
-        Requests are started after all data is parsed, so that the last
+        Requests are started after the data is parsed, so that the last
         response before a close is that to the last request that was read.
         """
         if self._rejected is not None or self._ended:
             return
-        rejected = self._parse(data)
+        if self._unparsed or len(data) > PARSED_PART_BYTES:
+            self._unparsed += data
+            self._parse_on()
+            self._charge_unparsed()
+            return
+        self._parsing = True
+        try:
+            rejected = self._parse(data)
+        finally:
+            self._parsing = False
         if rejected is not None:
             self._refuse(rejected)
             return
+        self._note_progress()
+        self._start_waiting()
+        if self._is_full:
+            self._pause_reading()
+
+    def _note_progress(self) -> None:
         if self._reading and self._in_body:
             self.progressed_at = self._server.clock.now()
-        self._start_waiting()
-        if len(self._waiting) >= PIPELINED_REQUESTS_MAX:
+
+    @property
+    def _is_full(self) -> bool:
+        """Return whether no more requests are to be read for now."""
+        waiting_count = len(self._waiting)
+        return waiting_count >= PIPELINED_REQUESTS_MAX or (
+            self._write_paused and waiting_count > 0
+        )
+
+    def _charge_unparsed(self) -> None:
+        """Charge the data that stays unparsed for now."""
+        difference = len(self._unparsed) - self._unparsed_charge
+        self._unparsed_charge = len(self._unparsed)
+        if difference > 0:
+            self._server.budget.charge(MemoryUse.REQUESTS, difference)
+        elif difference < 0:
+            self._server.budget.release(MemoryUse.REQUESTS, -difference)
+
+    def _drop_unparsed(self) -> None:
+        self._unparsed = b""
+        self._charge_unparsed()
+
+    def _parse_on(self) -> None:
+        """Parse received data up to the next requests, and start those.
+
+        The rest is left to later passes of the event loop, so that callers
+        who send many requests ahead don't hold up the others.
+        """
+        if self._parsing or self._parse_scheduled or not self._unparsed:
+            return
+        self._parsing = True
+        try:
+            rejected = self._parse_until_complete()
+            if rejected is not None:
+                self._refuse(rejected)
+                return
+            self._note_progress()
+            self._start_waiting()
+        finally:
+            self._parsing = False
+        if self._unparsed or self._is_full:
             self._pause_reading()
+        if not self._unparsed:
+            self._sent_ahead = 0
+        elif (
+            len(self._unparsed) <= PARSED_PART_BYTES
+            and not self._is_full
+            and not self._is_paced
+        ):
+            self._parse_on()
+        elif not self._is_full:
+            self._schedule_parsing()
+
+    def _schedule_parsing(self) -> None:
+        self._parse_scheduled = True
+        if self._is_paced:
+            self._server.queue_sent_ahead(self)
+        else:
+            asyncio.get_running_loop().call_soon(self.parse_later)
+
+    @property
+    def _is_paced(self) -> bool:
+        """Return whether the caller's requests are read in turn."""
+        return self._sent_ahead > SENT_AHEAD_MAX and not self._server.closing
+
+    def parse_later(self) -> int:
+        """Parse on in a later pass; return how many requests were read."""
+        self._parse_scheduled = False
+        count = self._sent_ahead
+        if not self._ended and self._rejected is None:
+            self._go_on()
+        return max(0, self._sent_ahead - count)
+
+    def _parse_until_complete(self) -> RejectedRequestError | None:
+        """Parse until a request is complete; return the error, if any."""
+        count = len(self._waiting)
+        while (
+            self._unparsed
+            and len(self._waiting) == count
+            and not self._is_full
+        ):
+            size = (
+                SENT_AHEAD_PART_BYTES if self._is_paced else PARSED_PART_BYTES
+            )
+            if self._in_body and self._reading:
+                size = max(
+                    size,
+                    PARSED_CHUNKED_BYTES
+                    if self._is_chunked
+                    else self._body_length - self._received_size,
+                )
+            part = self._unparsed[:size]
+            self._unparsed = self._unparsed[size:]
+            rejected = self._parse(part)
+            if rejected is not None:
+                return rejected
+        self._sent_ahead += len(self._waiting) - count
+        return None
 
     def _parse(self, data: bytes) -> RejectedRequestError | None:
         """Parse data; return the error if it is rejected.
@@ -554,6 +753,7 @@
             )
         if length or self._is_chunked:
             self._body = BodyBuffer(None if self._is_chunked else length)
+        self._body_length = length
         self._reserve(REQUEST_OVERHEAD_BYTES + self._head_size + length)
         self._in_body = True
         self._received_size = 0
@@ -709,6 +909,10 @@
 
     def _may_start(self, request: HttpRequest) -> bool:
         in_progress = self._in_progress
+        if self._write_paused and not self._server.closing:
+            # Its response would only add to those that the caller doesn't
+            # read.
+            return False
         return not in_progress or (
             len(in_progress) < CONCURRENT_REQUESTS_MAX
             and request.method in SAFE_METHODS
@@ -748,12 +952,25 @@
             self._release_response(next_response)
             if is_closed:
                 return
-        more_read = bool(self._in_progress or self._waiting)
-        if self._reading_paused and not (self._server.closing and more_read):
+        self._go_on()
+        self._send_continue()
+
+    def _go_on(self) -> None:
+        """Read and start more requests, now that there is room for them."""
+        more_read = bool(self._in_progress or self._waiting or self._unparsed)
+        self._start_waiting()
+        self._parse_on()
+        self._charge_unparsed()
+        if (
+            self._reading_paused
+            and not self._ended
+            and self._rejected is None
+            and not self._unparsed
+            and not self._is_full
+            and not (self._server.closing and more_read)
+        ):
             self._reading_paused = False
             self._transport.resume_reading()
-        self._start_waiting()
-        self._send_continue()
 
     def _send(self, request: HttpRequest, response: _Response) -> bool:
         """Send a response; return whether the connection is then closed.
@@ -763,7 +980,9 @@
         are read after a response, so that a caller can't prolong it.
         """
         self._phase_started_at = self._server.clock.now()
-        is_last_read = not self._in_progress and not self._waiting
+        is_last_read = not (
+            self._in_progress or self._waiting or self._unparsed
+        )
         should_close = not request.keep_alive or (
             self._server.closing
             and is_last_read
@@ -805,6 +1024,7 @@
         """
         self._ended = True
         self._reading = False
+        self._drop_unparsed()
         self._phase_started_at = self._server.clock.now()
         if self._reading_paused:
             self._reading_paused = False
@@ -856,12 +1076,12 @@
         Complete requests before it are answered first.
         """
         if isinstance(error, MalformedRequestError):
-            log_event(
-                Level.INFO,
-                "malformed request refused",
-                status=error.refusal.status,
-                reason=error.reason,
+            self._server.turned_away.record_malformed(
+                error.refusal.status, error.reason
             )
+        else:
+            self._server.turned_away.count(f"status_{error.refusal.status}")
+        self._drop_unparsed()
         self._reset_request()
         self._reading = False
         self._rejected = error.refusal
@@ -891,9 +1111,17 @@
 
     # Data that the caller hasn't read.
 
+    def pause_writing(self) -> None:
+        """Start no more requests while responses aren't read."""
+        self._write_paused = True
+        self._measure_unsent()
+
     def resume_writing(self) -> None:
         """Release what the kernel has taken; called by the transport."""
+        self._write_paused = False
         self._measure_unsent()
+        if not self._ended:
+            self._go_on()
 
     def _measure_unsent(self) -> None:
         self._record_unsent(
@@ -911,14 +1139,26 @@
             self._server.budget.release(MemoryUse.UNSENT, previous - size)
 
     def is_stalled(self, now: datetime) -> bool:
-        """Return whether the caller neither reads nor sends what is due."""
+        """Return whether the caller is cut off while memory is short.
+
+        That is one who neither reads nor sends what is due, or who has sent
+        far ahead.
+        """
+        if self._is_paced:
+            # What it has sent ahead takes memory, and can be sent again.
+            return True
         is_due = self._unsent_bytes > 0 or (self._reading and self._in_body)
         return is_due and now - self.progressed_at > STALL_TIMEOUT
 
     @property
     def stalled_bytes(self) -> int:
         """Return what is held for what the caller doesn't read or send."""
-        return self._unsent_bytes + self._held_bytes
+        return (
+            self._unsent_bytes
+            + self._held_bytes
+            + self._unparsed_charge
+            + sum(request.held_bytes for request in self._waiting)
+        )
 
     def cut_off(self) -> None:
         """End the request, or the response, of a caller that has stalled."""
@@ -929,6 +1169,7 @@
             held=self._held_bytes,
             stalled_time=self._server.clock.now() - self.progressed_at,
         )
+        self._server.turned_away.count(STALLED)
         if self._unsent_bytes:
             self.abort()
         else:
@@ -936,6 +1177,41 @@
                 MalformedRequestError(408, "request not received in time")
             )
 
+    # Connections closed to make room for others.
+
+    def find_idle_since(self, now: datetime) -> datetime | None:
+        """Return since when it waits for its caller, None if it doesn't."""
+        if self._in_progress:
+            return None
+        if self._unsent_bytes or (self._reading and self._in_body):
+            is_idle = now - self.progressed_at > STALL_TIMEOUT
+            return self.progressed_at if is_idle else None
+        is_idle = now - self._phase_started_at > IDLE_MIN
+        return self._phase_started_at if is_idle else None
+
+    def close_for_room(self, now: datetime) -> None:
+        """Close an idle connection, unless its caller has just sent more."""
+        if self.has_unread_input and not self._reading_paused:
+            return
+        self._server.turned_away.record(
+            CLOSED_IDLE,
+            idle_time=now - max(self._phase_started_at, self.progressed_at),
+            unsent=self._unsent_bytes,
+            held=self._held_bytes,
+        )
+        if self._unsent_bytes:
+            self.abort()
+        elif self._reading:
+            self._refuse(
+                MalformedRequestError(408, "request not received in time")
+            )
+            # Without waiting for the caller, as after other responses.
+            self._close()
+        elif self.idle:
+            self.close_if_idle()
+        else:
+            self.abort()
+
     # Timeouts and closing.
 
     def check_timeout(self, now: datetime) -> None:
@@ -950,6 +1226,10 @@
             return
         if self._in_progress:
             return
+        if self._waiting and self._server.closing:
+            # A stop answers them, although the caller doesn't read.
+            self._start_waiting()
+            return
         if self._reading:
             slow = not self._in_body and age > limits.headers_time
             if (slow or age > limits.idle_time) and not self.has_unread_input:
--- a/src/sequoiaseam/_listeners.py
+++ b/src/sequoiaseam/_listeners.py
@@ -107,7 +107,7 @@
                 "unexpected error; closing a new connection",
                 **describe_error(error),
             )
-            return _ClosingConnection()
+            return ClosingConnection()
 
     async def listen() -> Any:
         return await loop.create_server(
@@ -201,7 +201,7 @@
     """Return whether an address accepts connections within the time."""
     try:
         connection = await connect(
-            _ClosingConnection, host, port, timeout_seconds
+            ClosingConnection, host, port, timeout_seconds
         )
     except (OSError, TimeoutError):
         return False
@@ -209,7 +209,7 @@
     return True
 
 
-class _ClosingConnection(asyncio.Protocol):
+class ClosingConnection(asyncio.Protocol):
     """A connection that is closed as soon as it is made."""
 
     def __init__(self) -> None:
--- a/src/sequoiaseam/_mesh_server.py
+++ b/src/sequoiaseam/_mesh_server.py
@@ -13,7 +13,14 @@
 
 import msgspec
 
+from sequoiaseam._connection_limit import (
+    DEFAULT_DESCRIPTOR_LIMIT,
+    MESH_FRACTION,
+    ConnectionLimit,
+    compute_connection_limit,
+)
 from sequoiaseam._listeners import (
+    ClosingConnection,
     Listener,
     accept_waiting,
     open_listener,
@@ -58,8 +65,16 @@
 class MeshServer:
     """Accept connections of other nodes and run their calls."""
 
-    def __init__(self, run: CallRunner, budget: MemoryBudget) -> None:
+    def __init__(
+        self,
+        run: CallRunner,
+        budget: MemoryBudget,
+        connection_limit: ConnectionLimit | None = None,
+    ) -> None:
         self._run = run
+        self._connection_limit = connection_limit or ConnectionLimit(
+            compute_connection_limit(DEFAULT_DESCRIPTOR_LIMIT, MESH_FRACTION)
+        )
         self._budget = budget
         self._listener: Listener | None = None
         self._connections: set[_IncomingConnection] = set()
@@ -73,7 +88,14 @@
         self._listener = await open_listener(self._accept, host, port)
         return self._listener.port
 
-    def _accept(self) -> FrameConnection:
+    def _accept(self) -> asyncio.Protocol:
+        if self._connection_limit.is_full(len(self._connections)):
+            log_event(
+                Level.WARNING,
+                "mesh connection refused; too many are open",
+                open=len(self._connections),
+            )
+            return ClosingConnection()
         incoming = _IncomingConnection(self._run, self._remove, self._budget)
         self._connections.add(incoming)
         if self._closing:
--- a/src/sequoiaseam/embed.py
+++ b/src/sequoiaseam/embed.py
@@ -9,6 +9,14 @@
 from sequoiaseam._announcements import ServerReport as ServerReport
 from sequoiaseam._clock import ProcessClock as ProcessClock
 from sequoiaseam._commands import ReplaceDocument as ReplaceDocument
+from sequoiaseam._connection_limit import API_FRACTION as API_FRACTION
+from sequoiaseam._connection_limit import (
+    DEFAULT_DESCRIPTOR_LIMIT as DEFAULT_DESCRIPTOR_LIMIT,
+)
+from sequoiaseam._connection_limit import ConnectionLimit as ConnectionLimit
+from sequoiaseam._connection_limit import (
+    compute_connection_limit as compute_connection_limit,
+)
 from sequoiaseam._header_names import HeaderNames as HeaderNames
 from sequoiaseam._http_server import HttpRequest as HttpRequest
 from sequoiaseam._http_server import HttpServer as HttpServer
