Bound streams to a control host, and what is read before their proof

Cause: the internal port accepted any number of connections and read frames of any number before the first was checked. Frames of one byte took 243 MB.

Change: streams have a share of the descriptors. At most 128 may be without a proof of who opened them; the oldest whose opening hasn't come whole gives way to a new one. One frame is read before the proof, and at most 4,096 wait afterwards, besides the bound on their content.

--- a/src/sequoiaseam/_control.py
+++ b/src/sequoiaseam/_control.py
@@ -25,6 +25,11 @@
     CrashReported,
     ReplaceDocument,
 )
+from sequoiaseam._connection_limit import (
+    INTERNAL_FRACTION,
+    ConnectionLimit,
+    compute_connection_limit,
+)
 from sequoiaseam._control_links import ControlLinks
 from sequoiaseam._control_messages import (
     ATTACH_PATH,
@@ -195,6 +200,11 @@
                 CALL_PATH: self._serve_call,
                 FOLLOW_PATH: self._serve_follow,
             },
+            ConnectionLimit(
+                compute_connection_limit(
+                    self._settings.descriptor_limit, INTERNAL_FRACTION
+                )
+            ),
         )
         listen = self._settings.listen
         await self._rpc_server.start(listen.host, listen.port)
@@ -252,6 +262,12 @@
             "applied_index": self._replica_runner.applied_index,
         }
 
+    def format_metrics(self) -> bytes:
+        """Return this host's metrics in the text format of Prometheus."""
+        if self._rpc_server is None:
+            return b""
+        return self._rpc_server.turned_away.format_metrics()
+
     async def _follow_former_process(self) -> None:
         """Log how the last process of this host ended, if that is known."""
         former = await asyncio.to_thread(
--- a/src/sequoiaseam/_rpc.py
+++ b/src/sequoiaseam/_rpc.py
@@ -19,7 +19,14 @@
 from sequoiaseam._access import Identity, ProofChecker
 from sequoiaseam._clock import Clock
 from sequoiaseam._codec import Codec
+from sequoiaseam._connection_limit import (
+    DEFAULT_DESCRIPTOR_LIMIT,
+    INTERNAL_FRACTION,
+    ConnectionLimit,
+    compute_connection_limit,
+)
 from sequoiaseam._listeners import (
+    ClosingConnection,
     Listener,
     accept_waiting,
     connect,
@@ -28,6 +35,11 @@
 )
 from sequoiaseam._logs import Level, log_event
 from sequoiaseam._tasks import TaskGroup
+from sequoiaseam._turned_away import (
+    TOO_MANY_CONNECTIONS,
+    UNPROVEN,
+    TurnedAwayCallers,
+)
 from sequoiaseam._unread_input import has_unread_input
 from sequoiaseam.errors import ErrorCode, SeamError
 
@@ -36,9 +48,15 @@
 MAX_FRAME_BYTES: Final = 40 * 1024 * 1024
 # Before the other side has proved who it is.
 OPENING_MAX_BYTES: Final = 64 * 1024
+# Streams whose callers haven't proved who they are. Each may hold a frame of
+# OPENING_MAX_BYTES and one read of the event loop, 256 KiB; a new one takes
+# the place of the oldest.
+UNPROVEN_STREAMS_MAX: Final = 128
 # Above this amount of unread content, reading from the socket is paused, so
 # that the sender has to wait.
 MAX_UNREAD_BYTES: Final = 1024 * 1024
+# The same for frames, which take more memory than their content if small.
+UNREAD_FRAMES_MAX: Final = 4096
 # Several round trips between regions. A lost first packet is repeated by the
 # system after 1 s only, by a new connection earlier.
 CONNECT_TIMEOUT_SECONDS: Final = 0.5
@@ -75,6 +93,8 @@
         self._write_waiters: list[asyncio.Future[None]] = []
         self._write_paused = False
         self._frame_max_bytes = frame_max_bytes
+        # Whether only the first frame may be read, which opens a stream.
+        self._opening_only = frame_max_bytes < MAX_FRAME_BYTES
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
@@ -83,11 +103,19 @@
     def allow_large_frames(self) -> None:
         """Read also frames beyond those that open a stream."""
         self._frame_max_bytes = MAX_FRAME_BYTES
+        self._opening_only = False
         if not self._ended:
             self.data_received(b"")
-            if self._unread_bytes <= MAX_UNREAD_BYTES:
+            if not self._has_much_unread:
                 self._transport.resume_reading()
 
+    @property
+    def _has_much_unread(self) -> bool:
+        return (
+            self._unread_bytes > MAX_UNREAD_BYTES
+            or len(self._frames) > UNREAD_FRAMES_MAX
+        )
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake all pending reads and writes."""
         del exc
@@ -120,8 +148,12 @@
             start = content_start + content_size
             self._frames.append((kind, bytes(received[content_start:start])))
             self._unread_bytes += content_size
+            if self._opening_only:
+                # Read on once the other side has proved who it is.
+                self._transport.pause_reading()
+                break
         del received[:start]
-        if self._unread_bytes > MAX_UNREAD_BYTES:
+        if self._has_much_unread:
             self._transport.pause_reading()
         self._wake_reader()
 
@@ -149,13 +181,10 @@
                 return None
             self._read_waiter = asyncio.get_running_loop().create_future()
             await self._read_waiter
+        had_much_unread = self._has_much_unread
         frame = self._frames.popleft()
-        unread_before = self._unread_bytes
         self._unread_bytes -= len(frame[1])
-        if (
-            self._unread_bytes <= MAX_UNREAD_BYTES < unread_before
-            and not self._ended
-        ):
+        if had_much_unread and not self._has_much_unread and not self._ended:
             self._transport.resume_reading()
         return frame
 
@@ -166,6 +195,13 @@
             not self._ended and has_unread_input(self._transport)
         )
 
+    @property
+    def delays_opening(self) -> bool:
+        """Return whether a part of the first frame was read, or none came."""
+        if self._transport is None or self._ended:
+            return False
+        return bool(self._received) or not has_unread_input(self._transport)
+
     async def write(self, kind: Kind, content: bytes) -> None:
         """Send a frame; raise StreamEndedError if the connection ended."""
         while self._write_paused:
@@ -250,6 +286,7 @@
         clock: Clock,
         codec: Codec,
         methods: Mapping[str, StreamHandler],
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self._verifier = verifier
         self._clock = clock
@@ -257,6 +294,14 @@
         self._methods = methods
         self._tasks = TaskGroup()
         self._connections: set[Connection] = set()
+        # In order of arrival.
+        self._unproven: dict[Connection, None] = {}
+        self._connection_limit = connection_limit or ConnectionLimit(
+            compute_connection_limit(
+                DEFAULT_DESCRIPTOR_LIMIT, INTERNAL_FRACTION
+            )
+        )
+        self.turned_away = TurnedAwayCallers("internal", clock)
         self._accepting = True
         self._listener: Listener | None = None
 
@@ -285,13 +330,37 @@
         for connection in list(self._connections):
             connection.abort()
 
-    def _accept(self) -> Connection:
+    def _accept(self) -> asyncio.Protocol:
+        count = len(self._connections)
+        if len(self._unproven) >= self._unproven_max:
+            self._abort_oldest_unproven()
+        if self._connection_limit.is_full(count):
+            self.turned_away.record(TOO_MANY_CONNECTIONS, open=count)
+            return ClosingConnection()
         connection = Connection(OPENING_MAX_BYTES)
+        self._connections.add(connection)
+        self._unproven[connection] = None
         self._tasks.start(self._serve(connection))
         return connection
 
+    @property
+    def _unproven_max(self) -> int:
+        limit = self._connection_limit.connections_max
+        return min(UNPROVEN_STREAMS_MAX, max(1, limit // 2))
+
+    def _abort_oldest_unproven(self) -> None:
+        """Make room for a caller that may prove who it is.
+
+        Those whose opening waits unread stay: many nodes may connect at once.
+        """
+        for connection in self._unproven:
+            if connection.delays_opening:
+                del self._unproven[connection]
+                self.turned_away.record(UNPROVEN, open=len(self._connections))
+                connection.abort()
+                return
+
     async def _serve(self, connection: Connection) -> None:
-        self._connections.add(connection)
         try:
             await self._run_method(connection)
         except (StreamEndedError, TimeoutError) as error:
@@ -307,6 +376,7 @@
                 await connection.write(Kind.REFUSAL, content)
         finally:
             self._connections.discard(connection)
+            self._unproven.pop(connection, None)
             connection.close()
 
     async def _read_opening(
@@ -337,6 +407,7 @@
         if frame[0] != Kind.OPENING or handler is None:
             raise SeamError(ErrorCode.BAD_REQUEST, "unknown method")
         identity = self._verifier.verify(self._clock.now(), proof)
+        self._unproven.pop(connection, None)
         connection.allow_large_frames()
         if not self._accepting:
             raise create_stopping_error()
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any, Final, TypeVar
 
+from sequoiaseam._connection_limit import DEFAULT_DESCRIPTOR_LIMIT
 from sequoiaseam._ini import FileError, IniFile, find_duplicates, read_ini
 from sequoiaseam._memory import DEFAULT_MEMORY_LIMIT_BYTES
 from sequoiaseam._tables import BODY_LIMIT_MAX_BYTES
@@ -141,6 +142,8 @@
     assigns_witnesses: bool = True
     # The process is ended by its supervisor if it takes more memory.
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    # The file descriptors that the process may have open.
+    descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT
 
 
 def parse_name(text: str) -> str:
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -19,6 +19,8 @@
 from sequoiaseam._rpc import (
     FRAME_HEADER,
     MAX_UNREAD_BYTES,
+    OPENING_MAX_BYTES,
+    UNREAD_FRAMES_MAX,
     Channel,
     Connection,
     Kind,
@@ -217,6 +219,32 @@
         await connection.read()
         self.assertTrue(transport.reading)
 
+    async def test_only_the_opening_is_read_before_the_proof(self) -> None:
+        frames = struct.pack(">IB", 1, 0) + b"x"
+        transport: Any = FakeTransport()
+        connection = Connection(OPENING_MAX_BYTES)
+        connection.connection_made(transport)
+        connection.data_received(frames * 100)
+        self.assertFalse(transport.reading)
+        self.assertEqual(1, len(connection._frames))
+        await connection.read()
+        self.assertFalse(transport.reading)
+        connection.allow_large_frames()
+        self.assertTrue(transport.reading)
+        self.assertEqual(99, len(connection._frames))
+
+    async def test_many_small_frames_pause_reading(self) -> None:
+        frame = struct.pack(">IB", 1, 1) + b"x"
+        transport: Any = FakeTransport()
+        connection = Connection()
+        connection.connection_made(transport)
+        connection.data_received(frame * UNREAD_FRAMES_MAX)
+        self.assertTrue(transport.reading)
+        connection.data_received(frame)
+        self.assertFalse(transport.reading)
+        await connection.read()
+        self.assertTrue(transport.reading)
+
 
 if __name__ == "__main__":
     unittest.main()
