Close idle connections to the backend server when a caller repeats an id

Cause: a connection isn't used for a request whose id is that of the last response on it. A caller that repeats an id left an idle one behind with each request, up to 4 s: 505 descriptors with 40 such callers.

Change: beyond eight idle connections, the one that has been idle for longest is closed as another is opened for such a request.

--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -36,6 +36,9 @@
 # A server may close an idle connection just as a request is sent. A request
 # that isn't idempotent is sent only on connections idle for at most this long.
 NON_IDEMPOTENT_IDLE_MAX: Final = timedelta(seconds=1)
+# Idle connections that stay as a new one is opened for a request whose id is
+# that of the last response on an idle one.
+REPEATED_ID_IDLE_MAX: Final = 8
 DEFAULT_IDLE_TIMEOUT: Final = timedelta(seconds=4)
 # Fraction of the idle timeout announced by the server after which a
 # connection isn't reused.
@@ -188,6 +191,7 @@
                 continue
             if connection.last_correlation_field == request.correlation_field:
                 # Nor could a second copy of the last response.
+                self._limit_idle()
                 return None
             if (
                 not request.idempotent
@@ -197,6 +201,14 @@
             return self._idle.pop()
         return None
 
+    def _limit_idle(self) -> None:
+        """Close the connection that has been idle for longest, of many.
+
+        A caller that repeats an id leaves one behind with each request.
+        """
+        if len(self._idle) > REPEATED_ID_IDLE_MAX:
+            self._idle.pop(0).abort()
+
     def _end_opening(
         self, request: PendingRequest, task: asyncio.Task[None]
     ) -> None:
