Let callers who have sent far ahead give way to new connections

Cause: ReadinessTest.test_requests_sent_ahead failed in the run of all 85 tests (the other 84 passed): the ten connections of the readiness listener were taken by callers whose requests were read in turn, so none was idle.

Change: such a connection without a request in progress is closed for a new one, after the idle ones. What is unparsed on it has not run.

--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -1183,6 +1183,10 @@
         """Return since when it waits for its caller, None if it doesn't."""
         if self._in_progress:
             return None
+        if self._is_paced:
+            # It makes progress, but at the expense of callers who wait for a
+            # connection. The idle ones are closed before it.
+            return now
         if self._unsent_bytes or (self._reading and self._in_body):
             is_idle = now - self.progressed_at > STALL_TIMEOUT
             return self.progressed_at if is_idle else None
