Fix faults that the review of the merged parts found

Causes and changes: - a connection hung if a request that was answered at once left a part of the next one unparsed: reading was paused after it had been resumed (_http_server); - a restart of the server wasn't noticed where the end of its last connection waited unread, so that calls ran without the limit of a cold server (_http_client); - two rejected calls of a rare class refused trees of all lower classes, and a pool that had recovered was tracked for as long as it was called (_tree_admission); - a retry that never fits kept the limit from other classes, and the first retry wasn't allowed at any traffic (_retry); - a slow server was taken for silent while a route's service times were unknown (_unanswered); - a false capacity attracted most calls, as the others were compared with a mean that it raised (_load_estimate); - an error in one caller's turn ended the turns of all (_http_server); a cold_rate near 0 overflowed a date (_cold_start). Each has a test but the error in a turn, for which no real input is known.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -17,6 +17,7 @@
     compute_capacity_ratio,
     compute_local_speed_fraction,
     compute_rank,
+    find_usual_capacity,
     limit_slowness,
     sample_candidates,
 )
@@ -388,10 +389,9 @@
         if len(usable) > CANDIDATES_MAX:
             indexes = sample_candidates(self._rng, len(usable))
             usable = [usable[index] for index in indexes]
-        total_capacity = 0
-        for peer in usable:
-            total_capacity += peer.reported_capacity
-        mean_capacity = total_capacity / len(usable)
+        usual_capacity = find_usual_capacity(
+            [peer.reported_capacity for peer in usable]
+        )
         prefers_fast = self._is_short(pool, objective)
         best: _Peer | None = None
         least = 0.0
@@ -400,7 +400,7 @@
                 self._rng,
                 peer.in_flight,
                 self._measure_slowness(now, group, peer),
-                self._compute_share(now, group, peer, mean_capacity),
+                self._compute_share(now, group, peer, usual_capacity),
                 prefers_fast=prefers_fast,
             )
             if best is None or rank < least:
@@ -441,13 +441,13 @@
         now: datetime,
         group: _PoolMembers,
         peer: _Peer,
-        mean_capacity: float,
+        usual_capacity: int,
     ) -> float:
         """Return a member's share, relative to that of an ordinary one."""
         share = peer.estimate.compute_share_factor(now, group.load.mean)
-        if peer.reported_capacity != mean_capacity:
+        if peer.reported_capacity != usual_capacity:
             share *= compute_capacity_ratio(
-                peer.reported_capacity, mean_capacity
+                peer.reported_capacity, usual_capacity
             )
         if now - peer.ramp_started_at < RAMP_DURATION:
             share *= max(peer.compute_ramp_fraction(now), group.load.ramp_min)
--- a/src/sequoiaseam/_cold_start.py
+++ b/src/sequoiaseam/_cold_start.py
@@ -156,7 +156,13 @@
             return timedelta(0)
         self._refill(now)
         missing = max(0.0, position - self._tokens)
-        return timedelta(seconds=missing / self._compute_rate(now))
+        # A rate close to 0 would overflow a date.
+        return timedelta(
+            seconds=min(
+                missing / self._compute_rate(now),
+                COLD_TIME_MAX.total_seconds(),
+            )
+        )
 
     def measure_load(self, now: datetime) -> float:
         """Return the load to report to other nodes because of the limit."""
--- a/src/sequoiaseam/_http_client.py
+++ b/src/sequoiaseam/_http_client.py
@@ -205,9 +205,12 @@
         now = self._clock.now()
         while self._idle:
             connection = self._idle[-1]
-            if not connection.is_usable(now) or connection.has_unread_input:
+            is_lost = not connection.is_open or connection.has_unread_input
+            if is_lost or not connection.is_usable(now):
                 self._idle.pop()
                 connection.abort()
+                if is_lost:
+                    self.record_loss()
                 continue
             if connection.last_correlation_field == request.correlation_field:
                 # Nor could a second copy of the last response.
--- a/src/sequoiaseam/_http_server.py
+++ b/src/sequoiaseam/_http_server.py
@@ -384,14 +384,17 @@
         """Read the next requests of callers who have sent far ahead."""
         self._in_turns = True
         request_count = 0
-        for _ in range(len(self._sent_ahead)):
-            request_count += self._sent_ahead.popleft().parse_later()
-            is_enough = request_count >= SENT_AHEAD_REQUESTS_PER_INTERVAL
-            if is_enough and not self.closing:
-                break
-        self._in_turns = False
-        if self._sent_ahead:
-            self._schedule_turns()
+        try:
+            for _ in range(len(self._sent_ahead)):
+                request_count += self._sent_ahead.popleft().parse_later()
+                is_enough = request_count >= SENT_AHEAD_REQUESTS_PER_INTERVAL
+                if is_enough and not self.closing:
+                    break
+        finally:
+            # An error in one caller's turn must not end those of the others.
+            self._in_turns = False
+            if self._sent_ahead:
+                self._schedule_turns()
 
     def _sweep(self) -> None:
         now = self.clock.now()
@@ -616,8 +619,6 @@
             self._start_waiting()
         finally:
             self._parsing = False
-        if self._unparsed or self._is_full:
-            self._pause_reading()
         if not self._unparsed:
             self._sent_ahead = 0
         elif (
@@ -626,8 +627,11 @@
             and not self._is_paced
         ):
             self._parse_on()
+            return
         elif not self._is_full:
             self._schedule_parsing()
+        if self._unparsed or self._is_full:
+            self._pause_reading()
 
     def _schedule_parsing(self) -> None:
         self._parse_scheduled = True
--- a/src/sequoiaseam/_load_estimate.py
+++ b/src/sequoiaseam/_load_estimate.py
@@ -182,12 +182,21 @@
     return min(SLOWNESS_MAX, max(1.0 / SLOWNESS_MAX, slowness))
 
 
-def compute_capacity_ratio(capacity: int, mean_capacity: float) -> float:
-    """Return a capacity relative to the mean, 1 if it is unknown."""
-    if not capacity or mean_capacity <= 0.0:
+def find_usual_capacity(capacities: list[int]) -> int:
+    """Return the lower median of the known capacities, 0 without any.
+
+    A mean would follow a single false capacity.
+    """
+    known = sorted(capacity for capacity in capacities if capacity)
+    return known[(len(known) - 1) // 2] if known else 0
+
+
+def compute_capacity_ratio(capacity: int, usual_capacity: int) -> float:
+    """Return a capacity relative to the usual one, 1 if it is unknown."""
+    if not capacity or not usual_capacity:
         return 1.0
     return min(
-        CAPACITY_RATIO_MAX, max(CAPACITY_RATIO_MIN, capacity / mean_capacity)
+        CAPACITY_RATIO_MAX, max(CAPACITY_RATIO_MIN, capacity / usual_capacity)
     )
 
 
--- a/src/sequoiaseam/_retry.py
+++ b/src/sequoiaseam/_retry.py
@@ -179,7 +179,9 @@
         only counted by ``use``.
         """
         used_max = self._measure_available(now, importance, share, limit)
-        self._asked.add(now, importance, cost)
+        if cost <= limit:
+            # One that never fits must not keep the limit from other classes.
+            self._asked.add(now, importance, cost)
         self._retry_fraction += (
             1 - self._retry_fraction
         ) / RETRY_FRACTION_SAMPLES
@@ -240,7 +242,9 @@
         retries = division.measure_used(now)
         total = division.measure_roots(now) + retries + 1
         retries_max = max(float(self._share > 0), self._share * total)
-        if not division.ask(now, importance, 1.0, self._share, retries_max):
+        allowed = division.ask(now, importance, 1.0, self._share, retries_max)
+        is_first = retries == 0 and self._share > 0
+        if not (allowed or is_first):
             return False
         division.use(now, importance, 1.0)
         return True
--- a/src/sequoiaseam/_tree_admission.py
+++ b/src/sequoiaseam/_tree_admission.py
@@ -122,7 +122,14 @@
         reports = []
         for key, calls in list(self._calls.items()):
             calls.decay(now)
-            if calls.unreported:
+            if (
+                calls.rejected < TRACKED_REJECTIONS_MIN
+                and not calls.unreported_rejected
+                and key not in self._domain_rates
+            ):
+                # Also while calls go on, as each of them costs an update.
+                del self._calls[key]
+            elif calls.unreported:
                 reports.append(
                     PoolRejections(
                         key[0],
@@ -132,11 +139,6 @@
                     )
                 )
                 calls.unreported = calls.unreported_rejected = 0
-            elif (
-                calls.rejected < TRACKED_REJECTIONS_MIN
-                and key not in self._domain_rates
-            ):
-                del self._calls[key]
         return tuple(reports)
 
     def observe_domain(
@@ -205,7 +207,8 @@
         """Return the fraction of calls of a class that a pool rejects.
 
         Higher classes are served first, so what they see is a lower bound.
-        It is known even where the lower class makes hardly any calls.
+        It counts where the class makes hardly any calls itself; otherwise
+        a few rejections of a rare class would decide for all others.
         """
         highest = 0.0
         for rank in range(importance, CLASS_COUNT):
@@ -220,6 +223,8 @@
                 rejected += factor * calls.rejected
                 total += factor * calls.total
             highest = max(highest, rejected / total)
+            if rank == importance and total >= 2 * DOMAIN_RATE_WEIGHT:
+                break
         return highest
 
     def _measure_domain_rate(
--- a/src/sequoiaseam/_unanswered.py
+++ b/src/sequoiaseam/_unanswered.py
@@ -155,26 +155,37 @@
         if usual is None:
             if request.objective is None:
                 return None
-            bound = LONE_OBJECTIVE_RATIO * request.objective
+            bound = self._measure_slowness(request) * (
+                LONE_OBJECTIVE_RATIO * request.objective
+            )
             if bound > LONE_FRACTION_MAX * request.time_limit:
                 return None
             return self._judge_lone(request, quiet_time, bound)
         ratio = REPEATED_SILENT_RATIO if request.repeat else SILENT_RATIO
         if quiet_time < ratio * usual:
             return None
-        # A server that has become slow shows it in the others.
-        meanwhile = [e for e in self._ended if e.ended_at > request.started_at]
-        slowness = max((e.slowness for e in meanwhile), default=1.0)
-        bound = ratio * usual * max(1.0, slowness)
+        bound = ratio * usual * self._measure_slowness(request)
         if quiet_time < bound:
             return None
-        later = sum(e.started_at > request.started_at for e in meanwhile)
+        later = sum(e.started_at > request.started_at for e in self._ended)
         if later >= LATER_ENDED_MIN:
             return later
         return self._judge_lone(
             request, quiet_time, LONE_FRACTION * request.time_limit
         )
 
+    def _measure_slowness(self, request: _Outstanding) -> float:
+        """Return how much longer than usual others have taken meanwhile.
+
+        A server that has become slow shows it in them.
+        """
+        slowness = [
+            ended.slowness
+            for ended in self._ended
+            if ended.ended_at > request.started_at
+        ]
+        return max([1.0, *slowness])
+
     @staticmethod
     def _judge_lone(
         request: _Outstanding, quiet_time: timedelta, bound: timedelta
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -343,6 +343,19 @@
         counts = fixture.count_concurrent_calls(300)
         self.assertGreater(min(counts.values()), 80)
 
+    def test_a_false_capacity_attracts_at_most_half_more(self) -> None:
+        members = build_members(3)
+        for n in range(60):
+            members[f"o{n}"] = build_member(f"o{n}", pool="other")
+        fixture = Fixture(members)
+        names = sorted(build_members(3))
+        for name, capacity in zip(names, (53, 53, 100_000), strict=True):
+            fixture.balancer.record_load(
+                fixture.now, name, 0.74, capacity, 1.0
+            )
+        counts = fixture.count_calls(3000)
+        self.assertLess(counts[names[2]], 0.5 * 3000)
+
     def test_large_pools_are_sampled(self) -> None:
         members = build_members(40)
         for n in range(280):
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -97,6 +97,14 @@
             count += 1
         self.assertEqual(count, 2)
 
+    def test_a_rate_near_zero_gives_a_finite_wait(self) -> None:
+        cold_start = ColdStart(EPOCH, 1e-13, 10 * SECOND)
+        for _ in range(3):
+            cold_start.record_start(EPOCH)
+        self.assertLessEqual(
+            EPOCH + cold_start.estimate_wait(EPOCH, 5), EPOCH + COLD_TIME_MAX
+        )
+
     def test_no_rate_means_no_limit(self) -> None:
         cold_start = ColdStart(EPOCH, 0.0, 60 * SECOND)
         cold_start.assume_cold(EPOCH)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -548,5 +548,29 @@
                 self.assertIsInstance(second, BackendResponse)
 
 
+class LostConnectionsTest(PoolTestCase):
+    """Guards against a restart of the server that isn't noticed."""
+
+    async def test_an_unread_end_of_the_last_connection_is_a_loss(
+        self,
+    ) -> None:
+        losses: list[None] = []
+        pool = BackendPool(
+            LOCALHOST,
+            self.server.port,
+            ProcessClock(),
+            self.budget,
+            lambda: losses.append(None),
+        )
+        self.addCleanup(pool.close)
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            await send_order(pool, 1)
+            first = self.server.received[0]
+            first.transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
+            outcome = send_order(pool, 2)
+            self.assertIsInstance(await outcome, BackendResponse)
+        self.assertEqual(len(losses), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -989,6 +989,30 @@
             response = await reader.readuntil(b"\r\n")
         self.assertEqual(response, b"HTTP/1.1 200 OK\r\n")
 
+    async def test_a_request_of_which_a_part_was_read_ahead_is_read_on(
+        self,
+    ) -> None:
+        """Answer the request before it while the received data is parsed."""
+        recorder = RequestRecorder(responds=True)
+        server = HttpServer(ProcessClock(), recorder)
+        port = await server.start(LOCALHOST, 0, 1)
+        self.addAsyncCleanup(server.close)
+        reader, writer = await asyncio.open_connection(LOCALHOST, port)
+        self.addCleanup(writer.close)
+        body = bytes(20_000)
+        sent = (
+            (GET_LINE + HOST_FIELD + CRLF)
+            + (POST_LINE + HOST_FIELD + b"Content-Length: 20000\r\n\r\n")
+            + body
+        )
+        async with asyncio.timeout(WAIT_LIMIT_SECONDS):
+            writer.write(sent[:5000])
+            await reader.readexactly(1)
+            writer.write(sent[5000:])
+            while len(recorder.requests) < 2:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+        self.assertEqual(recorder.requests[1].body, body)
+
     async def test_a_pipelined_request_behind_the_last_response_is_answered(
         self,
     ) -> None:
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -338,6 +338,36 @@
             retries += allowed[Importance.CRITICAL]
         self.assertGreater(retries, 0.8 * 0.2 * requests)
 
+    def test_a_retry_that_never_fits_reserves_nothing(self) -> None:
+        allowed_counts = []
+        for cost in (None, 1000.0):
+            limiter = TreeRetryLimiter(2.0)
+            for _ in range(200):
+                limiter.record(EPOCH, "scarce", Importance.NORMAL)
+            limiter.record(EPOCH, "scarce", Importance.CRITICAL)
+            if cost is not None:
+                limiter.allow(
+                    EPOCH, {"scarce": cost}, lambda _: 0.2, Importance.CRITICAL
+                )
+            allowed_counts.append(
+                sum(
+                    limiter.allow(
+                        EPOCH, {"scarce": 1.0}, lambda _: 0.2, Importance.LOW
+                    )
+                    for _ in range(60)
+                )
+            )
+        without, with_one = allowed_counts
+        self.assertGreater(with_one, without / 2)
+
+    def test_one_retry_is_allowed_at_any_traffic(self) -> None:
+        share = RetryShare(0.1)
+        share.record(EPOCH, Importance.HIGH)
+        for _ in range(8):
+            share.record(EPOCH, Importance.NORMAL)
+        self.assertTrue(share.allow(EPOCH, Importance.NORMAL))
+        self.assertFalse(share.allow(EPOCH, Importance.NORMAL))
+
     def test_a_class_that_asks_alone_has_the_whole_limit(self) -> None:
         limiter = TreeRetryLimiter(1.0)
         for _ in range(500):
--- a/tests/test_tree_admission.py
+++ b/tests/test_tree_admission.py
@@ -338,6 +338,26 @@
             self.admission.take_rejections(EPOCH + half_seconds * 500 * MS)
         self.assertFalse(self.admission.has_rejections)
 
+    def test_few_rejections_of_a_rare_class_decide_for_no_other(self) -> None:
+        self.record(EPOCH, Importance.CRITICAL, 2, 2)
+        self.record(EPOCH, Importance.NORMAL, 1, 501)
+        found = self.forecast(EPOCH)
+        assert found is not None
+        self.assertGreater(found.success, 0.9)
+
+    def test_a_pool_that_has_recovered_is_forgotten_while_it_is_called(
+        self,
+    ) -> None:
+        self.record(EPOCH, Importance.NORMAL, 1, 1)
+        now = EPOCH
+        for _ in range(100):
+            now += 100 * MS
+            self.admission.record(
+                now, SCARCE, Importance.NORMAL, rejected=False
+            )
+            self.admission.take_rejections(now)
+        self.assertFalse(self.admission.has_rejections)
+
     def test_lower_classes_are_served_no_better_than_higher_ones(self) -> None:
         self.record(EPOCH, Importance.HIGH, 50, 90)
         for importance in Importance:
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -239,6 +239,28 @@
                     server = self.run_load(rng, find_service_time, slots)
                     self.assertEqual(server.list_silent(), [])
 
+    def test_a_slow_server_is_not_silent_to_a_route_without_known_times(
+        self,
+    ) -> None:
+        requests = UnansweredRequests(EPOCH)
+        now = EPOCH
+        ids = iter(range(100))
+        for duration in (50 * MS,) * 20 + (250 * MS,) * 4:
+            request_id = next(ids)
+            requests.start(
+                now, request_id, "other", SECOND, 400 * MS, repeat=False
+            )
+            now += duration
+            requests.finish(now, request_id)
+        lone = next(ids)
+        requests.start(now, lone, "summary", 804 * MS, 202 * MS, repeat=False)
+        slow = next(ids)
+        requests.start(now, slow, "other", SECOND, 400 * MS, repeat=False)
+        now += 250 * MS
+        requests.finish(now, slow)
+        now += 400 * MS
+        self.assertEqual(requests.find_silent(now, lambda _: True), [])
+
     def test_a_request_of_five_times_the_length_is_not_silent(self) -> None:
         for seed in iterate_seeds(8):
             rng = random.Random(seed)
