--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -46,7 +46,7 @@
 from sequoiaseam._stop_schedule import StopSchedule
 from sequoiaseam._tables import Pool
 from sequoiaseam._tasks import TaskGroup
-from sequoiaseam._unanswered import SilentRequest, UnansweredRequests
+from sequoiaseam._unanswered import UnansweredRequests
 from sequoiaseam.errors import ErrorCode
 
 TICK_INTERVAL: Final = timedelta(milliseconds=50)
@@ -110,9 +110,6 @@
     # True from a failed connection until the next report of the server.
     connection_refused: bool = False
     pace: PaceAverage = field(default_factory=PaceAverage)
-    # Slots of requests that were given up but that the server may run, with
-    # the times until which they are held.
-    held_slots: list[tuple[datetime, int]] = field(default_factory=list)
 
 
 class HostCallExecutor:
@@ -612,14 +609,27 @@
         if session is self._session:
             self._apply_actions(now, session, actions)
 
-    def _end_unanswered(self, now: datetime, session: _Session) -> None:
-        """Give up the requests that the server will never answer."""
+    def _report_unanswered(self, now: datetime, session: _Session) -> None:
+        """Report the requests that the server will never answer.
+
+        They keep their slots until they end, as the server may still be at
+        work. Their connections are used for no other request.
+        """
         for silent in session.unanswered.find_silent(now, self._is_quiet):
             run = self._runs.get(silent.request_id)
-            if run is not None and run.server_request is not None:
-                self._end_silent_run(
-                    now, session, run, run.server_request, silent
-                )
+            if run is None or run.server_request is None:
+                continue
+            run.server_request.retire_connection()
+            self._log.log(
+                Level.INFO,
+                "request unanswered by the backend server",
+                request_id=run.call.request_id,
+                route=run.call.route,
+                server=session.report.server_id,
+                quiet_time=silent.quiet_time,
+                later_ended=silent.later_ended,
+                time_left=run.deadline - now,
+            )
 
     def _is_quiet(self, run_id: int) -> bool:
         run = self._runs.get(run_id)
@@ -630,64 +640,6 @@
             and not self.attribution.has_made_call(run_id)
         )
 
-    def _end_silent_run(
-        self,
-        now: datetime,
-        session: _Session,
-        run: _Run,
-        request: PendingRequest,
-        silent: SilentRequest,
-    ) -> None:
-        """End a run that may be repeated; others wait for their deadlines.
-
-        Neither leaves its connection to another request.
-        """
-        self._log.log(
-            Level.INFO,
-            "request unanswered by the backend server",
-            request_id=run.call.request_id,
-            route=run.call.route,
-            server=session.report.server_id,
-            ended=run.call.idempotent,
-            quiet_time=silent.quiet_time,
-            later_ended=silent.later_ended,
-            time_left=run.deadline - now,
-        )
-        if not run.call.idempotent:
-            request.retire_connection()
-            return
-        request.cancel()
-        run.release_body()
-        del self._runs[run.ticket_id]
-        self.attribution.end_run(run.ticket_id)
-        self._crash_guard.end_run(run.ticket_id, complete=False)
-        session.unanswered.discard(run.ticket_id)
-        actions: tuple[AdmissionAction, ...] = ()
-        if silent.later_ended:
-            actions = session.admission.finish(
-                now, run.ticket_id, Completion.FAILED
-            )
-        else:
-            # The server may only be late and still run it.
-            session.held_slots.append((run.deadline, run.ticket_id))
-        run.on_result(
-            self._create_refusal(
-                now, run, ErrorCode.INCOMPLETE, may_have_run=True
-            )
-        )
-        self._apply_actions(now, session, actions)
-
-    def _release_held_slots(self, now: datetime, session: _Session) -> None:
-        held, session.held_slots = session.held_slots, []
-        for until, ticket_id in held:
-            if now < until:
-                session.held_slots.append((until, ticket_id))
-                continue
-            actions = session.admission.finish(
-                now, ticket_id, Completion.CANCELLED
-            )
-            self._apply_actions(now, session, actions)
-
     def _classify_outcome(
         self,
         now: datetime,
@@ -887,8 +839,7 @@
             actions = session.admission.tick(now)
             self._apply_actions(now, session, actions)
             self._schedule_cold_start(now, session)
-        self._end_unanswered(now, session)
-        self._release_held_slots(now, session)
+        self._report_unanswered(now, session)
         session.connections.sweep(now)
         if self._former_pools:
             self._former_pools = [p for p in self._former_pools if p.in_use]
--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -324,10 +324,7 @@
     last_seen: datetime
     calls: float
     # Binary logarithm of the number of calls, rounded.
-    band: int = 0
-
-    def __post_init__(self) -> None:
-        self.band = round(self._measure_magnitude())
+    band: int
 
     def update(self, now: datetime, calls: float) -> None:
         """Update the moving average of calls per run."""
@@ -335,13 +332,14 @@
         if calls == self.calls:
             return
         self.calls += CALLS_SMOOTHING_FACTOR * (calls - self.calls)
-        magnitude = self._measure_magnitude()
+        magnitude = _measure_magnitude(self.calls)
         if abs(magnitude - self.band) > BAND_EDGE:
             self.band = round(magnitude)
 
-    def _measure_magnitude(self) -> float:
-        calls = max(BAND_CALLS_MIN, self.calls)
-        return math.log2(min(BAND_CALLS_MAX, calls))
+
+def _measure_magnitude(calls: float) -> float:
+    """Return the binary logarithm of a number of calls, within bounds."""
+    return math.log2(min(BAND_CALLS_MAX, max(BAND_CALLS_MIN, calls)))
 
 
 @dataclass(slots=True)
@@ -636,7 +634,11 @@
         for pressure in pressures:
             reached_pool = pools.get(pressure.pool)
             if reached_pool is None:
-                pools[pressure.pool] = _ReachedPool(now, pressure.calls)
+                pools[pressure.pool] = _ReachedPool(
+                    now,
+                    pressure.calls,
+                    round(_measure_magnitude(pressure.calls)),
+                )
             else:
                 reached_pool.update(now, pressure.calls)
             pool_level = self._levels.get(pressure.pool)
--- a/src/sequoiaseam/_settings.py
+++ b/src/sequoiaseam/_settings.py
@@ -141,7 +141,9 @@
     automatic_repair: bool = False
     forms_group: bool = True
     assigns_witnesses: bool = True
-    quota_leases: bool = True
+    # Off, as a frozen holder costs its workspaces the quota for the rest of
+    # its lease, where the loss of any host but the leader costs nothing.
+    quota_leases: bool = False
     # The process is ended by its supervisor if it takes more memory.
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
     # The file descriptors that the process may have open.
--- a/tests/test_control_quota_leases.py
+++ b/tests/test_control_quota_leases.py
@@ -51,6 +51,7 @@
                     listen=endpoint,
                     replicas=endpoints,
                     secrets=None,
+                    quota_leases=True,
                 ),
                 ProcessClock(),
                 Random(name),
