--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -570,10 +570,16 @@
     """Refuse a fraction of the load; admit a fraction of each demand."""
     remaining = fraction * sum(load for _, load in demands)
     refused_fractions = []
+    refused_max = 1 - admitted_min
     for _, load in demands:
-        refused = min(1 - admitted_min, remaining / load if load else 1.0)
-        refused_fractions.append(refused if remaining > 0 else 0.0)
-        remaining -= refused * load
+        if remaining <= 0:
+            refused_fractions.append(0.0)
+            continue
+        refused = min(refused_max, remaining / load if load else 1.0)
+        refused_fractions.append(refused)
+        # A demand below the maximum takes all the rest. The difference isn't
+        # always 0 then: machine code may round its product and sum at once.
+        remaining = remaining - refused * load if refused >= refused_max else 0
     return refused_fractions
 
 
