--- a/src/sequoiaseam/_pressure.py
+++ b/src/sequoiaseam/_pressure.py
@@ -579,7 +579,9 @@
         refused_fractions.append(refused)
         # A demand below the maximum takes all the rest. The difference isn't
         # always 0 then: machine code may round its product and sum at once.
-        remaining = remaining - refused * load if refused >= refused_max else 0
+        remaining = (
+            remaining - refused * load if refused >= refused_max else 0.0
+        )
     return refused_fractions
 
 
