--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -76,13 +76,20 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind(("0.0.0.0", 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
+    """Return ports that are free on every loopback address.
+
+    They are below those that the kernel gives to outgoing connections.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 30_000)
+        with socket.socket() as bound:
+            try:
+                bound.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -112,6 +119,8 @@
         }
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.bootstrap = True
+        # Core hosts to which the operator sends first.
+        self.answering: list[str] = []
 
     def _write_settings(self, host: str) -> Path:
         is_core = host in self.cores
@@ -250,7 +259,7 @@
         version = document["version"]
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
-            for core in self.cores:
+            for core in self.answering or self.cores:
                 host, target = core, f"{RPC}configuration.put"
                 for _ in range(3):
                     answer = await request(
@@ -518,7 +527,12 @@
                 body = await read_body(reader, fields)
                 method, target, _ = first.split(" ")
                 await self._handle(writer, Run(method, target, fields, body))
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except (
+            OSError,
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+        ):
             pass
         finally:
             self._writers.discard(writer)
@@ -573,7 +587,12 @@
 
 
 def create_route(
-    service: str, prefix: str, *, kind: str = "safe", anonymous: bool = False
+    service: str,
+    prefix: str,
+    *,
+    kind: str = "safe",
+    anonymous: bool = False,
+    priority: int = 1,
 ) -> dict[str, Any]:
     """Return a route of a manifest."""
     return {
@@ -582,7 +601,7 @@
         "route-type": kind,
         "timeout-s": 5,
         "target-latency-s": 1.5,
-        "priority": 1,
+        "priority": priority,
         "service": service,
         "max-attempts": 2,
         "allow-anonymous": anonymous,
@@ -643,13 +662,23 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> bool:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The processes are ended also if the case is stopped.
+            loop.add_signal_handler(number, task.cancel)  # type: ignore
         async with asyncio.timeout(110):
             return bool(await case(record, trouble))
 
     status = 2
     try:
         status = 1 if asyncio.run(play()) else 0
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (
+        CannotRunError,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record.say(f"the case couldn't run: {error!r}")
     record.write("exit", status=status, trouble=trouble)
     sys.exit(status)
