--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A node that wakes from a freeze runs a tenant's request as anonymous."""
+"""Nodes in touch try frozen core hosts in turn and act on an old manifest."""
 
 import asyncio
 import contextlib
@@ -10,10 +10,8 @@
 sys.path.insert(0, str(FOLDER.parent / "6"))
 
 from standins import (
-    CannotRunError,
     Fleet,
     KeptConnection,
-    ReadinessCheck,
     Record,
     Run,
     Worker,
@@ -24,109 +22,122 @@
     run_case,
 )
 
-SERVICE = "consulta"
-FREEZE_S = 3.0  # the site's largest freeze of a node is 3.5 s
-WAIT_BEFORE_SENDING_S = 2.3  # more than config-apply-s after the confirmation
-REQUESTS = 12
+OLD_SERVICE = "contratos"
+NEW_SERVICE = "consulta"
+SERVICES = (OLD_SERVICE, NEW_SERVICE)
+KEY = "key-of-cooperativa-0001"
+ZONE = "sul-a"
+FREEZE_S = 6.0  # the site's largest freeze of a core machine is 7.5 s
+MANIFEST_AFTER_S = 0.5  # from the start of the freeze
+CONNECTIVITY_WINDOW_S = 3.0
+CONFIG_APPLY_S = 2.0
+REQUEST_GAP_S = 0.05
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Return whether a worker ran a request for the wrong tenant."""
-    fleet = Fleet(record, [SERVICE] * 3)
-    runs: dict[str, str] = {}
+    """Return whether a node in touch acted on an old manifest."""
+    fleet = Fleet(
+        record,
+        [OLD_SERVICE, OLD_SERVICE, NEW_SERVICE, NEW_SERVICE, NEW_SERVICE,
+         OLD_SERVICE],
+        cores=5,
+    )
+    ran_by: dict[str, str] = {}
 
     def note_run(worker: Worker, run: Run) -> float:
-        attempt = run.fields.get("x-sequoiaseam-attempt-id", "")
-        tenant = run.fields.get("x-sequoiaseam-tenant", "")
-        runs[attempt] = tenant
-        record.write(
-            "run", attempt=attempt, worker=worker.host, tenant=tenant or "none"
-        )
-        return 0.02
+        service = fleet.nodes[worker.host]
+        ran_by[run.fields["x-sequoiaseam-attempt-id"]] = service
+        return 0.01
 
     workers = [Worker(fleet, host, note_run) for host in fleet.nodes]
-    routes = {
-        "r-open": create_route(SERVICE, "/open/", anonymous=True),
-        "r-keyed": create_route(SERVICE, "/keyed/"),
-    }
-    old_tenants = {"cooperativa": create_tenant("key-of-cooperativa-0001")}
-    new_tenants = {
-        **old_tenants,
-        "prefeitura": create_tenant("key-of-prefeitura-0002"),
-    }
-    try:
-        await fleet.start(*fleet.cores, *fleet.nodes)
-        for worker in workers:
-            await worker.start()
-        manifest = create_manifest(1, 0, routes, old_tenants, (SERVICE,))
-        await fleet.put(manifest)
-        await fleet.wait_ready()
-        await asyncio.sleep(4)
-        node = next(iter(fleet.nodes))
-        connections = [
-            KeptConnection(node, fleet.outbound_port) for _ in range(REQUESTS)
-        ]
+    tenants = {"cooperativa": create_tenant(KEY)}
+    sent_by: dict[str, tuple[str, float]] = {}
+    statuses: dict[int | None, int] = {}
+    callers: set[asyncio.Task[None]] = set()
 
-        async def ask(
-            connection: KeptConnection, attempt: str, key: str
-        ) -> None:
+    async def put(version: int, service: str) -> float:
+        routes = {
+            "r-keyed": create_route(NEW_SERVICE, "/keyed/"),
+            "r-roster": create_route(service, "/roster/", anonymous=True),
+        }
+        return await fleet.put(
+            create_manifest(version, version - 1, routes, tenants, SERVICES)
+        )
+
+    async def call(node: str) -> None:
+        """Send requests without a key, as the worker beside the node does."""
+        connection = KeptConnection(node, fleet.outbound_port)
+        while True:
+            await asyncio.sleep(REQUEST_GAP_S)
+            attempt = create_id()
+            sent_by[attempt] = (node, record.now)
             answer = await connection.send(
-                "/open/maps",
+                "/roster/x",
                 (
                     f"X-Sequoiaseam-Attempt-Id: {attempt}",
-                    "X-Sequoiaseam-Deadline-Remaining-Ms: 5000",
-                    f"Authorization: Bearer {key}",
+                    "X-Sequoiaseam-Deadline-Remaining-Ms: 2500",
                 ),
                 "zanella.example",
             )
-            record.write(
-                "answered",
-                attempt=attempt,
-                status=None if answer is None else answer.status,
-                body=b"" if answer is None else answer.body[:40],
-            )
+            status = None if answer is None else answer.status
+            statuses[status] = statuses.get(status, 0) + 1
 
-        check = ReadinessCheck(fleet, node)
-        for connection in connections:
-            await ask(connection, create_id(), "key-of-cooperativa-0001")
-        loop = asyncio.get_running_loop()
-        frozen_at = loop.time()
+    try:
+        await fleet.start(*fleet.cores, *fleet.nodes)
+        for worker in workers:
+            await worker.start()
+        await put(1, OLD_SERVICE)
+        await fleet.wait_ready()
+        # Nodes move to the core hosts of their zones within some seconds.
+        await asyncio.sleep(8)
+        callers.update(
+            asyncio.create_task(call(node)) for node in fleet.nodes
+        )
+        await asyncio.sleep(1)
+        frozen = [core for core in fleet.cores if fleet.zones[core] == ZONE]
+        # The operator goes on with the core hosts that answer.
+        fleet.answering = [c for c in fleet.cores if c not in frozen]
+        frozen_at = record.now
         if trouble:
-            fleet.send_signal(node, signal.SIGSTOP)
-        manifest = create_manifest(2, 1, routes, new_tenants, (SERVICE,))
-        confirmed_at = await fleet.put(manifest)
-        await asyncio.sleep(WAIT_BEFORE_SENDING_S)
-
-        async def send(connection: KeptConnection, attempt: str) -> None:
+            for core in frozen:
+                fleet.send_signal(core, signal.SIGSTOP)
+        await asyncio.sleep(MANIFEST_AFTER_S)
+        confirmed_at = await put(2, NEW_SERVICE)
+        await asyncio.sleep(frozen_at + FREEZE_S - record.now)
+        if trouble:
+            for core in frozen:
+                fleet.send_signal(core, signal.SIGCONT)
+        await asyncio.sleep(1)
+        judged_from = max(
+            frozen_at + CONNECTIVITY_WINDOW_S, confirmed_at + CONFIG_APPLY_S
+        )
+        stale: dict[str, list[float]] = {}
+        for attempt, (node, sent) in sent_by.items():
+            if (
+                judged_from < sent < frozen_at + FREEZE_S
+                and ran_by.get(attempt) == OLD_SERVICE
+            ):
+                stale.setdefault(node, []).append(sent - confirmed_at)
+        for node, ages in stale.items():
             record.write(
-                "sent",
-                attempt=attempt,
-                to=node,
-                key_of="prefeitura",
-                after_confirmation=round(record.now - confirmed_at, 3),
+                "ran by the old service",
+                node=node,
+                zone=fleet.zones[node],
+                requests=len(ages),
+                sent_after_confirmation=f"{min(ages):.2f}..{max(ages):.2f}",
             )
-            await ask(connection, attempt, "key-of-prefeitura-0002")
-
-        if not check.admits:
-            raise CannotRunError("the platform sends the node no clients")
-        attempts = [create_id() for _ in range(REQUESTS)]
-        sends = [
-            asyncio.create_task(send(connection, attempt))
-            for connection, attempt in zip(connections, attempts, strict=True)
-        ]
-        await asyncio.sleep(max(0.2, FREEZE_S - (loop.time() - frozen_at)))
-        if trouble:
-            fleet.send_signal(node, signal.SIGCONT)
-        await asyncio.gather(*sends)
-        wrong = [a for a in attempts if runs.get(a, "prefeitura") != "prefeitura"]
-        ran = sum(attempt in runs for attempt in attempts)
-        check.close()
+        record.write("answers", **{str(k): v for k, v in statuses.items()})
+        count = sum(map(len, stale.values()))
         record.say(
-            f"{ran} of {REQUESTS} requests with the key of prefeitura ran, "
-            f"{len(wrong)} of them not for prefeitura"
+            f"{count} requests, sent by {len(stale)} nodes in touch more than "
+            f"{CONFIG_APPLY_S:g} s after the confirmation, were run by the "
+            f"old service"
         )
-        return bool(wrong)
+        return count > 0
     finally:
+        for task in callers:
+            task.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
         for worker in workers:
             worker.crash()
         with contextlib.suppress(ProcessLookupError):
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,8 @@
-"""A request that crashes workers is let through once its route is split."""
+"""A node that wakes from a freeze runs a tenant's request as anonymous."""
 
 import asyncio
 import contextlib
-import random
+import signal
 import sys
 from pathlib import Path
 
@@ -10,7 +10,10 @@
 sys.path.insert(0, str(FOLDER.parent / "6"))
 
 from standins import (
+    CannotRunError,
     Fleet,
+    KeptConnection,
+    ReadinessCheck,
     Record,
     Run,
     Worker,
@@ -18,150 +21,112 @@
     create_manifest,
     create_route,
     create_tenant,
-    request,
     run_case,
 )
 
 SERVICE = "consulta"
-NODES = 6
-POISON = "/accept/p/7/c/41"
-WORKER_BACK_S = 3.0
-CLIENTS = 3  # at each node, with requests that crash nothing
-RESEND_S = 1.0
-PLAY_S = 40.0
-SPLIT_AFTER_S = 6.0
-CONNECTIVITY_WINDOW_S = 3.0
-RETRIES_MAX = 3
-KEY = "key-of-cooperativa-0001"
+FREEZE_S = 3.0  # the site's largest freeze of a node is 3.5 s
+WAIT_BEFORE_SENDING_S = 2.3  # more than config-apply-s after the confirmation
+REQUESTS = 12
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Return whether the request reached workers too often."""
-    fleet = Fleet(record, [SERVICE] * NODES)
-    rng = random.Random(7)
-    crashes: list[float] = []
-    arrivals: list[tuple[float, float]] = []
-    sent_at: dict[str, float] = {}
-    restarts: set[asyncio.Task[None]] = set()
+    """Return whether a worker ran a request for the wrong tenant."""
+    fleet = Fleet(record, [SERVICE] * 3)
+    runs: dict[str, str] = {}
 
     def note_run(worker: Worker, run: Run) -> float:
-        if run.target == POISON:
-            attempt = run.fields.get("x-sequoiaseam-attempt-id", "")
-            arrivals.append((sent_at.get(attempt, 0.0), record.now))
-            record.write(
-                "crashing request reaches worker",
-                worker=worker.host,
-                attempt=attempt,
-            )
-            crashes.append(record.now)
-            worker.crash()
-            restarts.add(asyncio.create_task(restart(worker)))
-        return rng.uniform(0.05, 0.15)
-
-    async def restart(worker: Worker) -> None:
-        await asyncio.sleep(WORKER_BACK_S)
-        await worker.start()
-
-    workers = [Worker(fleet, host, note_run) for host in fleet.nodes]
-
-    async def send(node: str, target: str) -> int | None:
-        attempt = create_id()
-        if target == POISON:
-            sent_at[attempt] = record.now
-            record.write("crashing request sent", to=node, attempt=attempt)
-        answer = await request(
-            node,
-            fleet.outbound_port,
-            "GET",
-            target,
-            (
-                f"X-Sequoiaseam-Attempt-Id: {attempt}",
-                "X-Sequoiaseam-Deadline-Remaining-Ms: 5000",
-                f"Authorization: Bearer {KEY}",
-            ),
-            timeout_s=5.0,
-            name="zanella.example",
+        attempt = run.fields.get("x-sequoiaseam-attempt-id", "")
+        tenant = run.fields.get("x-sequoiaseam-tenant", "")
+        runs[attempt] = tenant
+        record.write(
+            "run", attempt=attempt, worker=worker.host, tenant=tenant or "none"
         )
-        status = None if answer is None else answer.status
-        if target == POISON:
-            record.write("crashing request answered", status=status)
-        statuses[status] = statuses.get(status, 0) + 1
-        return status
-
-    statuses: dict[int | None, int] = {}
+        return 0.02
 
-    async def send_others(node: str, number: int) -> None:
-        count = 0
-        while True:
-            count += 1
-            await send(node, f"/read/{number}/{count}")
-            await asyncio.sleep(rng.uniform(0.02, 0.08))
-
-    others: list[asyncio.Task[None]] = []
+    workers = [Worker(fleet, host, note_run) for host in fleet.nodes]
+    routes = {
+        "r-open": create_route(SERVICE, "/open/", anonymous=True),
+        "r-keyed": create_route(SERVICE, "/keyed/"),
+    }
+    old_tenants = {"cooperativa": create_tenant("key-of-cooperativa-0001")}
+    new_tenants = {
+        **old_tenants,
+        "prefeitura": create_tenant("key-of-prefeitura-0002"),
+    }
     try:
         await fleet.start(*fleet.cores, *fleet.nodes)
         for worker in workers:
             await worker.start()
-        routes = {
-            "r-read": create_route(SERVICE, "/read/", priority=2),
-            "r-accept": create_route(SERVICE, "/accept/", priority=0),
-        }
-        # Each manifest splits the route further, as the path is longer.
-        splits = [
-            ("r-accept-2", "/accept/p/"),
-            ("r-accept-3", "/accept/p/7/"),
-            ("r-accept-4", "/accept/p/7/c/"),
-        ]
-        tenants = {"cooperativa": create_tenant(KEY)}
-        services = (SERVICE,)
-        await fleet.put(create_manifest(1, 0, routes, tenants, services))
+        manifest = create_manifest(1, 0, routes, old_tenants, (SERVICE,))
+        await fleet.put(manifest)
         await fleet.wait_ready()
-        await asyncio.sleep(3)
-        others = [
-            asyncio.create_task(send_others(node, number))
-            for node in fleet.nodes
-            for number in range(CLIENTS)
+        await asyncio.sleep(4)
+        node = next(iter(fleet.nodes))
+        connections = [
+            KeptConnection(node, fleet.outbound_port) for _ in range(REQUESTS)
         ]
-        await asyncio.sleep(3)
-        ends_at = record.now + PLAY_S
-        nodes = list(fleet.nodes)
-        version = 1
-        while record.now < ends_at:
-            is_due = (
-                len(crashes) >= 3
-                and record.now > crashes[-1] + SPLIT_AFTER_S
-                and splits
+
+        async def ask(
+            connection: KeptConnection, attempt: str, key: str
+        ) -> None:
+            answer = await connection.send(
+                "/open/maps",
+                (
+                    f"X-Sequoiaseam-Attempt-Id: {attempt}",
+                    "X-Sequoiaseam-Deadline-Remaining-Ms: 5000",
+                    f"Authorization: Bearer {key}",
+                ),
+                "zanella.example",
+            )
+            record.write(
+                "answered",
+                attempt=attempt,
+                status=None if answer is None else answer.status,
+                body=b"" if answer is None else answer.body[:40],
             )
-            if trouble and is_due:
-                name, prefix = splits.pop(0)
-                routes[name] = create_route(SERVICE, prefix, priority=0)
-                manifest = create_manifest(
-                    version + 1, version, routes, tenants, services
-                )
-                version += 1
-                await fleet.put(manifest)
-            await send(rng.choice(nodes), POISON)
-            await asyncio.sleep(RESEND_S)
-        late: list[float] = []
-        if len(crashes) >= 3:
-            late = [
-                sent
-                for sent, _ in arrivals
-                if sent > crashes[2] + CONNECTIVITY_WINDOW_S
-            ]
-        record.write("answers", **{str(k): v for k, v in statuses.items()})
+
+        check = ReadinessCheck(fleet, node)
+        for connection in connections:
+            await ask(connection, create_id(), "key-of-cooperativa-0001")
+        loop = asyncio.get_running_loop()
+        frozen_at = loop.time()
+        if trouble:
+            fleet.send_signal(node, signal.SIGSTOP)
+        manifest = create_manifest(2, 1, routes, new_tenants, (SERVICE,))
+        confirmed_at = await fleet.put(manifest)
+        await asyncio.sleep(WAIT_BEFORE_SENDING_S)
+
+        async def send(connection: KeptConnection, attempt: str) -> None:
+            record.write(
+                "sent",
+                attempt=attempt,
+                to=node,
+                key_of="prefeitura",
+                after_confirmation=round(record.now - confirmed_at, 3),
+            )
+            await ask(connection, attempt, "key-of-prefeitura-0002")
+
+        if not check.admits:
+            raise CannotRunError("the platform sends the node no clients")
+        attempts = [create_id() for _ in range(REQUESTS)]
+        sends = [
+            asyncio.create_task(send(connection, attempt))
+            for connection, attempt in zip(connections, attempts, strict=True)
+        ]
+        await asyncio.sleep(max(0.2, FREEZE_S - (loop.time() - frozen_at)))
+        if trouble:
+            fleet.send_signal(node, signal.SIGCONT)
+        await asyncio.gather(*sends)
+        wrong = [a for a in attempts if runs.get(a, "prefeitura") != "prefeitura"]
+        ran = sum(attempt in runs for attempt in attempts)
+        check.close()
         record.say(
-            f"{len(crashes)} crashes; the third at "
-            f"{crashes[2] if len(crashes) > 2 else 0:.1f} s; "
-            f"{len(late)} later arrivals in {len(set(late))} client attempts "
-            f"sent more than {CONNECTIVITY_WINDOW_S:g} s after it"
+            f"{ran} of {REQUESTS} requests with the key of prefeitura ran, "
+            f"{len(wrong)} of them not for prefeitura"
         )
-        # Counted by client attempts, as one attempt may try two workers.
-        return len(set(late)) > RETRIES_MAX
+        return bool(wrong)
     finally:
-        for task in (*others, *restarts):
-            task.cancel()
-        await asyncio.gather(*others, *restarts, return_exceptions=True)
         for worker in workers:
             worker.crash()
         with contextlib.suppress(ProcessLookupError):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
-"""A tenant exceeds its usage cap while the core is killed and restarts."""
+"""A request that crashes workers is let through once its route is split."""
 
 import asyncio
 import contextlib
+import random
 import sys
 from pathlib import Path
 
@@ -10,7 +11,6 @@
 
 from standins import (
     Fleet,
-    KeptConnection,
     Record,
     Run,
     Worker,
@@ -18,129 +18,150 @@
     create_manifest,
     create_route,
     create_tenant,
+    request,
     run_case,
 )
 
 SERVICE = "consulta"
+NODES = 6
+POISON = "/accept/p/7/c/41"
+WORKER_BACK_S = 3.0
+CLIENTS = 3  # at each node, with requests that crash nothing
+RESEND_S = 1.0
+PLAY_S = 40.0
+SPLIT_AFTER_S = 6.0
+CONNECTIVITY_WINDOW_S = 3.0
+RETRIES_MAX = 3
 KEY = "key-of-cooperativa-0001"
-RATE_PER_S = 40
-BURST = 440
-USUAL_PER_S = 36.0
-HOT_FACTOR = 8.0  # the site's largest `hot_tenant`
-HOT_S = 6.5
-USUAL_S = 14.0  # fills the burst, which starts empty
-KILL_AFTER_S = 1.75  # from the start of the hot time
-DOWN_S = 0.6  # "back within a second"
-# Bounds of the site.
-WINDOW_S = 5.0
-OVERSHOOT = 0.1
-SLACK = 20
 
 
 async def play(record: Record, trouble: bool) -> bool:
-    """Return whether more requests of the tenant ran than it may send."""
-    fleet = Fleet(record, [SERVICE] * 3)
+    """Return whether the request reached workers too often."""
+    fleet = Fleet(record, [SERVICE] * NODES)
+    rng = random.Random(7)
+    crashes: list[float] = []
+    arrivals: list[tuple[float, float]] = []
     sent_at: dict[str, float] = {}
-    ran_at: dict[str, float] = {}
-    statuses: dict[int | None, int] = {}
+    restarts: set[asyncio.Task[None]] = set()
 
     def note_run(worker: Worker, run: Run) -> float:
-        del worker
-        ran_at[run.fields["x-sequoiaseam-attempt-id"]] = record.now
-        return 0.02
+        if run.target == POISON:
+            attempt = run.fields.get("x-sequoiaseam-attempt-id", "")
+            arrivals.append((sent_at.get(attempt, 0.0), record.now))
+            record.write(
+                "crashing request reaches worker",
+                worker=worker.host,
+                attempt=attempt,
+            )
+            crashes.append(record.now)
+            worker.crash()
+            restarts.add(asyncio.create_task(restart(worker)))
+        return rng.uniform(0.05, 0.15)
 
-    workers = [
-        Worker(fleet, host, note_run, slots=184) for host in fleet.nodes
-    ]
-    idle: dict[str, list[KeptConnection]] = {h: [] for h in fleet.nodes}
-    tasks: set[asyncio.Task[None]] = set()
+    async def restart(worker: Worker) -> None:
+        await asyncio.sleep(WORKER_BACK_S)
+        await worker.start()
 
-    async def send(node: str) -> None:
+    workers = [Worker(fleet, host, note_run) for host in fleet.nodes]
+
+    async def send(node: str, target: str) -> int | None:
         attempt = create_id()
-        connection = (
-            idle[node].pop()
-            if idle[node]
-            else KeptConnection(node, fleet.outbound_port)
-        )
-        sent_at[attempt] = record.now
-        answer = await connection.send(
-            "/read/1",
+        if target == POISON:
+            sent_at[attempt] = record.now
+            record.write("crashing request sent", to=node, attempt=attempt)
+        answer = await request(
+            node,
+            fleet.outbound_port,
+            "GET",
+            target,
             (
                 f"X-Sequoiaseam-Attempt-Id: {attempt}",
                 "X-Sequoiaseam-Deadline-Remaining-Ms: 5000",
                 f"Authorization: Bearer {KEY}",
             ),
-            "zanella.example",
+            timeout_s=5.0,
+            name="zanella.example",
         )
-        idle[node].append(connection)
         status = None if answer is None else answer.status
+        if target == POISON:
+            record.write("crashing request answered", status=status)
         statuses[status] = statuses.get(status, 0) + 1
+        return status
 
-    async def press(per_s: float, for_s: float) -> None:
-        """Send at a rate, to all nodes in turn."""
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        nodes = list(fleet.nodes)
-        for number in range(int(per_s * for_s)):
-            await asyncio.sleep(started + number / per_s - loop.time())
-            task = asyncio.create_task(send(nodes[number % len(nodes)]))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
+    statuses: dict[int | None, int] = {}
 
-    async def disturb() -> None:
-        await asyncio.sleep(KILL_AFTER_S)
-        await fleet.kill(*fleet.cores)
-        await asyncio.sleep(DOWN_S)
-        await fleet.start(*fleet.cores)
+    async def send_others(node: str, number: int) -> None:
+        count = 0
+        while True:
+            count += 1
+            await send(node, f"/read/{number}/{count}")
+            await asyncio.sleep(rng.uniform(0.02, 0.08))
 
+    others: list[asyncio.Task[None]] = []
     try:
         await fleet.start(*fleet.cores, *fleet.nodes)
         for worker in workers:
             await worker.start()
-        await fleet.put(
-            create_manifest(
-                1,
-                0,
-                {"r-read": create_route(SERVICE, "/read/")},
-                {"cooperativa": create_tenant(KEY, rate=RATE_PER_S, burst=BURST)},
-                (SERVICE,),
-            )
-        )
+        routes = {
+            "r-read": create_route(SERVICE, "/read/", priority=2),
+            "r-accept": create_route(SERVICE, "/accept/", priority=0),
+        }
+        # Each manifest splits the route further, as the path is longer.
+        splits = [
+            ("r-accept-2", "/accept/p/"),
+            ("r-accept-3", "/accept/p/7/"),
+            ("r-accept-4", "/accept/p/7/c/"),
+        ]
+        tenants = {"cooperativa": create_tenant(KEY)}
+        services = (SERVICE,)
+        await fleet.put(create_manifest(1, 0, routes, tenants, services))
         await fleet.wait_ready()
-        # The bucket starts empty, and the tenant leaves a part of its rate.
-        await asyncio.sleep(BURST / RATE_PER_S + 2)
-        await press(USUAL_PER_S, USUAL_S)
-        record.write("hot time begins", per_s=USUAL_PER_S * HOT_FACTOR)
-        disturbance = asyncio.create_task(disturb()) if trouble else None
-        await press(USUAL_PER_S * HOT_FACTOR, HOT_S)
-        if disturbance is not None:
-            await disturbance
-        await press(USUAL_PER_S, 3.0)
-        while tasks:
-            await asyncio.sleep(0.1)
-        limit = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERSHOOT) + SLACK
-        runs = sorted((sent_at[a], ran_at[a]) for a in ran_at)
-        most, most_at = 0, 0.0
-        for start, _ in runs:
-            count = sum(
-                sent >= start and ran <= start + WINDOW_S for sent, ran in runs
+        await asyncio.sleep(3)
+        others = [
+            asyncio.create_task(send_others(node, number))
+            for node in fleet.nodes
+            for number in range(CLIENTS)
+        ]
+        await asyncio.sleep(3)
+        ends_at = record.now + PLAY_S
+        nodes = list(fleet.nodes)
+        version = 1
+        while record.now < ends_at:
+            is_due = (
+                len(crashes) >= 3
+                and record.now > crashes[-1] + SPLIT_AFTER_S
+                and splits
             )
-            if count > most:
-                most, most_at = count, start
-        for second in range(int(record.now)):
-            ran = sum(second <= at < second + 1 for at in ran_at.values())
-            sent = sum(second <= at < second + 1 for at in sent_at.values())
-            if sent:
-                record.write("in second", second=second, sent=sent, ran=ran)
+            if trouble and is_due:
+                name, prefix = splits.pop(0)
+                routes[name] = create_route(SERVICE, prefix, priority=0)
+                manifest = create_manifest(
+                    version + 1, version, routes, tenants, services
+                )
+                version += 1
+                await fleet.put(manifest)
+            await send(rng.choice(nodes), POISON)
+            await asyncio.sleep(RESEND_S)
+        late: list[float] = []
+        if len(crashes) >= 3:
+            late = [
+                sent
+                for sent, _ in arrivals
+                if sent > crashes[2] + CONNECTIVITY_WINDOW_S
+            ]
         record.write("answers", **{str(k): v for k, v in statuses.items()})
         record.say(
-            f"{most} requests ran in the {WINDOW_S:g} s from {most_at:.2f} s; "
-            f"the limit is {limit:g}"
+            f"{len(crashes)} crashes; the third at "
+            f"{crashes[2] if len(crashes) > 2 else 0:.1f} s; "
+            f"{len(late)} later arrivals in {len(set(late))} client attempts "
+            f"sent more than {CONNECTIVITY_WINDOW_S:g} s after it"
         )
-        return most > limit
+        # Counted by client attempts, as one attempt may try two workers.
+        return len(set(late)) > RETRIES_MAX
     finally:
-        for task in list(tasks):
+        for task in (*others, *restarts):
             task.cancel()
+        await asyncio.gather(*others, *restarts, return_exceptions=True)
         for worker in workers:
             worker.crash()
         with contextlib.suppress(ProcessLookupError):
