--- a/review/6/case.py
+++ b/review/6/case.py
@@ -38,8 +38,14 @@
     """Return whether a node in touch acted on an old manifest."""
     fleet = Fleet(
         record,
-        [OLD_SERVICE, OLD_SERVICE, NEW_SERVICE, NEW_SERVICE, NEW_SERVICE,
-         OLD_SERVICE],
+        [
+            OLD_SERVICE,
+            OLD_SERVICE,
+            NEW_SERVICE,
+            NEW_SERVICE,
+            NEW_SERVICE,
+            OLD_SERVICE,
+        ],
         cores=5,
     )
     ran_by: dict[str, str] = {}
@@ -90,9 +96,7 @@
         await fleet.wait_ready()
         # Nodes move to the core hosts of their zones within some seconds.
         await asyncio.sleep(8)
-        callers.update(
-            asyncio.create_task(call(node)) for node in fleet.nodes
-        )
+        callers.update(asyncio.create_task(call(node)) for node in fleet.nodes)
         await asyncio.sleep(1)
         frozen = [core for core in fleet.cores if fleet.zones[core] == ZONE]
         # The operator goes on with the core hosts that answer.
--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -150,9 +150,7 @@
         if is_core:
             lines.append(f'data-directory = "{folder / "data"}"')
         else:
-            lines.append(
-                f'application-address = "{host}:{self.worker_port}"'
-            )
+            lines.append(f'application-address = "{host}:{self.worker_port}"')
             lines.append(f'service = "{self.nodes[host]}"')
         lines += [
             "[zones]",
@@ -191,9 +189,7 @@
             settings = self._write_settings(host)
             program = "core" if host in self.cores else "sidecar"
             with (self.folder / host / "log").open("ab") as log:
-                self.processes[
-                    host
-                ] = await asyncio.create_subprocess_exec(
+                self.processes[host] = await asyncio.create_subprocess_exec(
                     sys.executable,
                     f"platform/{program}.py",
                     cwd=ROOT,
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -118,7 +118,9 @@
         if trouble:
             fleet.send_signal(node, signal.SIGCONT)
         await asyncio.gather(*sends)
-        wrong = [a for a in attempts if runs.get(a, "prefeitura") != "prefeitura"]
+        wrong = [
+            a for a in attempts if runs.get(a, "prefeitura") != "prefeitura"
+        ]
         ran = sum(attempt in runs for attempt in attempts)
         check.close()
         record.say(
