--- a/review/6/case.py
+++ b/review/6/case.py
@@ -149,4 +149,4 @@
 
 
 if __name__ == "__main__":
-    run_case(play, FOLDER)
+    run_case(play, FOLDER / "record.txt")
--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -75,30 +75,42 @@
         print(text)
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free on every loopback address.
+def find_free_ports(count: int, hosts: list[str]) -> list[int]:
+    """Return ports that are free on each of the loopback addresses.
 
     They are below those that the kernel gives to outgoing connections.
     """
     ports: list[int] = []
     while len(ports) < count:
         port = random.randrange(12_000, 30_000)
-        with socket.socket() as bound:
-            try:
-                bound.bind(("0.0.0.0", port))
-            except OSError:
-                continue
+        if not all(is_free(host, port) for host in hosts):
+            continue
         if port not in ports:
             ports.append(port)
     return ports
 
 
+def is_free(host: str, port: int) -> bool:
+    """Return whether a port of a loopback address is free."""
+    with socket.socket() as bound:
+        try:
+            bound.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class Fleet:
     """Processes of the system, started as the deploy file says."""
 
     def __init__(self, record: Record, services: list[str], cores: int = 3):
         self.record = record
         self.folder = Path(tempfile.mkdtemp())
+        net = f"127.{random.randrange(64, 192)}.{random.randrange(1, 250)}"
+        self.cores = [f"{net}.{1 + i}" for i in range(cores)]
+        self.nodes = {
+            f"{net}.{101 + i}": service for i, service in enumerate(services)
+        }
         (
             self.internal_port,
             self.control_port,
@@ -106,12 +118,7 @@
             self.ready_port,
             self.inbound_port,
             self.worker_port,
-        ) = find_free_ports(6)
-        net = f"127.{random.randrange(64, 192)}.{random.randrange(1, 250)}"
-        self.cores = [f"{net}.{1 + i}" for i in range(cores)]
-        self.nodes = {
-            f"{net}.{101 + i}": service for i, service in enumerate(services)
-        }
+        ) = find_free_ports(6, [*self.cores, *self.nodes])
         self.zones = {
             host: f"sul-{'abc'[i % 3]}"
             for hosts in (self.cores, list(self.nodes))
@@ -652,9 +659,9 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(case: Callable[[Record, bool], Any], folder: Path) -> None:
+def run_case(case: Callable[[Record, bool], Any], path: Path) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, else 2."""
-    record = Record(folder / "record.txt")
+    record = Record(path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> bool:
