Log and count the load of routes and of the backend server

A node now counts requests and calls by route and outcome, serves them with limit, slots, running, queued and pressure level at /metrics, and logs both once a second if something wasn't answered or the limit is below the slots. The command `sequoiaseam load FILE...` sums these lines up by second.

The cost for a call isn't measured yet.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -97,6 +97,11 @@
         """Return the number of waiting tickets."""
         return len(self._queue)
 
+    @property
+    def slots(self) -> int:
+        """Return the upper bound of the limit."""
+        return self._limiter.slots
+
     @property
     def limit(self) -> int:
         """Return how many requests may be processed concurrently."""
--- a/src/sequoiaseam/_cli.py
+++ b/src/sequoiaseam/_cli.py
@@ -46,6 +46,7 @@
         views.check,
         views.report,
         views.histogram,
+        views.load,
         views.status,
         edits.drain,
     ):
--- a/src/sequoiaseam/_cli_views.py
+++ b/src/sequoiaseam/_cli_views.py
@@ -13,6 +13,7 @@
     validate_duration,
 )
 from sequoiaseam._ini import read_ini
+from sequoiaseam._load_table import tabulate_load
 from sequoiaseam._operator_edits import ExitCode, format_changes
 from sequoiaseam._operator_messages import (
     BackupRequest,
@@ -144,6 +145,24 @@
                 )
                 await self._env.sleep(FOLLOW_RETRY_DELAY_S)
 
+    def load(self, log: Path, /, *more_logs: Path) -> int:
+        """Tabulate the load that nodes have logged, second by second.
+
+        Parameters
+        ----------
+        log
+            File with the log lines of one node or several.
+        more_logs
+            Further files.
+
+        """
+        lines: list[str] = []
+        for path in (log, *more_logs):
+            lines += path.read_text(errors="replace").splitlines()
+        for table in tabulate_load(lines):
+            self._env.print_table(table)
+        return ExitCode.DONE
+
     def _print_changes(
         self,
         old: Tables | None,
--- a/src/sequoiaseam/_host_call_executor.py
+++ b/src/sequoiaseam/_host_call_executor.py
@@ -26,6 +26,7 @@
 )
 from sequoiaseam._http_server import HeaderFields, format_fields
 from sequoiaseam._limiter import Completion
+from sequoiaseam._load_report import OutcomeCounts, ServerCapacity
 from sequoiaseam._logs import Level, RateLimitedLog, log_event
 from sequoiaseam._memory import MemoryBudget
 from sequoiaseam._mesh_frames import (
@@ -79,6 +80,12 @@
     on_result: Callable[[RunResult], None]
     ticket_id: int
     server_request: PendingRequest | None = None
+    # When it was sent to the backend server, which occupies a slot.
+    sent_at: datetime | None = None
+
+    def measure_slot_time(self, now: datetime) -> timedelta:
+        """Return for how long the call has occupied a slot."""
+        return timedelta(0) if self.sent_at is None else now - self.sent_at
 
     def release_body(self) -> None:
         """Release the body, which the run's closures would keep in memory."""
@@ -141,6 +148,7 @@
         self._ids = itertools.count(1)
         self._tasks = TaskGroup()
         self.attribution = CallAttribution()
+        self.outcomes = OutcomeCounts()
         self._pressure = pressure
         self._cached_pressures: dict[str, _CachedPressures] = {}
         self._retry_limiter = TreeRetryLimiter(SERVER_RETRIES_MIN)
@@ -221,6 +229,22 @@
             return None
         return session.admission.measure_pressure(now)
 
+    def measure_capacity(self, now: datetime) -> ServerCapacity | None:
+        """Return what the backend server may run and runs, if any."""
+        session = self._session
+        if session is None:
+            return None
+        admission = session.admission
+        return ServerCapacity(
+            session.report.server_id,
+            session.report.pool,
+            admission.slots,
+            admission.limit,
+            admission.running,
+            admission.queued,
+            admission.measure_pressure(now).level,
+        )
+
     # Reports of the backend server.
 
     def accept_report(self, now: datetime, report: ServerReport) -> None:
@@ -488,7 +512,11 @@
     def _cancel(self, run: _Run) -> None:
         if self._runs.pop(run.ticket_id, None) is None:
             return
+        now = self._clock.now()
         run.release_body()
+        self.outcomes.record_cancellation(
+            run.call.route, run.measure_slot_time(now)
+        )
         if run.server_request is not None:
             self.attribution.end_run(run.ticket_id)
             self._crash_guard.end_run(run.ticket_id, complete=False)
@@ -496,7 +524,6 @@
         session = self._session
         if session is not None:
             session.unanswered.discard(run.ticket_id)
-            now = self._clock.now()
             actions = session.admission.cancel(now, run.ticket_id)
             self._apply_actions(now, session, actions)
 
@@ -519,6 +546,7 @@
         self, now: datetime, session: _Session, run: _Run
     ) -> None:
         call = run.call
+        run.sent_at = now
         parent = ParentRun(
             run.ticket_id,
             call.route,
@@ -605,6 +633,7 @@
             )
         actions = session.admission.finish(now, run.ticket_id, completion)
         if pending:
+            self._record_result(now, run, result)
             run.on_result(result)
         if session is self._session:
             self._apply_actions(now, session, actions)
@@ -771,8 +800,22 @@
         self._runs.pop(run.ticket_id, None)
         run.release_body()
         now = self._clock.now()
+        self.outcomes.record_refusal(run.call.route, code)
         run.on_result(self._create_refusal(now, run, code, retry_after))
 
+    def _record_result(
+        self, now: datetime, run: _Run, result: RunResult
+    ) -> None:
+        slot_time = run.measure_slot_time(now)
+        if isinstance(result, RunAnswer):
+            self.outcomes.record_response(
+                run.call.route, result.status, slot_time
+            )
+        else:
+            self.outcomes.record_refusal(
+                run.call.route, result.code, slot_time
+            )
+
     def _measure_load(self) -> float:
         session = self._session
         if session is None:
--- a/src/sequoiaseam/_host_node.py
+++ b/src/sequoiaseam/_host_node.py
@@ -42,6 +42,12 @@
 from sequoiaseam._host_call_executor import HostCallExecutor
 from sequoiaseam._http_server import HttpServer
 from sequoiaseam._ingress import Ingress
+from sequoiaseam._load_report import (
+    LOAD_REPORT_INTERVAL,
+    format_load_metrics,
+    log_route_load,
+    log_server_load,
+)
 from sequoiaseam._logs import Level, RateLimitedLog, log_event
 from sequoiaseam._members import MemberGone, MemberReport
 from sequoiaseam._memory import (
@@ -189,6 +195,7 @@
             rng,
         )
         self._balance_log = RateLimitedLog(clock)
+        self._load_log = RateLimitedLog(clock)
         self._memory = MemoryBudget(
             compute_held_bytes_limit(settings.memory_limit_bytes)
         )
@@ -261,6 +268,7 @@
         self._tasks.start_periodic(TICK_INTERVAL, self._tick)
         self._tasks.start_periodic(REPORT_INTERVAL, self._log_memory)
         self._tasks.start_periodic(REPORT_INTERVAL, self._log_balance)
+        self._tasks.start_periodic(LOAD_REPORT_INTERVAL, self._log_load)
         self._tasks.start_periodic(
             TRIM_INTERVAL, MemoryTrimmer(self._memory).check
         )
@@ -414,12 +422,18 @@
 
     def format_metrics(self) -> bytes:
         """Return this node's metrics in the text format of Prometheus."""
-        balances = self._balancer.list_balances(self._clock.now())
+        now = self._clock.now()
+        balances = self._balancer.list_balances(now)
         count = len(self._view.evacuated_domains)
         return (
             format_memory_metrics(self._memory)
             + self._http_server.turned_away.format_metrics()
             + format_balance_metrics(balances)
+            + format_load_metrics(
+                self._executor.measure_capacity(now),
+                self._executor.outcomes,
+                self._ingress.outcomes,
+            )
             + self._confirmation_waits.format_metrics()
             + f"sequoiaseam_evacuated_domains {count}\n".encode()
         )
@@ -428,6 +442,16 @@
         balances = self._balancer.list_balances(self._clock.now())
         log_balance(self._balance_log, self._settings.name, balances)
 
+    def _log_load(self) -> None:
+        host = self._settings.name
+        log_route_load(self._load_log, host, self._ingress.outcomes)
+        log_server_load(
+            self._load_log,
+            host,
+            self._executor.measure_capacity(self._clock.now()),
+            self._executor.outcomes,
+        )
+
     def _log_memory(self) -> None:
         log_memory(self._settings.name, self._memory)
 
--- a/src/sequoiaseam/_ingress.py
+++ b/src/sequoiaseam/_ingress.py
@@ -25,6 +25,7 @@
     UnreadRefusal,
     format_fields,
 )
+from sequoiaseam._load_report import OutcomeCounts
 from sequoiaseam._logs import Level, RateLimitedLog
 from sequoiaseam._memory import MemoryBudget, MemoryUse
 from sequoiaseam._mesh_frames import (
@@ -147,6 +148,11 @@
     attempts: list[_Attempt] = field(default_factory=list)
     finished: bool = False
 
+    @property
+    def route_name(self) -> str:
+        """Return the name of the route, "" without one."""
+        return self.route.name if self.route else ""
+
 
 # Sends a call to a host by name; returns a callback that cancels it. The last
 # argument is called if the host falls silent while the call is in progress.
@@ -201,6 +207,7 @@
         self._route_throttle = RouteThrottle(rng)
         self._tree_admission = TreeAdmission(rng)
         self._pending_requests: set[PendingRequest] = set()
+        self.outcomes = OutcomeCounts()
         # Set late in a drain: callers' requests are refused, but not the
         # calls of backend servers, whose runs need them to finish.
         self.closing = False
@@ -677,7 +684,7 @@
             attempt.host_name,
             result,
             now - attempt.started_at,
-            pending.route.name if pending.route else "",
+            pending.route_name,
         )
 
     def _handle_silence(
@@ -809,7 +816,7 @@
             "request waits for a silent node",
             request_id=pending.request_id,
             code=code,
-            route=pending.route.name if pending.route else "",
+            route=pending.route_name,
             hosts=[attempt.host_name for attempt in pending.attempts],
             age=now - pending.request.arrived_at,
             time_left=pending.deadline - now if pending.deadline else None,
@@ -939,6 +946,7 @@
     def _respond(self, pending: PendingRequest, result: RunAnswer) -> None:
         self._finish(pending)
         self._record_call(pending, None)
+        self.outcomes.record_response(pending.route_name, result.status)
         pending.request.respond(
             result.status,
             result.fields,
@@ -952,11 +960,12 @@
             return
         attempts = pending.attempts
         self._finish(pending)
+        self.outcomes.record_cancellation(pending.route_name)
         self._log.log(
             Level.INFO,
             "request cancelled; its connection was closed",
             request_id=pending.request_id,
-            route=pending.route.name if pending.route else "",
+            route=pending.route_name,
             cause=pending.request.connection.end_cause,
             may_have_run=pending.may_have_run or bool(attempts),
             attempt_host=",".join(a.host_name for a in attempts),
@@ -1006,6 +1015,7 @@
             return
         self._finish(pending)
         self._record_call(pending, code)
+        self.outcomes.record_refusal(pending.route_name, code)
         now = self._clock.now()
         schedule = self.stop_schedule
         status = choose_status(code, may_have_run=pending.may_have_run)
@@ -1018,7 +1028,7 @@
             request_id=pending.request_id,
             code=code,
             status=status,
-            route=pending.route.name if pending.route else "",
+            route=pending.route_name,
             workspace=pending.workspace,
             importance=pending.importance,
             may_have_run=pending.may_have_run,
