Judge sheds by the requests accepted at the same concurrency

Cause: a shed lowers the concurrency limit to 0.65 of the concurrency at which it happened. At low load that is a few requests of 73 slots, so that the limit fell to a few at the first sheds. The trial that should have shown that sheds don't depend on concurrency waited for 100 completions; with so few slots it had none of them within a second, and the next shed lowered the limit again, to one, at which no trial was made. From there the limit grew by half a percent in each window of 30 completions, doubled for each second since the last shed. Refusals at the entry, which answer the queue of such a server, kept the load low.

Change: sheds are judged by themselves. A full server accepts nearly nothing at the concurrency at which it sheds, and sheds nothing below its capacity. If half as many requests are accepted as shed there, or sheds go on after four reductions, the limit is restored. Only the last reduction goes below a tenth of the slots, and the limit grows with time, not with windows.

--- a/src/sequoiaseam/_admission.py
+++ b/src/sequoiaseam/_admission.py
@@ -47,6 +47,8 @@
     started: datetime
     exclusive: bool
     latency_group: str
+    # Number of requests that ran when it started, with itself.
+    concurrency: int
     # Nested calls in progress, the start of the current wait for them and
     # the total of earlier waits.
     nested_calls: int = 0
@@ -156,6 +158,7 @@
             completion,
             run.nested_time,
             run.latency_group,
+            run.concurrency,
         )
         return tuple(self._dispatch(now))
 
@@ -382,9 +385,9 @@
             self._queue.dequeue(ticket)
         self._pressure_gauge.record_start()
         self._cold_start.record_start(now)
-        self._limiter.start(now)
+        concurrency = self._limiter.start(now)
         self._runs[ticket.ticket_id] = _RunningRequest(
-            now, ticket.exclusive, ticket.latency_group
+            now, ticket.exclusive, ticket.latency_group, concurrency
         )
         self._exclusive_running = ticket.exclusive
 
--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -2,8 +2,8 @@
 
 import enum
 import math
-from collections import deque
-from dataclasses import dataclass
+from collections import Counter, deque
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import Final
 
@@ -47,30 +47,34 @@
 # of its deviation from the other groups that each window corrects.
 GROUP_BASELINE_SAMPLES: Final = 10
 GROUP_BASELINE_GAIN: Final = 0.1
-SHED_CUT_INTERVAL_MIN: Final = timedelta(milliseconds=100)
-COLD_LIMIT_RATIO: Final = 0.1
+# Fraction of the slots that a server gets when its warmup starts. Only the
+# last reduction after sheds goes below it.
+MINIMUM_LIMIT_RATIO: Final = 0.1
 TIMEOUT_RATIO_MAX: Final = 0.1
 # The limit grows fast up to this fraction of the concurrency at which the
 # server last shed a request.
 SHED_FAST_GROWTH_RATIO: Final = 0.9
-SHED_SLOW_GROWTH_RATIO: Final = 0.005
+SHED_SLOW_GROWTH_PER_SECOND: Final = 0.05
 # After a shed, the limit is lowered to this fraction of the concurrency at
 # which it happened.
 SHED_LIMIT_RATIO: Final = 0.65
-# Number of completions for each slot over which latency is measured before
-# and after the limit is lowered for a shed, and its bounds.
-SHED_SAMPLES_PER_SLOT: Final = 2
-SHED_SAMPLES_MIN: Final = 20
-SHED_SAMPLES_MAX: Final = 100
-# If there are fewer completions within the longer of this time and this many
-# service times, the lower limit is kept.
-SHED_TRIAL_DURATION_MIN: Final = timedelta(seconds=1)
-SHED_TRIAL_SERVICE_TIMES: Final = 8
-# Ratio of the time in which sheds are ignored after such a trial to the
-# trial's duration, which is long where requests are.
-SHED_TRIAL_PAUSE_RATIO: Final = 5
-# Cuts within this time of each other answer the same sheds, so that they are
-# undone together.
+# Number of sheds at a lowered limit after which it is lowered again, and of
+# reductions after which sheds that go on don't depend on concurrency.
+SHEDS_PER_REDUCTION: Final = 3
+SHED_REDUCTIONS_MAX: Final = 4
+# Each reduction is given this many service times to show an effect.
+REDUCTION_SERVICE_TIMES: Final = 2
+# A full server sheds at once and accepts a request when another one ends, so
+# that there are many sheds for each request accepted at the same concurrency.
+# With at least this many of these for each shed, sheds don't depend on it.
+ACCEPTED_PER_SHED_MIN: Final = 0.5
+# Fewer accepted requests don't show that a server isn't full.
+ACCEPTED_SAMPLES_MIN: Final = 5
+# Sheds are then ignored for the longer of this time and this multiple of the
+# time that it took to find out.
+SHEDS_IGNORED_MIN: Final = timedelta(seconds=5)
+SHEDS_IGNORED_RATIO: Final = 5
+# Sheds that are further apart are judged separately.
 SHED_SERIES_GAP: Final = timedelta(seconds=5)
 LOAD_REPORT_TTL: Final = timedelta(seconds=1)
 LOAD_REPORT_FULL: Final = 0.95
@@ -101,23 +105,21 @@
 
 
 @dataclass(slots=True)
-class _ShedTrial:
-    """Lower limit after a shed, while its effect is measured.
+class _ShedSeries:
+    """Sheds that have lowered the limit, and those that followed.
 
-    ``limit`` is that before the first reduction of a series, ``latency``
-    the mean normalized latency before the last one. ``cut_ratio`` is the
-    fraction by which concurrency was reduced. ``samples`` is the number
-    of completions to wait for.
+    ``limit`` is that before the series. ``sheds`` counts those of requests
+    started since ``reduced_at``, and ``accepted`` the others that have ended,
+    by the concurrency at their start.
     """
 
     started_at: datetime
     limit: float
-    latency: float
-    cut_ratio: float
-    samples: int
-    latency_sum: float = 0.0
-    completions: int = 0
+    reduced_at: datetime
+    last_shed_at: datetime
+    reductions: int = 0
     sheds: int = 0
+    accepted: Counter[int] = field(default_factory=Counter)
 
 
 class ServiceTimeEstimator:
@@ -227,13 +229,6 @@
         baseline.window_count += 1
         return normalized
 
-    def get_ratio(self, latency_group: str, latency: float) -> float | None:
-        """Return the normalized latency without recording it."""
-        baseline = self._baselines.get(latency_group)
-        if baseline is None or baseline.count < GROUP_BASELINE_SAMPLES:
-            return None
-        return latency / max(baseline.seconds, 1e-9)
-
     def correct_baselines(self, mean: float) -> None:
         """Adjust baselines of groups that deviate from the overall mean."""
         for baseline in self._baselines.values():
@@ -260,7 +255,9 @@
         self._slots = slots
         self._warmup = warmup
         self._created_at = now
-        self._limit = max(1.0, slots * COLD_LIMIT_RATIO) if warmup else slots
+        self._limit = (
+            max(1.0, slots * MINIMUM_LIMIT_RATIO) if warmup else slots
+        )
         # Normalized latencies: long-term and of the last window.
         self._baseline_latency: float | None = None
         self._window_latency = 1.0
@@ -270,13 +267,12 @@
         self._trial: _Trial | None = None
         self._next_trial_at = now + SPARSE_WINDOW_AGE
         self._shed_concurrency = 0.0
-        self._last_shed_cut_at: datetime | None = None
-        self._limit_before_sheds = self._limit
-        self._shed_trial: _ShedTrial | None = None
-        # Sheds are ignored until this time if a trial has shown that they
-        # don't depend on concurrency.
+        self._shed_series: _ShedSeries | None = None
+        # When the limit was last raised or lowered.
+        self._grown_at = now
+        # Sheds are ignored until this time if they don't depend on
+        # concurrency.
         self._sheds_ignored_until = now
-        self._recent_latencies: deque[float] = deque(maxlen=SHED_SAMPLES_MAX)
         self._reported_load = 0.0
         self._load_reported_at = now
         self._running = 0
@@ -297,7 +293,7 @@
         if not self._is_warming_up(now):
             return float(self._slots)
         warmup_ratio = (now - self._created_at) / self._warmup
-        return max(1.0, self._slots * max(COLD_LIMIT_RATIO, warmup_ratio))
+        return max(1.0, self._slots * max(MINIMUM_LIMIT_RATIO, warmup_ratio))
 
     @property
     def running(self) -> int:
@@ -309,10 +305,11 @@
         """Return how many requests may run or wait for nested calls."""
         return self._slots
 
-    def start(self, now: datetime) -> None:
-        """Record that a request starts or resumes."""
+    def start(self, now: datetime) -> int:
+        """Record that a request starts or resumes; return how many run."""
         self._integrate_concurrency(now)
         self._running += 1
+        return self._running
 
     def suspend(self, now: datetime) -> None:
         """Record that a request waits for a nested call."""
@@ -326,24 +323,26 @@
         completion: Completion,
         nested: timedelta = timedelta(0),
         latency_group: str = "",
+        concurrency: int = 0,
     ) -> None:
         """Record the end of a request and adapt the limit.
 
         ``nested`` is the time it waited for nested calls. It is
         subtracted because it doesn't depend on this server's capacity.
+        ``concurrency`` is what ``start`` has returned, 0 if it isn't known.
         """
-        concurrency = self._running
+        concurrency = concurrency or self._running
         self.suspend(now)
+        series = self._shed_series
         if completion is Completion.SHED:
             self._handle_shed(now, started, concurrency)
-        elif completion in (Completion.OK, Completion.TIMEOUT):
+        elif series is not None and started >= series.reduced_at:
+            series.accepted[concurrency] += 1
+        if completion in (Completion.OK, Completion.TIMEOUT):
             latency = (now - started).total_seconds()
             self.service_times.record(now, latency_group, latency)
             self._mixed_service_times.record(now, latency)
             own_time = max(0.0, latency - nested.total_seconds())
-            ratio = self._normalizer.get_ratio(latency_group, own_time)
-            if completion is Completion.OK and ratio is not None:
-                self._record_for_sheds(now, started, ratio)
             self._record_latency(started, own_time, completion, latency_group)
         self.tick(now)
 
@@ -414,93 +413,106 @@
             self._sample_count += 1
             self._latency_sum += normalized
 
-    def _record_for_sheds(
-        self, now: datetime, started: datetime, latency: float
+    def _handle_shed(
+        self, now: datetime, started: datetime, concurrency: int
     ) -> None:
-        """Record a normalized latency; end a shed trial that has enough."""
-        self._recent_latencies.append(latency)
-        trial = self._shed_trial
-        if trial is None or started < trial.started_at:
-            return
-        trial.latency_sum += latency
-        trial.completions += 1
-        if trial.completions >= trial.samples:
-            self._evaluate_shed_trial(now, trial)
+        """Lower the limit, unless sheds don't depend on concurrency.
 
-    def _evaluate_shed_trial(self, now: datetime, trial: _ShedTrial) -> None:
-        """Restore the limit if lowering it had no effect.
-
-        A server that sheds because of its load sheds less at a lower
-        concurrency, or at least becomes faster. One that sheds for another
-        reason only loses throughput.
+        A full server sheds no more below its capacity. If sheds go on at one
+        lower limit after another, or at a concurrency at which others are
+        accepted, they have another reason, and a low limit would only keep
+        slots idle.
         """
-        self._shed_trial = None
-        latency = trial.latency_sum / trial.completions
-        latency_drop = 1 - latency / max(trial.latency, 1e-9)
-        if not trial.sheds or (
-            latency_drop >= TRIAL_EFFECT_RATIO_MIN * trial.cut_ratio
-        ):
+        if now < self._sheds_ignored_until:
             return
-        self._sheds_ignored_until = now + max(
-            TRIAL_INTERVAL_MIN,
-            SHED_TRIAL_PAUSE_RATIO * (now - trial.started_at),
+        series = self._shed_series
+        if series is None or now - series.last_shed_at > SHED_SERIES_GAP:
+            series = _ShedSeries(now, self._limit, now, now)
+            self._shed_series = series
+        elif started < series.reduced_at:
+            return
+        series.last_shed_at = now
+        series.sheds += 1
+        accepted = sum(
+            count
+            for accepted_at, count in series.accepted.items()
+            if accepted_at >= concurrency
         )
-        self._last_shed_cut_at = None
-        self._limit = min(float(self._slots), trial.limit)
-        self._reset_window(now)
-
-    def _handle_shed(
-        self, now: datetime, started: datetime, concurrency: int
-    ) -> None:
-        """Lower the limit, once for requests that ran concurrently."""
-        if now < self._sheds_ignored_until:
+        if series.reductions and self._has_grown_back(
+            series, concurrency, accepted
+        ):
+            series.started_at = now
+            series.reductions = 0
+        if not series.reductions:
+            self._reduce_after_shed(now, series, concurrency)
             return
         median = self._mixed_service_times.estimate(now)
-        trial = self._shed_trial
-        if trial is not None and started >= trial.started_at:
-            trial.sheds += 1
-        if trial is not None and now - trial.started_at < max(
-            SHED_TRIAL_DURATION_MIN, SHED_TRIAL_SERVICE_TIMES * median
+        age = now - series.reduced_at
+        if (
+            series.sheds < SHEDS_PER_REDUCTION
+            or age < REDUCTION_SERVICE_TIMES * median
         ):
             return
-        pause = max(SHED_CUT_INTERVAL_MIN, 2 * median)
-        last_cut_at = self._last_shed_cut_at
-        if last_cut_at is not None and now - last_cut_at < pause:
-            return
-        if last_cut_at is None or now - last_cut_at > SHED_SERIES_GAP:
-            self._limit_before_sheds = self._limit
+        if (
+            series.reductions >= SHED_REDUCTIONS_MAX
+            or accepted >= ACCEPTED_PER_SHED_MIN * series.sheds
+        ):
+            self._ignore_sheds(now, series)
+        else:
+            self._reduce_after_shed(now, series, concurrency)
+
+    def _has_grown_back(
+        self, series: _ShedSeries, concurrency: int, accepted: int
+    ) -> bool:
+        """Return whether the limit has grown to the capacity once more.
+
+        ``accepted`` is the number of requests accepted at ``concurrency`` or
+        above. All others were accepted below.
+        """
+        accepted_below = series.accepted.total() - accepted
+        return accepted < ACCEPTED_SAMPLES_MIN and (
+            concurrency > SHED_FAST_GROWTH_RATIO * self._shed_concurrency
+            or accepted_below >= ACCEPTED_SAMPLES_MIN * series.sheds
+        )
+
+    def _reduce_after_shed(
+        self, now: datetime, series: _ShedSeries, concurrency: int
+    ) -> None:
+        """Lower the limit.
+
+        At low load, all sheds happen at a low concurrency, whatever their
+        reason is. So only the last reduction is unbounded.
+        """
+        series.reduced_at = now
+        series.reductions += 1
+        series.sheds = 0
+        series.accepted.clear()
+        limit = min(self._limit, concurrency) * SHED_LIMIT_RATIO
+        limit_min = MINIMUM_LIMIT_RATIO * self._slots
+        if self._limit <= limit_min:
+            series.reductions = SHED_REDUCTIONS_MAX
+        if series.reductions < SHED_REDUCTIONS_MAX:
+            limit = max(limit, limit_min)
         self._was_reduced = True
-        self._last_shed_cut_at = now
-        self._shed_concurrency = float(concurrency)
         self._trial = None
         self._settling = False
-        self._limit = max(
-            1.0, min(self._limit, concurrency) * SHED_LIMIT_RATIO
+        self._limit = max(1.0, min(self._limit, limit))
+        self._shed_concurrency = (
+            float(concurrency)
+            if self._limit < concurrency
+            else self._limit / SHED_LIMIT_RATIO
         )
-        self._shed_trial = self._create_shed_trial(now, concurrency)
+        self._grown_at = now
         self._reset_window(now)
 
-    def _create_shed_trial(
-        self, now: datetime, concurrency: int
-    ) -> _ShedTrial | None:
-        """Return the trial of a limit that was just lowered.
-
-        Return None if the latency before it isn't known.
-        """
-        samples = min(
-            SHED_SAMPLES_MAX,
-            max(SHED_SAMPLES_MIN, SHED_SAMPLES_PER_SLOT * self._slots),
-        )
-        recent = list(self._recent_latencies)[-samples:]
-        if len(recent) < samples or concurrency <= 1:
-            return None
-        return _ShedTrial(
-            now,
-            self._limit_before_sheds,
-            sum(recent) / samples,
-            1 - self._limit / concurrency,
-            samples,
+    def _ignore_sheds(self, now: datetime, series: _ShedSeries) -> None:
+        """Restore the limit, as sheds don't depend on concurrency."""
+        self._shed_series = None
+        self._sheds_ignored_until = now + max(
+            SHEDS_IGNORED_MIN, SHEDS_IGNORED_RATIO * (now - series.started_at)
         )
+        self._limit = min(float(self._slots), series.limit)
+        self._reset_window(now)
 
     def _measure_concurrency(self, now: datetime) -> float:
         """Return the mean concurrency in the current window."""
@@ -655,14 +667,16 @@
 
     def _increase_limit(self, now: datetime) -> None:
         step = math.sqrt(self._limit)
-        if self._last_shed_cut_at is not None:
+        series = self._shed_series
+        if series is not None:
             # Grow fast up to the concurrency at which the server shed,
             # slowly near it, and faster again as time passes because the
             # server may have recovered.
             gap = SHED_FAST_GROWTH_RATIO * self._shed_concurrency - self._limit
-            age = (now - self._last_shed_cut_at).total_seconds()
+            age = (now - series.reduced_at).total_seconds()
             slow_step = (
-                SHED_SLOW_GROWTH_RATIO
+                SHED_SLOW_GROWTH_PER_SECOND
+                * (now - self._grown_at).total_seconds()
                 * self._limit
                 * math.exp2(min(age, 20.0))
             )
@@ -673,6 +687,7 @@
             and now - self._load_reported_at < LOAD_REPORT_TTL
         ):
             step *= HALF
+        self._grown_at = now
         self._limit = min(self._compute_limit_max(now), self._limit + step)
 
     def _is_warming_up(self, now: datetime) -> bool:
--- a/tests/test_shed_recovery.py
+++ b/tests/test_shed_recovery.py
@@ -28,6 +28,8 @@
 RECOVERY_TIME: Final = 5 * SECOND
 # The target for goodput is 0.9 of what the servers can answer.
 REFUSED_FRACTION_MAX: Final = 0.1
+# More than a few sheds would spend the retries of a pool.
+SHED_FRACTION_MAX: Final = 0.02
 
 
 @dataclass
@@ -35,7 +37,9 @@
     """What became of the requests of a time."""
 
     arrived: int = 0
+    answered: int = 0
     refused: int = 0
+    shed: int = 0
 
     @property
     def refused_fraction(self) -> float:
@@ -59,6 +63,8 @@
         self.outcomes = Outcomes()
         pool = Pool("billing", SLOTS, 1000, 150, timedelta(0))
         self.admission = Admission(pool, SLOTS, self.now, self.rng)
+        # Requests that the server has accepted and not answered.
+        self._working = 0
         self._ids = itertools.count(1)
         self._ends: list[tuple[datetime, int, Completion]] = []
         self._next_tick = self.now
@@ -101,6 +107,11 @@
 
     def _finish(self) -> None:
         _, ticket_id, completion = heapq.heappop(self._ends)
+        if completion is Completion.OK:
+            self._working -= 1
+            self.outcomes.answered += 1
+        else:
+            self.outcomes.shed += 1
         self._apply(self.admission.finish(self.now, ticket_id, completion))
 
     def _apply(self, actions: tuple[AdmissionAction, ...]) -> None:
@@ -110,10 +121,11 @@
                 continue
             is_shed = (
                 self.rng.random() < self.shed_probability
-                or self.admission.running > self.capacity
+                or self._working >= self.capacity
             )
             duration = 1 * MS
             if not is_shed:
+                self._working += 1
                 duration = MEAN_WORK * self.rng.uniform(0.5, 1.5)
             completion = Completion.SHED if is_shed else Completion.OK
             heapq.heappush(
@@ -143,6 +155,35 @@
                     refused = server.run(4 * SECOND).refused_fraction
                     self.assertLessEqual(refused, REFUSED_FRACTION_MAX)
 
+    def test_a_full_server_sheds_little(self) -> None:
+        """Guard against a limit that ignores what a server can take."""
+        for capacity in (20, 10):
+            for seed in iterate_seeds(3):
+                with self.subTest(capacity=capacity, seed=seed):
+                    server = SheddingServer(seed, load=0.6)
+                    server.run(3 * SECOND)
+                    server.capacity = capacity
+                    server.run(RECOVERY_TIME)
+                    outcomes = server.run(10 * SECOND)
+                    rate = capacity / (MEAN_WORK / SECOND)
+                    self.assertGreater(outcomes.answered, 0.85 * 10 * rate)
+                    self.assertLessEqual(
+                        outcomes.shed, SHED_FRACTION_MAX * outcomes.arrived
+                    )
+
+    def test_a_nearly_lost_server_sheds_little(self) -> None:
+        """Guard against a limit that stays above a tenth of the slots."""
+        for seed in iterate_seeds(3):
+            with self.subTest(seed=seed):
+                server = SheddingServer(seed, load=1.2)
+                server.run(3 * SECOND)
+                server.capacity = 5
+                server.run(RECOVERY_TIME)
+                outcomes = server.run(10 * SECOND)
+                self.assertLessEqual(
+                    outcomes.shed, SHED_FRACTION_MAX * outcomes.arrived
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
