End a latency trial when the limit is restored after sheds

A trial that begins at a lowered limit would restore that limit when it ends. Read from the code; no run showed it. 31 tests of test_shed_recovery, test_admission and test_stateful_admission pass.

--- a/src/sequoiaseam/_limiter.py
+++ b/src/sequoiaseam/_limiter.py
@@ -121,6 +121,14 @@
     sheds: int = 0
     accepted: Counter[int] = field(default_factory=Counter)
 
+    def count_accepted(self, concurrency: int) -> int:
+        """Return how many were accepted at ``concurrency`` or above."""
+        return sum(
+            count
+            for accepted_at, count in self.accepted.items()
+            if accepted_at >= concurrency
+        )
+
 
 class ServiceTimeEstimator:
     """Median and 90th percentile of recent service times."""
@@ -433,11 +441,7 @@
             return
         series.last_shed_at = now
         series.sheds += 1
-        accepted = sum(
-            count
-            for accepted_at, count in series.accepted.items()
-            if accepted_at >= concurrency
-        )
+        accepted = series.count_accepted(concurrency)
         if series.reductions and self._has_grown_back(
             series, concurrency, accepted
         ):
@@ -512,6 +516,8 @@
             SHEDS_IGNORED_MIN, SHEDS_IGNORED_RATIO * (now - series.started_at)
         )
         self._limit = min(float(self._slots), series.limit)
+        self._trial = None
+        self._settling = False
         self._reset_window(now)
 
     def _measure_concurrency(self, now: datetime) -> float:
