End ejections when the other members of a pool can't be called

Cause: at most half of a pool may be ejected, and older ejections end when the proportion grows. Members that drain or are unreachable still counted as the other half, so that the only server left stayed ejected, for up to 30 s after failures at 9 to 17 s.

Change: only members that may be called count, and an unreachable member is looked at when that is noticed.

--- a/src/sequoiaseam/_balancer.py
+++ b/src/sequoiaseam/_balancer.py
@@ -240,9 +240,9 @@
         yield from self.other_domains
         yield from self.other_regions
 
-    def list_usable(self) -> list[_Peer]:
-        """Return the members whose failure domains aren't evacuated."""
-        return [peer for peer in self.iterate() if not peer.evacuated]
+    def list_available(self) -> list[_Peer]:
+        """Return the members that may be called, ejected ones included."""
+        return [peer for peer in self.iterate() if peer.is_available()]
 
     def count(self) -> int:
         """Return the number of members."""
@@ -607,6 +607,7 @@
         peer = self._peers.get(name)
         if peer is not None:
             peer.unreachable = True
+            self._limit_ejections(self._groups[peer.member.pool])
 
     def mark_reachable(self, now: datetime, name: str) -> None:
         """Call a member again, with a ramp if it was unreachable."""
@@ -775,7 +776,7 @@
                 self._eject(now, peer)
 
     def _may_eject(self, group: _PoolMembers) -> bool:
-        peers = group.list_usable()
+        peers = group.list_available()
         ejected = sum(p.ejected_until is not None for p in peers)
         return 2 * (ejected + 1) <= len(peers)
 
@@ -835,9 +836,10 @@
     def _limit_ejections(self, group: _PoolMembers) -> None:
         """End the oldest ejections while over half the pool is ejected.
 
-        The proportion grows when members leave or are evacuated.
+        The proportion grows when other members leave, drain, become
+        unreachable or are evacuated.
         """
-        peers = group.list_usable()
+        peers = group.list_available()
         ejected = sorted(
             (p for p in peers if p.ejected_until is not None),
             key=lambda p: p.ejected_at or p.ramp_started_at,
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -210,6 +210,33 @@
                 used_count = sum(c > 20 for c in counts.values())
                 self.assertGreaterEqual(used_count, size - size // 2)
 
+    def test_calls_the_only_available_member_although_it_was_ejected(
+        self,
+    ) -> None:
+        """Guard against refusals for want of a server that is sound again."""
+        for cause in ("draining", "unreachable", "evacuated"):
+            with self.subTest(cause=cause):
+                members = build_members(1)
+                members |= build_members(1, "domain-2", prefix="other")
+                fixture = Fixture(members)
+                fixture.failing = {"m0"}
+                # Failed probes have prolonged the ejection.
+                fixture.count_calls(3000)
+                fixture.failing = set()
+                evacuated: tuple[str, ...] = ()
+                if cause == "draining":
+                    members["other0"] = replace(
+                        members["other0"], state=MemberState.DRAINING
+                    )
+                elif cause == "evacuated":
+                    evacuated = ("domain-2",)
+                fixture.balancer.update(fixture.now, members, evacuated)
+                if cause == "unreachable":
+                    fixture.balancer.mark_unreachable(fixture.now, "other0")
+                self.assertEqual(
+                    fixture.balancer.choose(fixture.now, "history"), "m0"
+                )
+
 
 class BalancerFuzz:
     """Seeded random schedule, checked against a model of the members."""
